--- /dev/null
+++ b/crates/tarragon-command/src/lib.rs
@@ -0,0 +1,1 @@
+//! Command line: one command per file.
--- /dev/null
+++ b/crates/tarragon-config/src/lib.rs
@@ -0,0 +1,3 @@
+//! Settings, rules and published configuration, with findings that name their place.
+
+pub mod rules;
--- /dev/null
+++ b/crates/tarragon-lab/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load generator, randomised runs, scenarios and experiments.
--- /dev/null
+++ b/crates/tarragon-protocol/src/prelude.rs
@@ -0,0 +1,11 @@
+//! The types that nearly every module needs.
+
+pub use crate::finding::{Finding, FindingList, Place};
+pub use crate::identity::{
+    AttemptNumber, BlockHash, ConfigurationVersion, DataCentreName, FencingNumber, Fingerprint,
+    Incarnation, ModelName, RequestId, ServiceName, TargetName, VmName, WorkspaceName,
+};
+pub use crate::load::{LoadReport, TargetState};
+pub use crate::outcome::{CallOutcome, Refusal, RefusalCode};
+pub use crate::request::{CallKind, ModelCall, RequestProfile};
+pub use crate::tier::Tier;
--- /dev/null
+++ b/crates/tarragon-scheduler/src/prelude.rs
@@ -0,0 +1,8 @@
+//! Types that the crate's modules and its users need.
+
+pub use tarragon_protocol::prelude::*;
+
+pub use crate::{
+    event::{AttemptEnd, PeerPressure, SchedulerAction, SchedulerEvent, TargetEntry, TargetSlots},
+    scheduler::{Scheduler, SchedulerLimits},
+};
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The `tarragonfront` binary.
+
+fn main() {}
