Read rules and settings with findings, and split rules into parts

Cause: operators change one text file and must see all its faults in one run; daemons need a pure validation of published text. Change: rules grammar, settings reader, combined check, split of rules into parts by hash bits, shared count of tokens and block hashes of a prompt, example files.

--- a/crates/tarragon-config/src/publication.rs
+++ b/crates/tarragon-config/src/publication.rs
@@ -11,6 +11,10 @@
 
 use crate::rules::{self, RuleSet};
 
+mod split;
+
+pub use split::{MAX_PART_BYTES, build_manifest, split_rules, targets_part};
+
 /// One configuration, valid and whole.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Configuration {
--- a/crates/tarragon-config/src/rules.rs
+++ b/crates/tarragon-config/src/rules.rs
@@ -4,6 +4,14 @@
 use serde::Serialize;
 use tarragon_protocol::prelude::*;
 
+mod field;
+mod kind;
+mod line;
+mod parser;
+mod value;
+
+pub(crate) use value::{NAME_HELP, is_name};
+
 /// All rules in force.
 #[derive(Debug, Clone, Default, PartialEq, Serialize)]
 pub struct RuleSet {
@@ -115,7 +123,16 @@
 pub const DEFAULT_ANSWER_LIMIT: u64 = 256 * 1024;
 
 /// Reads the rules of several sources, given as name and text, as one set. Every fault is a finding; the
-/// rules that are valid are returned in any case.
-pub fn parse_rules(_sources: &[(&str, &str)]) -> (RuleSet, FindingList) {
-    (RuleSet::default(), FindingList::default())
+/// rules that are valid are returned in any case. The result depends on the arguments alone.
+pub fn parse_rules(sources: &[(&str, &str)]) -> (RuleSet, FindingList) {
+    let mut parser = parser::RuleParser::default();
+    for (source, text) in sources {
+        parser.read_source(source, text);
+    }
+    let (rules, mut findings) = parser.finish();
+    let order = |source: &str| sources.iter().position(|(name, _)| *name == source);
+    findings.findings.sort_by_cached_key(|finding| {
+        (order(&finding.place.source), finding.place.line, finding.place.column)
+    });
+    (rules, findings)
 }
--- /dev/null
+++ b/crates/tarragon-config/tests/settings.rs
@@ -0,0 +1,111 @@
+//! Settings files: what is read, and that all faults are reported in one run.
+
+use std::{path::Path, time::Duration};
+
+use tarragon_config::{
+    check::check_files,
+    settings::{ServeSettings, parse_settings},
+};
+use tarragon_protocol::prelude::*;
+
+const EXAMPLES: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples");
+
+fn example() -> ServeSettings {
+    let report = check_files(&Path::new(EXAMPLES).join("settings.jsonc"), None);
+    assert_eq!(report.findings, FindingList::default());
+    assert!(report.rules.is_some());
+    report.settings.expect("settings without findings are returned")
+}
+
+#[test]
+fn the_examples_are_accepted() {
+    let settings = example();
+    assert_eq!(settings.targets.len(), 3);
+    assert_eq!(settings.limits.grace_period, Duration::from_secs(20));
+    for rules in ["oshana.rules", "onitsha.rules"] {
+        let settings = Path::new(EXAMPLES).join("settings.jsonc");
+        let findings = check_files(&settings, Some(&Path::new(EXAMPLES).join(rules))).findings;
+        let faults =
+            findings.findings.iter().filter(|finding| finding.place.source.ends_with(rules));
+        assert_eq!(faults.count(), 0, "{findings}");
+    }
+}
+
+/// An operator must not have to run the check once per fault.
+#[test]
+fn five_faults_give_five_findings_in_one_run() {
+    let text = r#"{
+  "vm": "entry 1", // a space
+  "data_centre": "oshakati",
+  "caller_address": "localhost:8080",
+  "peer_address": "10.0.0.7:8081",
+  "admin_address": "10.0.0.7:8082", // not loopback, and no key
+  "peer_keys": ["too short"],
+  "configuration_service": "10.0.0.9:9100",
+  "vm_list": "10.0.0.9:9101",
+  "limits": { "body_bytes": 1024, "queue_size": 7 },
+}"#;
+    let (settings, findings) = parse_settings("settings.jsonc", text);
+    assert!(settings.is_none());
+    assert_eq!(findings.findings.len(), 5, "{findings}");
+    insta::assert_snapshot!(findings);
+}
+
+struct FaultCase {
+    replace: (&'static str, &'static str),
+    message: &'static str,
+}
+
+/// Faults that depend on more than one value.
+#[test]
+fn values_are_checked_against_each_other() {
+    let cases = [
+        FaultCase {
+            replace: ("\"rules_file\": \"oshana.rules\",", "\"vm_list\": \"127.0.0.1:1\","),
+            message: "`configuration_service` is missing",
+        },
+        FaultCase {
+            replace: ("\"rules_file\": \"oshana.rules\",", ""),
+            message: "neither a platform",
+        },
+        FaultCase { replace: ("runner-2", "runner-1"), message: "a second target" },
+        FaultCase {
+            replace: ("\"log_format\": \"text\"", "\"log_format\": 3"),
+            message: "not a text",
+        },
+        FaultCase { replace: ("\"vm\": \"entry-1\"", "\"vm\" \"entry-1\""), message: "not JSON" },
+        FaultCase {
+            replace: ("\"vm\": \"entry-1\"", "\"vm\": \"a\", \"vm\": \"b\""),
+            message: "twice",
+        },
+        FaultCase {
+            replace: ("[\"replace-this-key-by-a-random-one\"]", "[]"),
+            message: "0 peer keys",
+        },
+    ];
+    let text = std::fs::read_to_string(Path::new(EXAMPLES).join("settings.jsonc")).unwrap();
+    for FaultCase { replace: (from, to), message } in cases {
+        assert!(text.contains(from), "{from}");
+        let (settings, findings) = parse_settings("settings", &text.replace(from, to));
+        assert!(settings.is_none(), "{to}");
+        let found = findings.findings.iter().any(|finding| finding.message.contains(message));
+        assert!(found, "`{to}` gave {findings}");
+    }
+}
+
+/// A log line or dump with the settings must not show a key.
+#[test]
+fn keys_are_not_shown() {
+    assert!(!format!("{:?}", example()).contains("replace-this"));
+}
+
+/// Each prefix of a valid file, as left by an editor that was stopped, gives findings and no panic.
+#[test]
+fn a_file_cut_short_gives_findings() {
+    let text = std::fs::read_to_string(Path::new(EXAMPLES).join("settings.jsonc")).unwrap();
+    let end = text.rfind('}').unwrap();
+    for cut in (0..end).filter(|cut| text.is_char_boundary(*cut)) {
+        let (settings, findings) = parse_settings("settings", &text[..cut]);
+        assert!(settings.is_none() && !findings.is_empty(), "cut at {cut}");
+    }
+}
--- a/crates/tarragon-protocol/src/lib.rs
+++ b/crates/tarragon-protocol/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod peer;
 pub mod platform;
 pub mod prelude;
+pub mod prompt;
 pub mod request;
 pub mod tier;
