Add stand-ins for engines, plain services and the platform

Cause: tests and measurements need engines, services, the configuration service and the VM list with the faults of the real ones, and counters to compare with what callers were told. Change: an engine with batching, prefix cache, cold starts, resumable streams, crashes and orders; a plain service that records runs by call id; a configuration service with a call limit and stale answers; a VM list with a lag.

--- a/crates/tarragon-standin/src/lib.rs
+++ b/crates/tarragon-standin/src/lib.rs
@@ -1,1 +1,10 @@
-//! Stand-ins for model engines, plain services, the configuration service and the VM list.
+//! Stand-ins for what the platform provides: model engines, plain services, the configuration service and
+//! the VM list. Each runs as a task on a loopback port, is controlled through its handle and counts what it
+//! does, so that tests and measurements can compare it with what callers were told.
+
+pub mod configuration_service;
+pub mod engine;
+mod listener;
+mod respond;
+pub mod service;
+pub mod vm_list;
