--- /dev/null
+++ b/crates/tarragon-cluster/src/cluster/gossip.rs
@@ -0,0 +1,300 @@
+//! Digests and announcements, sent and received.
+
+use rand::seq::{IndexedRandom, SliceRandom};
+
+use super::*;
+use crate::{
+    digest::ReportOutcome,
+    member::{HeartbeatOutcome, Member},
+};
+
+/// Members of the data centre that get a digest each round.
+const LOCAL_PEERS: usize = 3;
+
+/// Load entries in one digest.
+pub(super) const DIGEST_LOADS: usize = 64;
+
+/// One round in this many also goes to a silent member, so that two parts of a data centre that lost each
+/// other meet again.
+const SILENT_PEER_ROUNDS: u64 = 5;
+
+/// Time after which a pull counts as lost.
+const PULL_LOST_AFTER: Duration = Duration::from_secs(3);
+
+impl Cluster {
+    pub(super) fn send_gossip(&mut self, now: Instant, actions: &mut Vec<ClusterAction>) {
+        self.heartbeat += 1;
+        let local = self.pick_local(now);
+        let remote = self.pick_remote(now);
+        let digest = self.make_digest(now);
+        if !local.is_empty() {
+            let loads = self.loads.digest_entries(DIGEST_LOADS, now);
+            for peer in local {
+                let digest = GossipDigest { loads: loads.clone(), ..digest.clone() };
+                actions.push(ClusterAction::SendGossip(peer, Box::new(digest)));
+            }
+        }
+        if let Some(peer) = remote {
+            actions.push(ClusterAction::SendGossip(peer, Box::new(digest)));
+        }
+    }
+
+    fn make_digest(&mut self, now: Instant) -> GossipDigest {
+        GossipDigest {
+            sender: self.settings.identity.clone(),
+            data_centre: self.settings.data_centre.clone(),
+            peer_address: self.settings.peer_address.clone(),
+            heartbeat: self.heartbeat,
+            vm_list_version: self.vm_list.version(),
+            configuration: self.publication.version(),
+            shed_floor: self.pressure.shed_floor,
+            draining: self.draining,
+            waiting: self.pressure.waiting,
+            members: self.members.entries(now),
+            loads: Vec::new(),
+            suspects: self.news.digest_suspects(now),
+            successors: self.news.digest_successors(now),
+        }
+    }
+
+    fn pick_local(&mut self, now: Instant) -> Vec<PeerAddress> {
+        let callable = |member: &&Member| !member.address.is_empty();
+        let (mut heard, silent): (Vec<&Member>, Vec<&Member>) = self
+            .members
+            .local()
+            .filter(callable)
+            .partition(|member| member.status(now) != MemberStatus::Down);
+        heard.shuffle(&mut self.random);
+        heard.truncate(LOCAL_PEERS);
+        let mut peers: Vec<PeerAddress> =
+            heard.iter().map(|member| member.peer_address()).collect();
+        if self.heartbeat.is_multiple_of(SILENT_PEER_ROUNDS) || peers.is_empty() {
+            let silent = silent.choose(&mut self.random);
+            peers.extend(silent.map(|member| member.peer_address()));
+        }
+        if peers.is_empty() {
+            peers.extend(self.seed_peers());
+        }
+        peers
+    }
+
+    fn pick_remote(&mut self, now: Instant) -> Option<PeerAddress> {
+        let remote: Vec<&Member> =
+            self.members.remote().filter(|member| member.is_reachable(now)).collect();
+        remote.choose(&mut self.random).map(|member| member.peer_address())
+    }
+
+    /// Seeds are known by address only.
+    fn seed_peers(&mut self) -> Vec<PeerAddress> {
+        let own = &self.settings.peer_address;
+        let mut seeds: Vec<&String> =
+            self.settings.seeds.iter().filter(|address| *address != own).collect();
+        seeds.shuffle(&mut self.random);
+        let seeds = seeds.into_iter().take(LOCAL_PEERS);
+        seeds.map(|address| PeerAddress { vm: "".into(), address: address.clone() }).collect()
+    }
+
+    /// A new process asks peers before any has been heard.
+    pub(super) fn first_pull(&mut self, now: Instant, actions: &mut Vec<ClusterAction>) {
+        if self.peer_checked || now < self.next_first_pull {
+            return;
+        }
+        self.next_first_pull = now + Duration::from_secs(2);
+        let mut peers = self.members_up(now);
+        peers.shuffle(&mut self.random);
+        if peers.is_empty() {
+            peers = self.seed_peers();
+        }
+        for peer in peers.into_iter().take(2) {
+            actions.push(ClusterAction::PullVmList(peer.clone(), self.vm_list.version()));
+            let version = self.publication.version();
+            actions.push(ClusterAction::PullConfiguration(peer, version));
+        }
+    }
+
+    pub(super) fn take_digest(
+        &mut self,
+        now: Instant,
+        digest: GossipDigest,
+        actions: &mut Vec<ClusterAction>,
+    ) {
+        match self.members.heard_directly(&digest, now) {
+            HeartbeatOutcome::Stale => return,
+            HeartbeatOutcome::Replaced(before) => self.forget_peer(now, before, actions),
+            HeartbeatOutcome::Newer => {}
+        }
+        let local = digest.data_centre == self.settings.data_centre;
+        for entry in &digest.members {
+            let outcome = self.members.heard_of(entry, &digest.data_centre, now);
+            if let HeartbeatOutcome::Replaced(before) = outcome {
+                self.forget_peer(now, before, actions);
+            }
+        }
+        if local {
+            for entry in &digest.loads {
+                self.take_load(now, entry, actions);
+            }
+            actions.push(ClusterAction::PressureHeard {
+                peer: digest.sender.clone(),
+                shed_floor: digest.shed_floor,
+                waiting: digest.waiting,
+            });
+        }
+        for entry in &digest.suspects {
+            self.take_suspect(now, entry, actions);
+        }
+        for entry in &digest.successors {
+            self.news.take_successor(entry, now);
+        }
+        self.compare_versions(now, &digest, actions);
+    }
+
+    fn take_suspect(
+        &mut self,
+        now: Instant,
+        entry: &SuspectEntry,
+        actions: &mut Vec<ClusterAction>,
+    ) {
+        if self.news.take_suspect(entry, now) {
+            actions.push(ClusterAction::SuspectHeard(entry.clone()));
+        }
+    }
+
+    pub(super) fn take_load(
+        &mut self,
+        now: Instant,
+        entry: &tarragon_protocol::peer::LoadEntry,
+        actions: &mut Vec<ClusterAction>,
+    ) {
+        if self.loads.take(entry, now) != ReportOutcome::Old {
+            actions.push(ClusterAction::LoadHeard(entry.clone()));
+            self.update_some_slots(now, vec![entry.target.clone()], actions);
+        }
+    }
+
+    /// Pulls what the sender has newer. A sender that has nothing newer completes the check that a new or
+    /// paused process makes.
+    fn compare_versions(
+        &mut self,
+        now: Instant,
+        digest: &GossipDigest,
+        actions: &mut Vec<ClusterAction>,
+    ) {
+        let address = digest.peer_address.clone();
+        let peer = PeerAddress { vm: digest.sender.vm.clone(), address };
+        if digest.configuration > self.publication.version() {
+            self.pull_configuration(now, peer.clone(), actions);
+        } else {
+            self.peer_checked = true;
+            self.paused = false;
+        }
+        if digest.vm_list_version > self.vm_list.version() {
+            self.list_behind_since.get_or_insert(now);
+            self.pull_list(now, peer, actions);
+        }
+    }
+
+    pub(super) fn pull_configuration(
+        &mut self,
+        now: Instant,
+        peer: PeerAddress,
+        actions: &mut Vec<ClusterAction>,
+    ) {
+        if is_under_way(&self.configuration_pull, now) {
+            return;
+        }
+        self.configuration_pull = Some(PullUnderWay { peer: peer.clone(), since: now });
+        actions.push(ClusterAction::PullConfiguration(peer, self.publication.version()));
+    }
+
+    fn pull_list(&mut self, now: Instant, peer: PeerAddress, actions: &mut Vec<ClusterAction>) {
+        if is_under_way(&self.list_pull, now) {
+            return;
+        }
+        self.list_pull = Some(PullUnderWay { peer: peer.clone(), since: now });
+        actions.push(ClusterAction::PullVmList(peer, self.vm_list.version()));
+    }
+
+    pub(super) fn peer_unreachable(&mut self, now: Instant, peer: &PeerAddress) {
+        self.members.mark_failed(peer, now);
+        let of_peer = |pull: &mut PullUnderWay| pull.peer.address == peer.address;
+        self.configuration_pull.take_if(of_peer);
+        self.list_pull.take_if(of_peer);
+        self.borrows.asked.retain(|_, (lender, _)| lender.address != peer.address);
+    }
+
+    pub(super) fn take_announcement(
+        &mut self,
+        now: Instant,
+        peer: &PeerIdentity,
+        announcement: PeerAnnouncement,
+        actions: &mut Vec<ClusterAction>,
+    ) {
+        match announcement {
+            PeerAnnouncement::Configuration(version) => {
+                let address = self.members.get(&peer.vm).map(Member::peer_address);
+                if let Some(address) = address
+                    && version > self.publication.version()
+                {
+                    self.pull_configuration(now, address, actions);
+                }
+            }
+            PeerAnnouncement::ShedFloor(shed_floor) => {
+                let peer = peer.clone();
+                let waiting = [0; Tier::COUNT];
+                actions.push(ClusterAction::PressureHeard { peer, shed_floor, waiting });
+            }
+            PeerAnnouncement::Suspect(entry) => self.take_suspect(now, &entry, actions),
+            PeerAnnouncement::Load(entry) => self.take_load(now, &entry, actions),
+            PeerAnnouncement::Draining => self.members.mark_draining(peer),
+            PeerAnnouncement::Successor(entry) => {
+                self.news.take_successor(&entry, now);
+            }
+        }
+    }
+
+    /// Sends news to all members of the data centre that are not down.
+    pub(super) fn announce(
+        &self,
+        now: Instant,
+        announcement: PeerAnnouncement,
+        actions: &mut Vec<ClusterAction>,
+    ) {
+        let members = self.members.local().filter(|member| {
+            !member.address.is_empty() && member.status(now) != MemberStatus::Down
+        });
+        let peers: Vec<PeerAddress> = members.map(Member::peer_address).collect();
+        if !peers.is_empty() {
+            actions.push(ClusterAction::SendAnnouncement(peers, announcement));
+        }
+    }
+
+    pub(super) fn take_pressure(
+        &mut self,
+        now: Instant,
+        shed_floor: Tier,
+        waiting: [u32; Tier::COUNT],
+        actions: &mut Vec<ClusterAction>,
+    ) {
+        let changed = shed_floor != self.pressure.shed_floor;
+        self.pressure = OwnPressure { shed_floor, waiting };
+        if changed {
+            self.announce(now, PeerAnnouncement::ShedFloor(shed_floor), actions);
+        }
+    }
+
+    pub(super) fn note_suspect(
+        &mut self,
+        now: Instant,
+        entry: SuspectEntry,
+        actions: &mut Vec<ClusterAction>,
+    ) {
+        if self.news.take_suspect(&entry, now) {
+            self.announce(now, PeerAnnouncement::Suspect(entry), actions);
+        }
+    }
+}
+
+fn is_under_way(pull: &Option<PullUnderWay>, now: Instant) -> bool {
+    pull.as_ref().is_some_and(|pull| now.saturating_duration_since(pull.since) < PULL_LOST_AFTER)
+}
--- a/crates/tarragon-cluster/src/event.rs
+++ b/crates/tarragon-cluster/src/event.rs
@@ -6,7 +6,7 @@
 use tarragon_config::publication::Configuration;
 use tarragon_protocol::{
     engine::EngineOrder,
-    peer::LoadEntry,
+    peer::{LoadEntry, PlannedOrder, VmListTransfer},
     platform::{ConfigurationManifest, PublishedTarget},
 };
 
@@ -81,6 +81,11 @@
     PlatformAnswered(PlatformRead, PlatformAnswer),
     /// A peer sent a configuration on request.
     TransferReceived(PeerAddress, ConfigurationTransfer),
+    /// A peer sent changes of the VM list on request.
+    VmListReceived(PeerAddress, VmListTransfer),
+    /// Orders that would bring the targets to the wanted state, as a pure function of the configuration of
+    /// this version and of the targets' reports. Complete: it replaces earlier plans.
+    OrdersPlanned(ConfigurationVersion, Vec<PlannedOrder>),
     /// A call of a peer failed.
     PeerUnreachable(PeerAddress),
     /// A target that was to be polled answered, or did not.
@@ -134,6 +139,8 @@
     ReadPlatform(PlatformRead),
     /// Ask a peer for its configuration, naming the version in force here.
     PullConfiguration(PeerAddress, ConfigurationVersion),
+    /// Ask a peer for the changes of the VM list since this version.
+    PullVmList(PeerAddress, u64),
     /// Ask a target for its load.
     PollTarget(PublishedTarget),
     /// Ask a peer for a slot.
--- a/crates/tarragon-cluster/src/lib.rs
+++ b/crates/tarragon-cluster/src/lib.rs
@@ -1,5 +1,22 @@
 //! How entry VMs act together: membership, configuration, shared load news, slots, tickets and orders.
 //! State machines without I/O: they take events and the time and return actions.
 
+pub mod cluster;
+pub mod codec;
+pub mod digest;
 pub mod event;
+pub mod fence;
+pub mod invariant;
+pub mod key;
+pub mod member;
+pub mod news;
+pub mod order;
+pub mod pause;
 pub mod prelude;
+pub mod publication;
+pub mod reader;
+pub mod rendezvous;
+pub mod seal;
+pub mod slot;
+pub mod ticket;
+pub mod vm_list;
--- /dev/null
+++ b/crates/tarragon-cluster/src/news.rs
@@ -0,0 +1,138 @@
+//! News that every process must hear and that digests repeat: requests that may crash targets, and who
+//! answers for the tickets of ended processes.
+
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+
+use crate::prelude::*;
+
+/// Time for which a finding about a request counts.
+const SUSPECT_LIFE: Duration = Duration::from_secs(10 * 60);
+
+/// Time for which an ended process can have a successor: as long as its records are kept.
+const SUCCESSOR_LIFE: Duration = crate::ticket::RECORD_KEEP;
+
+/// Bound of each of the two lists; the oldest entry goes first.
+const MAX_ENTRIES: usize = 1024;
+
+/// Entries of each list in one digest.
+const DIGEST_ENTRIES: usize = 4;
+
+/// An entry with the time of its event and the number of digests it was put into.
+#[derive(Debug, Clone)]
+struct NewsItem<Entry> {
+    entry: Entry,
+    at: Instant,
+    rounds_sent: u32,
+}
+
+/// Findings about requests and successors of processes.
+#[derive(Debug, Default)]
+pub struct NewsTable {
+    suspects: IndexMap<Fingerprint, NewsItem<SuspectEntry>>,
+    successors: IndexMap<PeerIdentity, NewsItem<SuccessorEntry>>,
+}
+
+impl NewsTable {
+    /// Takes a finding. Returns whether it says more than what was known: a further crash or a verdict.
+    pub fn take_suspect(&mut self, entry: &SuspectEntry, now: Instant) -> bool {
+        let at = event_time(now, entry.age_ms);
+        let Some(at) = at.filter(|at| now - *at < SUSPECT_LIFE) else { return false };
+        let Some(known) = self.suspects.get_mut(&entry.fingerprint) else {
+            make_room(&mut self.suspects);
+            let item = NewsItem { entry: entry.clone(), at, rounds_sent: 0 };
+            self.suspects.insert(entry.fingerprint, item);
+            return true;
+        };
+        let new = entry.crashes.iter().filter(|crash| !known.entry.crashes.contains(crash));
+        let new: Vec<(TargetName, u64)> = new.cloned().collect();
+        let convicted = entry.convicted && !known.entry.convicted;
+        if new.is_empty() && !convicted {
+            return false;
+        }
+        known.entry.crashes.extend(new);
+        known.entry.convicted |= entry.convicted;
+        known.at = known.at.max(at);
+        known.rounds_sent = 0;
+        true
+    }
+
+    /// Takes who answers for an ended process.
+    pub fn take_successor(&mut self, entry: &SuccessorEntry, now: Instant) -> bool {
+        let at = event_time(now, entry.age_ms);
+        let Some(at) = at.filter(|at| now - *at < SUCCESSOR_LIFE) else { return false };
+        let known = self.successors.get(&entry.owner);
+        let newer = known.is_none_or(|known| {
+            known.entry.successor != entry.successor && at > known.at + Duration::from_millis(200)
+        });
+        if newer {
+            make_room(&mut self.successors);
+            let item = NewsItem { entry: entry.clone(), at, rounds_sent: 0 };
+            self.successors.insert(entry.owner.clone(), item);
+        }
+        newer
+    }
+
+    /// Who answers for an ended process.
+    pub fn successor_of(&self, owner: &PeerIdentity) -> Option<&SuccessorEntry> {
+        self.successors.get(owner).map(|item| &item.entry)
+    }
+
+    /// Findings for the next digests, those that were sent least first.
+    pub fn digest_suspects(&mut self, now: Instant) -> Vec<SuspectEntry> {
+        let entries = least_sent(&mut self.suspects, now);
+        entries.into_iter().map(|(entry, age_ms)| SuspectEntry { age_ms, ..entry }).collect()
+    }
+
+    /// Successors for the next digests, those that were sent least first.
+    pub fn digest_successors(&mut self, now: Instant) -> Vec<SuccessorEntry> {
+        let entries = least_sent(&mut self.successors, now);
+        entries.into_iter().map(|(entry, age_ms)| SuccessorEntry { age_ms, ..entry }).collect()
+    }
+
+    /// Drops what no longer counts.
+    pub fn purge(&mut self, now: Instant) {
+        self.suspects.retain(|_, item| now.saturating_duration_since(item.at) < SUSPECT_LIFE);
+        self.successors.retain(|_, item| now.saturating_duration_since(item.at) < SUCCESSOR_LIFE);
+    }
+
+    /// Number of findings and of successors.
+    pub fn counts(&self) -> (usize, usize) {
+        (self.suspects.len(), self.successors.len())
+    }
+}
+
+fn event_time(now: Instant, age_ms: u64) -> Option<Instant> {
+    now.checked_sub(Duration::from_millis(age_ms))
+}
+
+fn make_room<Key, Entry>(items: &mut IndexMap<Key, NewsItem<Entry>>) {
+    if items.len() < MAX_ENTRIES {
+        return;
+    }
+    let oldest = items.values().enumerate().min_by_key(|(_, item)| item.at);
+    if let Some((index, _)) = oldest {
+        items.swap_remove_index(index);
+    }
+}
+
+fn least_sent<Key, Entry>(
+    items: &mut IndexMap<Key, NewsItem<Entry>>,
+    now: Instant,
+) -> Vec<(Entry, u64)>
+where
+    Entry: Clone,
+{
+    let mut order: Vec<usize> = (0..items.len()).collect();
+    order.sort_by_key(|index| (items[*index].rounds_sent, std::cmp::Reverse(items[*index].at)));
+    order.truncate(DIGEST_ENTRIES);
+    let mut entries = Vec::with_capacity(order.len());
+    for index in order {
+        let item = &mut items[index];
+        item.rounds_sent += 1;
+        let age = now.saturating_duration_since(item.at).as_millis() as u64;
+        entries.push((item.entry.clone(), age));
+    }
+    entries
+}
--- /dev/null
+++ b/crates/tarragon-cluster/src/order.rs
@@ -0,0 +1,167 @@
+//! Orders to engines: which planned change is ordered when.
+//!
+//! Not all engines check the fencing number, and two VMs may believe for a while that they own a target.
+//! So the target's state is read right before each order, only a difference is ordered, and orders to one
+//! target keep a distance that is measured by the target itself.
+
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+use tarragon_protocol::{
+    engine::{EngineOrder, OrderChange},
+    peer::PlannedOrder,
+};
+
+use crate::{fence::OwnerTable, prelude::*, rendezvous};
+
+/// Time between two orders to one target, whoever gave them.
+pub const ORDER_DISTANCE: Duration = Duration::from_secs(60);
+
+/// Time after which a read before an order counts as lost.
+const READ_LOST_AFTER: Duration = Duration::from_secs(5);
+
+/// A change that waits for the read of its target.
+#[derive(Debug, Clone)]
+struct PendingOrder {
+    change: OrderChange,
+    asked: Instant,
+}
+
+/// Plans and orders under way.
+#[derive(Debug)]
+pub struct OrderDesk {
+    loads_at_once: usize,
+    plan: IndexMap<TargetName, Vec<OrderChange>>,
+    version: ConfigurationVersion,
+    pending: IndexMap<TargetName, PendingOrder>,
+    given: IndexMap<TargetName, Instant>,
+    sent: u64,
+    refused: u64,
+}
+
+impl OrderDesk {
+    /// `loads_at_once` is the number of targets of the data centre that may load one model at a time.
+    pub fn new(loads_at_once: usize) -> OrderDesk {
+        OrderDesk {
+            loads_at_once,
+            plan: IndexMap::new(),
+            version: 0,
+            pending: IndexMap::new(),
+            given: IndexMap::new(),
+            sent: 0,
+            refused: 0,
+        }
+    }
+
+    /// Replaces the plan.
+    pub fn set_plan(&mut self, version: ConfigurationVersion, orders: Vec<PlannedOrder>) {
+        self.version = version;
+        self.plan.clear();
+        for order in orders {
+            self.plan.entry(order.target).or_default().push(order.change);
+        }
+        self.pending.retain(|target, pending| {
+            self.plan.get(target).is_some_and(|changes| changes.contains(&pending.change))
+        });
+    }
+
+    /// Drops plan and pending orders, after a pause.
+    pub fn clear(&mut self) {
+        self.plan.clear();
+        self.pending.clear();
+    }
+
+    /// Targets to read now, since an order for them is next.
+    pub fn due_reads(
+        &mut self,
+        version: ConfigurationVersion,
+        owners: &OwnerTable,
+        now: Instant,
+    ) -> Vec<TargetName> {
+        if version != self.version {
+            return Vec::new();
+        }
+        self.given.retain(|_, at| now.saturating_duration_since(*at) < ORDER_DISTANCE);
+        let lost = |pending: &PendingOrder| now - pending.asked >= READ_LOST_AFTER;
+        self.pending.retain(|_, pending| !lost(pending));
+        let next: Vec<(TargetName, OrderChange)> = self
+            .plan
+            .iter()
+            .filter(|(target, _)| owners.is_owner(target, now))
+            .filter(|(target, _)| !self.given.contains_key(*target))
+            .filter(|(target, _)| !self.pending.contains_key(*target))
+            .filter_map(|(target, changes)| {
+                let change = changes.iter().find(|change| self.may_load(target, change))?;
+                Some((target.clone(), change.clone()))
+            })
+            .collect();
+        for (target, change) in &next {
+            let pending = PendingOrder { change: change.clone(), asked: now };
+            self.pending.insert(target.clone(), pending);
+        }
+        next.into_iter().map(|(target, _)| target).collect()
+    }
+
+    /// Takes the report of a read. Returns the order if it is still needed and allowed.
+    pub fn report_read(
+        &mut self,
+        target: &TargetName,
+        report: &LoadReport,
+        fencing: FencingNumber,
+        now: Instant,
+    ) -> Option<EngineOrder> {
+        let pending = self.pending.swap_remove(target)?;
+        let age = report.last_order_age_ms.map(Duration::from_millis);
+        let early = age.is_some_and(|age| age < ORDER_DISTANCE);
+        let outdated = report.fencing > fencing || report.state == TargetState::Leaving;
+        if early || outdated || !differs(&pending.change, report) {
+            let wait = age.filter(|_| early).unwrap_or(ORDER_DISTANCE - Duration::from_secs(5));
+            self.given.insert(target.clone(), now.checked_sub(wait).unwrap_or(now));
+            return None;
+        }
+        self.given.insert(target.clone(), now);
+        self.sent += 1;
+        Some(EngineOrder { fencing, change: pending.change })
+    }
+
+    /// Notes whether an engine took an order.
+    pub fn answered(&mut self, taken: bool) {
+        self.refused += u64::from(!taken);
+    }
+
+    /// Orders sent and refused.
+    pub fn counts(&self) -> (u64, u64) {
+        (self.sent, self.refused)
+    }
+
+    /// Whether the weight store's rate allows a change. All VMs have the same plan, so they agree on the
+    /// targets that load a model next without asking each other.
+    fn may_load(&self, target: &TargetName, change: &OrderChange) -> bool {
+        let OrderChange::Load { model, .. } = change else { return true };
+        let loading: Vec<&TargetName> = self
+            .plan
+            .iter()
+            .filter(|(_, changes)| changes.iter().any(|other| loads(other, model)))
+            .map(|(target, _)| target)
+            .collect();
+        let ranked = rendezvous::ranked(model, &loading, |target| target);
+        ranked.into_iter().take(self.loads_at_once).any(|first| *first == target)
+    }
+}
+
+fn loads(change: &OrderChange, wanted: &ModelName) -> bool {
+    matches!(change, OrderChange::Load { model, .. } if model == wanted)
+}
+
+/// Whether a change is still needed by the target's own account. A report does not show versions, adapters
+/// and roles; for those the plan decides, and engines take a repeated order as no change.
+fn differs(change: &OrderChange, report: &LoadReport) -> bool {
+    match change {
+        OrderChange::Load { model, version, adapter } => {
+            let plain = *version <= 1 && adapter.is_none();
+            !plain || !report.models.contains(model)
+        }
+        OrderChange::Unload { model } => report.models.contains(model),
+        OrderChange::Role { .. } => true,
+    }
+}
--- /dev/null
+++ b/crates/tarragon-cluster/src/publication.rs
@@ -0,0 +1,268 @@
+//! The configuration in force: taken from the platform or from peers, whole, and never an older one.
+
+use std::{collections::VecDeque, sync::Arc};
+
+use indexmap::IndexMap;
+use tarragon_config::publication::{Configuration, content_hash};
+use tarragon_protocol::{
+    peer::PartSplice,
+    platform::{ConfigurationManifest, ManifestPart},
+};
+
+use crate::{
+    invariant::{Invariant, hold},
+    prelude::*,
+};
+
+/// Earlier versions from which splices are given. At 0.8 changes a second a peer that gossips each second
+/// is a few versions behind. Unchanged parts share their text.
+const RECENT_VERSIONS: usize = 16;
+
+/// Text of the parts of one version, by name.
+type PartTexts = IndexMap<String, Arc<str>>;
+
+/// What became of an offered configuration.
+#[derive(Debug, Clone, PartialEq)]
+pub enum OfferOutcome {
+    /// It is in force now.
+    Applied(Arc<Configuration>),
+    /// Parts with these names are needed first.
+    NeedsParts(Vec<String>),
+    /// It is the version in force, or one that was refused before.
+    Known,
+    /// It is older than the version in force. Counted.
+    Older,
+    /// It is not valid; the version in force stays.
+    Invalid(ConfigurationVersion, FindingList),
+    /// A part does not match its hash, or the splices don't fit: read it again.
+    Mismatch,
+}
+
+/// Configuration in force and what is being fetched.
+#[derive(Debug, Default)]
+pub struct PublicationState {
+    current: Option<Arc<Configuration>>,
+    recent: VecDeque<(ConfigurationVersion, PartTexts)>,
+    hashes: IndexMap<String, String>,
+    pending: Option<ConfigurationManifest>,
+    refused: Option<ConfigurationVersion>,
+    older_refused: u64,
+    invalid_refused: u64,
+}
+
+impl PublicationState {
+    /// The configuration in force.
+    pub fn current(&self) -> Option<&Arc<Configuration>> {
+        self.current.as_ref()
+    }
+
+    /// Version in force; 0 before the first.
+    pub fn version(&self) -> ConfigurationVersion {
+        self.current.as_ref().map_or(0, |configuration| configuration.version)
+    }
+
+    /// Highest version that has been judged, valid or not.
+    pub fn judged_version(&self) -> ConfigurationVersion {
+        self.version().max(self.refused.unwrap_or(0))
+    }
+
+    /// Offers refused because they were older.
+    pub fn older_refused(&self) -> u64 {
+        self.older_refused
+    }
+
+    /// Offers refused because they were not valid.
+    pub fn invalid_refused(&self) -> u64 {
+        self.invalid_refused
+    }
+
+    /// Takes a manifest from the platform.
+    pub fn offer_manifest(&mut self, manifest: ConfigurationManifest) -> OfferOutcome {
+        if let Some(outcome) = self.not_newer(manifest.version) {
+            return outcome;
+        }
+        let needed: Vec<String> = manifest
+            .parts
+            .iter()
+            .filter(|part| self.hashes.get(&part.name) != Some(&part.hash))
+            .map(|part| part.name.clone())
+            .collect();
+        if needed.is_empty() {
+            return self.assemble(manifest, PartTexts::new());
+        }
+        self.pending = Some(manifest);
+        OfferOutcome::NeedsParts(needed)
+    }
+
+    /// Takes the parts that the last manifest needs.
+    pub fn offer_parts(&mut self, parts: Vec<(String, Arc<str>)>) -> OfferOutcome {
+        let Some(manifest) = self.pending.take() else {
+            return OfferOutcome::Known;
+        };
+        if let Some(outcome) = self.not_newer(manifest.version) {
+            return outcome;
+        }
+        let fits = parts.iter().all(|(name, text)| {
+            let expected = manifest.parts.iter().find(|part| part.name == *name);
+            expected.is_none_or(|part| part.hash == content_hash(text))
+        });
+        if !fits {
+            return OfferOutcome::Mismatch;
+        }
+        self.assemble(manifest, parts.into_iter().collect())
+    }
+
+    /// Takes what a peer sent.
+    pub fn offer_transfer(&mut self, transfer: ConfigurationTransfer) -> OfferOutcome {
+        if let Some(outcome) = self.not_newer(transfer.version) {
+            return outcome;
+        }
+        if transfer.base != 0 && transfer.base != self.version() {
+            return OfferOutcome::Mismatch;
+        }
+        let mut texts = PartTexts::new();
+        let mut hashes = self.hashes.clone();
+        for splice in &transfer.splices {
+            let old = self.old_text(transfer.base, &splice.name);
+            let Some(text) = apply_splice(&old, splice) else {
+                return OfferOutcome::Mismatch;
+            };
+            hashes.insert(splice.name.clone(), splice.hash.clone());
+            texts.insert(splice.name.clone(), text);
+        }
+        let names = if transfer.base != 0 && transfer.part_names.is_empty() {
+            self.part_names()
+        } else {
+            transfer.part_names
+        };
+        let known = |name: String| hashes.get(&name).map(|hash| (name.clone(), hash.clone()));
+        let parts: Option<Vec<(String, String)>> = names.into_iter().map(known).collect();
+        let Some(parts) = parts else {
+            return OfferOutcome::Mismatch;
+        };
+        let parts = parts.into_iter().map(|(name, hash)| ManifestPart { name, hash }).collect();
+        self.assemble(ConfigurationManifest { version: transfer.version, parts }, texts)
+    }
+
+    /// The changes for a peer that has this version, or the whole configuration. Nothing if the peer is
+    /// not behind.
+    pub fn transfer_for(&self, have: ConfigurationVersion) -> Option<ConfigurationTransfer> {
+        let current = self.current.as_ref()?;
+        if have >= current.version {
+            return None;
+        }
+        let none = PartTexts::new();
+        let old = self.recent.iter().find(|(version, _)| *version == have && have > 0);
+        let (base, old) = old.map_or((0, &none), |(version, texts)| (*version, texts));
+        let changed = current.parts.iter().filter(|(name, text)| old.get(*name) != Some(text));
+        let splices = changed
+            .map(|(name, text)| {
+                let hash = self.hashes.get(name).cloned().unwrap_or_else(|| content_hash(text));
+                make_splice(name, old.get(name).map_or("", |text| text), text, hash)
+            })
+            .collect();
+        let same_names = base != 0 && old.keys().eq(current.parts.keys());
+        let part_names =
+            if same_names { Vec::new() } else { current.parts.keys().cloned().collect() };
+        Some(ConfigurationTransfer { base, version: current.version, part_names, splices })
+    }
+
+    fn not_newer(&mut self, version: ConfigurationVersion) -> Option<OfferOutcome> {
+        if version < self.version() {
+            self.older_refused += 1;
+            return Some(OfferOutcome::Older);
+        }
+        let known = version == self.version() || self.refused == Some(version);
+        known.then_some(OfferOutcome::Known)
+    }
+
+    fn part_names(&self) -> Vec<String> {
+        self.current.iter().flat_map(|current| current.parts.keys().cloned()).collect()
+    }
+
+    fn old_text(&self, base: ConfigurationVersion, name: &str) -> Arc<str> {
+        let current = self.current.as_ref().filter(|_| base != 0);
+        current.and_then(|current| current.parts.get(name).cloned()).unwrap_or_else(|| "".into())
+    }
+
+    /// Puts a configuration in force if it is valid. `new_parts` holds what the version in force lacks.
+    fn assemble(
+        &mut self,
+        manifest: ConfigurationManifest,
+        mut new_parts: PartTexts,
+    ) -> OfferOutcome {
+        if let Some(current) = &self.current {
+            for part in &manifest.parts {
+                if self.hashes.get(&part.name) == Some(&part.hash)
+                    && let Some(text) = current.parts.get(&part.name)
+                {
+                    new_parts.entry(part.name.clone()).or_insert_with(|| text.clone());
+                }
+            }
+        }
+        match Configuration::assemble(&manifest, new_parts) {
+            Ok(configuration) => self.put_in_force(manifest, configuration),
+            Err(findings) => {
+                self.refused = Some(manifest.version);
+                self.invalid_refused += 1;
+                OfferOutcome::Invalid(manifest.version, findings)
+            }
+        }
+    }
+
+    fn put_in_force(
+        &mut self,
+        manifest: ConfigurationManifest,
+        configuration: Configuration,
+    ) -> OfferOutcome {
+        let rises = hold(
+            Invariant::ConfigurationVersionRises,
+            configuration.version > self.version(),
+            || format!("version {} after {}", configuration.version, self.version()),
+        );
+        if !rises {
+            return OfferOutcome::Older;
+        }
+        if let Some(before) = self.current.take() {
+            if self.recent.len() == RECENT_VERSIONS {
+                self.recent.pop_front();
+            }
+            self.recent.push_back((before.version, before.parts.clone()));
+        }
+        self.hashes = manifest.parts.into_iter().map(|part| (part.name, part.hash)).collect();
+        let configuration = Arc::new(configuration);
+        self.current = Some(configuration.clone());
+        OfferOutcome::Applied(configuration)
+    }
+}
+
+/// The change from one text to another, cut at character boundaries.
+fn make_splice(name: &str, old: &str, new: &str, hash: String) -> PartSplice {
+    let limit = old.len().min(new.len());
+    let pairs = old.bytes().zip(new.bytes());
+    let mut keep_prefix = pairs.take_while(|(left, right)| left == right).count();
+    while !new.is_char_boundary(keep_prefix) || !old.is_char_boundary(keep_prefix) {
+        keep_prefix -= 1;
+    }
+    let pairs = old.bytes().rev().zip(new.bytes().rev()).take(limit - keep_prefix);
+    let mut keep_suffix = pairs.take_while(|(left, right)| left == right).count();
+    while !new.is_char_boundary(new.len() - keep_suffix)
+        || !old.is_char_boundary(old.len() - keep_suffix)
+    {
+        keep_suffix -= 1;
+    }
+    let middle = new[keep_prefix..new.len() - keep_suffix].to_owned();
+    PartSplice { name: name.to_owned(), keep_prefix, keep_suffix, middle, hash }
+}
+
+/// The new text, if the splice fits the old one and the result has the stated hash.
+fn apply_splice(old: &str, splice: &PartSplice) -> Option<Arc<str>> {
+    let kept = splice.keep_prefix.checked_add(splice.keep_suffix)?;
+    if kept > old.len() {
+        return None;
+    }
+    let prefix = old.get(..splice.keep_prefix)?;
+    let suffix = old.get(old.len() - splice.keep_suffix..)?;
+    let text = [prefix, &splice.middle, suffix].concat();
+    (content_hash(&text) == splice.hash).then(|| text.into())
+}
--- /dev/null
+++ b/crates/tarragon-cluster/src/slot.rs
@@ -0,0 +1,288 @@
+//! How many requests this process may have in flight at each target, so that all processes of the data
+//! centre together stay within what the target bears.
+
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+use serde::Serialize;
+
+use crate::{
+    invariant::{Invariant, hold},
+    prelude::*,
+    rendezvous,
+};
+
+/// Time after a change of the view before slots that it gives are used. Other processes see the change
+/// earlier or later by less than this.
+pub const SETTLING: Duration = Duration::from_secs(5);
+
+/// Longest life of a grant: the longest deadline (600 s) and a minute. No request runs longer on it, so a
+/// slot whose return was lost is free then.
+const GRANT_LIFE: Duration = Duration::from_secs(660);
+
+/// Time within which a borrowed slot must be put to use.
+const USE_WITHIN: Duration = Duration::from_secs(2);
+
+/// What the slots of a target depend on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TargetCapacity {
+    /// Requests that the target bears in all.
+    pub bears: u32,
+    /// Whether it counts as cold.
+    pub cold: bool,
+}
+
+/// A slot lent to a peer.
+#[derive(Debug, Clone)]
+struct LentSlot {
+    borrower: PeerIdentity,
+    target: TargetName,
+    since: Instant,
+}
+
+/// A slot lent by a peer.
+#[derive(Debug, Clone)]
+struct BorrowedSlot {
+    lender: PeerAddress,
+    grant: SlotGrant,
+}
+
+/// Slots at one target.
+#[derive(Debug, Clone, Default)]
+struct TargetSlots {
+    /// Number of VMs that rank above this one.
+    rank: u32,
+    /// Slots in use by this process or lent; at most `share`.
+    held: u32,
+    /// Share under the present view.
+    share: u32,
+    lent: u32,
+    borrowed: Vec<BorrowedSlot>,
+    reported: Option<SlotShare>,
+}
+
+/// Figures for the dump.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct SlotDump {
+    /// VMs that share the slots.
+    pub view: Vec<VmName>,
+    /// Whether slots that the last view gave may not be used yet.
+    pub settling: bool,
+    /// Slots lent to peers.
+    pub lent: usize,
+    /// Slots borrowed from peers.
+    pub borrowed: usize,
+}
+
+/// Slots of this process at all targets of the data centre.
+#[derive(Debug)]
+pub struct SlotTable {
+    own: VmName,
+    settling: Duration,
+    view: Vec<VmName>,
+    settled_at: Instant,
+    restricted: bool,
+    targets: IndexMap<TargetName, TargetSlots>,
+    lent: IndexMap<u64, LentSlot>,
+    next_grant: u64,
+}
+
+impl SlotTable {
+    /// A table of a new process, which is unsettled. The settling time is [`SETTLING`] in production.
+    pub fn new(own: VmName, settling: Duration, now: Instant) -> SlotTable {
+        SlotTable {
+            view: Vec::new(),
+            own,
+            settling,
+            settled_at: now + settling,
+            restricted: false,
+            targets: IndexMap::new(),
+            lent: IndexMap::new(),
+            next_grant: 0,
+        }
+    }
+
+    /// Replaces the list of targets.
+    pub fn set_targets<'a, Names>(&mut self, names: Names)
+    where
+        Names: IntoIterator<Item = &'a TargetName>,
+    {
+        let mut before = std::mem::take(&mut self.targets);
+        for name in names {
+            let mut slots = before.swap_remove(name).unwrap_or_default();
+            slots.rank = rank_of(&self.view, &self.own, name);
+            self.targets.insert(name.clone(), slots);
+        }
+        self.lent.retain(|_, lent| self.targets.contains_key(&lent.target));
+    }
+
+    /// Takes the VMs that share the slots, sorted. A change starts the settling time.
+    pub fn set_view(&mut self, view: Vec<VmName>, now: Instant) -> bool {
+        if view == self.view {
+            return false;
+        }
+        self.view = view;
+        self.settled_at = now + self.settling;
+        for (name, slots) in &mut self.targets {
+            slots.rank = rank_of(&self.view, &self.own, name);
+        }
+        true
+    }
+
+    /// Starts the settling time again, after a pause.
+    pub fn unsettle(&mut self, now: Instant) {
+        self.settled_at = now + self.settling;
+    }
+
+    /// Only slots held before may be used, and none at cold targets: this process was paused, or hears
+    /// nobody.
+    pub fn set_restricted(&mut self, restricted: bool, now: Instant) {
+        if self.restricted && !restricted {
+            self.unsettle(now);
+        }
+        self.restricted = restricted;
+    }
+
+    /// Whether slots that the view gives may be used.
+    pub fn is_settled(&self, now: Instant) -> bool {
+        !self.restricted && now >= self.settled_at
+    }
+
+    /// Recomputes a target's slots. Returns them if they have changed.
+    pub fn update(
+        &mut self,
+        target: &TargetName,
+        capacity: TargetCapacity,
+        now: Instant,
+    ) -> Option<SlotShare> {
+        let settled = self.is_settled(now);
+        let vms = self.view.len().max(1) as u32;
+        let slots = self.targets.get_mut(target)?;
+        let remainder = u32::from(slots.rank < capacity.bears % vms);
+        slots.share = capacity.bears / vms + remainder;
+        slots.held = if settled { slots.share } else { slots.held.min(slots.share) };
+        if self.restricted && capacity.cold {
+            slots.held = 0;
+        }
+        slots.report(target, capacity)
+    }
+
+    /// Lends a slot if one is idle. `in_use` is the number of requests of this process at the target.
+    pub fn lend(
+        &mut self,
+        borrower: &PeerIdentity,
+        target: &TargetName,
+        in_use: u32,
+        now: Instant,
+    ) -> Option<SlotGrant> {
+        let slots = self.targets.get_mut(target)?;
+        if self.restricted || slots.held <= slots.lent + in_use {
+            return None;
+        }
+        slots.lent += 1;
+        self.next_grant += 1;
+        let grant = self.next_grant;
+        let lent = LentSlot { borrower: borrower.clone(), target: target.clone(), since: now };
+        self.lent.insert(grant, lent);
+        let use_within_ms = USE_WITHIN.as_millis() as u64;
+        Some(SlotGrant { grant, target: target.clone(), use_within_ms })
+    }
+
+    /// Takes a lent slot back. Returns its target; a repeated return changes nothing.
+    pub fn take_back(&mut self, grant: u64) -> Option<TargetName> {
+        let lent = self.lent.swap_remove(&grant)?;
+        if let Some(slots) = self.targets.get_mut(&lent.target) {
+            slots.lent = slots.lent.saturating_sub(1);
+        }
+        Some(lent.target)
+    }
+
+    /// Takes back the slots of a process that is gone.
+    pub fn take_back_from(&mut self, borrower: &PeerIdentity) -> Vec<TargetName> {
+        self.take_back_if(|lent| lent.borrower == *borrower)
+    }
+
+    /// Takes back slots whose return must have been lost.
+    pub fn take_back_expired(&mut self, now: Instant) -> Vec<TargetName> {
+        self.take_back_if(|lent| now.saturating_duration_since(lent.since) >= GRANT_LIFE)
+    }
+
+    fn take_back_if<Condition>(&mut self, condition: Condition) -> Vec<TargetName>
+    where
+        Condition: Fn(&LentSlot) -> bool,
+    {
+        let matching = self.lent.iter().filter(|(_, lent)| condition(lent));
+        let grants: Vec<u64> = matching.map(|(grant, _)| *grant).collect();
+        grants.into_iter().filter_map(|grant| self.take_back(grant)).collect()
+    }
+
+    /// Adds a borrowed slot. Fails if the target is not listed; the grant must then be returned.
+    pub fn add_borrowed(&mut self, lender: PeerAddress, grant: SlotGrant) -> bool {
+        let Some(slots) = self.targets.get_mut(&grant.target) else { return false };
+        slots.borrowed.push(BorrowedSlot { lender, grant });
+        true
+    }
+
+    /// Removes a borrowed slot, to be returned to its lender.
+    pub fn remove_borrowed(&mut self, target: &TargetName) -> Option<(PeerAddress, SlotGrant)> {
+        let borrowed = self.targets.get_mut(target)?.borrowed.pop()?;
+        Some((borrowed.lender, borrowed.grant))
+    }
+
+    /// Drops all borrowed slots, after a pause in which the lenders may have taken them back.
+    pub fn drop_borrowed(&mut self) {
+        for slots in self.targets.values_mut() {
+            slots.borrowed.clear();
+        }
+    }
+
+    /// Number of VMs that share the slots.
+    pub fn vms(&self) -> usize {
+        self.view.len()
+    }
+
+    /// Names of all targets.
+    pub fn targets(&self) -> Vec<TargetName> {
+        self.targets.keys().cloned().collect()
+    }
+
+    /// VMs that hold a slot of a target, the one with the most slots first.
+    pub fn holders(&self, target: &TargetName, bears: u32) -> Vec<VmName> {
+        let ranked = rendezvous::ranked(target, &self.view, |vm| vm);
+        let holders = ranked.into_iter().take(bears as usize);
+        holders.filter(|vm| **vm != self.own).cloned().collect()
+    }
+
+    /// Figures for the dump.
+    pub fn dump(&self, now: Instant) -> SlotDump {
+        SlotDump {
+            view: self.view.clone(),
+            settling: !self.is_settled(now),
+            lent: self.lent.len(),
+            borrowed: self.targets.values().map(|slots| slots.borrowed.len()).sum(),
+        }
+    }
+}
+
+impl TargetSlots {
+    /// Slots that the scheduler may use, if they differ from the last ones. Lent slots that exceed a share
+    /// that has shrunk stay with their borrowers; this process then has none of its own.
+    fn report(&mut self, target: &TargetName, capacity: TargetCapacity) -> Option<SlotShare> {
+        let own = self.held.saturating_sub(self.lent);
+        hold(Invariant::SlotsWithinShare, own == 0 || own + self.lent <= self.share, || {
+            format!("{own} own and {} lent of {} slots at {target}", self.lent, self.share)
+        });
+        let slots = own + self.borrowed.len() as u32;
+        let TargetCapacity { bears, cold } = capacity;
+        let share = SlotShare { target: target.clone(), slots, bears, cold };
+        if self.reported.as_ref() == Some(&share) {
+            return None;
+        }
+        self.reported = Some(share.clone());
+        Some(share)
+    }
+}
+
+fn rank_of(view: &[VmName], own: &VmName, target: &TargetName) -> u32 {
+    rendezvous::rank(target, own, view.iter().map(|vm| &**vm)) as u32
+}
--- /dev/null
+++ b/crates/tarragon-cluster/src/ticket/table.rs
@@ -0,0 +1,611 @@
+//! The tickets that this process issues and the records of those that were used.
+//!
+//! Two rules carry the guarantee that a call runs at most once. Only the table lets a call be written
+//! ([`TicketTable::may_write`]), and it does so only for a running record without an open attempt. "Not
+//! run" is only said of a ticket after a state has been entered from which the table never lets it be
+//! written: a final record, the watermark, the ticket's expiry, or the frozen table.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use serde::Serialize;
+use tarragon_protocol::{identity::TicketSequence, peer::HandoverRecord};
+
+use super::{
+    CallBinding, RECORD_KEEP, TICKET_VALIDITY, Ticket,
+    adopted::{AdoptFault, AdoptedRecords},
+    record::*,
+};
+use crate::{
+    invariant::{Invariant, hold},
+    prelude::*,
+};
+
+/// Bounds of the table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TicketLimits {
+    /// Records, own and adopted.
+    pub records: usize,
+    /// Bytes of all kept answers, own and adopted.
+    pub answer_bytes: usize,
+    /// Requests that may wait for the answer of one ticket.
+    pub waiters: usize,
+}
+
+impl Default for TicketLimits {
+    fn default() -> TicketLimits {
+        TicketLimits { records: 65_536, answer_bytes: 16 * 1024 * 1024, waiters: 64 }
+    }
+}
+
+/// A request that presents a ticket.
+#[derive(Debug, Clone, Copy)]
+pub struct TicketUse<'a> {
+    /// The verified ticket.
+    pub ticket: &'a Ticket,
+    /// The call to run under it.
+    pub binding: CallBinding,
+    /// Deadline on this process's boot clock.
+    pub deadline: Duration,
+    /// The request that waits for the answer.
+    pub waiter: RequestId,
+    /// Largest body in bytes that is kept for a repeat.
+    pub answer_limit: usize,
+    /// Whether another entry VM has forwarded the call; it is not forwarded again.
+    pub forwarded: bool,
+    /// Who answers for the owner now, if that is known.
+    pub successor: Option<&'a SuccessorEntry>,
+}
+
+/// What to do with a request that presents a ticket.
+#[derive(Debug, Clone, PartialEq)]
+pub enum TicketDecision {
+    /// Send the whole call to the owner, or to its successor.
+    Forward(PeerAddress),
+    /// Queue the call. Its record has been created.
+    Start(TicketSequence),
+    /// Wait for the answer of the call that runs.
+    Join(TicketSequence),
+    /// Answer now.
+    Answer(TicketAnswer),
+    /// The ticket was used for another call; refuse with 422.
+    Mismatch,
+}
+
+/// Whether the first byte of a call may be written.
+#[derive(Debug, Clone, PartialEq)]
+pub enum WriteDecision {
+    /// Yes, under this number. No other attempt may be written until this one is known not to have run.
+    Write(AttemptNumber),
+    /// No. If this check has sealed the ticket, its waiters are given here.
+    Withhold(Option<TicketEnd>),
+}
+
+/// The answer of a ticket and the requests that wait for it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct TicketEnd {
+    /// The ticket.
+    pub sequence: TicketSequence,
+    /// The requests.
+    pub waiters: Vec<RequestId>,
+    /// The answer for each of them.
+    pub answer: TicketAnswer,
+}
+
+/// What happens to a call whose caller has gone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AbandonDecision {
+    /// It was queued and nobody else waits: its ticket is sealed, and it must leave the queue.
+    Sealed,
+    /// It goes on: others wait, or it has been dispatched.
+    GoesOn,
+    /// The ticket has no running call.
+    NotRunning,
+}
+
+/// What is known of a ticket, for `query_ticket`.
+#[derive(Debug, Clone, PartialEq)]
+pub enum TicketStatus {
+    /// The call is queued or dispatched.
+    Running,
+    /// The final answer.
+    Answered(TicketAnswer),
+    /// No call has used the ticket. This does not exclude a later use.
+    Unused,
+    /// This process doesn't answer for the ticket's owner.
+    Elsewhere,
+}
+
+/// Figures of the table for the dump.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct TicketDump {
+    /// Highest number issued.
+    pub issued: TicketSequence,
+    /// Tickets up to this number are sealed unless they have a record.
+    pub watermark: TicketSequence,
+    /// Own records.
+    pub records: usize,
+    /// Own records of calls without a final answer.
+    pub running: usize,
+    /// Bytes of kept answers, own and adopted.
+    pub answer_bytes: usize,
+    /// Processes whose records are held here, with the number of records.
+    pub adopted: Vec<(String, usize)>,
+    /// Whether the process has stopped to start calls.
+    pub draining: bool,
+    /// Whether the records are frozen.
+    pub frozen: bool,
+}
+
+/// Issues tickets and keeps the records of those that were used.
+#[derive(Debug)]
+pub struct TicketTable {
+    identity: PeerIdentity,
+    peer_address: String,
+    limits: TicketLimits,
+    issued: TicketSequence,
+    watermark: TicketSequence,
+    records: IndexMap<TicketSequence, TicketRecord>,
+    answer_bytes: usize,
+    adopted: IndexMap<PeerIdentity, AdoptedRecords>,
+    /// Waiters of calls that were written when the table froze.
+    outstanding: IndexMap<TicketSequence, Vec<RequestId>>,
+    ended: Vec<TicketEnd>,
+    draining: bool,
+    frozen: bool,
+}
+
+impl TicketTable {
+    /// An empty table of a new process.
+    pub fn new(identity: PeerIdentity, peer_address: String, limits: TicketLimits) -> TicketTable {
+        TicketTable {
+            identity,
+            peer_address,
+            limits,
+            issued: 0,
+            watermark: 0,
+            records: IndexMap::new(),
+            answer_bytes: 0,
+            adopted: IndexMap::new(),
+            outstanding: IndexMap::new(),
+            ended: Vec::new(),
+            draining: false,
+            frozen: false,
+        }
+    }
+
+    /// Issues a ticket. Keeps no state for it but its number.
+    pub fn issue(&mut self, boot: Duration) -> Ticket {
+        self.issued += 1;
+        Ticket {
+            owner: self.identity.clone(),
+            peer_address: self.peer_address.clone(),
+            sequence: self.issued,
+            issued_ms: boot.as_millis() as u64,
+        }
+    }
+
+    /// Decides about a request with a ticket.
+    pub fn present(&mut self, boot: Duration, ticket_use: &TicketUse<'_>) -> TicketDecision {
+        let ticket = ticket_use.ticket;
+        if ticket.owner == self.identity {
+            return self.present_own(boot, ticket_use);
+        }
+        match self.adopted.get(&ticket.owner) {
+            Some(records) => records.answer(ticket, ticket_use.binding, boot),
+            None => self.route(ticket_use),
+        }
+    }
+
+    fn present_own(&mut self, boot: Duration, ticket_use: &TicketUse<'_>) -> TicketDecision {
+        let sequence = ticket_use.ticket.sequence;
+        match self.records.get_mut(&sequence) {
+            Some(record) if record.binding != ticket_use.binding => TicketDecision::Mismatch,
+            Some(record) => join(record, sequence, ticket_use, self.limits.waiters),
+            None => self.present_unused(boot, ticket_use),
+        }
+    }
+
+    /// A ticket without a record. The order of the checks matters: a ticket that is so old that its record
+    /// may have been dropped must not be answered as sealed or expired.
+    fn present_unused(&mut self, boot: Duration, ticket_use: &TicketUse<'_>) -> TicketDecision {
+        let (ticket, sequence) = (ticket_use.ticket, ticket_use.ticket.sequence);
+        let age = ticket.age(boot);
+        if sequence > self.issued {
+            return TicketDecision::Mismatch;
+        }
+        if age >= RECORD_KEEP {
+            let cause = "its record may have been dropped";
+            return TicketDecision::Answer(unknown(RefusalCode::TicketExpired, sequence, cause));
+        }
+        if age >= TICKET_VALIDITY {
+            let cause = "it expired before it was used";
+            return TicketDecision::Answer(not_run(RefusalCode::TicketExpired, sequence, cause));
+        }
+        if sequence <= self.watermark {
+            let cause = "its owner sealed it before it was used";
+            return TicketDecision::Answer(not_run(RefusalCode::TicketSealed, sequence, cause));
+        }
+        if self.draining {
+            self.seal_unused();
+            let cause = "its owner is shutting down";
+            return TicketDecision::Answer(not_run(RefusalCode::TicketSealed, sequence, cause));
+        }
+        if !self.make_room(boot) {
+            self.seal_unused();
+            let cause = "its owner has no room for more records";
+            return TicketDecision::Answer(not_run(RefusalCode::TicketSealed, sequence, cause));
+        }
+        self.start(boot, ticket_use)
+    }
+
+    fn start(&mut self, boot: Duration, ticket_use: &TicketUse<'_>) -> TicketDecision {
+        let TicketUse { ticket, binding, deadline, waiter, answer_limit, .. } = *ticket_use;
+        let sequence = ticket.sequence;
+        let waiters = vec![TicketWaiter { request: waiter, deadline }];
+        let call = RunningCall { waiters, written: false, attempts: 0, answer_limit };
+        let state = RecordState::Running(Box::new(call));
+        let record = TicketRecord { binding, issued_ms: ticket.issued_ms, state };
+        self.records.insert(sequence, record);
+        if deadline > boot {
+            return TicketDecision::Start(sequence);
+        }
+        let answer = not_run(RefusalCode::DeadlineExceeded, sequence, "its deadline has passed");
+        self.settle(boot, sequence, &answer);
+        TicketDecision::Answer(answer)
+    }
+
+    /// A ticket of another process whose records are not held here.
+    fn route(&self, ticket_use: &TicketUse<'_>) -> TicketDecision {
+        let ticket = ticket_use.ticket;
+        let successor = ticket_use.successor.filter(|entry| entry.owner == ticket.owner);
+        let (holder, address) = match successor {
+            Some(entry) => (&entry.successor, &entry.peer_address),
+            None => (&ticket.owner, &ticket.peer_address),
+        };
+        if ticket_use.forwarded || holder.vm == self.identity.vm || *address == self.peer_address {
+            let cause = "its owner has ended and left its records to nobody known here";
+            let code = RefusalCode::OwnerUnreachable;
+            return TicketDecision::Answer(unknown(code, ticket.sequence, cause));
+        }
+        TicketDecision::Forward(PeerAddress { vm: holder.vm.clone(), address: address.clone() })
+    }
+
+    /// What is known of a ticket. Changes nothing.
+    pub fn query(&self, ticket: &Ticket) -> TicketStatus {
+        if ticket.owner != self.identity {
+            return match self.adopted.get(&ticket.owner) {
+                Some(records) => records
+                    .recorded(ticket.sequence)
+                    .map_or(TicketStatus::Unused, TicketStatus::Answered),
+                None => TicketStatus::Elsewhere,
+            };
+        }
+        match self.records.get(&ticket.sequence).map(|record| &record.state) {
+            Some(RecordState::Running(_)) => TicketStatus::Running,
+            Some(RecordState::Final { answer, .. }) => TicketStatus::Answered(answer.replay()),
+            None => TicketStatus::Unused,
+        }
+    }
+
+    /// The check right before the first byte of an attempt. A call whose ticket has expired, or whose
+    /// waiters have all passed their deadlines, is sealed here.
+    pub fn may_write(&mut self, sequence: TicketSequence, boot: Duration) -> WriteDecision {
+        let frozen = self.frozen;
+        let Some(record) = self.records.get_mut(&sequence) else {
+            return WriteDecision::Withhold(None);
+        };
+        let expired =
+            boot.saturating_sub(Duration::from_millis(record.issued_ms)) >= TICKET_VALIDITY;
+        let Some(call) = record.running_mut() else {
+            return WriteDecision::Withhold(None);
+        };
+        if call.written || frozen {
+            return WriteDecision::Withhold(None);
+        }
+        let in_time = call.waiters.iter().any(|waiter| waiter.deadline > boot);
+        if !expired && in_time {
+            call.written = true;
+            call.attempts += 1;
+            return WriteDecision::Write(call.attempts);
+        }
+        let answer = if expired {
+            not_run(RefusalCode::TicketExpired, sequence, "it expired before it was dispatched")
+        } else {
+            not_run(RefusalCode::DeadlineExceeded, sequence, "its deadline passed in the queue")
+        };
+        WriteDecision::Withhold(self.finish(sequence, answer, boot))
+    }
+
+    /// Notes that the open attempt ran nothing: the connection was refused before the first byte, or the
+    /// receiver answered that it did not dispatch the call. Another attempt may then be written. The
+    /// number is the one that [`TicketTable::may_write`] gave: a late note on an earlier attempt must not
+    /// clear the open one.
+    pub fn attempt_not_run(&mut self, sequence: TicketSequence, attempt: AttemptNumber) {
+        if let Some(call) = self.records.get_mut(&sequence).and_then(TicketRecord::running_mut)
+            && call.attempts == attempt
+        {
+            call.written = false;
+        }
+    }
+
+    /// Records the final answer. Returns the waiters with the answer that they get, unless the ticket had
+    /// a final answer before. "Not run" while an attempt is open is recorded as "unknown".
+    pub fn finish(
+        &mut self,
+        sequence: TicketSequence,
+        answer: TicketAnswer,
+        boot: Duration,
+    ) -> Option<TicketEnd> {
+        if let Some(waiters) = self.outstanding.swap_remove(&sequence) {
+            return Some(TicketEnd { sequence, waiters, answer });
+        }
+        let record = self.records.get(&sequence)?;
+        let Some(call) = record.running() else {
+            self.check_late(sequence, &answer);
+            return None;
+        };
+        let written = call.written;
+        let waiters = call.waiters.iter().map(|waiter| waiter.request).collect();
+        let answer = truthful(sequence, written, answer);
+        self.settle(boot, sequence, &answer);
+        Some(TicketEnd { sequence, waiters, answer })
+    }
+
+    /// A second end of one call is expected when the check before the write has sealed it. A result after
+    /// "not run" shows that a sealed call was dispatched.
+    fn check_late(&self, sequence: TicketSequence, answer: &TicketAnswer) {
+        let Some(record) = self.records.get(&sequence) else { return };
+        let sealed =
+            matches!(&record.state, RecordState::Final { answer: KeptAnswer::NotRun(_), .. });
+        let ran = !matches!(answer, TicketAnswer::Refused(refusal) if refusal.outcome == CallOutcome::NotRun);
+        hold(Invariant::SealedTicketStaysUnused, !(sealed && ran), || {
+            format!("ticket {sequence} was sealed as not run and now ended as {answer:?}")
+        });
+    }
+
+    fn settle(&mut self, boot: Duration, sequence: TicketSequence, answer: &TicketAnswer) {
+        let room = self.limits.answer_bytes.saturating_sub(self.answer_bytes);
+        let Some(record) = self.records.get_mut(&sequence) else { return };
+        let keep_until = record.keep_until(boot);
+        let limit = record.running().map(|call| call.answer_limit);
+        let stays = hold(Invariant::FinalRecordStays, limit.is_some(), || {
+            format!("ticket {sequence} has a final answer and was to get another one")
+        });
+        if let (true, Some(limit)) = (stays, limit) {
+            let answer = KeptAnswer::keep(answer, limit, room);
+            self.answer_bytes += answer.bytes();
+            record.state = RecordState::Final { answer, keep_until };
+        }
+    }
+
+    /// Notes that a caller has gone.
+    pub fn abandon(
+        &mut self,
+        sequence: TicketSequence,
+        waiter: RequestId,
+        boot: Duration,
+    ) -> AbandonDecision {
+        if let Some(waiters) = self.outstanding.get_mut(&sequence) {
+            waiters.retain(|request| *request != waiter);
+        }
+        let Some(call) = self.records.get_mut(&sequence).and_then(TicketRecord::running_mut) else {
+            return AbandonDecision::NotRunning;
+        };
+        call.waiters.retain(|other| other.request != waiter);
+        if call.written || !call.waiters.is_empty() {
+            return AbandonDecision::GoesOn;
+        }
+        let cause = "its caller disconnected before it was dispatched";
+        let answer = not_run(RefusalCode::TicketSealed, sequence, cause);
+        self.settle(boot, sequence, &answer);
+        AbandonDecision::Sealed
+    }
+
+    /// Requests that wait for a ticket's answer.
+    pub fn waiters(&self, sequence: TicketSequence) -> Vec<RequestId> {
+        let call = self.records.get(&sequence).and_then(TicketRecord::running);
+        call.into_iter().flat_map(|call| &call.waiters).map(|waiter| waiter.request).collect()
+    }
+
+    /// Calls without a final answer.
+    pub fn running(&self) -> usize {
+        self.records.values().filter(|record| record.running().is_some()).count()
+    }
+
+    /// Seals all tickets that were issued and not used. Costs no memory.
+    pub fn seal_unused(&mut self) {
+        self.watermark = self.issued;
+    }
+
+    /// Starts no call any more. Running calls go on.
+    pub fn start_drain(&mut self) {
+        self.draining = true;
+        self.seal_unused();
+    }
+
+    /// Ends all dispatching for good and returns the records for the successor. A queued call is sealed; a
+    /// call whose answer is still open counts as "unknown" for repeats, while its own waiters still get
+    /// the answer if it arrives. May be repeated: the records don't change any more.
+    pub fn freeze(&mut self, boot: Duration) -> HandoverMessage {
+        self.start_drain();
+        self.frozen = true;
+        let running: Vec<TicketSequence> = self
+            .records
+            .iter()
+            .filter(|(_, record)| record.running().is_some())
+            .map(|(sequence, _)| *sequence)
+            .collect();
+        for sequence in running {
+            self.freeze_call(sequence, boot);
+        }
+        self.purge(boot);
+        HandoverMessage {
+            owner: self.identity.clone(),
+            records: self.handover_records(),
+            keep_ms: RECORD_KEEP.as_millis() as u64,
+            owner_boot_ms: boot.as_millis() as u64,
+        }
+    }
+
+    fn freeze_call(&mut self, sequence: TicketSequence, boot: Duration) {
+        let Some(call) = self.records.get(&sequence).and_then(TicketRecord::running) else {
+            return;
+        };
+        let waiters: Vec<RequestId> = call.waiters.iter().map(|waiter| waiter.request).collect();
+        let code = RefusalCode::ShuttingDown;
+        if call.written {
+            let cause = "its owner shut down while the call ran";
+            self.settle(boot, sequence, &unknown(code, sequence, cause));
+            self.outstanding.insert(sequence, waiters);
+        } else {
+            let answer =
+                not_run(code, sequence, "its owner shut down before the call was dispatched");
+            self.settle(boot, sequence, &answer);
+            self.ended.push(TicketEnd { sequence, waiters, answer });
+        }
+    }
+
+    fn handover_records(&self) -> Vec<HandoverRecord> {
+        let finished = self.records.iter().filter_map(|(sequence, record)| match &record.state {
+            RecordState::Running(_) => None,
+            RecordState::Final { answer, .. } => Some(HandoverRecord {
+                sequence: *sequence,
+                binding: record.binding.to_text(),
+                answer: answer.replay(),
+            }),
+        });
+        finished.collect()
+    }
+
+    /// Records of other processes that are held here, for the successor of this one.
+    pub fn adopted_messages(&self, boot: Duration) -> Vec<HandoverMessage> {
+        self.adopted
+            .iter()
+            .filter(|(_, records)| !records.may_drop(boot))
+            .map(|(owner, records)| records.message(owner, boot))
+            .collect()
+    }
+
+    /// Takes over the records of a process that has ended, all or none of them. A repeated message changes
+    /// nothing.
+    pub fn adopt(&mut self, message: &HandoverMessage, boot: Duration) -> Result<(), AdoptFault> {
+        if message.owner == self.identity {
+            return Err(AdoptFault::OwnRecords);
+        }
+        if self.adopted.contains_key(&message.owner) {
+            return Ok(());
+        }
+        if self.frozen {
+            return Err(AdoptFault::Frozen);
+        }
+        self.purge(boot);
+        if self.record_count() + message.records.len() > self.limits.records {
+            return Err(AdoptFault::Full);
+        }
+        let room = self.limits.answer_bytes.saturating_sub(self.answer_bytes);
+        let records = AdoptedRecords::read(message, boot, room)?;
+        self.answer_bytes += records.bytes();
+        self.adopted.insert(message.owner.clone(), records);
+        Ok(())
+    }
+
+    /// Ends of calls that no `finish` has reported, since the table froze before they were dispatched.
+    pub fn take_ended(&mut self) -> Vec<TicketEnd> {
+        std::mem::take(&mut self.ended)
+    }
+
+    fn record_count(&self) -> usize {
+        self.records.len() + self.adopted.values().map(AdoptedRecords::len).sum::<usize>()
+    }
+
+    fn make_room(&mut self, boot: Duration) -> bool {
+        if self.record_count() >= self.limits.records {
+            self.purge(boot);
+        }
+        self.record_count() < self.limits.records
+    }
+
+    /// Drops the records that nobody can ask for any more. To be called every few seconds.
+    pub fn purge(&mut self, boot: Duration) {
+        let mut dropped = 0;
+        self.records.retain(|_, record| {
+            let drop = record.may_drop(boot);
+            if let (true, RecordState::Final { answer, .. }) = (drop, &record.state) {
+                dropped += answer.bytes();
+            }
+            !drop
+        });
+        self.adopted.retain(|_, records| {
+            let drop = records.may_drop(boot);
+            dropped += if drop { records.bytes() } else { 0 };
+            !drop
+        });
+        self.answer_bytes -= dropped;
+    }
+
+    /// Whether the records are frozen.
+    pub fn is_frozen(&self) -> bool {
+        self.frozen
+    }
+
+    /// Whether this process answers for the tickets of this one.
+    pub fn answers_for(&self, owner: &PeerIdentity) -> bool {
+        *owner == self.identity || self.adopted.contains_key(owner)
+    }
+
+    /// Figures for the dump.
+    pub fn dump(&self) -> TicketDump {
+        let adopted = self
+            .adopted
+            .iter()
+            .map(|(owner, records)| (format!("{}/{}", owner.vm, owner.incarnation), records.len()));
+        TicketDump {
+            issued: self.issued,
+            watermark: self.watermark,
+            records: self.records.len(),
+            running: self.running(),
+            answer_bytes: self.answer_bytes,
+            adopted: adopted.collect(),
+            draining: self.draining,
+            frozen: self.frozen,
+        }
+    }
+}
+
+fn join(
+    record: &mut TicketRecord,
+    sequence: TicketSequence,
+    ticket_use: &TicketUse<'_>,
+    limit: usize,
+) -> TicketDecision {
+    let call = match &mut record.state {
+        RecordState::Final { answer, .. } => return TicketDecision::Answer(answer.replay()),
+        RecordState::Running(call) => call,
+    };
+    let waiter = TicketWaiter { request: ticket_use.waiter, deadline: ticket_use.deadline };
+    if call.waiters.iter().any(|other| other.request == waiter.request) {
+        return TicketDecision::Join(sequence);
+    }
+    if call.waiters.len() >= limit {
+        let cause = "too many requests wait for its answer";
+        return TicketDecision::Answer(unknown(RefusalCode::LimitReached, sequence, cause));
+    }
+    call.waiters.push(waiter);
+    TicketDecision::Join(sequence)
+}
+
+/// Turns a false "not run" into "unknown", and a refusal that claims a result into "unknown".
+fn truthful(sequence: TicketSequence, written: bool, answer: TicketAnswer) -> TicketAnswer {
+    let TicketAnswer::Refused(refusal) = answer else { return answer };
+    let outcome = match refusal.outcome {
+        CallOutcome::NotRun => {
+            let true_refusal = hold(Invariant::WrittenAtMostOnce, !written, || {
+                format!("ticket {sequence} has an open attempt and was to end as not run")
+            });
+            if true_refusal { CallOutcome::NotRun } else { CallOutcome::Unknown }
+        }
+        CallOutcome::Done | CallOutcome::Unknown => CallOutcome::Unknown,
+    };
+    TicketAnswer::Refused(Refusal { outcome, ..refusal })
+}
--- a/crates/tarragon-protocol/src/peer.rs
+++ b/crates/tarragon-protocol/src/peer.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{engine::OrderChange, identity::TicketSequence, prelude::*};
+use crate::{engine::OrderChange, identity::TicketSequence, platform::ListedVm, prelude::*};
 
 /// One process, as peers address it.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -20,6 +20,8 @@
     pub sender: PeerIdentity,
     /// Data centre of the sender.
     pub data_centre: DataCentreName,
+    /// Peer address of the sender, for receivers whose VM list does not show it yet.
+    pub peer_address: String,
     /// Rises with each digest of this incarnation.
     pub heartbeat: u64,
     /// Version of the VM list that the sender uses.
@@ -32,7 +34,7 @@
     pub draining: bool,
     /// Waiting requests by tier, indexed by [`Tier::index`].
     pub waiting: [u32; Tier::COUNT],
-    /// What the sender has heard of others.
+    /// What the sender has heard of others in its data centre.
     pub members: Vec<MemberEntry>,
     /// Load of targets that the sender has polled or heard of.
     pub loads: Vec<LoadEntry>,
@@ -49,6 +51,9 @@
     pub peer: PeerIdentity,
     /// Its highest heartbeat heard of.
     pub heartbeat: u64,
+    /// Its peer address, if the sender's VM list does not show it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub address: Option<String>,
 }
 
 /// Load of one target, shortened for gossip.
@@ -185,6 +190,9 @@
     pub records: Vec<HandoverRecord>,
     /// Milliseconds until the last ticket's record may be dropped.
     pub keep_ms: u64,
+    /// Owner's boot clock at the time of the message, in milliseconds. The successor needs it to tell a
+    /// ticket that was never used from one that is so old that its record may have been dropped.
+    pub owner_boot_ms: u64,
 }
 
 /// One record of a handover.
@@ -220,12 +228,25 @@
     pub base: ConfigurationVersion,
     /// Version that results.
     pub version: ConfigurationVersion,
-    /// Names of all parts of the result, in order.
+    /// Names of all parts of the result, in order; empty if they are those of the base.
     pub part_names: Vec<String>,
     /// Changed parts. A part that the receiver does not have is one whose prefix and suffix are empty.
     pub splices: Vec<PartSplice>,
 }
 
+/// Changes of the VM list from one version to another.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VmListTransfer {
+    /// Version that the receiver must have; 0 for a whole list.
+    pub base: u64,
+    /// Version that results.
+    pub version: u64,
+    /// VMs that are new or have changed.
+    pub changed: Vec<ListedVm>,
+    /// VMs that are gone.
+    pub removed: Vec<VmName>,
+}
+
 /// An order that a process wants a target to take.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PlannedOrder {
