Compose scheduler, cluster and tickets into the node

Change: Node passes news between the parts, queues calls with tickets, turns refusals that another process need not give into relays, and asks the ticket table before each write.

--- /dev/null
+++ b/crates/tarragon-node/src/node/relay.rs
@@ -0,0 +1,62 @@
+//! Requests that can't be served here go to another process, once.
+
+use super::*;
+
+/// Refusals that another process may not have to give.
+const RELAY_CODES: [RefusalCode; 3] =
+    [RefusalCode::NoTarget, RefusalCode::ShuttingDown, RefusalCode::DataCentreOut];
+
+impl Node {
+    /// Takes a request from a caller.
+    pub(super) fn arrive(
+        &mut self,
+        now: Instant,
+        profile: Box<RequestProfile>,
+        actions: &mut Vec<NodeAction>,
+    ) {
+        let request = profile.request;
+        if !self.relay_peers.is_empty() {
+            let peers = self.relay_peers.clone();
+            actions.push(NodeAction::Relay { request, peers });
+            return;
+        }
+        self.relayable.insert(request);
+        self.schedule(now, SchedulerEvent::Arrived(profile), actions);
+    }
+
+    /// Turns a refusal into a relay where another process can do better, else passes it on. Only requests
+    /// that were never dispatched here are relayed.
+    pub(super) fn refuse(
+        &mut self,
+        now: Instant,
+        request: RequestId,
+        refusal: Refusal,
+        actions: &mut Vec<NodeAction>,
+    ) {
+        let relayable = self.relayable.swap_remove(&request);
+        if relayable
+            && refusal.outcome == CallOutcome::NotRun
+            && RELAY_CODES.contains(&refusal.code)
+        {
+            let peers = self.peers_for_relay(now);
+            if !peers.is_empty() {
+                actions.push(NodeAction::Relay { request, peers });
+                return;
+            }
+        }
+        if self.tickets.is_open(request) {
+            let answer = TicketAnswer::Refused(refusal);
+            self.tickets.finish(request, answer, self.boot, actions);
+            return;
+        }
+        actions.push(NodeAction::Scheduler(SchedulerAction::Refuse { request, refusal }));
+    }
+
+    fn peers_for_relay(&self, now: Instant) -> Vec<PeerAddress> {
+        if self.relay_peers.is_empty() {
+            self.cluster.remote_peers(now)
+        } else {
+            self.relay_peers.clone()
+        }
+    }
+}
--- /dev/null
+++ b/crates/tarragon-node/src/node/ticket.rs
@@ -0,0 +1,239 @@
+//! Non-idempotent calls: joins the ticket table with the scheduler's view of the same requests.
+
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+use tarragon_cluster::{
+    key::PeerKeys,
+    ticket::{
+        CallBinding, Ticket, TicketDecision, TicketEnd, TicketTable, TicketUse, WriteDecision,
+        table::{AbandonDecision, TicketDump, TicketLimits},
+    },
+};
+use tarragon_protocol::identity::TicketSequence;
+
+use crate::prelude::*;
+
+/// Time between two purges of old records.
+const PURGE_INTERVAL: Duration = Duration::from_secs(5);
+
+/// A ticket's call that is queued or dispatched.
+#[derive(Debug, Clone, Copy)]
+struct OpenCall {
+    sequence: TicketSequence,
+    /// Number of the attempt that was written last.
+    written: Option<AttemptNumber>,
+}
+
+/// The ticket table with the requests that stand for its running calls.
+pub(super) struct TicketDesk {
+    pub(super) table: TicketTable,
+    pub(super) keys: PeerKeys,
+    open: IndexMap<RequestId, OpenCall>,
+    next_purge: Duration,
+}
+
+impl TicketDesk {
+    pub(super) fn new(identity: PeerIdentity, peer_address: String, keys: PeerKeys) -> TicketDesk {
+        TicketDesk {
+            table: TicketTable::new(identity, peer_address, TicketLimits::default()),
+            keys,
+            open: IndexMap::new(),
+            next_purge: Duration::ZERO,
+        }
+    }
+
+    pub(super) fn purge(&mut self, boot: Duration) {
+        if boot >= self.next_purge {
+            self.table.purge(boot);
+            self.next_purge = boot + PURGE_INTERVAL;
+        }
+    }
+
+    pub(super) fn is_open(&self, request: RequestId) -> bool {
+        self.open.contains_key(&request)
+    }
+
+    /// Notes that the request's last attempt ran nothing, so that another one may be written.
+    pub(super) fn attempt_not_run(&mut self, request: RequestId) {
+        if let Some(call) = self.open.get_mut(&request)
+            && let Some(attempt) = call.written.take()
+        {
+            self.table.attempt_not_run(call.sequence, attempt);
+        }
+    }
+
+    /// Forgets a request whose call the check before the write has ended.
+    pub(super) fn withheld(&mut self, request: RequestId) {
+        self.open.swap_remove(&request);
+    }
+
+    fn request_of(&self, sequence: TicketSequence) -> Option<RequestId> {
+        self.open.iter().find(|(_, call)| call.sequence == sequence).map(|(request, _)| *request)
+    }
+
+    /// Records the final answer of a request's call.
+    pub(super) fn finish(
+        &mut self,
+        request: RequestId,
+        answer: TicketAnswer,
+        boot: Duration,
+        actions: &mut Vec<NodeAction>,
+    ) {
+        let Some(call) = self.open.swap_remove(&request) else { return };
+        let end = self.table.finish(call.sequence, answer, boot);
+        actions.extend(end.map(resolved));
+    }
+}
+
+fn resolved(end: TicketEnd) -> NodeAction {
+    NodeAction::TicketResolved { sequence: end.sequence, answer: end.answer }
+}
+
+impl Node {
+    /// A new ticket of this process as text, or nothing while it is shutting down.
+    pub fn issue_ticket(&mut self, boot: Duration) -> Option<String> {
+        if self.draining {
+            return None;
+        }
+        Some(self.tickets.table.issue(boot).to_text(&self.tickets.keys))
+    }
+
+    /// Reads a ticket's text and verifies that this deployment issued it.
+    pub fn read_ticket(&self, text: &str) -> Option<Ticket> {
+        Ticket::from_text(text, &self.tickets.keys).ok()
+    }
+
+    /// Decides about a call that came with a ticket. The call is queued if it is to be run here.
+    pub fn present_ticket(
+        &mut self,
+        now: Instant,
+        boot: Duration,
+        ticket: &Ticket,
+        call: TicketCall,
+        actions: &mut Vec<NodeAction>,
+    ) -> TicketStart {
+        let request = call.profile.request;
+        let remaining = call.profile.deadline.saturating_duration_since(now);
+        let ticket_use = TicketUse {
+            ticket,
+            binding: call.binding,
+            deadline: boot + remaining,
+            waiter: request,
+            answer_limit: call.answer_limit,
+            forwarded: call.forwarded,
+            successor: self.cluster.successor_of(&ticket.owner),
+        };
+        match self.tickets.table.present(boot, &ticket_use) {
+            TicketDecision::Forward(peer) => TicketStart::Forward(peer),
+            TicketDecision::Join(sequence) => TicketStart::Joined(sequence),
+            TicketDecision::Answer(answer) => TicketStart::Answered(answer),
+            TicketDecision::Mismatch => TicketStart::Mismatch,
+            TicketDecision::Start(sequence) => {
+                self.tickets.open.insert(request, OpenCall { sequence, written: None });
+                self.arrive(now, Box::new(call.profile), actions);
+                TicketStart::Started(sequence)
+            }
+        }
+    }
+
+    /// The check right before the first byte of a non-idempotent call's attempt. `false` means that
+    /// nothing may be written; the attempt then ends as [`AttemptEnd::Withheld`].
+    pub fn may_write(
+        &mut self,
+        request: RequestId,
+        boot: Duration,
+        actions: &mut Vec<NodeAction>,
+    ) -> bool {
+        let Some(call) = self.tickets.open.get_mut(&request) else { return false };
+        match self.tickets.table.may_write(call.sequence, boot) {
+            WriteDecision::Write(attempt) => {
+                call.written = Some(attempt);
+                true
+            }
+            WriteDecision::Withhold(end) => {
+                actions.extend(end.map(resolved));
+                false
+            }
+        }
+    }
+
+    /// Records the answer of a non-idempotent call.
+    pub fn finish_ticket(
+        &mut self,
+        request: RequestId,
+        answer: TicketAnswer,
+        boot: Duration,
+        actions: &mut Vec<NodeAction>,
+    ) {
+        self.tickets.finish(request, answer, boot, actions);
+    }
+
+    /// Notes that a relayed call was not dispatched by the peer, or did not reach it.
+    pub fn relay_not_run(&mut self, request: RequestId) {
+        self.tickets.attempt_not_run(request);
+    }
+
+    /// Notes that a caller who waited for a ticket's call has gone. A queued call that nobody waits for
+    /// is sealed and leaves the queue; a dispatched one goes on, so that a repeat finds its answer.
+    pub fn abandon_ticket(
+        &mut self,
+        now: Instant,
+        boot: Duration,
+        sequence: TicketSequence,
+        waiter: RequestId,
+        actions: &mut Vec<NodeAction>,
+    ) {
+        if self.tickets.table.abandon(sequence, waiter, boot) != AbandonDecision::Sealed {
+            return;
+        }
+        if let Some(request) = self.tickets.request_of(sequence) {
+            self.tickets.open.swap_remove(&request);
+            self.schedule(now, SchedulerEvent::Disconnected(request), actions);
+        }
+    }
+
+    /// Non-idempotent calls without a final answer.
+    pub fn open_tickets(&self) -> usize {
+        self.tickets.table.running()
+    }
+
+    /// Ends all dispatching of non-idempotent calls for good and returns the records for the successor:
+    /// the own ones, and those adopted of other processes.
+    pub fn freeze_tickets(
+        &mut self,
+        boot: Duration,
+        actions: &mut Vec<NodeAction>,
+    ) -> Vec<HandoverMessage> {
+        let mut messages = vec![self.tickets.table.freeze(boot)];
+        messages.extend(self.tickets.table.adopted_messages(boot));
+        actions.extend(self.tickets.table.take_ended().into_iter().map(resolved));
+        messages
+    }
+
+    /// Takes over the records of a process that has frozen them. `false` if there is no room or this
+    /// process is itself about to end.
+    pub fn adopt_tickets(&mut self, message: &HandoverMessage, boot: Duration) -> bool {
+        match self.tickets.table.adopt(message, boot) {
+            Ok(()) => true,
+            Err(fault) => {
+                tracing::warn!(owner = %message.owner.vm, ?fault, "refused the records of a peer");
+                false
+            }
+        }
+    }
+
+    /// Figures of the ticket table.
+    pub fn ticket_dump(&self) -> TicketDump {
+        self.tickets.table.dump()
+    }
+}
+
+/// Hash that binds a ticket to its call.
+pub fn call_binding(
+    workspace: &str,
+    service: &str,
+    call: &tarragon_protocol::peer::PlainCall,
+) -> CallBinding {
+    CallBinding::of(workspace, service, call)
+}
--- /dev/null
+++ b/crates/tarragon-node/src/prelude.rs
@@ -0,0 +1,9 @@
+//! Types that users of the crate need.
+
+pub use tarragon_cluster::prelude::*;
+pub use tarragon_scheduler::prelude::*;
+
+pub use crate::{
+    event::{NodeAction, NodeEvent, TicketCall, TicketStart},
+    node::{Node, NodeSettings, call_binding},
+};
--- a/crates/tarragon-scheduler/src/scheduler.rs
+++ b/crates/tarragon-scheduler/src/scheduler.rs
@@ -92,6 +92,11 @@
         counts
     }
 
+    /// Lowest tier that is admitted.
+    pub fn shed_floor(&self) -> Tier {
+        Tier::Routine
+    }
+
     fn admit(&mut self, profile: RequestProfile, actions: &mut Vec<SchedulerAction>) {
         if self.waiting.len() >= self.limits.waiting {
             let refusal = Refusal::not_run(RefusalCode::Shed, "the queue is full")
