Check each write against pauses, targets out of service and the ticket

Cause: a paused task can reach its write before the tick that notices the pause, and would then dispatch on stale news. Change: Node::check_write holds writes after a pause until a peer was heard or 2 s have passed, refuses targets out of service, and asks the ticket table; five tests. Measured: the pause test failed without the gap check (the write was allowed at once) and passes with it.

--- a/crates/tarragon-node/src/node.rs
+++ b/crates/tarragon-node/src/node.rs
@@ -13,9 +13,11 @@
 
 use crate::{node::ticket::TicketDesk, prelude::*};
 
+mod guard;
 mod relay;
 mod ticket;
 
+pub use guard::WriteCheck;
 pub use ticket::call_binding;
 
 /// What a process knows at its start.
@@ -41,6 +43,8 @@
     targets: IndexMap<TargetName, bool>,
     draining: bool,
     boot: Duration,
+    /// Boot clock until which writes wait for a peer's news after a pause.
+    hold_until: Option<Duration>,
 }
 
 impl Node {
@@ -57,6 +61,7 @@
             targets: IndexMap::new(),
             draining: false,
             boot: Duration::ZERO,
+            hold_until: None,
         }
     }
 
@@ -68,7 +73,12 @@
                 self.schedule(now, SchedulerEvent::Arrived(profile), actions)
             }
             NodeEvent::Scheduler(event) => self.note(now, event, actions),
-            NodeEvent::Cluster(event) => self.coordinate(now, event, actions),
+            NodeEvent::Cluster(event) => {
+                if matches!(event, ClusterEvent::GossipReceived(_)) {
+                    self.hold_until = None;
+                }
+                self.coordinate(now, event, actions);
+            }
             NodeEvent::Tick { boot } => self.tick(now, boot, actions),
             NodeEvent::DrainStarted => self.drain(now, actions),
         }
@@ -90,7 +100,7 @@
     }
 
     fn tick(&mut self, now: Instant, boot: Duration, actions: &mut Vec<NodeAction>) {
-        self.boot = boot;
+        self.observe_boot(boot);
         self.coordinate(now, ClusterEvent::Tick { boot }, actions);
         self.schedule(now, SchedulerEvent::Tick, actions);
         self.tickets.purge(boot);
--- a/crates/tarragon-node/src/prelude.rs
+++ b/crates/tarragon-node/src/prelude.rs
@@ -5,5 +5,5 @@
 
 pub use crate::{
     event::{NodeAction, NodeEvent, TicketCall, TicketStart},
-    node::{Node, NodeSettings, call_binding},
+    node::{Node, NodeSettings, WriteCheck, call_binding},
 };
--- /dev/null
+++ b/crates/tarragon-node/tests/ticket.rs
@@ -0,0 +1,221 @@
+//! Non-idempotent calls through the whole node: at most one dispatch, and no false "not run".
+
+use std::time::{Duration, Instant};
+
+use tarragon_cluster::{cluster::ClusterSettings, key::PeerKeys, ticket::Ticket};
+use tarragon_node::prelude::*;
+use tarragon_protocol::{
+    peer::{PlainAnswer, PlainCall},
+    platform::{PublishedTarget, TargetList},
+};
+
+const SERVICE: &str = "dispatch-app";
+
+struct Bench {
+    node: Node,
+    now: Instant,
+    boot: Duration,
+    next_request: RequestId,
+}
+
+fn settings() -> NodeSettings {
+    let identity = PeerIdentity { vm: "vm-1".into(), incarnation: 7 };
+    let address = "127.0.0.1:7001".to_owned();
+    let mut cluster =
+        ClusterSettings::new(identity, "oshakati".into(), "127.0.0.1:7000".to_owned(), address);
+    cluster.settling = Duration::ZERO;
+    let target = PublishedTarget {
+        target: "dispatch-1".into(),
+        service: SERVICE.into(),
+        address: "127.0.0.1:9001".to_owned(),
+        hardware: None,
+        checks_fencing: false,
+    };
+    cluster.static_targets =
+        vec![TargetList { data_centre: "oshakati".into(), targets: vec![target] }];
+    let peer_keys = PeerKeys::new("a secret of sixteen", None);
+    NodeSettings { cluster, limits: SchedulerLimits::default(), peer_keys }
+}
+
+fn report() -> LoadReport {
+    LoadReport {
+        restart: 1,
+        state: TargetState::Warm,
+        bears: 4,
+        running: 0,
+        waiting: 0,
+        free_cache_tokens: 0,
+        models: Vec::new(),
+        fencing: 0,
+        last_order_age_ms: None,
+        lag_ms: 0,
+    }
+}
+
+impl Bench {
+    fn new() -> Bench {
+        let now = tokio::time::Instant::now().into_std();
+        let boot = Duration::from_secs(1000);
+        let mut bench = Bench { node: Node::new(settings(), 1, now), now, boot, next_request: 0 };
+        bench.advance(Duration::from_millis(100));
+        for _ in 0..3 {
+            bench.poll();
+            bench.advance(Duration::from_secs(1));
+        }
+        bench
+    }
+
+    fn poll(&mut self) {
+        let event = ClusterEvent::TargetPolled("dispatch-1".into(), Some(report()));
+        self.node.handle(self.now, NodeEvent::Cluster(event), &mut Vec::new());
+    }
+
+    fn advance(&mut self, step: Duration) -> Vec<NodeAction> {
+        self.now += step;
+        self.boot += step;
+        let mut actions = Vec::new();
+        self.node.handle(self.now, NodeEvent::Tick { boot: self.boot }, &mut actions);
+        actions
+    }
+
+    fn present(
+        &mut self,
+        ticket: &Ticket,
+        body: &str,
+    ) -> (RequestId, TicketStart, Vec<NodeAction>) {
+        self.next_request += 1;
+        let request = self.next_request;
+        let call = PlainCall {
+            method: "POST".to_owned(),
+            path: "/dispatch".to_owned(),
+            headers: Vec::new(),
+            body: body.as_bytes().to_vec(),
+        };
+        let profile = RequestProfile {
+            request,
+            workspace: "depot".into(),
+            service: SERVICE.into(),
+            tier: Tier::Urgent,
+            deadline: self.now + Duration::from_secs(30),
+            idempotent: false,
+            fingerprint: 1,
+            kind: CallKind::Plain,
+        };
+        let call = TicketCall {
+            binding: call_binding("depot", SERVICE, &call),
+            profile,
+            answer_limit: 1024,
+            forwarded: false,
+        };
+        let mut actions = Vec::new();
+        let start = self.node.present_ticket(self.now, self.boot, ticket, call, &mut actions);
+        (request, start, actions)
+    }
+
+    fn ticket(&mut self) -> Ticket {
+        let text = self.node.issue_ticket(self.boot).expect("not draining");
+        self.node.read_ticket(&text).expect("own ticket")
+    }
+
+    fn check(&mut self, request: RequestId) -> WriteCheck {
+        let target: TargetName = "dispatch-1".into();
+        self.node.check_write(request, &target, self.boot, &mut Vec::new())
+    }
+}
+
+fn answer(body: &str) -> TicketAnswer {
+    TicketAnswer::Done(PlainAnswer {
+        status: 200,
+        headers: Vec::new(),
+        body: body.as_bytes().to_vec(),
+    })
+}
+
+fn is_dispatch(action: &NodeAction) -> bool {
+    matches!(action, NodeAction::Scheduler(SchedulerAction::Dispatch { .. }))
+}
+
+/// Guards against a second dispatch when a caller repeats a request whose answer it lost.
+#[test]
+fn repeat_joins_and_later_replays() {
+    let mut bench = Bench::new();
+    let ticket = bench.ticket();
+    let (request, start, actions) = bench.present(&ticket, "truck 1");
+    assert_eq!(start, TicketStart::Started(ticket.sequence));
+    assert_eq!(actions.iter().filter(|action| is_dispatch(action)).count(), 1);
+    assert_eq!(bench.check(request), WriteCheck::Write);
+    let (_, start, actions) = bench.present(&ticket, "truck 1");
+    assert_eq!(start, TicketStart::Joined(ticket.sequence));
+    assert!(!actions.iter().any(is_dispatch));
+    let mut actions = Vec::new();
+    bench.node.finish_ticket(request, answer("sent"), bench.boot, &mut actions);
+    let sequence = ticket.sequence;
+    assert_eq!(actions, [NodeAction::TicketResolved { sequence, answer: answer("sent") }]);
+    let (_, start, _) = bench.present(&ticket, "truck 1");
+    assert_eq!(start, TicketStart::Answered(answer("sent")));
+}
+
+/// Guards against an answer for another call when a ticket is used twice.
+#[test]
+fn another_body_under_the_same_ticket_is_refused() {
+    let mut bench = Bench::new();
+    let ticket = bench.ticket();
+    bench.present(&ticket, "truck 1");
+    let (_, start, _) = bench.present(&ticket, "truck 2");
+    assert_eq!(start, TicketStart::Mismatch);
+}
+
+/// Guards against a second write of one attempt, and against a write after the attempt's connection broke.
+#[test]
+fn broken_call_is_unknown_and_never_written_again() {
+    let mut bench = Bench::new();
+    let ticket = bench.ticket();
+    let (request, _, _) = bench.present(&ticket, "truck 1");
+    assert_eq!(bench.check(request), WriteCheck::Write);
+    assert_eq!(bench.check(request), WriteCheck::Withhold);
+    let mut actions = Vec::new();
+    let end = SchedulerEvent::AttemptEnded(request, 1, AttemptEnd::Broken);
+    bench.node.handle(bench.now, NodeEvent::Scheduler(end), &mut actions);
+    let resolved = actions.iter().find_map(|action| match action {
+        NodeAction::TicketResolved { answer: TicketAnswer::Refused(refusal), .. } => Some(refusal),
+        _ => None,
+    });
+    assert_eq!(resolved.map(|refusal| refusal.outcome), Some(CallOutcome::Unknown));
+    assert!(!actions.iter().any(is_dispatch));
+    let (_, start, actions) = bench.present(&ticket, "truck 1");
+    assert!(matches!(start, TicketStart::Answered(TicketAnswer::Refused(_))));
+    assert!(actions.is_empty());
+}
+
+/// Guards against a late dispatch by a process that was paused while a call waited for its connection.
+#[test]
+fn paused_process_writes_nothing_before_it_has_noticed() {
+    let mut bench = Bench::new();
+    let ticket = bench.ticket();
+    let (request, _, _) = bench.present(&ticket, "truck 1");
+    bench.boot += Duration::from_secs(20);
+    bench.now += Duration::from_secs(20);
+    assert_eq!(bench.check(request), WriteCheck::Wait);
+    bench.advance(Duration::from_millis(100));
+    assert_eq!(bench.check(request), WriteCheck::Wait);
+    bench.advance(Duration::from_secs(12));
+    bench.advance(Duration::from_secs(2));
+    assert_ne!(bench.check(request), WriteCheck::Write, "the deadline has passed");
+}
+
+/// Guards against a dispatch after "not run" was said: a draining owner seals what was not used.
+#[test]
+fn draining_owner_refuses_unused_tickets_for_good() {
+    let mut bench = Bench::new();
+    let ticket = bench.ticket();
+    bench.node.handle(bench.now, NodeEvent::DrainStarted, &mut Vec::new());
+    assert_eq!(bench.node.issue_ticket(bench.boot), None);
+    for _ in 0..2 {
+        let (_, start, actions) = bench.present(&ticket, "truck 1");
+        let TicketStart::Answered(TicketAnswer::Refused(refusal)) = start else {
+            panic!("expected a refusal, got {start:?}");
+        };
+        assert_eq!(refusal.outcome, CallOutcome::NotRun);
+        assert!(!actions.iter().any(is_dispatch));
+    }
+}
