--- /dev/null
+++ b/crates/tarragon-scheduler/src/cost.rs
@@ -0,0 +1,136 @@
+//! Predicted length and cost of answers.
+
+use indexmap::IndexMap;
+
+use crate::{hash::NumberHash, prelude::*};
+
+/// Estimates that are kept. At 10,000 workspaces this leaves room for a few size classes each.
+const MAX_ESTIMATES: usize = 32_768;
+
+/// Answer length assumed before anything is known.
+const DEFAULT_OUTPUT: f32 = 256.0;
+
+/// Weight of a new sample.
+const GAIN: f32 = 0.15;
+
+/// Samples after which a workspace's own estimate replaces the one of the whole service.
+const OWN_SAMPLES: u32 = 3;
+
+/// A prompt token costs a target about this part of a generated token's time.
+const PREFILL_PART: u64 = 8;
+
+/// Cost of a plain call in tokens, so that it has a share at all.
+const PLAIN_COST: u64 = 64;
+
+#[derive(Debug, Clone, Copy)]
+struct LengthEstimate {
+    output: f32,
+    cached: f32,
+    samples: u32,
+}
+
+/// What is expected of a request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct CostPrediction {
+    /// Tokens of the answer.
+    pub output: u32,
+    /// Cost in tokens after the expected cache hit.
+    pub cost: u64,
+}
+
+/// Learned lengths by service, workspace and size class of the prompt.
+#[derive(Debug, Default)]
+pub struct CostTable {
+    estimates: IndexMap<u64, LengthEstimate, NumberHash>,
+    cursor: usize,
+}
+
+/// Pseudo position of "all workspaces of the service".
+const ALL_WORKSPACES: usize = 0xffff_ffff;
+
+impl CostTable {
+    /// What is expected of a request.
+    pub fn predict(
+        &self,
+        pool: usize,
+        workspace: usize,
+        profile: &RequestProfile,
+    ) -> CostPrediction {
+        let Some(call) = profile.model_call() else {
+            return CostPrediction { output: 0, cost: PLAIN_COST };
+        };
+        let own = self.estimates.get(&key(pool, workspace, call.prompt_tokens));
+        let estimate = own
+            .filter(|estimate| estimate.samples >= OWN_SAMPLES)
+            .or_else(|| self.estimates.get(&key(pool, ALL_WORKSPACES, call.prompt_tokens)));
+        let (length, cached) =
+            estimate.map_or((DEFAULT_OUTPUT, 0.0), |known| (known.output, known.cached));
+        let output = (length.ceil() as u32).clamp(1, call.max_tokens.max(1));
+        let uncached = f64::from(call.prompt_tokens) * f64::from(1.0 - cached);
+        CostPrediction { output, cost: token_cost(uncached as u64, output) }
+    }
+
+    /// Learns from a whole answer. `cached` is the part of the prompt that the target had cached.
+    pub fn learn(
+        &mut self,
+        pool: usize,
+        workspace: usize,
+        prompt: u32,
+        output: u32,
+        cached: Option<f32>,
+    ) {
+        for workspace in [workspace, ALL_WORKSPACES] {
+            let key = key(pool, workspace, prompt);
+            if !self.estimates.contains_key(&key) {
+                self.make_room();
+            }
+            let estimate = self.estimates.entry(key).or_insert(LengthEstimate {
+                output: output as f32,
+                cached: cached.unwrap_or(0.0),
+                samples: 0,
+            });
+            estimate.samples = estimate.samples.saturating_add(1);
+            let gain = GAIN.max(1.0 / estimate.samples as f32);
+            estimate.output += gain * (output as f32 - estimate.output);
+            if let Some(cached) = cached {
+                estimate.cached += gain * (cached.clamp(0.0, 1.0) - estimate.cached);
+            }
+        }
+    }
+
+    /// Number of estimates.
+    pub fn len(&self) -> usize {
+        self.estimates.len()
+    }
+
+    /// Whether nothing was learned yet.
+    pub fn is_empty(&self) -> bool {
+        self.estimates.is_empty()
+    }
+
+    /// Drops one of a few entries, the one that was learned from least.
+    fn make_room(&mut self) {
+        let count = self.estimates.len();
+        if count < MAX_ESTIMATES {
+            return;
+        }
+        self.cursor = (self.cursor + 1) % count;
+        let least = (0..4)
+            .map(|offset| (self.cursor + offset * 7_919) % count)
+            .min_by_key(|index| self.estimates[*index].samples);
+        if let Some(index) = least {
+            self.estimates.swap_remove_index(index);
+        }
+    }
+}
+
+/// Cost of a generation in tokens.
+pub fn token_cost(uncached: u64, output: u32) -> u64 {
+    (uncached / PREFILL_PART + u64::from(output)).max(1)
+}
+
+/// Size classes are powers of two. Service, workspace and class are packed into one number.
+fn key(pool: usize, workspace: usize, prompt: u32) -> u64 {
+    let class = u64::from(32 - prompt.leading_zeros());
+    ((pool as u64 & 0xff_ffff) << 40) | ((workspace as u64 & 0xffff_ffff) << 8) | class
+}
--- /dev/null
+++ b/crates/tarragon-scheduler/src/inflight.rs
@@ -0,0 +1,152 @@
+//! Attempts that were dispatched and have not ended.
+
+use std::time::Instant;
+
+use indexmap::IndexMap;
+
+use crate::{hash::NumberHash, job::Job, prelude::*, targets::estimate::CostEstimate};
+
+/// Why an attempt is being cancelled.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CancelCause {
+    /// More urgent work needs the slot; the request goes on later.
+    Preempted,
+    /// The target is out of service and the grace period is over; the request goes on elsewhere.
+    Moved,
+    /// The caller has gone.
+    Disconnected,
+    /// The deadline has passed.
+    Expired,
+}
+
+/// One attempt at a target.
+#[derive(Debug)]
+pub struct RunningAttempt {
+    /// The request.
+    pub job: Job,
+    /// Position of the target.
+    pub target: usize,
+    /// Number of the attempt.
+    pub attempt: AttemptNumber,
+    /// Whether bytes may have been written.
+    pub started: bool,
+    /// When it was dispatched.
+    pub dispatched: Instant,
+    /// When the first token was reported.
+    pub first_token: Option<Instant>,
+    /// Tokens received in this attempt.
+    pub tokens: u32,
+    /// Expected times at dispatch.
+    pub estimate: CostEstimate,
+    /// Prompt tokens that the target has to compute: expected, then as told.
+    pub uncached: u32,
+    /// Part of `uncached` that counts in the target's pending prefill.
+    pub pending: u64,
+    /// Own prompt tokens ahead at the target at dispatch.
+    pub ahead: u64,
+    /// Cached part of the prompt, if the target told it.
+    pub cached_part: Option<f32>,
+    /// Answer tokens that the workspace has been charged for.
+    pub charged: u32,
+    /// Whether it was dispatched as a suspect.
+    pub suspect: bool,
+    /// Set once a cancellation was asked for.
+    pub cancel: Option<CancelCause>,
+}
+
+/// All attempts by request.
+#[derive(Debug, Default)]
+pub struct InFlightTable {
+    attempts: IndexMap<RequestId, RunningAttempt, NumberHash>,
+    suspects: IndexMap<Fingerprint, u32, NumberHash>,
+    preempting: usize,
+}
+
+impl InFlightTable {
+    /// Number of attempts.
+    pub fn len(&self) -> usize {
+        self.attempts.len()
+    }
+
+    /// Attempts that are being cancelled for more urgent work.
+    pub fn preempting(&self) -> usize {
+        self.preempting
+    }
+
+    /// Suspects in flight.
+    pub fn suspect_count(&self) -> usize {
+        self.suspects.len()
+    }
+
+    /// Whether a request with this fingerprint runs as a suspect.
+    pub fn runs_suspect(&self, fingerprint: Fingerprint) -> bool {
+        self.suspects.contains_key(&fingerprint)
+    }
+
+    /// The attempt of a request.
+    pub fn get(&self, request: RequestId) -> Option<&RunningAttempt> {
+        self.attempts.get(&request)
+    }
+
+    /// The attempt of a request, if it is the one with this number.
+    pub fn get_mut(
+        &mut self,
+        request: RequestId,
+        attempt: AttemptNumber,
+    ) -> Option<&mut RunningAttempt> {
+        self.attempts.get_mut(&request).filter(|running| running.attempt == attempt)
+    }
+
+    /// All attempts.
+    pub fn iter(&self) -> impl Iterator<Item = &RunningAttempt> {
+        self.attempts.values()
+    }
+
+    /// Adds an attempt.
+    pub fn insert(&mut self, running: RunningAttempt) {
+        if running.suspect {
+            *self.suspects.entry(running.job.profile.fingerprint).or_default() += 1;
+        }
+        self.attempts.insert(running.job.request(), running);
+    }
+
+    /// Removes the attempt of a request, if it is the one with this number.
+    pub fn remove(&mut self, request: RequestId, attempt: AttemptNumber) -> Option<RunningAttempt> {
+        self.attempts.get(&request).filter(|running| running.attempt == attempt)?;
+        let running = self.attempts.swap_remove(&request)?;
+        if running.suspect {
+            let fingerprint = running.job.profile.fingerprint;
+            if let Some(count) = self.suspects.get_mut(&fingerprint) {
+                *count -= 1;
+                if *count == 0 {
+                    self.suspects.swap_remove(&fingerprint);
+                }
+            }
+        }
+        if running.cancel == Some(CancelCause::Preempted) {
+            self.preempting -= 1;
+        }
+        Some(running)
+    }
+
+    /// Notes that an attempt is being cancelled. The first cause stays, but one that ends the request
+    /// replaces one after which it would go on. Returns the attempt's number if the cancellation is a new one.
+    pub fn cancel(&mut self, request: RequestId, cause: CancelCause) -> Option<AttemptNumber> {
+        let running = self.attempts.get_mut(&request)?;
+        match running.cancel {
+            None => {
+                running.cancel = Some(cause);
+                self.preempting += usize::from(cause == CancelCause::Preempted);
+                Some(running.attempt)
+            }
+            Some(old) => {
+                let goes_on = matches!(old, CancelCause::Preempted | CancelCause::Moved);
+                if goes_on && matches!(cause, CancelCause::Disconnected | CancelCause::Expired) {
+                    running.cancel = Some(cause);
+                    self.preempting -= usize::from(old == CancelCause::Preempted);
+                }
+                None
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/tarragon-scheduler/src/job.rs
@@ -0,0 +1,84 @@
+//! A request together with what the scheduler has learned of it.
+
+use std::time::Instant;
+
+use tarragon_protocol::identity::BLOCK_TOKENS;
+
+use crate::{prelude::*, targets::estimate::RequestSize};
+
+/// A request from its arrival to its end. It moves between the queue and the in-flight table.
+#[derive(Debug)]
+pub struct Job {
+    /// The request.
+    pub profile: Box<RequestProfile>,
+    /// Position of its service's pool.
+    pub pool: usize,
+    /// Position of its lane in the queue.
+    pub lane: usize,
+    /// Position of its workspace in the share table.
+    pub workspace: usize,
+    /// Rises with each arrival.
+    pub sequence: u64,
+    /// Expected number of tokens of the whole answer; 0 for plain calls.
+    pub output: u32,
+    /// Cost in tokens for the fair share.
+    pub cost: u64,
+    /// Start and finish tag of the fair queueing.
+    pub tags: (u64, u64),
+    /// Attempts dispatched so far.
+    pub attempts: u32,
+    /// Whether an earlier attempt may have run at a target.
+    pub may_have_run: bool,
+    /// Targets that failed this request.
+    pub avoid: Vec<usize>,
+    /// Tokens that reached the caller in earlier attempts.
+    pub delivered: u32,
+    /// How often it was pre-empted.
+    pub preemptions: u8,
+    /// After this time no target can finish it before the deadline.
+    pub latest_start: Instant,
+}
+
+impl Job {
+    /// Id.
+    pub fn request(&self) -> RequestId {
+        self.profile.request
+    }
+
+    /// Tier.
+    pub fn tier(&self) -> Tier {
+        self.profile.tier
+    }
+
+    /// Tokens that count against bounds of the queue: prompt and expected answer; for a plain call its
+    /// cost in the fair share.
+    pub fn tokens(&self) -> u64 {
+        match self.profile.model_call() {
+            Some(call) => u64::from(call.prompt_tokens) + u64::from(self.output),
+            None => self.cost,
+        }
+    }
+
+    /// What is still to be done.
+    pub fn size(&self) -> RequestSize {
+        RequestSize {
+            prompt: self.profile.model_call().map(|call| call.prompt_tokens + self.delivered),
+            output: self.output.saturating_sub(self.delivered),
+        }
+    }
+
+    /// Model that the target must hold.
+    pub fn model(&self) -> Option<&ModelName> {
+        self.profile.model_call().map(|call| &call.model)
+    }
+
+    /// Hashes of the prompt's blocks.
+    pub fn blocks(&self) -> &[BlockHash] {
+        self.profile.model_call().map_or(&[], |call| &call.blocks)
+    }
+}
+
+/// Prompt tokens in a number of leading blocks.
+pub fn block_tokens(blocks: u32) -> u32 {
+    blocks.saturating_mul(BLOCK_TOKENS as u32)
+}
--- a/crates/tarragon-scheduler/src/lib.rs
+++ b/crates/tarragon-scheduler/src/lib.rs
@@ -2,8 +2,23 @@
 //! takes events and the time and returns actions, so that tests, randomised runs, benchmarks and the
 //! server drive the same code.
 
+pub mod admission;
+pub mod choose;
+pub mod cost;
 pub mod event;
+mod hash;
+mod inflight;
+pub mod invariant;
+mod job;
+pub mod policy;
 pub mod prelude;
+mod pressure;
+mod queue;
+mod retry;
 pub mod scheduler;
+mod share;
+pub mod statistics;
+mod suspect;
+pub mod targets;
 
 pub use scheduler::Scheduler;
--- a/crates/tarragon-scheduler/src/prelude.rs
+++ b/crates/tarragon-scheduler/src/prelude.rs
@@ -3,6 +3,10 @@
 pub use tarragon_protocol::prelude::*;
 
 pub use crate::{
-    event::{AttemptEnd, PeerPressure, SchedulerAction, SchedulerEvent, TargetEntry, TargetSlots},
+    event::{
+        AttemptEnd, AttemptProgress, PeerPressure, SchedulerAction, SchedulerEvent, TargetEntry,
+        TargetSlots,
+    },
     scheduler::{Scheduler, SchedulerLimits},
+    statistics::SchedulerStatistics,
 };
--- /dev/null
+++ b/crates/tarragon-scheduler/src/queue.rs
@@ -0,0 +1,270 @@
+//! Waiting requests: by tier, in a tier by start-time fair queueing over workspaces.
+
+pub mod lane;
+
+use std::{
+    collections::BTreeSet,
+    time::{Duration, Instant},
+};
+
+use indexmap::IndexMap;
+
+use crate::{hash::NumberHash, job::Job, prelude::*, queue::lane::Lane};
+
+/// Where a waiting request stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WaitState {
+    /// It can be dispatched.
+    Ready,
+    /// Its workspace is at its concurrency limit.
+    Parked,
+    /// It waits until a time: for back-off, or because no target suits it now.
+    Deferred(Instant),
+}
+
+#[derive(Debug)]
+struct Entry {
+    job: Job,
+    state: WaitState,
+    tokens: u64,
+}
+
+/// All waiting requests. Each index holds exactly the requests in `entries`.
+#[derive(Debug, Default)]
+pub struct Queue {
+    entries: IndexMap<RequestId, Entry, NumberHash>,
+    lanes: Vec<Lane>,
+    lane_keys: IndexMap<(usize, Option<ModelName>), usize>,
+    /// By tier: order of arrival.
+    arrivals: [BTreeSet<(u64, RequestId)>; Tier::COUNT],
+    /// By tier: order of the latest useful start.
+    starts: [BTreeSet<(Instant, RequestId)>; Tier::COUNT],
+    deferred: BTreeSet<(Instant, RequestId)>,
+    tokens: [u64; Tier::COUNT],
+}
+
+impl Queue {
+    /// Number of waiting requests.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Tokens of all waiting requests.
+    pub fn tokens(&self) -> u64 {
+        self.tokens.iter().sum()
+    }
+
+    /// Tokens of waiting requests of one tier.
+    pub fn tier_tokens(&self, tier: Tier) -> u64 {
+        self.tokens[tier.index()]
+    }
+
+    /// Waiting requests of a tier.
+    pub fn tier_len(&self, tier: Tier) -> usize {
+        self.arrivals[tier.index()].len()
+    }
+
+    /// Lowest tier that waits.
+    pub fn lowest_tier(&self) -> Option<Tier> {
+        Tier::DESCENDING.into_iter().rev().find(|tier| self.tier_len(*tier) > 0)
+    }
+
+    /// Position of the lane for a service's pool and a model; creates it if needed.
+    pub fn lane_index(&mut self, pool: usize, model: Option<&ModelName>) -> usize {
+        let key = (pool, model.cloned());
+        if let Some(index) = self.lane_keys.get(&key) {
+            return *index;
+        }
+        self.lanes.push(Lane::new(pool));
+        let index = self.lanes.len() - 1;
+        self.lane_keys.insert(key, index);
+        index
+    }
+
+    /// Number of lanes.
+    pub fn lane_count(&self) -> usize {
+        self.lanes.len()
+    }
+
+    /// Pool of a lane.
+    pub fn lane_pool(&self, lane: usize) -> usize {
+        self.lanes[lane].pool
+    }
+
+    /// Tokens of waiting requests of a pool, by tier.
+    pub fn pool_tokens(&self, pool: usize) -> [u64; Tier::COUNT] {
+        let mut tokens = [0; Tier::COUNT];
+        for lane in self.lanes.iter().filter(|lane| lane.pool == pool) {
+            for (sum, tokens) in tokens.iter_mut().zip(lane.tokens) {
+                *sum += tokens;
+            }
+        }
+        tokens
+    }
+
+    /// Makes a parked request ready. Returns whether it was parked.
+    pub fn unpark(&mut self, request: RequestId) -> bool {
+        let parked =
+            self.entries.get(&request).is_some_and(|entry| entry.state == WaitState::Parked);
+        if parked {
+            self.set_state(request, WaitState::Ready);
+        }
+        parked
+    }
+
+    /// Workspaces with a share in a tier of a lane.
+    pub fn lane_flows(&self, lane: usize, tier: Tier) -> usize {
+        self.lanes[lane].flows(tier)
+    }
+
+    /// Adds a new request: it gets its place behind earlier ones of its workspace.
+    pub fn push_new(&mut self, mut job: Job, weight: u32) {
+        job.tags = self.lanes[job.lane].assign(job.tier(), job.workspace, job.cost, weight);
+        self.push(job, WaitState::Ready);
+    }
+
+    /// Adds a request that keeps its place.
+    pub fn push(&mut self, job: Job, state: WaitState) {
+        let (request, tier) = (job.request(), job.tier().index());
+        let tokens = job.tokens();
+        self.arrivals[tier].insert((job.sequence, request));
+        self.starts[tier].insert((job.latest_start, request));
+        self.tokens[tier] += tokens;
+        self.lanes[job.lane].tokens[tier] += tokens;
+        self.attach(&job, state);
+        self.entries.insert(request, Entry { job, state, tokens });
+    }
+
+    /// Takes a request out.
+    pub fn remove(&mut self, request: RequestId) -> Option<Job> {
+        let Entry { job, state, tokens } = self.entries.swap_remove(&request)?;
+        let tier = job.tier().index();
+        self.arrivals[tier].remove(&(job.sequence, request));
+        self.starts[tier].remove(&(job.latest_start, request));
+        self.tokens[tier] -= tokens;
+        self.lanes[job.lane].tokens[tier] -= tokens;
+        self.detach(&job, state);
+        Some(job)
+    }
+
+    /// Takes a request out that will not run: its workspace is not charged for it.
+    pub fn remove_unserved(&mut self, request: RequestId) -> Option<Job> {
+        let job = self.remove(request)?;
+        self.lanes[job.lane].refund(job.tier(), job.workspace, job.tags);
+        Some(job)
+    }
+
+    /// A waiting request.
+    pub fn get(&self, request: RequestId) -> Option<&Job> {
+        self.entries.get(&request).map(|entry| &entry.job)
+    }
+
+    /// All waiting requests.
+    pub fn iter(&self) -> impl Iterator<Item = &Job> {
+        self.entries.values().map(|entry| &entry.job)
+    }
+
+    /// The ready request that is next in a tier of a lane.
+    pub fn head(&self, lane: usize, tier: Tier) -> Option<&Job> {
+        self.get(self.lanes[lane].head(tier)?)
+    }
+
+    /// Whether a request of a tier is ready in a lane.
+    pub fn has_ready(&self, lane: usize, tier: Tier) -> bool {
+        self.lanes[lane].head(tier).is_some()
+    }
+
+    /// Ready requests of a tier of a lane.
+    pub fn ready_len(&self, lane: usize, tier: Tier) -> usize {
+        self.lanes[lane].len(tier)
+    }
+
+    /// The request is about to be served: the virtual time of its tier advances.
+    pub fn advance(&mut self, lane: usize, tier: Tier, start: u64) {
+        self.lanes[lane].advance(tier, start);
+    }
+
+    /// Charges a workspace for tokens that were not predicted, or credits them.
+    pub fn correct(&mut self, job: &Job, tokens: i64, weight: u32) {
+        self.lanes[job.lane].correct(job.tier(), job.workspace, tokens, weight);
+    }
+
+    /// Moves a waiting request to another state.
+    pub fn set_state(&mut self, request: RequestId, state: WaitState) {
+        let Some(position) = self.entries.get_index_of(&request) else { return };
+        let old = self.entries[position].state;
+        let entry = &self.entries[position];
+        detach_from(&mut self.lanes, &mut self.deferred, &entry.job, old);
+        attach_to(&mut self.lanes, &mut self.deferred, &entry.job, state);
+        self.entries[position].state = state;
+    }
+
+    /// Makes deferred requests ready whose time has come.
+    pub fn release_due(&mut self, now: Instant) {
+        while let Some((due, request)) = self.deferred.first().copied() {
+            if due > now {
+                break;
+            }
+            self.set_state(request, WaitState::Ready);
+        }
+    }
+
+    /// A request that no target can finish before its deadline any more, given an additional delay.
+    pub fn hopeless(&self, tier: Tier, now: Instant, delay: Duration) -> Option<RequestId> {
+        let (start, request) = self.starts[tier.index()].first()?;
+        (*start < now + delay).then_some(*request)
+    }
+
+    /// The request of a tier that arrived last.
+    pub fn newest(&self, tier: Tier) -> Option<RequestId> {
+        self.arrivals[tier.index()].last().map(|(_, request)| *request)
+    }
+
+    /// Drops shares that no longer matter.
+    pub fn sweep(&mut self) {
+        self.lanes.iter_mut().for_each(Lane::sweep);
+    }
+
+    fn attach(&mut self, job: &Job, state: WaitState) {
+        attach_to(&mut self.lanes, &mut self.deferred, job, state);
+    }
+
+    fn detach(&mut self, job: &Job, state: WaitState) {
+        detach_from(&mut self.lanes, &mut self.deferred, job, state);
+    }
+}
+
+fn attach_to(
+    lanes: &mut [Lane],
+    deferred: &mut BTreeSet<(Instant, RequestId)>,
+    job: &Job,
+    state: WaitState,
+) {
+    match state {
+        WaitState::Ready => lanes[job.lane].insert(job),
+        WaitState::Parked => {}
+        WaitState::Deferred(due) => {
+            deferred.insert((due, job.request()));
+        }
+    }
+}
+
+fn detach_from(
+    lanes: &mut [Lane],
+    deferred: &mut BTreeSet<(Instant, RequestId)>,
+    job: &Job,
+    state: WaitState,
+) {
+    match state {
+        WaitState::Ready => lanes[job.lane].remove(job),
+        WaitState::Parked => {}
+        WaitState::Deferred(due) => {
+            deferred.remove(&(due, job.request()));
+        }
+    }
+}
--- /dev/null
+++ b/crates/tarragon-scheduler/src/queue/lane.rs
@@ -0,0 +1,111 @@
+//! Start-time fair queueing for one service and model.
+
+use std::collections::BTreeSet;
+
+use indexmap::IndexMap;
+
+use crate::{hash::NumberHash, job::Job, prelude::*};
+
+/// Resolution of tags: one token at weight 1.
+const TAG_UNIT: u64 = 1 << 10;
+
+/// Shares are looked through for ended ones only above this number.
+const SWEEP_ABOVE: usize = 64;
+
+#[derive(Debug, Default)]
+struct TierLane {
+    /// Ready requests by start tag, then by arrival.
+    ready: BTreeSet<(u64, u64, RequestId)>,
+    /// Finish tag of the last request of each workspace, if above the virtual time.
+    finish: IndexMap<u32, u64, NumberHash>,
+    virtual_time: u64,
+}
+
+/// Waiting requests that the same targets can serve.
+#[derive(Debug)]
+pub struct Lane {
+    /// Position of the service's pool.
+    pub pool: usize,
+    /// Tokens of waiting requests by tier, ready or not.
+    pub tokens: [u64; Tier::COUNT],
+    tiers: [TierLane; Tier::COUNT],
+}
+
+impl Lane {
+    /// An empty lane.
+    pub fn new(pool: usize) -> Lane {
+        Lane { pool, tokens: [0; Tier::COUNT], tiers: Default::default() }
+    }
+
+    /// Start and finish tag of a new request.
+    pub fn assign(&mut self, tier: Tier, workspace: usize, cost: u64, weight: u32) -> (u64, u64) {
+        let lane = &mut self.tiers[tier.index()];
+        let last = lane.finish.entry(workspace as u32).or_insert(lane.virtual_time);
+        let start = (*last).max(lane.virtual_time);
+        let finish = start.saturating_add(cost.saturating_mul(TAG_UNIT) / u64::from(weight.max(1)));
+        *last = finish;
+        (start, finish)
+    }
+
+    /// Takes the charge of a request back that will not run, if nothing was queued behind it.
+    pub fn refund(&mut self, tier: Tier, workspace: usize, tags: (u64, u64)) {
+        let lane = &mut self.tiers[tier.index()];
+        if let Some(last) = lane.finish.get_mut(&(workspace as u32))
+            && *last == tags.1
+        {
+            *last = tags.0;
+        }
+    }
+
+    /// Charges or credits a workspace after the fact.
+    pub fn correct(&mut self, tier: Tier, workspace: usize, tokens: i64, weight: u32) {
+        let lane = &mut self.tiers[tier.index()];
+        let amount = tokens.unsigned_abs().saturating_mul(TAG_UNIT) / u64::from(weight.max(1));
+        let last = lane.finish.entry(workspace as u32).or_insert(lane.virtual_time);
+        let base = (*last).max(lane.virtual_time);
+        *last = if tokens >= 0 { base.saturating_add(amount) } else { base.saturating_sub(amount) };
+    }
+
+    /// Advances the virtual time to the start tag of a request that is being served.
+    pub fn advance(&mut self, tier: Tier, start: u64) {
+        let lane = &mut self.tiers[tier.index()];
+        lane.virtual_time = lane.virtual_time.max(start);
+    }
+
+    /// Adds a ready request.
+    pub fn insert(&mut self, job: &Job) {
+        let key = (job.tags.0, job.sequence, job.request());
+        self.tiers[job.tier().index()].ready.insert(key);
+    }
+
+    /// Removes a ready request.
+    pub fn remove(&mut self, job: &Job) {
+        let key = (job.tags.0, job.sequence, job.request());
+        self.tiers[job.tier().index()].ready.remove(&key);
+    }
+
+    /// The ready request with the least start tag.
+    pub fn head(&self, tier: Tier) -> Option<RequestId> {
+        self.tiers[tier.index()].ready.first().map(|(_, _, request)| *request)
+    }
+
+    /// Ready requests of a tier.
+    pub fn len(&self, tier: Tier) -> usize {
+        self.tiers[tier.index()].ready.len()
+    }
+
+    /// Workspaces with a share in a tier.
+    pub fn flows(&self, tier: Tier) -> usize {
+        self.tiers[tier.index()].finish.len()
+    }
+
+    /// Drops shares that are not ahead of the virtual time.
+    pub fn sweep(&mut self) {
+        for lane in &mut self.tiers {
+            if lane.finish.len() > SWEEP_ABOVE || lane.ready.is_empty() {
+                let time = lane.virtual_time;
+                lane.finish.retain(|_, finish| *finish > time);
+            }
+        }
+    }
+}
--- a/crates/tarragon-scheduler/src/scheduler.rs
+++ b/crates/tarragon-scheduler/src/scheduler.rs
@@ -1,11 +1,44 @@
-//! The scheduler: owns the queue, the in-flight table and the target table.
+//! The kernel: owns the queue, the in-flight table and the target table, and turns events into actions.
 
-use std::time::{Duration, Instant};
+mod arrival;
+mod attempt;
+mod candidate;
+mod dispatch;
+mod dump;
+mod explain;
+mod preempt;
+mod report;
+mod shed;
+mod tick;
 
-use indexmap::IndexMap;
-use tarragon_protocol::request::RequestProfile;
+pub use dump::{SchedulerDump, TargetDump, WorkspaceDump};
+pub use explain::{ChoiceExplanation, TargetExplanation};
 
-use crate::prelude::*;
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tarragon_config::rules::RuleSet;
+use tarragon_protocol::{peer::SuspectEntry, request::RequestProfile};
+
+use crate::{
+    cost::CostTable,
+    inflight::{CancelCause, InFlightTable},
+    invariant::InvariantCounters,
+    job::Job,
+    policy::PolicyChoice,
+    prelude::*,
+    pressure::PressureTable,
+    queue::{Queue, WaitState},
+    retry::RetryBudget,
+    scheduler::candidate::CandidateList,
+    share::ShareTable,
+    suspect::SuspectTable,
+    targets::TargetTable,
+};
 
 /// Bounds of the scheduler's state.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -25,33 +58,66 @@
 /// Delay that a refused caller is asked to wait.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
-struct TargetUse {
-    entry: TargetEntry,
-    slots: u32,
-    in_flight: u32,
-}
-
-struct RunningAttempt {
-    target: TargetName,
-    attempt: AttemptNumber,
-}
-
 /// Decides which request goes where and when.
 pub struct Scheduler {
     limits: SchedulerLimits,
-    targets: IndexMap<TargetName, TargetUse>,
-    waiting: Vec<RequestProfile>,
-    running: IndexMap<RequestId, (RequestProfile, RunningAttempt)>,
+    rules: Arc<RuleSet>,
+    /// Plug-ins by position of the service's pool.
+    policies: Vec<PolicyChoice>,
+    targets: TargetTable,
+    queue: Queue,
+    in_flight: InFlightTable,
+    shares: ShareTable,
+    costs: CostTable,
+    pressure: PressureTable,
+    suspects: SuspectTable,
+    budget: RetryBudget,
+    candidates: CandidateList,
+    statistics: SchedulerStatistics,
+    invariants: InvariantCounters,
+    rng: ChaCha8Rng,
+    sequence: u64,
+    draining: bool,
+    /// Lane that comes first in the next round, so that lanes of one pool take turns.
+    turn: usize,
+    /// This process's part of deployment-wide limits.
+    share: f64,
+    clocks: SchedulerClocks,
+}
+
+/// Times of periodic work.
+#[derive(Debug, Clone, Copy, Default)]
+struct SchedulerClocks {
+    /// Last refresh of the pools' figures.
+    pools: Option<Instant>,
+    /// Earliest time of the next search for a stream to pre-empt.
+    preemption: Option<Instant>,
 }
 
 impl Scheduler {
     /// A scheduler without targets. `seed` determines all random choices.
-    pub fn new(limits: SchedulerLimits, _seed: u64) -> Scheduler {
+    pub fn new(limits: SchedulerLimits, seed: u64) -> Scheduler {
         Scheduler {
             limits,
-            targets: IndexMap::new(),
-            waiting: Vec::new(),
-            running: IndexMap::new(),
+            rules: Arc::default(),
+            policies: Vec::new(),
+            targets: TargetTable::default(),
+            queue: Queue::default(),
+            in_flight: InFlightTable::default(),
+            shares: ShareTable::default(),
+            costs: CostTable::default(),
+            pressure: PressureTable::default(),
+            suspects: SuspectTable::default(),
+            budget: RetryBudget::default(),
+            candidates: CandidateList::default(),
+            statistics: SchedulerStatistics::default(),
+            invariants: InvariantCounters::default(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            sequence: 0,
+            draining: false,
+            turn: 0,
+            share: 1.0,
+            clocks: SchedulerClocks::default(),
         }
     }
 
@@ -62,115 +128,201 @@
         event: SchedulerEvent,
         actions: &mut Vec<SchedulerAction>,
     ) {
+        // What can't be served any more must not make others give way.
+        self.refuse_hopeless(now, actions);
         match event {
-            SchedulerEvent::Arrived(profile) => self.admit(*profile, actions),
-            SchedulerEvent::Disconnected(request) => self.disconnect(request, actions),
+            SchedulerEvent::Arrived(profile) => self.arrive(profile, now, actions),
+            SchedulerEvent::Disconnected(request) => self.disconnect(request, now, actions),
+            SchedulerEvent::AttemptStarted(request, attempt) => {
+                self.start_attempt(request, attempt)
+            }
+            SchedulerEvent::AttemptProgress(progress) => {
+                self.progress_attempt(&progress, now, actions)
+            }
             SchedulerEvent::AttemptEnded(request, attempt, end) => {
-                self.end_attempt(request, attempt, end, actions)
+                self.end_attempt(request, attempt, end, now, actions)
             }
-            SchedulerEvent::TargetListed(entry) => self.list_target(entry),
-            SchedulerEvent::TargetRemoved(target) => {
-                self.targets.shift_remove(&target);
+            SchedulerEvent::TargetListed(entry) => self.targets.list(&entry, now),
+            SchedulerEvent::TargetRemoved(target) => self.remove_target(&target, now),
+            SchedulerEvent::SlotsChanged(slots) => self.change_slots(&slots, now),
+            SchedulerEvent::LoadReported { target, report, age } => {
+                self.take_report(&target, &report, age, now, actions)
             }
-            SchedulerEvent::SlotsChanged(slots) => {
-                if let Some(usage) = self.targets.get_mut(&slots.target) {
-                    usage.slots = slots.slots;
+            SchedulerEvent::CacheReported(target, events) => {
+                if let Some(index) = self.targets.find(&target) {
+                    self.statistics.cache_gaps +=
+                        self.targets.take_cache_events(index, &events, now);
                 }
             }
-            _ => {}
+            SchedulerEvent::PeerReported(pressure) => self.pressure.take(pressure),
+            SchedulerEvent::PeerForgotten(peer) => self.pressure.forget(&peer),
+            SchedulerEvent::SuspectReported(entry) => self.take_suspect(&entry, now, actions),
+            SchedulerEvent::RulesChanged(rules) => self.apply_rules(rules),
+            SchedulerEvent::DrainStarted => self.draining = true,
+            SchedulerEvent::Tick => self.tick(now, actions),
         }
-        self.refuse_expired(now, actions);
-        self.dispatch(actions);
+        self.queue.release_due(now);
+        self.refuse_hopeless(now, actions);
+        self.dispatch(now, actions);
+        self.adapt_floor(now, actions);
     }
 
     /// Number of waiting requests by tier.
     pub fn waiting_by_tier(&self) -> [u32; Tier::COUNT] {
         let mut counts = [0; Tier::COUNT];
-        for profile in &self.waiting {
-            counts[profile.tier.index()] += 1;
+        for tier in Tier::DESCENDING {
+            counts[tier.index()] = self.queue.tier_len(tier) as u32;
         }
         counts
     }
 
-    fn admit(&mut self, profile: RequestProfile, actions: &mut Vec<SchedulerAction>) {
-        if self.waiting.len() >= self.limits.waiting {
-            let refusal = Refusal::not_run(RefusalCode::Shed, "the queue is full")
-                .with_retry_after(RETRY_AFTER);
-            actions.push(SchedulerAction::Refuse { request: profile.request, refusal });
-            return;
-        }
-        self.waiting.push(profile);
+    /// Lowest tier that this process admits, for its digests.
+    pub fn shed_floor(&self) -> Tier {
+        self.pressure.own_floor()
+    }
+
+    /// Number of requests in flight.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.len()
     }
 
-    fn disconnect(&mut self, request: RequestId, actions: &mut Vec<SchedulerAction>) {
-        self.waiting.retain(|profile| profile.request != request);
-        if let Some((_, running)) = self.running.get(&request) {
-            actions.push(SchedulerAction::Cancel { request, attempt: running.attempt });
+    /// Counters for metrics.
+    pub fn statistics(&self) -> &SchedulerStatistics {
+        &self.statistics
+    }
+
+    /// Invariants and their violations.
+    pub fn invariants(&self) -> &InvariantCounters {
+        &self.invariants
+    }
+
+    /// Whether a violated invariant panics. It does by default in debug builds.
+    pub fn set_strict(&mut self, strict: bool) {
+        self.invariants.set_strict(strict);
+    }
+
+    /// Suspects and verdicts in force, for digests.
+    pub fn suspects(&self, now: Instant) -> Vec<SuspectEntry> {
+        self.suspects.entries(now)
+    }
+
+    /// Takes all waiting requests out that have not been dispatched yet, for a process that shuts down
+    /// and hands them to a peer. They are no longer known here.
+    pub fn release_waiting(&mut self) -> Vec<RequestProfile> {
+        let requests: Vec<RequestId> =
+            self.queue.iter().filter(|job| job.attempts == 0).map(Job::request).collect();
+        requests
+            .into_iter()
+            .filter_map(|request| self.dequeue(request))
+            .map(|job| *job.profile)
+            .collect()
+    }
+
+    fn disconnect(&mut self, request: RequestId, now: Instant, actions: &mut Vec<SchedulerAction>) {
+        if let Some(job) = self.dequeue_unserved(request) {
+            self.statistics.disconnected[job.tier().index()] += 1;
+            return;
+        }
+        // A dispatched call that must not be repeated goes on, so that its outcome is recorded.
+        let idempotent = self.in_flight.get(request).map(|running| running.job.profile.idempotent);
+        match idempotent {
+            Some(true) => self.cancel(request, CancelCause::Disconnected, now, actions),
+            Some(false) => {}
+            None => self.statistics.stale_events += 1,
         }
     }
 
-    fn end_attempt(
+    fn cancel(
         &mut self,
         request: RequestId,
-        _attempt: AttemptNumber,
-        end: AttemptEnd,
+        cause: CancelCause,
+        now: Instant,
         actions: &mut Vec<SchedulerAction>,
     ) {
-        let Some((profile, running)) = self.running.shift_remove(&request) else { return };
-        if let Some(usage) = self.targets.get_mut(&running.target) {
-            usage.in_flight -= 1;
+        if let Some(attempt) = self.in_flight.cancel(request, cause) {
+            tracing::debug!(request, attempt, ?cause, ?now, "attempt cancelled");
+            actions.push(SchedulerAction::Cancel { request, attempt });
         }
-        let refusal = match end {
-            AttemptEnd::Finished | AttemptEnd::Cancelled => return,
-            AttemptEnd::NotSent | AttemptEnd::Withheld | AttemptEnd::Rejected => {
-                Refusal::not_run(RefusalCode::NoTarget, "the target took no work")
-            }
-            _ => Refusal::unknown(RefusalCode::TargetFailed, "the target failed"),
-        };
-        actions.push(SchedulerAction::Refuse { request: profile.request, refusal });
     }
 
-    fn list_target(&mut self, entry: TargetEntry) {
-        let usage = self.targets.entry(entry.target.clone()).or_insert_with(|| TargetUse {
-            entry: entry.clone(),
-            slots: 0,
-            in_flight: 0,
-        });
-        usage.entry = entry;
+    fn apply_rules(&mut self, rules: Arc<RuleSet>) {
+        self.shares.apply_rules(&rules);
+        self.rules = rules;
+        self.policies.clear();
+        let parked: Vec<RequestId> = self.queue.iter().map(Job::request).collect();
+        for request in parked {
+            self.queue.unpark(request);
+        }
     }
 
-    fn refuse_expired(&mut self, now: Instant, actions: &mut Vec<SchedulerAction>) {
-        self.waiting.retain(|profile| {
-            if profile.deadline > now {
-                return true;
-            }
-            let refusal =
-                Refusal::not_run(RefusalCode::DeadlineExceeded, "the deadline passed in the queue");
-            actions.push(SchedulerAction::Refuse { request: profile.request, refusal });
-            false
-        });
-    }
-
-    fn dispatch(&mut self, actions: &mut Vec<SchedulerAction>) {
-        self.waiting.sort_by_key(|profile| std::cmp::Reverse(profile.tier));
-        let mut index = 0;
-        while index < self.waiting.len() {
-            let profile = &self.waiting[index];
-            let free = self.targets.values_mut().find(|usage| {
-                usage.entry.service == profile.service
-                    && usage.entry.in_service
-                    && usage.in_flight < usage.slots
-            });
-            let Some(usage) = free else {
-                index += 1;
-                continue;
-            };
-            usage.in_flight += 1;
-            let profile = self.waiting.remove(index);
-            let request = profile.request;
-            let target = usage.entry.target.clone();
-            actions.push(SchedulerAction::Dispatch { request, attempt: 1, target: target.clone() });
-            self.running.insert(request, (profile, RunningAttempt { target, attempt: 1 }));
+    /// Plug-ins for a pool.
+    fn policy(&mut self, pool: usize) -> PolicyChoice {
+        while self.policies.len() <= pool {
+            let service = self.targets.pool_name(self.policies.len());
+            self.policies.push(PolicyChoice::select(&self.rules, service));
+        }
+        self.policies[pool]
+    }
+
+    /// Puts a job into the queue and counts it for its workspace.
+    fn enqueue(&mut self, job: Job, state: WaitState) {
+        self.count_waiting(&job);
+        self.queue.push(job, state);
+    }
+
+    /// Puts a new job into the queue behind earlier ones of its workspace.
+    fn enqueue_new(&mut self, job: Job) {
+        let weight = self.shares.row(job.workspace).map_or(1, |usage| usage.limits.weight);
+        self.count_waiting(&job);
+        self.queue.push_new(job, weight);
+    }
+
+    fn count_waiting(&mut self, job: &Job) {
+        if let Some(usage) = self.shares.row_mut(job.workspace) {
+            usage.waiting += 1;
+            usage.queued_tokens += job.tokens();
+        }
+    }
+
+    /// Takes a job out of the queue to run it.
+    fn dequeue(&mut self, request: RequestId) -> Option<Job> {
+        let job = self.queue.remove(request)?;
+        self.uncount_waiting(&job);
+        Some(job)
+    }
+
+    /// Takes a job out of the queue that will not run.
+    fn dequeue_unserved(&mut self, request: RequestId) -> Option<Job> {
+        let job = self.queue.remove_unserved(request)?;
+        self.uncount_waiting(&job);
+        Some(job)
+    }
+
+    fn uncount_waiting(&mut self, job: &Job) {
+        if let Some(usage) = self.shares.row_mut(job.workspace) {
+            usage.waiting -= 1;
+            usage.queued_tokens -= job.tokens();
+        }
+    }
+
+    /// Answers a request that is in no table any more.
+    fn refuse(
+        &mut self,
+        request: RequestId,
+        tier: Tier,
+        refusal: Refusal,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        self.statistics.count_refusal(refusal.code, tier);
+        actions.push(SchedulerAction::Refuse { request, refusal });
+    }
+
+    /// A refusal of a job that tells truthfully whether it can have run.
+    fn refusal_of(job: &Job, code: RefusalCode, message: &'static str) -> Refusal {
+        if job.may_have_run {
+            Refusal::unknown(code, message)
+        } else {
+            Refusal::not_run(code, message)
         }
     }
 }
--- /dev/null
+++ b/crates/tarragon-scheduler/src/scheduler/arrival.rs
@@ -0,0 +1,192 @@
+//! New requests: limits, admission and early refusal.
+
+use std::time::{Duration, Instant};
+
+use crate::{
+    admission::{AdmissionVerdict, AdmissionView},
+    job::Job,
+    prelude::*,
+    scheduler::{RETRY_AFTER, Scheduler},
+    share::LimitFault,
+    suspect::{SUSPECT_LIFETIME, Suspicion},
+};
+
+/// Part of the least time of a request that must be left before its deadline. Predicted lengths err, so
+/// a request is given up only when much less than the predicted time is left.
+const HOPELESS_PART: f64 = 0.6;
+
+/// Part of the expected wait that counts when a new request is refused early.
+const WAIT_PART: f64 = 0.5;
+
+/// A caller whose request found no target is asked to wait this long: a target that starts or loads a
+/// model takes seconds.
+const NO_TARGET_RETRY: Duration = Duration::from_secs(2);
+
+impl Scheduler {
+    pub(super) fn arrive(
+        &mut self,
+        profile: Box<RequestProfile>,
+        now: Instant,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        let (request, tier) = (profile.request, profile.tier);
+        if self.queue.get(request).is_some() || self.in_flight.get(request).is_some() {
+            tracing::error!(request, "a request arrived twice under one id");
+            self.statistics.stale_events += 1;
+            return;
+        }
+        self.statistics.arrived[tier.index()] += 1;
+        if let Err(refusal) = self.check_arrival(&profile, now) {
+            return self.refuse(request, tier, refusal, actions);
+        }
+        let job = self.new_job(profile, now);
+        if let Err(refusal) = self.admit(&job, now, actions) {
+            return self.refuse(request, tier, refusal, actions);
+        }
+        self.enqueue_new(job);
+    }
+
+    /// Reasons to refuse that don't depend on the load.
+    fn check_arrival(&mut self, profile: &RequestProfile, now: Instant) -> Result<(), Refusal> {
+        if self.draining {
+            let refusal = Refusal::not_run(RefusalCode::ShuttingDown, "the process shuts down");
+            return Err(refusal.with_retry_after(RETRY_AFTER));
+        }
+        if profile.deadline <= now {
+            return Err(Refusal::not_run(RefusalCode::DeadlineExceeded, "the deadline has passed"));
+        }
+        if self.suspects.check(profile.fingerprint, now) == Suspicion::Convicted {
+            let message = "two targets crashed while they ran this request";
+            let refusal = Refusal::not_run(RefusalCode::CrashesTargets, message);
+            return Err(refusal.with_retry_after(SUSPECT_LIFETIME));
+        }
+        let model = profile.model_call().map(|call| &call.model);
+        let pool = self.targets.find_pool(&profile.service);
+        if !pool.is_some_and(|pool| self.targets.can_serve(pool, model)) {
+            let message = "no target in service can take this request";
+            let refusal = Refusal::not_run(RefusalCode::NoTarget, message);
+            return Err(refusal.with_retry_after(NO_TARGET_RETRY));
+        }
+        Ok(())
+    }
+
+    fn new_job(&mut self, profile: Box<RequestProfile>, now: Instant) -> Job {
+        let pool = self.targets.pool_index(&profile.service);
+        let model = profile.model_call().map(|call| &call.model);
+        let lane = self.queue.lane_index(pool, model);
+        let workspace = self.shares.index(&profile.workspace, &self.rules, now);
+        let prediction = self.costs.predict(pool, workspace, &profile);
+        self.sequence += 1;
+        let mut job = Job {
+            latest_start: profile.deadline,
+            profile,
+            pool,
+            lane,
+            workspace,
+            sequence: self.sequence,
+            output: prediction.output,
+            cost: prediction.cost,
+            tags: (0, 0),
+            attempts: 0,
+            may_have_run: false,
+            avoid: Vec::new(),
+            delivered: 0,
+            preemptions: 0,
+        };
+        self.set_latest_start(&mut job, now);
+        job
+    }
+
+    /// After this time even the fastest target can't finish the job before its deadline.
+    pub(super) fn set_latest_start(&self, job: &mut Job, now: Instant) {
+        let fastest = self.targets.pool(job.pool).fastest;
+        let least = fastest.map_or(Duration::ZERO, |rates| rates.least_time(job.size()));
+        let start = job.profile.deadline.checked_sub(least.mul_f64(HOPELESS_PART));
+        job.latest_start = start.unwrap_or(now).min(job.profile.deadline);
+    }
+
+    /// Reasons to refuse that depend on the load. Makes room in the queue if needed.
+    fn admit(
+        &mut self,
+        job: &Job,
+        now: Instant,
+        actions: &mut Vec<SchedulerAction>,
+    ) -> Result<(), Refusal> {
+        self.check_limits(job, now)?;
+        self.check_wait(job, now)?;
+        let tier = job.tier();
+        let view = AdmissionView {
+            tier,
+            full: !self.fits(job.tokens()),
+            lowest_waiting: self.queue.lowest_tier(),
+            floor: self.pressure.floor(now),
+        };
+        let admission = self.policy(job.pool).admission;
+        match (admission.admit)(view) {
+            AdmissionVerdict::Admit => {}
+            AdmissionVerdict::BelowFloor => {
+                self.shed_below(tier, now, actions);
+                return Err(self.shed_new(tier, admission.by_tier, now, actions));
+            }
+            AdmissionVerdict::Displace if self.make_room(job, now, actions) => {}
+            AdmissionVerdict::Displace | AdmissionVerdict::Refuse => {
+                return Err(self.shed_new(tier, admission.by_tier, now, actions));
+            }
+        }
+        Ok(())
+    }
+
+    fn check_limits(&mut self, job: &Job, now: Instant) -> Result<(), Refusal> {
+        if job.tokens() > self.limits.waiting_tokens {
+            let message = "the request is larger than the whole queue";
+            return Err(Refusal::not_run(RefusalCode::LimitReached, message));
+        }
+        let share = self.share;
+        let Some(usage) = self.shares.row_mut(job.workspace) else { return Ok(()) };
+        let fault = match usage.admit(job.tier(), job.tokens(), share, now) {
+            Ok(()) => return Ok(()),
+            Err(fault) => fault,
+        };
+        let (message, delay) = match fault {
+            LimitFault::Tier(limit) => {
+                (format!("the workspace may ask for tier {limit} at most"), None)
+            }
+            LimitFault::Rate(delay) => ("the workspace is over its rate".to_owned(), Some(delay)),
+            LimitFault::QueuedTokens => {
+                ("the workspace has too many tokens waiting".to_owned(), Some(RETRY_AFTER))
+            }
+        };
+        let refusal = Refusal::not_run(RefusalCode::LimitReached, message);
+        Err(match delay {
+            Some(delay) => refusal.with_retry_after(delay),
+            None => refusal,
+        })
+    }
+
+    /// Refuses a job that would wait beyond its latest start.
+    fn check_wait(&self, job: &Job, now: Instant) -> Result<(), Refusal> {
+        let wait = self.expected_wait(job).mul_f64(WAIT_PART);
+        if now + wait <= job.latest_start {
+            return Ok(());
+        }
+        let message = "the deadline can't be met with the work that waits";
+        Err(Refusal::not_run(RefusalCode::DeadlineExceeded, message)
+            .with_retry_after(wait.clamp(RETRY_AFTER, Duration::from_secs(30))))
+    }
+
+    /// Expected wait of a new job: all work of higher tiers, and in its own tier at most its
+    /// workspace's queue times the number of workspaces, as fair queueing promises.
+    fn expected_wait(&self, job: &Job) -> Duration {
+        let rate = self.targets.pool(job.pool).drain_rate;
+        if rate < 1.0 {
+            return Duration::ZERO;
+        }
+        let tokens = self.queue.pool_tokens(job.pool);
+        let tier = job.tier().index();
+        let higher: u64 = tokens[tier + 1..].iter().sum();
+        let own = self.shares.row(job.workspace).map_or(0, |usage| usage.queued_tokens);
+        let flows = self.queue.lane_flows(job.lane, job.tier()) as u64;
+        let ahead = higher + tokens[tier].min(own.saturating_mul(flows.max(1)));
+        Duration::from_secs_f64((ahead as f64 / rate).min(3_600.0))
+    }
+}
--- /dev/null
+++ b/crates/tarragon-scheduler/src/scheduler/attempt.rs
@@ -0,0 +1,361 @@
+//! Progress and end of attempts: what is learned from them, and whether the request goes on.
+
+use std::time::{Duration, Instant};
+
+use crate::{
+    inflight::{CancelCause, RunningAttempt},
+    invariant::SchedulerInvariant,
+    job::Job,
+    prelude::*,
+    queue::WaitState,
+    retry::{MAX_ATTEMPTS, back_off},
+    scheduler::{RETRY_AFTER, Scheduler},
+};
+
+/// A caller whose request ran on a target that broke the connection is asked to wait this long, so that
+/// peers have heard of the suspicion before the caller's next attempt.
+const RETRY_AFTER_BREAK: Duration = Duration::from_secs(2);
+
+/// A stream that outgrows its predicted length is expected to become this much longer again.
+const OUTGROWN: f64 = 1.25;
+
+/// Predictions of targets with fewer samples are not compared with what was observed.
+const MIN_SAMPLES: u32 = 4;
+
+/// Attempts of one request in all, with those after a pre-emption or a move.
+const MAX_DISPATCHES: u32 = 16;
+
+/// Whether a request whose attempt was cancelled can be dispatched again.
+fn may_go_on(job: &Job, now: Instant) -> bool {
+    job.profile.idempotent && job.profile.deadline > now && job.attempts < MAX_DISPATCHES
+}
+
+impl Scheduler {
+    pub(super) fn start_attempt(&mut self, request: RequestId, attempt: AttemptNumber) {
+        match self.in_flight.get_mut(request, attempt) {
+            Some(running) => running.started = true,
+            None => self.statistics.stale_events += 1,
+        }
+    }
+
+    pub(super) fn progress_attempt(
+        &mut self,
+        progress: &AttemptProgress,
+        now: Instant,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        let Some(running) = self.in_flight.get_mut(progress.request, progress.attempt) else {
+            self.statistics.stale_events += 1;
+            return;
+        };
+        running.started = true;
+        running.tokens = running.tokens.max(progress.tokens);
+        let target = running.target;
+        let first = running.first_token.is_none();
+        if first {
+            running.first_token = Some(now);
+        }
+        self.correct_length(progress.request, progress.attempt);
+        if first {
+            self.take_first_token(progress, now, actions);
+        }
+        if let Some(row) = self.targets.row_mut(target) {
+            row.window.prove(now);
+        }
+        self.targets.refresh(target, now);
+    }
+
+    /// Charges the workspace when a stream outgrows its prediction.
+    fn correct_length(&mut self, request: RequestId, attempt: AttemptNumber) {
+        let Some(running) = self.in_flight.get_mut(request, attempt) else { return };
+        let total = running.job.delivered.saturating_add(running.tokens);
+        if total <= running.charged {
+            return;
+        }
+        let expected = (f64::from(total) * OUTGROWN) as u32;
+        let extra = expected - running.charged;
+        running.charged = expected;
+        running.job.output = expected;
+        let weight = self.shares.row(running.job.workspace).map_or(1, |usage| usage.limits.weight);
+        self.queue.correct(&running.job, i64::from(extra), weight);
+    }
+
+    fn take_first_token(
+        &mut self,
+        progress: &AttemptProgress,
+        now: Instant,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        let Some(running) = self.in_flight.get_mut(progress.request, progress.attempt) else {
+            return;
+        };
+        let Some(row) = self.targets.row_mut(running.target) else { return };
+        row.pending_prefill -= std::mem::take(&mut running.pending);
+        let prompt = running.job.size().prompt.unwrap_or(0);
+        if let Some(cached) = progress.cached_tokens {
+            row.trust.compare(running.estimate.cached, cached);
+            running.cached_part = Some(cached as f32 / prompt.max(1) as f32);
+            self.statistics.cached_tokens += u64::from(cached);
+        }
+        if let Some(prefill) = progress.prefill_tokens {
+            running.uncached = prefill;
+            self.statistics.prefill_tokens += u64::from(prefill);
+        }
+        let computed = u64::from(running.uncached) + running.ahead;
+        let observed = progress.first_token.as_secs_f64();
+        let expected = f64::from(running.estimate.first_token);
+        let target = running.target;
+        let jump = row.rates.samples >= MIN_SAMPLES && row.window.observe(observed, expected);
+        row.window.prove(now);
+        if jump {
+            self.suspect_cold(target, now, actions);
+            return;
+        }
+        row.rates.learn_first_token(computed.min(u64::from(u32::MAX)) as u32, progress.first_token);
+        row.window.grow();
+    }
+
+    /// A sign of a new cold spell: the own window falls to one and the target is polled.
+    pub(super) fn suspect_cold(
+        &mut self,
+        target: usize,
+        now: Instant,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        let Some(row) = self.targets.row_mut(target) else { return };
+        if row.window.suspect(now) {
+            self.statistics.cold_signs += 1;
+            actions.push(SchedulerAction::PollTarget(row.name.clone()));
+        }
+        self.targets.refresh(target, now);
+    }
+
+    pub(super) fn end_attempt(
+        &mut self,
+        request: RequestId,
+        attempt: AttemptNumber,
+        end: AttemptEnd,
+        now: Instant,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        let Some(mut running) = self.in_flight.remove(request, attempt) else {
+            self.statistics.stale_events += 1;
+            return;
+        };
+        self.vacate(&running, now);
+        self.learn_from_end(&running, end, now, actions);
+        self.targets.refresh(running.target, now);
+        self.targets.drop_if_done(running.target);
+        let job = &mut running.job;
+        job.delivered = job.delivered.saturating_add(running.tokens);
+        // A target that sent tokens has run the request, whatever the sender says of the end.
+        job.may_have_run |= running.first_token.is_some();
+        job.may_have_run |= match end {
+            AttemptEnd::NotSent | AttemptEnd::Withheld | AttemptEnd::Rejected => false,
+            AttemptEnd::Cancelled => running.started,
+            AttemptEnd::Finished
+            | AttemptEnd::Broken
+            | AttemptEnd::Failed
+            | AttemptEnd::Garbled => true,
+        };
+        self.unpark(job.workspace);
+        self.conclude(running, end, now, actions);
+    }
+
+    /// Gives the slot back and takes the attempt out of all counts.
+    fn vacate(&mut self, running: &RunningAttempt, now: Instant) {
+        let tier = running.job.tier().index();
+        let mut balanced = true;
+        if let Some(row) = self.targets.row_mut(running.target) {
+            balanced &= row.in_flight > 0 && row.by_tier[tier] > 0;
+            row.in_flight = row.in_flight.saturating_sub(1);
+            row.by_tier[tier] = row.by_tier[tier].saturating_sub(1);
+            row.suspects[tier] = row.suspects[tier].saturating_sub(u32::from(running.suspect));
+            balanced &= row.pending_prefill >= running.pending;
+            row.pending_prefill = row.pending_prefill.saturating_sub(running.pending);
+        }
+        if let Some(usage) = self.shares.row_mut(running.job.workspace) {
+            balanced &= usage.in_flight > 0;
+            usage.in_flight = usage.in_flight.saturating_sub(1);
+        }
+        self.targets.refresh(running.target, now);
+        let request = running.job.request();
+        self.invariants.check(SchedulerInvariant::CountersBalanced, balanced, || {
+            format!("request {request} was not counted at its target or workspace")
+        });
+    }
+
+    fn learn_from_end(
+        &mut self,
+        running: &RunningAttempt,
+        end: AttemptEnd,
+        now: Instant,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        if end != AttemptEnd::Finished {
+            let computed = running.first_token.is_some() || running.started;
+            if computed && running.job.model().is_some() && end != AttemptEnd::Rejected {
+                self.statistics.wasted_prefill_tokens += u64::from(running.uncached);
+            }
+        }
+        match end {
+            AttemptEnd::Finished => self.learn_from_finish(running, now, actions),
+            AttemptEnd::Broken => {
+                self.note_broken(running, now);
+                self.suspect_cold(running.target, now, actions);
+            }
+            AttemptEnd::NotSent => {
+                self.confirm_crash(running.target, None, now, actions);
+                self.suspect_cold(running.target, now, actions);
+            }
+            AttemptEnd::Rejected | AttemptEnd::Failed => {
+                self.suspect_cold(running.target, now, actions);
+            }
+            AttemptEnd::Withheld | AttemptEnd::Garbled | AttemptEnd::Cancelled => {}
+        }
+    }
+
+    fn learn_from_finish(
+        &mut self,
+        running: &RunningAttempt,
+        now: Instant,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        let job = &running.job;
+        let total = job.delivered.saturating_add(running.tokens);
+        self.suspects.clear(job.profile.fingerprint, now);
+        self.targets.note_drained(job.pool, job.tokens());
+        if let Some(call) = job.profile.model_call() {
+            self.costs.learn(
+                job.pool,
+                job.workspace,
+                call.prompt_tokens,
+                total,
+                running.cached_part,
+            );
+            let weight = self.shares.row(job.workspace).map_or(1, |usage| usage.limits.weight);
+            let error = i64::from(total) - i64::from(running.charged);
+            self.queue.correct(job, error, weight);
+        }
+        let Some(row) = self.targets.row_mut(running.target) else { return };
+        row.window.prove(now);
+        let mut jump = false;
+        if job.model().is_none() {
+            let elapsed = now.saturating_duration_since(running.dispatched);
+            let expected = f64::from(running.estimate.first_token);
+            jump = row.rates.samples >= MIN_SAMPLES
+                && row.window.observe(elapsed.as_secs_f64(), expected);
+            row.rates.learn_call(elapsed);
+        } else if let Some(first) = running.first_token {
+            let elapsed = now.saturating_duration_since(first);
+            row.rates.learn_decode(running.tokens.saturating_sub(1), elapsed);
+        }
+        if jump {
+            self.suspect_cold(running.target, now, actions);
+        } else {
+            row.window.grow();
+        }
+    }
+
+    /// Makes one parked request of a workspace ready.
+    fn unpark(&mut self, workspace: usize) {
+        let Some(usage) = self.shares.row_mut(workspace) else { return };
+        while let Some(request) = usage.parked.pop_front() {
+            if self.queue.unpark(request) {
+                return;
+            }
+        }
+    }
+
+    /// Decides whether the request has ended or goes on.
+    fn conclude(
+        &mut self,
+        running: RunningAttempt,
+        end: AttemptEnd,
+        now: Instant,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        let RunningAttempt { mut job, target, cancel, .. } = running;
+        let tier = job.tier().index();
+        if cancel == Some(CancelCause::Disconnected) {
+            self.statistics.disconnected[tier] += 1;
+            return;
+        }
+        match end {
+            AttemptEnd::Finished => {
+                self.budget.succeed();
+                self.statistics.finished[tier] += 1;
+            }
+            AttemptEnd::Cancelled if may_go_on(&job, now) => {
+                job.preemptions += u8::from(cancel == Some(CancelCause::Preempted));
+                if cancel != Some(CancelCause::Preempted) {
+                    job.avoid.push(target);
+                }
+                self.requeue(job, WaitState::Ready, now);
+            }
+            AttemptEnd::Cancelled | AttemptEnd::Withheld => {
+                let message = "the deadline passed or the attempt was stopped";
+                let refusal = Scheduler::refusal_of(&job, RefusalCode::DeadlineExceeded, message);
+                self.refuse(job.request(), job.tier(), refusal, actions);
+            }
+            AttemptEnd::NotSent
+            | AttemptEnd::Rejected
+            | AttemptEnd::Broken
+            | AttemptEnd::Failed
+            | AttemptEnd::Garbled => self.retry(job, target, end, now, actions),
+        }
+    }
+
+    /// Tries a failed request again, or gives its final answer.
+    fn retry(
+        &mut self,
+        mut job: Job,
+        target: usize,
+        end: AttemptEnd,
+        now: Instant,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        let unsent = end == AttemptEnd::NotSent;
+        let allowed = job.profile.idempotent || (unsent && !job.may_have_run);
+        let delay = back_off(job.attempts, &mut self.rng);
+        self.set_latest_start(&mut job, now);
+        let in_time = now + delay < job.latest_start;
+        if !allowed || !in_time || job.attempts >= MAX_ATTEMPTS {
+            return self.refuse_failed(job, end, actions);
+        }
+        // A request that was not sent has put no load on a target, so it needs no budget.
+        if !unsent && !self.budget.take(now) {
+            self.statistics.retries_denied += 1;
+            return self.refuse_failed(job, end, actions);
+        }
+        self.statistics.retries += 1;
+        job.avoid.push(target);
+        self.requeue(job, WaitState::Deferred(now + delay), now);
+    }
+
+    fn refuse_failed(&mut self, job: Job, end: AttemptEnd, actions: &mut Vec<SchedulerAction>) {
+        let (code, message) = match end {
+            AttemptEnd::NotSent => (RefusalCode::NoTarget, "no target could be reached"),
+            AttemptEnd::Rejected => (RefusalCode::NoTarget, "the target takes no work now"),
+            AttemptEnd::Broken => (RefusalCode::TargetFailed, "the connection to the target broke"),
+            _ => (RefusalCode::TargetFailed, "the target failed"),
+        };
+        let delay = if end == AttemptEnd::Broken { RETRY_AFTER_BREAK } else { RETRY_AFTER };
+        let refusal = Scheduler::refusal_of(&job, code, message).with_retry_after(delay);
+        self.refuse(job.request(), job.tier(), refusal, actions);
+    }
+
+    /// Puts a request back that was dispatched before. It keeps its place.
+    fn requeue(&mut self, mut job: Job, state: WaitState, now: Instant) {
+        let others = self.targets.pool(job.pool).members.iter().any(|index| {
+            let row = self.targets.row(*index);
+            !job.avoid.contains(index)
+                && row.is_some_and(|row| row.may_work() && row.holds(job.model()))
+        });
+        if !others {
+            job.avoid.clear();
+        }
+        self.set_latest_start(&mut job, now);
+        self.enqueue(job, state);
+    }
+}
--- /dev/null
+++ b/crates/tarragon-scheduler/src/scheduler/dispatch.rs
@@ -0,0 +1,235 @@
+//! From the queue to a target.
+
+use std::time::{Duration, Instant};
+
+use crate::{
+    choose::{ChooseCandidate, ChooseView},
+    inflight::RunningAttempt,
+    invariant::SchedulerInvariant,
+    job::Job,
+    prelude::*,
+    queue::WaitState,
+    scheduler::{
+        Scheduler,
+        candidate::{ChoiceBounds, suits_suspect},
+    },
+    suspect::Suspicion,
+};
+
+/// A request that no open target suits is looked at again after this time, so that it doesn't block
+/// those behind it.
+const RECHECK: Duration = Duration::from_millis(50);
+
+/// Requests of one lane and tier that one event may move, so that its cost is bounded. The next event
+/// goes on.
+const MAX_MOVES: usize = 64;
+
+/// What can be done with the first request of a lane.
+enum PlacementStep {
+    /// It goes to a target, as a suspect or not.
+    Send(ChooseCandidate, bool),
+    /// Its workspace is at its limit.
+    Park,
+    /// No open target suits it, but one may suit the next request.
+    Defer,
+    /// No target is open to the lane.
+    Closed,
+    /// It must not run.
+    Convicted,
+}
+
+impl Scheduler {
+    /// Sends waiting requests to open targets, the highest tier first.
+    pub(super) fn dispatch(&mut self, now: Instant, actions: &mut Vec<SchedulerAction>) {
+        if self.queue.is_empty() {
+            return;
+        }
+        let floor = self.pressure.floor(now);
+        let lanes = self.queue.lane_count();
+        self.turn = self.turn.wrapping_add(1);
+        for tier in Tier::DESCENDING.into_iter().take_while(|tier| *tier >= floor) {
+            for offset in 0..lanes {
+                let lane = self.turn.wrapping_add(offset) % lanes;
+                if self.queue.has_ready(lane, tier) {
+                    self.dispatch_lane(lane, tier, now, actions);
+                }
+            }
+        }
+    }
+
+    fn dispatch_lane(
+        &mut self,
+        lane: usize,
+        tier: Tier,
+        now: Instant,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        let pool = self.queue.lane_pool(lane);
+        for _ in 0..MAX_MOVES {
+            let Some(request) = self.queue.head(lane, tier).map(Job::request) else { return };
+            let step = match self.targets.pool(pool).open {
+                0 => PlacementStep::Closed,
+                _ => self.place(request, now),
+            };
+            match step {
+                PlacementStep::Send(candidate, suspect) => {
+                    self.send(request, candidate, suspect, now, actions)
+                }
+                PlacementStep::Park => self.park(request),
+                PlacementStep::Defer => {
+                    self.queue.set_state(request, WaitState::Deferred(now + RECHECK))
+                }
+                PlacementStep::Convicted => self.refuse_convicted(request, actions),
+                PlacementStep::Closed => {
+                    if tier == Tier::Urgent {
+                        self.preempt(lane, now, actions);
+                    }
+                    return;
+                }
+            }
+        }
+    }
+
+    fn place(&mut self, request: RequestId, now: Instant) -> PlacementStep {
+        let Some(job) = self.queue.get(request) else { return PlacementStep::Closed };
+        if self.shares.row(job.workspace).is_some_and(|usage| !usage.may_dispatch(self.share)) {
+            return PlacementStep::Park;
+        }
+        let fingerprint = job.profile.fingerprint;
+        let suspect = match self.suspects.check(fingerprint, now) {
+            Suspicion::None => false,
+            Suspicion::Suspect if self.in_flight.runs_suspect(fingerprint) => {
+                return PlacementStep::Defer;
+            }
+            Suspicion::Suspect => true,
+            Suspicion::Held => return PlacementStep::Defer,
+            Suspicion::Convicted => return PlacementStep::Convicted,
+        };
+        let bounds = ChoiceBounds { suspect, suspects_run: self.in_flight.suspect_count() > 0 };
+        self.candidates.collect(&self.targets, job, bounds, now);
+        if self.candidates.items.is_empty() {
+            let particular = suspect || !job.avoid.is_empty();
+            return if particular { PlacementStep::Defer } else { PlacementStep::Closed };
+        }
+        let pool = job.pool;
+        let choose = self.policy(pool).choose;
+        let position = (choose.choose)(ChooseView {
+            candidates: &self.candidates.items,
+            rng: &mut self.rng,
+            last: self.targets.pool(pool).last,
+        });
+        let candidates = &self.candidates.items;
+        let candidate = candidates.get(position).unwrap_or(&candidates[0]);
+        PlacementStep::Send(*candidate, suspect)
+    }
+
+    fn send(
+        &mut self,
+        request: RequestId,
+        candidate: ChooseCandidate,
+        suspect: bool,
+        now: Instant,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        let Some(mut job) = self.dequeue(request) else { return };
+        self.check_dispatch(&job, candidate.target, suspect, now);
+        self.queue.advance(job.lane, job.tier(), job.tags.0);
+        self.targets.set_last(job.pool, candidate.target);
+        job.attempts += 1;
+        let tier = job.tier().index();
+        self.statistics.dispatched[tier] += 1;
+        if let Some(usage) = self.shares.row_mut(job.workspace) {
+            usage.in_flight += 1;
+        }
+        let attempt = job.attempts;
+        let Some(running) = self.occupy(job, candidate, suspect, now) else { return };
+        let Some(row) = self.targets.row(candidate.target) else { return };
+        let target = row.name.clone();
+        self.in_flight.insert(running);
+        actions.push(SchedulerAction::Dispatch { request, attempt, target });
+    }
+
+    /// Takes a slot of the target and notes what the request adds to its work.
+    fn occupy(
+        &mut self,
+        job: Job,
+        candidate: ChooseCandidate,
+        suspect: bool,
+        now: Instant,
+    ) -> Option<RunningAttempt> {
+        let estimate = candidate.estimate;
+        let prompt = job.size().prompt.unwrap_or(0);
+        let uncached = prompt.saturating_sub(estimate.cached);
+        let tier = job.tier().index();
+        let row = self.targets.row_mut(candidate.target)?;
+        let ahead = row.pending_prefill;
+        row.in_flight += 1;
+        row.by_tier[tier] += 1;
+        row.suspects[tier] += u32::from(suspect);
+        row.pending_prefill += u64::from(uncached);
+        self.targets.refresh(candidate.target, now);
+        self.targets.prefixes.insert_prompt(candidate.target, job.blocks());
+        let charged = job.output;
+        Some(RunningAttempt {
+            attempt: job.attempts,
+            job,
+            target: candidate.target,
+            started: false,
+            dispatched: now,
+            first_token: None,
+            tokens: 0,
+            estimate,
+            uncached,
+            pending: u64::from(uncached),
+            ahead,
+            cached_part: None,
+            charged,
+            suspect,
+            cancel: None,
+        })
+    }
+
+    /// Sets a request aside until one of its workspace has ended.
+    fn park(&mut self, request: RequestId) {
+        let Some(workspace) = self.queue.get(request).map(|job| job.workspace) else { return };
+        self.queue.set_state(request, WaitState::Parked);
+        let queue = &self.queue;
+        let Some(usage) = self.shares.row_mut(workspace) else { return };
+        // Requests that left the queue while parked stay in the list; it is cleaned when they are many.
+        if usage.parked.len() > 2 * usage.waiting as usize + 16 {
+            usage.parked.retain(|parked| queue.get(*parked).is_some());
+        }
+        usage.parked.push_back(request);
+    }
+
+    fn refuse_convicted(&mut self, request: RequestId, actions: &mut Vec<SchedulerAction>) {
+        let Some(job) = self.dequeue_unserved(request) else { return };
+        let message = "targets crashed while they ran this request";
+        let refusal = Scheduler::refusal_of(&job, RefusalCode::CrashesTargets, message);
+        self.refuse(request, job.tier(), refusal, actions);
+    }
+
+    /// Invariants of every dispatch.
+    fn check_dispatch(&mut self, job: &Job, target: usize, suspect: bool, now: Instant) {
+        let Some(row) = self.targets.row(target) else { return };
+        let (request, name) = (job.request(), &row.name);
+        let slots = row.window.slots();
+        let within = row.in_flight < slots;
+        let floor = self.pressure.floor(now);
+        let checks = [
+            (SchedulerInvariant::SlotsRespected, within),
+            (SchedulerInvariant::ColdShare, within || !row.window.is_cold()),
+            (SchedulerInvariant::InServiceOnly, row.may_work()),
+            (SchedulerInvariant::DispatchedOnce, job.profile.idempotent || !job.may_have_run),
+            (SchedulerInvariant::BeforeDeadline, now <= job.profile.deadline),
+            (SchedulerInvariant::FloorRespected, job.tier() >= floor),
+            (SchedulerInvariant::SuspectAlone, !suspect || suits_suspect(row, job.tier())),
+        ];
+        for (invariant, holds) in checks {
+            self.invariants.check(invariant, holds, || {
+                let in_flight = row.in_flight;
+                format!("request {request} to {name}, {in_flight} in flight of {slots} slots")
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/tarragon-scheduler/src/scheduler/dump.rs
@@ -0,0 +1,156 @@
+//! A read-only picture of the state, for operators.
+
+use std::time::Instant;
+
+use indexmap::IndexMap;
+use serde::Serialize;
+
+use crate::{
+    prelude::*,
+    retry::RetryBudget,
+    scheduler::Scheduler,
+    targets::{TargetRow, rate::RateEstimate, window::TargetWindow},
+};
+
+/// Workspaces listed in a dump, those with the most requests first.
+const LISTED_WORKSPACES: usize = 100;
+
+/// State of the scheduler.
+#[derive(Debug, Clone, Serialize)]
+pub struct SchedulerDump {
+    /// Waiting requests by tier, the lowest first.
+    pub waiting: [u32; Tier::COUNT],
+    /// Predicted tokens of all waiting requests.
+    pub waiting_tokens: u64,
+    /// Requests in flight.
+    pub in_flight: usize,
+    /// Floor that this process announces.
+    pub own_floor: Tier,
+    /// Highest floor held.
+    pub floor: Tier,
+    /// Peers heard of.
+    pub peers: usize,
+    /// This process's part of deployment-wide limits.
+    pub limit_share: f64,
+    /// Whether the process shuts down.
+    pub draining: bool,
+    /// Retry budget.
+    pub retry_budget: RetryBudget,
+    /// Targets.
+    pub targets: Vec<TargetDump>,
+    /// Number of workspaces with state.
+    pub workspace_count: usize,
+    /// Workspaces with the most requests.
+    pub workspaces: Vec<WorkspaceDump>,
+    /// Fingerprints under suspicion or verdict.
+    pub suspects: usize,
+    /// Learned answer lengths.
+    pub length_estimates: usize,
+    /// Prefix blocks known.
+    pub prefix_blocks: usize,
+    /// Counters.
+    pub statistics: SchedulerStatistics,
+    /// Violations by invariant.
+    pub violations: IndexMap<&'static str, u64>,
+}
+
+/// State of one target.
+#[derive(Debug, Clone, Serialize)]
+pub struct TargetDump {
+    /// Name.
+    pub target: TargetName,
+    /// Service.
+    pub service: String,
+    /// Whether it may get new work.
+    pub in_service: bool,
+    /// What it bears in all.
+    pub bears: u32,
+    /// Own requests in flight.
+    pub in_flight: u32,
+    /// Own requests that may be in flight now.
+    pub window: u32,
+    /// What the window is made of.
+    pub window_state: TargetWindow,
+    /// Own prompt tokens that wait for their first token.
+    pub pending_prefill: u64,
+    /// Learned speed.
+    pub rates: RateEstimate,
+    /// Models held, if known.
+    pub models: Vec<ModelName>,
+    /// Trust in the knowledge of its cache, from 0 to 1.
+    pub cache_trust: f32,
+    /// Milliseconds since the figures of the last report were taken.
+    pub report_age_ms: Option<u64>,
+}
+
+/// Usage of one workspace.
+#[derive(Debug, Clone, Serialize)]
+pub struct WorkspaceDump {
+    /// Name.
+    pub workspace: WorkspaceName,
+    /// Requests in flight.
+    pub in_flight: u32,
+    /// Waiting requests.
+    pub waiting: u32,
+    /// Predicted tokens of waiting requests.
+    pub queued_tokens: u64,
+}
+
+impl Scheduler {
+    /// The present state.
+    pub fn dump(&self, now: Instant) -> SchedulerDump {
+        SchedulerDump {
+            waiting: self.waiting_by_tier(),
+            waiting_tokens: self.queue.tokens(),
+            in_flight: self.in_flight.len(),
+            own_floor: self.pressure.own_floor(),
+            floor: self.pressure.floor(now),
+            peers: self.pressure.peer_count(),
+            limit_share: self.share,
+            draining: self.draining,
+            retry_budget: self.budget.clone(),
+            targets: self.targets.iter().map(|(_, row)| self.dump_target(row, now)).collect(),
+            workspace_count: self.shares.len(),
+            workspaces: self.dump_workspaces(),
+            suspects: self.suspects.len(),
+            length_estimates: self.costs.len(),
+            prefix_blocks: self.targets.prefixes.len(),
+            statistics: self.statistics.clone(),
+            violations: self.invariants.counts().collect(),
+        }
+    }
+
+    fn dump_target(&self, row: &TargetRow, now: Instant) -> TargetDump {
+        let age = |taken| now.saturating_duration_since(taken).as_millis() as u64;
+        TargetDump {
+            target: row.name.clone(),
+            service: self.targets.pool_name(row.service).to_owned(),
+            in_service: row.may_work(),
+            bears: row.bears,
+            in_flight: row.in_flight,
+            window: row.window.size(now),
+            window_state: row.window.clone(),
+            pending_prefill: row.pending_prefill,
+            rates: row.rates,
+            models: row.models.clone(),
+            cache_trust: row.trust.value(now),
+            report_age_ms: row.report.as_ref().map(|report| age(report.taken)),
+        }
+    }
+
+    fn dump_workspaces(&self) -> Vec<WorkspaceDump> {
+        let mut workspaces: Vec<WorkspaceDump> = self
+            .shares
+            .iter()
+            .map(|usage| WorkspaceDump {
+                workspace: usage.name.clone(),
+                in_flight: usage.in_flight,
+                waiting: usage.waiting,
+                queued_tokens: usage.queued_tokens,
+            })
+            .collect();
+        workspaces.sort_by_key(|usage| std::cmp::Reverse(usage.in_flight + usage.waiting));
+        workspaces.truncate(LISTED_WORKSPACES);
+        workspaces
+    }
+}
--- /dev/null
+++ b/crates/tarragon-scheduler/src/scheduler/explain.rs
@@ -0,0 +1,204 @@
+//! Why a request would go where.
+
+use std::time::Instant;
+
+use serde::Serialize;
+
+use crate::{
+    choose::{ChooseCandidate, ChooseView},
+    job::Job,
+    policy::PolicyChoice,
+    prelude::*,
+    scheduler::{
+        Scheduler,
+        candidate::{CandidateList, ChoiceBounds, suits_suspect},
+    },
+    suspect::Suspicion,
+    targets::TargetRow,
+};
+
+/// What the scheduler would do with a request now.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct ChoiceExplanation {
+    /// Plug-in that chooses the target.
+    pub choose: &'static str,
+    /// Plug-in that admits the request.
+    pub admission: &'static str,
+    /// Expected tokens of the answer.
+    pub output_tokens: u32,
+    /// Highest shed floor held.
+    pub floor: Tier,
+    /// Waiting requests of the same tier and of higher ones.
+    pub ahead: u32,
+    /// Target that would be chosen, if one is open. Where the plug-in draws at random, another one may
+    /// be chosen in fact.
+    pub chosen: Option<TargetName>,
+    /// Why this target, or why none.
+    pub reason: String,
+    /// All targets of the service.
+    pub targets: Vec<TargetExplanation>,
+}
+
+/// What speaks for or against one target.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct TargetExplanation {
+    /// Target.
+    pub target: TargetName,
+    /// Own requests in flight.
+    pub in_flight: u32,
+    /// Own requests that may be in flight now.
+    pub window: u32,
+    /// Expected seconds to the first token, for a candidate.
+    pub first_token: Option<f32>,
+    /// Expected seconds to the last token, for a candidate.
+    pub last_token: Option<f32>,
+    /// Prompt tokens expected in the cache, for a candidate.
+    pub cached_tokens: Option<u32>,
+    /// What targets are compared by; less is better.
+    pub score: Option<f32>,
+    /// Why the target is no candidate.
+    pub excluded: Option<&'static str>,
+}
+
+impl Scheduler {
+    /// Tells where a request would go now, and why, without changing anything.
+    pub fn explain(&self, profile: &RequestProfile, now: Instant) -> ChoiceExplanation {
+        let pool = self.targets.find_pool(&profile.service);
+        let policy = PolicyChoice::select(&self.rules, &profile.service);
+        let job = self.trial_job(profile, pool.unwrap_or(usize::MAX));
+        let suspicion = self.suspects.check(profile.fingerprint, now);
+        let suspect = suspicion == Suspicion::Suspect;
+        let bounds = ChoiceBounds { suspect, suspects_run: self.in_flight.suspect_count() > 0 };
+        let mut candidates = CandidateList::default();
+        if pool.is_some() {
+            candidates.collect(&self.targets, &job, bounds, now);
+        }
+        let chosen = self.choose_trial(&policy, &candidates, pool);
+        let targets = self.explain_targets(&job, &candidates, suspect, now);
+        let floor = self.pressure.floor(now);
+        ChoiceExplanation {
+            choose: policy.choose.name,
+            admission: policy.admission.name,
+            output_tokens: job.output,
+            floor,
+            ahead: self.ahead(profile.tier),
+            reason: reason(profile, suspicion, floor, chosen, policy.choose.name),
+            chosen: chosen.and_then(|chosen| Some(self.targets.row(chosen.target)?.name.clone())),
+            targets,
+        }
+    }
+
+    fn trial_job(&self, profile: &RequestProfile, pool: usize) -> Job {
+        let prediction = self.costs.predict(pool, usize::MAX, profile);
+        Job {
+            profile: Box::new(profile.clone()),
+            pool,
+            lane: 0,
+            workspace: usize::MAX,
+            sequence: 0,
+            output: prediction.output,
+            cost: prediction.cost,
+            tags: (0, 0),
+            attempts: 0,
+            may_have_run: false,
+            avoid: Vec::new(),
+            delivered: 0,
+            preemptions: 0,
+            latest_start: profile.deadline,
+        }
+    }
+
+    fn choose_trial(
+        &self,
+        policy: &PolicyChoice,
+        candidates: &CandidateList,
+        pool: Option<usize>,
+    ) -> Option<ChooseCandidate> {
+        let pool = pool?;
+        if candidates.items.is_empty() {
+            return None;
+        }
+        let mut rng = self.rng.clone();
+        let last = self.targets.pool(pool).last;
+        let view = ChooseView { candidates: &candidates.items, rng: &mut rng, last };
+        candidates.items.get((policy.choose.choose)(view)).copied()
+    }
+
+    fn ahead(&self, tier: Tier) -> u32 {
+        let waiting = self.waiting_by_tier();
+        waiting[tier.index()..].iter().sum()
+    }
+
+    fn explain_targets(
+        &self,
+        job: &Job,
+        candidates: &CandidateList,
+        suspect: bool,
+        now: Instant,
+    ) -> Vec<TargetExplanation> {
+        let members = self.targets.iter().filter(|(_, row)| row.service == job.pool);
+        members
+            .map(|(index, row)| {
+                let found = candidates.items.iter().find(|candidate| candidate.target == index);
+                let estimate = found.map(|candidate| candidate.estimate);
+                TargetExplanation {
+                    target: row.name.clone(),
+                    in_flight: row.in_flight,
+                    window: row.window.size(now),
+                    first_token: estimate.map(|estimate| estimate.first_token),
+                    last_token: estimate.map(|estimate| estimate.last_token),
+                    cached_tokens: estimate.map(|estimate| estimate.cached),
+                    score: estimate.map(|estimate| estimate.score),
+                    excluded: match estimate {
+                        Some(_) => None,
+                        None => Some(exclusion(row, job, suspect, now)),
+                    },
+                }
+            })
+            .collect()
+    }
+}
+
+fn exclusion(row: &TargetRow, job: &Job, suspect: bool, now: Instant) -> &'static str {
+    if !row.may_work() {
+        "not in service"
+    } else if !row.holds(job.model()) {
+        "does not hold the model"
+    } else if row.window.slots() == 0 {
+        "this process has no slot there"
+    } else if row.in_flight >= row.window.size(now) {
+        "the window is full"
+    } else if suspect && !suits_suspect(row, job.tier()) {
+        "a suspect must run alone among suspects and not beside higher tiers"
+    } else {
+        "it runs a suspect of a lower tier"
+    }
+}
+
+fn reason(
+    profile: &RequestProfile,
+    suspicion: Suspicion,
+    floor: Tier,
+    chosen: Option<ChooseCandidate>,
+    plugin: &str,
+) -> String {
+    if suspicion == Suspicion::Convicted {
+        return "refused: targets crashed while they ran this request".to_owned();
+    }
+    if suspicion == Suspicion::Held {
+        return "held: a second target may have crashed while it ran this request".to_owned();
+    }
+    if profile.tier < floor {
+        return format!("shed: the floor is {floor}");
+    }
+    match chosen {
+        Some(candidate) => format!(
+            "{plugin}: first token expected in {:.3} s, last in {:.3} s, {} of {} slots in use",
+            candidate.estimate.first_token,
+            candidate.estimate.last_token,
+            candidate.in_flight,
+            candidate.window,
+        ),
+        None => "waits: no target of the service is open to it".to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/tarragon-scheduler/src/scheduler/preempt.rs
@@ -0,0 +1,96 @@
+//! Pre-emption of routine streams for urgent work.
+
+use std::time::{Duration, Instant};
+
+use crate::{
+    inflight::{CancelCause, RunningAttempt},
+    prelude::*,
+    scheduler::Scheduler,
+    targets::TargetRow,
+};
+
+/// Pre-emptions of one request.
+const MAX_PREEMPTIONS: u8 = 2;
+
+/// Pre-emptions that may be under way at once.
+const MAX_UNDER_WAY: usize = 8;
+
+/// The search looks at all attempts, so it is not made with every event.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(10);
+
+/// A stream that could give way.
+struct PreemptionCandidate {
+    request: RequestId,
+    /// Seconds of prefill that are done again when the stream resumes.
+    waste: f64,
+}
+
+impl Scheduler {
+    /// Cancels a routine stream if urgent work of a lane waits and the prefill that this wastes takes
+    /// less time than the wait for the next slot.
+    pub(super) fn preempt(
+        &mut self,
+        lane: usize,
+        now: Instant,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        let waiting = self.queue.ready_len(lane, Tier::Urgent);
+        let under_way = self.in_flight.preempting();
+        if under_way >= waiting.min(MAX_UNDER_WAY)
+            || self.clocks.preemption.is_some_and(|next| now < next)
+        {
+            return;
+        }
+        self.clocks.preemption = Some(now + SEARCH_INTERVAL);
+        let Some((candidate, wait)) = self.find_preemption(lane, now) else { return };
+        if candidate.waste < wait {
+            self.statistics.preemptions += 1;
+            self.cancel(candidate.request, CancelCause::Preempted, now, actions);
+        }
+    }
+
+    /// The stream that is cheapest to resume, and the expected wait for a slot without pre-emption.
+    fn find_preemption(&self, lane: usize, now: Instant) -> Option<(PreemptionCandidate, f64)> {
+        let head = self.queue.head(lane, Tier::Urgent)?;
+        let mut best: Option<PreemptionCandidate> = None;
+        let mut wait = f64::INFINITY;
+        for running in self.in_flight.iter() {
+            let Some(row) = self.targets.row(running.target) else { continue };
+            let serves = running.job.pool == head.pool
+                && row.may_work()
+                && row.holds(head.model())
+                && row.in_flight <= row.window.size(now);
+            if !serves {
+                continue;
+            }
+            wait = wait.min(remaining_seconds(running, row, now));
+            if !may_give_way(running) {
+                continue;
+            }
+            let waste = f64::from(running.uncached + running.tokens) * row.rates.prefill;
+            if best.as_ref().is_none_or(|best| waste < best.waste) {
+                best = Some(PreemptionCandidate { request: running.job.request(), waste });
+            }
+        }
+        best.map(|best| (best, wait))
+    }
+}
+
+fn may_give_way(running: &RunningAttempt) -> bool {
+    let job = &running.job;
+    job.tier() == Tier::Routine
+        && job.profile.idempotent
+        && job.model().is_some()
+        && job.preemptions < MAX_PREEMPTIONS
+        && running.cancel.is_none()
+}
+
+/// Expected seconds until an attempt ends by itself.
+fn remaining_seconds(running: &RunningAttempt, row: &TargetRow, now: Instant) -> f64 {
+    if running.first_token.is_some() {
+        let left = running.job.size().output.saturating_sub(running.tokens);
+        return f64::from(left) * row.rates.decode;
+    }
+    let elapsed = now.saturating_duration_since(running.dispatched).as_secs_f64();
+    (f64::from(running.estimate.last_token) - elapsed).max(0.0)
+}
--- /dev/null
+++ b/crates/tarragon-scheduler/src/scheduler/report.rs
@@ -0,0 +1,112 @@
+//! News of targets and peers: slots, load reports, crashes and suspects.
+
+use std::time::{Duration, Instant};
+
+use tarragon_protocol::peer::SuspectEntry;
+
+use crate::{inflight::RunningAttempt, prelude::*, scheduler::Scheduler, suspect::CRASH_LINK};
+
+/// Broken connections that are remembered for each target.
+const MAX_BROKEN: usize = 256;
+
+impl Scheduler {
+    pub(super) fn remove_target(&mut self, target: &TargetName, now: Instant) {
+        if let Some(index) = self.targets.find(target) {
+            self.release_broken(index, None);
+            self.targets.unlist(index, now);
+        }
+    }
+
+    pub(super) fn change_slots(&mut self, slots: &TargetSlots, now: Instant) {
+        let Some(index) = self.targets.find(&slots.target) else { return };
+        if let Some(row) = self.targets.row_mut(index) {
+            row.bears = slots.bears;
+            row.window.set_slots(slots.slots, slots.cold);
+        }
+        self.targets.refresh(index, now);
+    }
+
+    pub(super) fn take_report(
+        &mut self,
+        target: &TargetName,
+        report: &LoadReport,
+        age: Duration,
+        now: Instant,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        let Some(index) = self.targets.find(target) else { return };
+        let before = self.targets.row(index).and_then(|row| row.restart());
+        let age = age.saturating_add(Duration::from_millis(report.lag_ms));
+        if self.targets.take_report(index, report, age, now) {
+            self.statistics.cold_signs += 1;
+            actions.push(SchedulerAction::PollTarget(target.clone()));
+            self.confirm_crash(index, before, now, actions);
+        } else if before == Some(report.restart) {
+            self.release_broken(index, now.checked_sub(age));
+        }
+        self.targets.refresh(index, now);
+    }
+
+    /// Remembers that a connection broke: a restart of the target makes it a crash.
+    pub(super) fn note_broken(&mut self, running: &RunningAttempt, now: Instant) {
+        let fingerprint = running.job.profile.fingerprint;
+        let Some(row) = self.targets.row_mut(running.target) else { return };
+        if row.listed && row.broken.len() < MAX_BROKEN {
+            row.broken.push((fingerprint, now));
+            self.suspects.pend(fingerprint, now);
+        }
+    }
+
+    /// The target has crashed: what ran there when connections broke is suspect. Without a restart id
+    /// from before, the last known one stands for the crash.
+    pub(super) fn confirm_crash(
+        &mut self,
+        target: usize,
+        before: Option<u64>,
+        now: Instant,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        let Some(row) = self.targets.row_mut(target) else { return };
+        let restart = before.or_else(|| row.restart()).unwrap_or(0);
+        let name = row.name.clone();
+        for (fingerprint, broken) in std::mem::take(&mut row.broken) {
+            if now.saturating_duration_since(broken) > CRASH_LINK {
+                self.suspects.release(fingerprint);
+                continue;
+            }
+            let mark = (name.clone(), restart);
+            if let Some(entry) = self.suspects.confirm(fingerprint, mark, broken, now) {
+                self.announce_suspect(entry, actions);
+            }
+        }
+    }
+
+    /// Connections that broke at the target were no crash: all of them, or those before a time.
+    pub(super) fn release_broken(&mut self, target: usize, before: Option<Instant>) {
+        let Some(row) = self.targets.row_mut(target) else { return };
+        let suspects = &mut self.suspects;
+        row.broken.retain(|(fingerprint, broken)| {
+            let keep = before.is_some_and(|before| *broken >= before);
+            if !keep {
+                suspects.release(*fingerprint);
+            }
+            keep
+        });
+    }
+
+    pub(super) fn take_suspect(
+        &mut self,
+        entry: &SuspectEntry,
+        now: Instant,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        if let Some(entry) = self.suspects.merge(entry, now) {
+            self.announce_suspect(entry, actions);
+        }
+    }
+
+    fn announce_suspect(&mut self, entry: SuspectEntry, actions: &mut Vec<SchedulerAction>) {
+        self.statistics.convictions += u64::from(entry.convicted);
+        actions.push(SchedulerAction::AnnounceSuspect(entry));
+    }
+}
--- /dev/null
+++ b/crates/tarragon-scheduler/src/scheduler/shed.rs
@@ -0,0 +1,141 @@
+//! Overload: which requests give way, and the announcement of the shed floor.
+
+use std::time::{Duration, Instant};
+
+use crate::{
+    invariant::SchedulerInvariant,
+    job::Job,
+    prelude::*,
+    pressure::FLOOR_HOLD,
+    scheduler::{RETRY_AFTER, Scheduler},
+};
+
+impl Scheduler {
+    /// Whether a request with this many tokens fits into the queue.
+    pub(super) fn fits(&self, tokens: u64) -> bool {
+        self.queue.len() < self.limits.waiting
+            && self.queue.tokens() + tokens <= self.limits.waiting_tokens
+    }
+
+    /// Makes room for a job: lower tiers give way first, then hopeless requests of its own tier. Returns
+    /// false if there is no room, so that the job itself, the newest of its tier, gives way.
+    pub(super) fn make_room(
+        &mut self,
+        job: &Job,
+        now: Instant,
+        actions: &mut Vec<SchedulerAction>,
+    ) -> bool {
+        while !self.fits(job.tokens()) {
+            let Some(victim) = self.find_victim(job.tier(), now) else { return false };
+            self.shed_waiting(victim, now, actions);
+        }
+        true
+    }
+
+    /// Sheds everything that waits below a tier. Floors of peers may forbid these requests to run, and
+    /// none of them may stay when a request of the tier is shed.
+    pub(super) fn shed_below(
+        &mut self,
+        tier: Tier,
+        now: Instant,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        while let Some(lowest) = self.queue.lowest_tier().filter(|lowest| *lowest < tier) {
+            let Some(victim) = self.queue.newest(lowest) else { return };
+            self.shed_waiting(victim, now, actions);
+        }
+    }
+
+    /// The refusal of a new request for overload. The floor is announced with the first refusal, so
+    /// that peers start nothing below the tier.
+    pub(super) fn shed_new(
+        &mut self,
+        tier: Tier,
+        by_tier: bool,
+        now: Instant,
+        actions: &mut Vec<SchedulerAction>,
+    ) -> Refusal {
+        if by_tier {
+            self.announce_shedding(tier, now, actions);
+        }
+        let delay = if tier < self.pressure.floor(now) { FLOOR_HOLD } else { RETRY_AFTER };
+        Refusal::not_run(RefusalCode::Shed, "the tier is shed because of overload")
+            .with_retry_after(delay)
+    }
+
+    /// Refuses waiting requests that no target can finish before the deadline.
+    pub(super) fn refuse_hopeless(&mut self, now: Instant, actions: &mut Vec<SchedulerAction>) {
+        for tier in Tier::DESCENDING {
+            while let Some(request) = self.queue.hopeless(tier, now, Duration::ZERO) {
+                let Some(job) = self.dequeue_unserved(request) else { break };
+                let message = "the deadline can't be met any more";
+                let refusal = Scheduler::refusal_of(&job, RefusalCode::DeadlineExceeded, message);
+                self.refuse(request, tier, refusal, actions);
+            }
+        }
+    }
+
+    /// Announces the floor when the fill of the queue changes it.
+    pub(super) fn adapt_floor(&mut self, now: Instant, actions: &mut Vec<SchedulerAction>) {
+        let entries = self.queue.len() as f64 / self.limits.waiting.max(1) as f64;
+        let tokens = self.queue.tokens() as f64 / self.limits.waiting_tokens.max(1) as f64;
+        let lowest = self.queue.lowest_tier();
+        if let Some(floor) = self.pressure.adapt(entries.max(tokens), lowest, now) {
+            actions.push(SchedulerAction::AnnounceFloor(floor));
+        }
+    }
+
+    /// The request that gives way to one of this tier, if any does.
+    fn find_victim(&self, tier: Tier, now: Instant) -> Option<RequestId> {
+        let lowest = self.queue.lowest_tier().filter(|lowest| *lowest <= tier)?;
+        let hopeless = self.queue.hopeless(lowest, now, self.tier_delay(lowest));
+        let newest = self.queue.newest(lowest).filter(|_| lowest < tier);
+        hopeless.or(newest)
+    }
+
+    /// Half of the time that the work of a tier and of those above it takes: a request with less time
+    /// left will hardly be served.
+    fn tier_delay(&self, tier: Tier) -> Duration {
+        let rate: f64 = self.targets.drain_rate();
+        if rate < 1.0 {
+            return Duration::ZERO;
+        }
+        let ahead: u64 = Tier::DESCENDING
+            .into_iter()
+            .filter(|other| *other >= tier)
+            .map(|other| self.queue.tier_tokens(other))
+            .sum();
+        Duration::from_secs_f64((0.5 * ahead as f64 / rate).min(3_600.0))
+    }
+
+    fn shed_waiting(
+        &mut self,
+        request: RequestId,
+        now: Instant,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        let Some(job) = self.dequeue_unserved(request) else { return };
+        let tier = job.tier();
+        self.announce_shedding(tier, now, actions);
+        self.statistics.displaced[tier.index()] += 1;
+        let message = "the request gave way to others because of overload";
+        let refusal = Scheduler::refusal_of(&job, RefusalCode::Shed, message);
+        self.refuse(request, tier, refusal.with_retry_after(RETRY_AFTER), actions);
+    }
+
+    /// Before a tier is shed: nothing lower may wait here, and peers learn of it. A tier that has been
+    /// announced for [`crate::pressure::FLOOR_NOTICE`] needs no further announcement.
+    fn announce_shedding(&mut self, tier: Tier, now: Instant, actions: &mut Vec<SchedulerAction>) {
+        let lowest = self.queue.lowest_tier();
+        let lowest_first = lowest.is_none_or(|lowest| lowest >= tier);
+        self.invariants.check(SchedulerInvariant::LowestTierShedFirst, lowest_first, || {
+            format!("{tier} is shed while {lowest:?} waits")
+        });
+        if self.pressure.may_shed(tier, now) {
+            return;
+        }
+        if let Some(floor) = self.pressure.raise(tier, now) {
+            actions.push(SchedulerAction::AnnounceFloor(floor));
+        }
+    }
+}
--- /dev/null
+++ b/crates/tarragon-scheduler/src/scheduler/tick.rs
@@ -0,0 +1,101 @@
+//! Periodic work.
+
+use std::time::{Duration, Instant};
+
+use crate::{
+    inflight::{CancelCause, RunningAttempt},
+    job::Job,
+    prelude::*,
+    scheduler::{RETRY_AFTER, Scheduler},
+    suspect::CRASH_LINK,
+};
+
+/// Interval of the refresh of the pools' figures.
+const POOL_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Streams on a target that is out of service go on elsewhere after this time.
+const MOVE_GRACE: Duration = Duration::from_secs(20);
+
+/// Requests that wait for a service without any target are refused after this time. A shorter one would
+/// refuse them whenever the only target of a service restarts its listing.
+const EMPTY_GRACE: Duration = Duration::from_secs(2);
+
+impl Scheduler {
+    pub(super) fn tick(&mut self, now: Instant, actions: &mut Vec<SchedulerAction>) {
+        self.targets.refresh_all(now);
+        self.stop_attempts(now, actions);
+        self.refuse_without_target(now, actions);
+        self.release_old_breaks(now);
+        let waiting = self.queue.len() as u32;
+        self.share = self.pressure.share(waiting, now);
+        let last = *self.clocks.pools.get_or_insert(now);
+        let elapsed = now.saturating_duration_since(last);
+        if elapsed >= POOL_INTERVAL {
+            self.clocks.pools = Some(now);
+            self.targets.refresh_pools(elapsed, !self.queue.is_empty(), now);
+            self.shares.sweep(now);
+            self.queue.sweep();
+            self.suspects.expire(now);
+        }
+    }
+
+    /// Cancels attempts whose deadline has passed or whose target is out of service for too long.
+    fn stop_attempts(&mut self, now: Instant, actions: &mut Vec<SchedulerAction>) {
+        let mut stops = Vec::new();
+        for running in self.in_flight.iter() {
+            if !running.job.profile.idempotent {
+                continue;
+            }
+            if running.job.profile.deadline <= now {
+                stops.push((running.job.request(), CancelCause::Expired));
+            } else if self.must_move(running, now) {
+                stops.push((running.job.request(), CancelCause::Moved));
+            }
+        }
+        for (request, cause) in stops {
+            self.cancel(request, cause, now, actions);
+        }
+    }
+
+    fn must_move(&self, running: &RunningAttempt, now: Instant) -> bool {
+        let closed = self.targets.row(running.target).and_then(|row| row.closed_since);
+        running.cancel.is_none()
+            && closed.is_some_and(|since| now.saturating_duration_since(since) >= MOVE_GRACE)
+            && self.targets.can_serve(running.job.pool, running.job.model())
+    }
+
+    /// Refuses waiting requests of services that have had no target in service for a while.
+    fn refuse_without_target(&mut self, now: Instant, actions: &mut Vec<SchedulerAction>) {
+        let is_empty = |pool: usize| {
+            let since = self.targets.pool(pool).empty_since;
+            since.is_some_and(|since| now.saturating_duration_since(since) >= EMPTY_GRACE)
+        };
+        if !(0..self.queue.lane_count()).any(|lane| is_empty(self.queue.lane_pool(lane))) {
+            return;
+        }
+        let requests: Vec<RequestId> =
+            self.queue.iter().filter(|job| is_empty(job.pool)).map(Job::request).collect();
+        for request in requests {
+            let Some(job) = self.dequeue_unserved(request) else { continue };
+            let message = "no target of the service is in service";
+            let refusal = Scheduler::refusal_of(&job, RefusalCode::NoTarget, message);
+            self.refuse(request, job.tier(), refusal.with_retry_after(RETRY_AFTER), actions);
+        }
+    }
+
+    /// Broken connections without a restart of the target in time were no crash.
+    fn release_old_breaks(&mut self, now: Instant) {
+        let old = now.checked_sub(CRASH_LINK);
+        let affected: Vec<usize> = self
+            .targets
+            .iter()
+            .filter(|(_, row)| !row.broken.is_empty())
+            .map(|(index, _)| index)
+            .collect();
+        for index in affected {
+            if old.is_some() {
+                self.release_broken(index, old);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/tarragon-scheduler/src/suspect.rs
@@ -0,0 +1,193 @@
+//! Requests that may crash targets.
+
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+use tarragon_protocol::peer::SuspectEntry;
+
+use crate::{hash::NumberHash, prelude::*};
+
+/// Fingerprints that are remembered.
+pub const MAX_SUSPECTS: usize = 1_024;
+
+/// Suspicions and verdicts end after this time.
+pub const SUSPECT_LIFETIME: Duration = Duration::from_secs(600);
+
+/// Crashes after which a request is refused.
+const CONVICTING_CRASHES: usize = 2;
+
+/// A restart of the target within this time of a broken connection counts as a crash.
+pub const CRASH_LINK: Duration = Duration::from_secs(10);
+
+/// One crash: the target and its restart id before it.
+pub type CrashMark = (TargetName, u64);
+
+#[derive(Debug)]
+struct SuspectState {
+    crashes: Vec<CrashMark>,
+    /// Crashes from before a finished run. Peers may still repeat them.
+    settled: Vec<CrashMark>,
+    /// Broken connections that may turn out to be crashes.
+    pending: usize,
+    convicted: bool,
+    cleared: Option<Instant>,
+    last: Instant,
+}
+
+/// What is held against a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Suspicion {
+    /// Nothing.
+    None,
+    /// It runs alone among suspects.
+    Suspect,
+    /// A second crash may have happened; it doesn't run until that is known.
+    Held,
+    /// It is refused.
+    Convicted,
+}
+
+/// Suspicions by fingerprint.
+#[derive(Debug, Default)]
+pub struct SuspectTable {
+    entries: IndexMap<Fingerprint, SuspectState, NumberHash>,
+}
+
+impl SuspectTable {
+    /// Number of fingerprints.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// What is held against a request.
+    pub fn check(&self, fingerprint: Fingerprint, now: Instant) -> Suspicion {
+        let Some(state) = self.entries.get(&fingerprint) else { return Suspicion::None };
+        if now.saturating_duration_since(state.last) > SUSPECT_LIFETIME {
+            return Suspicion::None;
+        }
+        match state.crashes.len() + state.pending {
+            _ if state.convicted => Suspicion::Convicted,
+            0 => Suspicion::None,
+            1 => Suspicion::Suspect,
+            _ => Suspicion::Held,
+        }
+    }
+
+    /// A connection broke while the request ran.
+    pub fn pend(&mut self, fingerprint: Fingerprint, now: Instant) {
+        let state = self.state(fingerprint, now);
+        state.pending += 1;
+        state.last = now;
+    }
+
+    /// A broken connection was no crash, or it is not known to be one in time.
+    pub fn release(&mut self, fingerprint: Fingerprint) {
+        let Some(state) = self.entries.get_mut(&fingerprint) else { return };
+        state.pending = state.pending.saturating_sub(1);
+        if state.pending == 0 && state.crashes.is_empty() && state.settled.is_empty() {
+            self.entries.swap_remove(&fingerprint);
+        }
+    }
+
+    /// A broken connection was a crash. Returns what peers have to know.
+    pub fn confirm(
+        &mut self,
+        fingerprint: Fingerprint,
+        crash: CrashMark,
+        broken: Instant,
+        now: Instant,
+    ) -> Option<SuspectEntry> {
+        let state = self.state(fingerprint, now);
+        state.pending = state.pending.saturating_sub(1);
+        if state.cleared.is_some_and(|cleared| cleared >= broken) {
+            state.settled.push(crash);
+            return None;
+        }
+        state.last = now;
+        state.add(crash).then(|| state.entry(fingerprint, now))
+    }
+
+    /// A peer's finding. Returns what other peers have to know: two findings together may convict.
+    pub fn merge(&mut self, entry: &SuspectEntry, now: Instant) -> Option<SuspectEntry> {
+        let age = Duration::from_millis(entry.age_ms);
+        if age > SUSPECT_LIFETIME {
+            return None;
+        }
+        let state = self.state(entry.fingerprint, now);
+        let known = state.convicted;
+        for crash in &entry.crashes {
+            if state.add(crash.clone()) {
+                state.last = state.last.max(now.checked_sub(age).unwrap_or(now));
+            }
+        }
+        state.convicted |= entry.convicted;
+        let news = state.convicted && !known && !entry.convicted;
+        news.then(|| state.entry(entry.fingerprint, now))
+    }
+
+    /// The request finished: it did not cause the crashes that it was near.
+    pub fn clear(&mut self, fingerprint: Fingerprint, now: Instant) {
+        let Some(state) = self.entries.get_mut(&fingerprint) else { return };
+        if !state.convicted {
+            state.settled.append(&mut state.crashes);
+            state.cleared = Some(now);
+        }
+    }
+
+    /// Forgets what is too old.
+    pub fn expire(&mut self, now: Instant) {
+        self.entries
+            .retain(|_, state| now.saturating_duration_since(state.last) <= SUSPECT_LIFETIME);
+    }
+
+    /// Suspects and verdicts in force.
+    pub fn entries(&self, now: Instant) -> Vec<SuspectEntry> {
+        let known = self.entries.iter().filter(|(_, state)| !state.crashes.is_empty());
+        known.map(|(fingerprint, state)| state.entry(*fingerprint, now)).collect()
+    }
+
+    fn state(&mut self, fingerprint: Fingerprint, now: Instant) -> &mut SuspectState {
+        if !self.entries.contains_key(&fingerprint) && self.entries.len() >= MAX_SUSPECTS {
+            self.evict();
+        }
+        self.entries.entry(fingerprint).or_insert_with(|| SuspectState {
+            crashes: Vec::new(),
+            settled: Vec::new(),
+            pending: 0,
+            convicted: false,
+            cleared: None,
+            last: now,
+        })
+    }
+
+    /// Makes room: suspicions go before verdicts, the oldest first.
+    fn evict(&mut self) {
+        let oldest = self.entries.iter().min_by_key(|(_, state)| (state.convicted, state.last));
+        if let Some(fingerprint) = oldest.map(|(fingerprint, _)| *fingerprint) {
+            self.entries.swap_remove(&fingerprint);
+        }
+    }
+}
+
+impl SuspectState {
+    /// Adds a crash. Returns whether it was unknown.
+    fn add(&mut self, crash: CrashMark) -> bool {
+        if self.crashes.contains(&crash) || self.settled.contains(&crash) {
+            return false;
+        }
+        if self.crashes.len() < CONVICTING_CRASHES {
+            self.crashes.push(crash);
+        }
+        self.convicted |= self.crashes.len() >= CONVICTING_CRASHES;
+        true
+    }
+
+    fn entry(&self, fingerprint: Fingerprint, now: Instant) -> SuspectEntry {
+        SuspectEntry {
+            fingerprint,
+            crashes: self.crashes.clone(),
+            convicted: self.convicted,
+            age_ms: now.saturating_duration_since(self.last).as_millis() as u64,
+        }
+    }
+}
--- /dev/null
+++ b/crates/tarragon-scheduler/src/targets.rs
@@ -0,0 +1,413 @@
+//! The target table: what is known of each target of the data centre, and which of them are open.
+
+pub mod estimate;
+pub mod prefix;
+pub mod rate;
+pub mod trust;
+pub mod window;
+
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+use tarragon_protocol::engine::{CacheChange, CacheEvent};
+
+use crate::{
+    prelude::*,
+    targets::{prefix::PrefixIndex, rate::RateEstimate, trust::CacheTrust, window::TargetWindow},
+};
+
+/// Weight of a new interval in the mean of generated tokens a second.
+const DRAIN_GAIN: f64 = 0.2;
+
+/// The last report of a target.
+#[derive(Debug, Clone)]
+pub struct ReportView {
+    /// Restart id.
+    pub restart: u64,
+    /// Running requests.
+    pub running: u32,
+    /// Waiting requests.
+    pub waiting: u32,
+    /// Own requests in flight when the report arrived.
+    pub own: u32,
+    /// When the figures were taken.
+    pub taken: Instant,
+}
+
+/// One target.
+#[derive(Debug)]
+pub struct TargetRow {
+    /// Name.
+    pub name: TargetName,
+    /// Position of its service in the pools.
+    pub service: usize,
+    /// Whether it may get new work.
+    pub in_service: bool,
+    /// Whether it reports that it is about to stop.
+    pub leaving: bool,
+    /// Since when it may not get new work.
+    pub closed_since: Option<Instant>,
+    /// Whether it is still published. A removed target stays until its last attempt has ended.
+    pub listed: bool,
+    /// What it bears in all.
+    pub bears: u32,
+    /// Own requests in flight.
+    pub in_flight: u32,
+    /// Own requests in flight by tier.
+    pub by_tier: [u32; Tier::COUNT],
+    /// Own crash suspects in flight, by tier.
+    pub suspects: [u32; Tier::COUNT],
+    /// Prompt tokens of own requests that still wait for their first token.
+    pub pending_prefill: u64,
+    /// Learned speed.
+    pub rates: RateEstimate,
+    /// Window.
+    pub window: TargetWindow,
+    /// Last report.
+    pub report: Option<ReportView>,
+    /// Models held; empty if unknown.
+    pub models: Vec<ModelName>,
+    /// Trust in the prefix index.
+    pub trust: CacheTrust,
+    /// Requests whose connection broke here a short time ago.
+    pub broken: Vec<(Fingerprint, Instant)>,
+    open: bool,
+}
+
+impl TargetRow {
+    fn new(entry: &TargetEntry, service: usize, rates: RateEstimate, now: Instant) -> TargetRow {
+        TargetRow {
+            name: entry.target.clone(),
+            service,
+            in_service: entry.in_service,
+            leaving: false,
+            closed_since: None,
+            listed: true,
+            bears: 1,
+            in_flight: 0,
+            by_tier: [0; Tier::COUNT],
+            suspects: [0; Tier::COUNT],
+            pending_prefill: 0,
+            rates,
+            window: TargetWindow::new(now),
+            report: None,
+            models: Vec::new(),
+            trust: CacheTrust::default(),
+            broken: Vec::new(),
+            open: false,
+        }
+    }
+
+    /// Whether the target may take one more own request now.
+    pub fn is_open(&self, now: Instant) -> bool {
+        self.may_work() && self.in_flight < self.window.size(now)
+    }
+
+    /// Whether the target may get new work at all.
+    pub fn may_work(&self) -> bool {
+        self.listed && self.in_service && !self.leaving
+    }
+
+    /// Whether the target holds the model, or it is not known what it holds.
+    pub fn holds(&self, model: Option<&ModelName>) -> bool {
+        match model {
+            Some(model) => self.models.is_empty() || self.models.contains(model),
+            None => true,
+        }
+    }
+
+    /// Highest tier of own requests in flight.
+    pub fn highest_tier(&self) -> Option<Tier> {
+        Tier::DESCENDING.into_iter().find(|tier| self.by_tier[tier.index()] > 0)
+    }
+
+    /// Restart id of the last report.
+    pub fn restart(&self) -> Option<u64> {
+        self.report.as_ref().map(|report| report.restart)
+    }
+}
+
+/// The targets of one service.
+#[derive(Debug, Default)]
+pub struct ServicePool {
+    /// Positions in the table, ascending.
+    pub members: Vec<usize>,
+    /// Members that were open when they last changed.
+    pub open: u32,
+    /// Position that was chosen last.
+    pub last: usize,
+    /// Least times of all members, from those with enough samples.
+    pub fastest: Option<RateEstimate>,
+    /// Since when no member may get work.
+    pub empty_since: Option<Instant>,
+    /// Tokens generated in the current interval, and a second's mean while requests waited.
+    pub drained: u64,
+    /// Tokens a second.
+    pub drain_rate: f64,
+}
+
+/// All targets.
+#[derive(Debug, Default)]
+pub struct TargetTable {
+    /// Rows; `None` is free for the next target.
+    rows: Vec<Option<TargetRow>>,
+    names: IndexMap<TargetName, usize>,
+    pools: IndexMap<ServiceName, ServicePool>,
+    /// Prefixes held by the targets.
+    pub prefixes: PrefixIndex,
+}
+
+impl TargetTable {
+    /// Row at a position.
+    pub fn row(&self, index: usize) -> Option<&TargetRow> {
+        self.rows.get(index)?.as_ref()
+    }
+
+    /// Row at a position. Call [`TargetTable::refresh`] after a change that may open or close it.
+    pub fn row_mut(&mut self, index: usize) -> Option<&mut TargetRow> {
+        self.rows.get_mut(index)?.as_mut()
+    }
+
+    /// Position of a target.
+    pub fn find(&self, name: &str) -> Option<usize> {
+        self.names.get(name).copied()
+    }
+
+    /// All rows with their positions.
+    pub fn iter(&self) -> impl Iterator<Item = (usize, &TargetRow)> {
+        self.rows.iter().enumerate().filter_map(|(index, row)| Some((index, row.as_ref()?)))
+    }
+
+    /// Number of positions, for tables indexed by position.
+    pub fn capacity(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Position of a service's pool; creates it if needed.
+    pub fn pool_index(&mut self, service: &ServiceName) -> usize {
+        match self.pools.get_index_of(service) {
+            Some(index) => index,
+            None => self.pools.insert_full(service.clone(), ServicePool::default()).0,
+        }
+    }
+
+    /// Position of a service's pool, if there is one.
+    pub fn find_pool(&self, service: &str) -> Option<usize> {
+        self.pools.get_index_of(service)
+    }
+
+    /// Service of a pool.
+    pub fn pool_name(&self, index: usize) -> &str {
+        self.pools.get_index(index).map_or("", |(name, _)| name)
+    }
+
+    /// Tokens a second of all pools.
+    pub fn drain_rate(&self) -> f64 {
+        self.pools.values().map(|pool| pool.drain_rate).sum()
+    }
+
+    /// Pool at a position.
+    pub fn pool(&self, index: usize) -> &ServicePool {
+        &self.pools[index]
+    }
+
+    /// Notes the position chosen last.
+    pub fn set_last(&mut self, pool: usize, target: usize) {
+        self.pools[pool].last = target;
+    }
+
+    /// Adds or changes a target.
+    pub fn list(&mut self, entry: &TargetEntry, now: Instant) {
+        let pool = self.pool_index(&entry.service);
+        let index = match self.find(&entry.target) {
+            Some(index) => index,
+            None => self.add(entry, pool, now),
+        };
+        self.move_pool(index, pool);
+        if let Some(row) = self.row_mut(index) {
+            row.in_service = entry.in_service;
+            row.listed = true;
+        }
+        self.refresh(index, now);
+    }
+
+    /// The target is no longer published.
+    pub fn unlist(&mut self, index: usize, now: Instant) {
+        if let Some(row) = self.row_mut(index) {
+            row.listed = false;
+        }
+        self.refresh(index, now);
+        self.drop_if_done(index);
+    }
+
+    /// Frees the row of a removed target without attempts.
+    pub fn drop_if_done(&mut self, index: usize) {
+        let Some(row) = self.row(index) else { return };
+        if row.listed || row.in_flight > 0 {
+            return;
+        }
+        let (name, pool) = (row.name.clone(), row.service);
+        self.names.swap_remove(&name);
+        self.pools[pool].members.retain(|member| *member != index);
+        self.prefixes.clear_target(index);
+        self.rows[index] = None;
+    }
+
+    /// Brings the count of open targets up to date after a change of one row.
+    pub fn refresh(&mut self, index: usize, now: Instant) {
+        let Some(row) = self.rows.get_mut(index).and_then(Option::as_mut) else { return };
+        if row.may_work() {
+            row.closed_since = None;
+        } else {
+            row.closed_since.get_or_insert(now);
+        }
+        let open = row.is_open(now);
+        if open != row.open {
+            row.open = open;
+            let count = &mut self.pools[row.service].open;
+            *count = if open { *count + 1 } else { *count - 1 };
+        }
+    }
+
+    /// Brings the count of open targets up to date after time has passed.
+    pub fn refresh_all(&mut self, now: Instant) {
+        for index in 0..self.rows.len() {
+            self.refresh(index, now);
+        }
+    }
+
+    /// Takes cache events of a target. Returns the number of gaps in their numbering.
+    pub fn take_cache_events(&mut self, index: usize, events: &[CacheEvent], now: Instant) -> u64 {
+        let mut gaps = 0;
+        for event in events {
+            let Some(row) = self.rows.get_mut(index).and_then(Option::as_mut) else { break };
+            gaps += u64::from(row.trust.take_sequence(event.sequence, now));
+            match event.change {
+                CacheChange::Stored => self.prefixes.insert(index, &event.blocks),
+                CacheChange::Evicted => self.prefixes.remove(index, &event.blocks),
+                CacheChange::Cleared => {
+                    row.trust.reset();
+                    self.prefixes.clear_target(index);
+                }
+            }
+        }
+        gaps
+    }
+
+    /// Takes a report. Returns whether the restart id is a new one.
+    pub fn take_report(
+        &mut self,
+        index: usize,
+        report: &LoadReport,
+        age: Duration,
+        now: Instant,
+    ) -> bool {
+        let Some(row) = self.rows.get_mut(index).and_then(Option::as_mut) else { return false };
+        let taken = now.checked_sub(age).unwrap_or(now);
+        if row.report.as_ref().is_some_and(|known| known.taken > taken) {
+            return false;
+        }
+        let restarted = row.restart().is_some_and(|known| known != report.restart);
+        if restarted {
+            row.trust.restart();
+            row.models.clear();
+            row.window.suspect(now);
+            self.prefixes.clear_target(index);
+        }
+        if !report.models.is_empty() {
+            row.models.clone_from(&report.models);
+        }
+        row.report = Some(ReportView {
+            restart: report.restart,
+            running: report.running,
+            waiting: report.waiting,
+            own: row.in_flight,
+            taken,
+        });
+        row.leaving = report.state == TargetState::Leaving;
+        row.window.settle(taken);
+        restarted
+    }
+
+    /// Brings figures of the pools up to date that change slowly. `elapsed` is the time since the last
+    /// call.
+    pub fn refresh_pools(&mut self, elapsed: Duration, busy: bool, now: Instant) {
+        for pool in &mut self.pools.values_mut() {
+            let rows = || pool.members.iter().filter_map(|index| self.rows[*index].as_ref());
+            pool.fastest = fastest(rows().filter(|row| row.may_work() && row.rates.is_trusted()));
+            if rows().any(TargetRow::may_work) {
+                pool.empty_since = None;
+            } else {
+                pool.empty_since.get_or_insert(now);
+            }
+            let rate = std::mem::take(&mut pool.drained) as f64 / elapsed.as_secs_f64().max(1e-3);
+            if busy {
+                pool.drain_rate += DRAIN_GAIN * (rate - pool.drain_rate);
+            }
+        }
+    }
+
+    /// Notes that a service's targets generated tokens.
+    pub fn note_drained(&mut self, pool: usize, tokens: u64) {
+        self.pools[pool].drained += tokens;
+    }
+
+    /// Whether a member of the pool may get work and holds the model.
+    pub fn can_serve(&self, pool: usize, model: Option<&ModelName>) -> bool {
+        let members = self.pools[pool].members.iter();
+        members.filter_map(|index| self.row(*index)).any(|row| row.may_work() && row.holds(model))
+    }
+
+    fn add(&mut self, entry: &TargetEntry, pool: usize, now: Instant) -> usize {
+        let rates = self.sibling_rates(pool);
+        let row = TargetRow::new(entry, pool, rates, now);
+        let index = match self.rows.iter().position(Option::is_none) {
+            Some(index) => index,
+            None => {
+                self.rows.push(None);
+                self.rows.len() - 1
+            }
+        };
+        self.rows[index] = Some(row);
+        self.names.insert(entry.target.clone(), index);
+        insert_sorted(&mut self.pools[pool].members, index);
+        index
+    }
+
+    /// A new target is expected to be as fast as a known one of its service.
+    fn sibling_rates(&self, pool: usize) -> RateEstimate {
+        let members = self.pools[pool].members.iter();
+        let known = members.filter_map(|index| self.row(*index)).find(|row| row.rates.is_trusted());
+        known.map_or_else(RateEstimate::default, |row| RateEstimate { samples: 1, ..row.rates })
+    }
+
+    fn move_pool(&mut self, index: usize, pool: usize) {
+        let Some(row) = self.rows[index].as_mut().filter(|row| row.service != pool) else { return };
+        let old = std::mem::replace(&mut row.service, pool);
+        if std::mem::take(&mut row.open) {
+            self.pools[old].open -= 1;
+        }
+        self.pools[old].members.retain(|member| *member != index);
+        insert_sorted(&mut self.pools[pool].members, index);
+    }
+}
+
+/// Least expected times among rows.
+fn fastest<'a, R>(rows: R) -> Option<RateEstimate>
+where
+    R: Iterator<Item = &'a TargetRow>,
+{
+    rows.map(|row| row.rates).reduce(|least, rates| RateEstimate {
+        base: least.base.min(rates.base),
+        prefill: least.prefill.min(rates.prefill),
+        decode: least.decode.min(rates.decode),
+        call: least.call.min(rates.call),
+        samples: least.samples.max(rates.samples),
+    })
+}
+
+fn insert_sorted(members: &mut Vec<usize>, index: usize) {
+    if let Err(position) = members.binary_search(&index) {
+        members.insert(position, index);
+    }
+}
--- /dev/null
+++ b/crates/tarragon-scheduler/src/targets/prefix.rs
@@ -0,0 +1,185 @@
+//! Which targets hold which prompt prefixes in their caches, as far as cache events and own dispatches
+//! tell.
+
+use indexmap::IndexMap;
+
+use crate::{hash::NumberHash, prelude::*};
+
+/// Blocks that are remembered. At 384 targets a block takes about 100 bytes.
+const MAX_BLOCKS: usize = 65_536;
+
+/// Blocks of one prompt that are looked up. Longer prompts are sampled evenly.
+const MAX_PROBES: usize = 64;
+
+/// Blocks compared when one has to make room; the least recently used of them goes.
+const EVICTION_SAMPLE: usize = 4;
+
+/// Sets of targets by block hash.
+#[derive(Debug)]
+pub struct PrefixIndex {
+    /// Block to time of last use, in the order of the rows of `holders`.
+    blocks: IndexMap<BlockHash, u32, NumberHash>,
+    /// One row of `stride` words per block; a bit per target.
+    holders: Vec<u64>,
+    stride: usize,
+    clock: u32,
+    cursor: usize,
+}
+
+impl Default for PrefixIndex {
+    fn default() -> PrefixIndex {
+        PrefixIndex {
+            blocks: IndexMap::default(),
+            holders: Vec::new(),
+            stride: 1,
+            clock: 0,
+            cursor: 0,
+        }
+    }
+}
+
+impl PrefixIndex {
+    /// Number of blocks known.
+    pub fn len(&self) -> usize {
+        self.blocks.len()
+    }
+
+    /// Whether no block is known.
+    pub fn is_empty(&self) -> bool {
+        self.blocks.is_empty()
+    }
+
+    /// Notes that a target holds blocks.
+    pub fn insert(&mut self, target: usize, blocks: &[BlockHash]) {
+        self.widen(target);
+        self.clock = self.clock.wrapping_add(1);
+        for block in blocks {
+            self.insert_block(target, *block);
+        }
+    }
+
+    /// Notes that a target will hold a prompt that is sent to it. Long prompts are sampled in the way in
+    /// which they are looked up.
+    pub fn insert_prompt(&mut self, target: usize, blocks: &[BlockHash]) {
+        self.widen(target);
+        self.clock = self.clock.wrapping_add(1);
+        let step = sample_step(blocks.len());
+        for block in blocks.iter().skip(step - 1).step_by(step) {
+            self.insert_block(target, *block);
+        }
+    }
+
+    /// Notes that a target no longer holds blocks.
+    pub fn remove(&mut self, target: usize, blocks: &[BlockHash]) {
+        for block in blocks {
+            let Some(row) = self.blocks.get_index_of(block) else { continue };
+            let start = row * self.stride;
+            if let Some(word) = self.holders[start..start + self.stride].get_mut(target / 64) {
+                *word &= !(1 << (target % 64));
+            }
+            if self.holders[start..start + self.stride].iter().all(|word| *word == 0) {
+                self.remove_row(row);
+            }
+        }
+    }
+
+    /// Forgets all blocks of a target.
+    pub fn clear_target(&mut self, target: usize) {
+        if target / 64 >= self.stride {
+            return;
+        }
+        for row in self.holders.chunks_exact_mut(self.stride) {
+            row[target / 64] &= !(1 << (target % 64));
+        }
+    }
+
+    /// Writes, for each target, how many leading blocks of the prompt it holds. `hits` is resized and
+    /// zeroed. The walk starts at the longest prefix and visits each target once.
+    pub fn lookup(&self, blocks: &[BlockHash], targets: usize, hits: &mut Vec<u32>) {
+        hits.clear();
+        hits.resize(targets, 0);
+        if blocks.is_empty() || self.blocks.is_empty() {
+            return;
+        }
+        let step = sample_step(blocks.len());
+        let mut end = blocks.len() - blocks.len() % step;
+        while end > 0 {
+            if let Some(row) = self.blocks.get_index_of(&blocks[end - 1]) {
+                let start = row * self.stride;
+                for (word, bits) in self.holders[start..start + self.stride].iter().enumerate() {
+                    mark(*bits, word * 64, end as u32, hits);
+                }
+            }
+            end -= step;
+        }
+    }
+
+    fn insert_block(&mut self, target: usize, block: BlockHash) {
+        let row = match self.blocks.get_index_of(&block) {
+            Some(row) => row,
+            None => self.add_row(block),
+        };
+        self.blocks[row] = self.clock;
+        self.holders[row * self.stride + target / 64] |= 1 << (target % 64);
+    }
+
+    fn widen(&mut self, target: usize) {
+        let stride = target / 64 + 1;
+        if stride <= self.stride {
+            return;
+        }
+        let mut holders = vec![0; stride * self.blocks.len()];
+        for (old, new) in
+            self.holders.chunks_exact(self.stride).zip(holders.chunks_exact_mut(stride))
+        {
+            new[..self.stride].copy_from_slice(old);
+        }
+        self.holders = holders;
+        self.stride = stride;
+    }
+
+    fn add_row(&mut self, block: BlockHash) -> usize {
+        if self.blocks.len() >= MAX_BLOCKS {
+            self.evict();
+        }
+        self.holders.resize(self.holders.len() + self.stride, 0);
+        self.blocks.insert_full(block, self.clock).0
+    }
+
+    fn evict(&mut self) {
+        let rows = self.blocks.len();
+        let oldest = (0..EVICTION_SAMPLE)
+            .map(|offset| (self.cursor + offset * 7_919) % rows)
+            .max_by_key(|row| self.clock.wrapping_sub(self.blocks[*row]));
+        self.cursor = (self.cursor + 1) % rows;
+        if let Some(row) = oldest {
+            self.remove_row(row);
+        }
+    }
+
+    /// The last row takes the place of the removed one, here as in the map.
+    fn remove_row(&mut self, row: usize) {
+        self.blocks.swap_remove_index(row);
+        let last = self.holders.len() - self.stride;
+        self.holders.copy_within(last.., row * self.stride);
+        self.holders.truncate(last);
+    }
+}
+
+/// Distance of the blocks of a prompt that are looked up. Powers of two, so that prompts of different
+/// lengths that share a prefix sample common blocks.
+fn sample_step(blocks: usize) -> usize {
+    blocks.div_ceil(MAX_PROBES).max(1).next_power_of_two()
+}
+
+fn mark(mut bits: u64, base: usize, length: u32, hits: &mut [u32]) {
+    while bits != 0 {
+        let target = base + bits.trailing_zeros() as usize;
+        bits &= bits - 1;
+        if let Some(hit) = hits.get_mut(target)
+            && *hit == 0
+        {
+            *hit = length;
+        }
+    }
+}
--- /dev/null
+++ b/crates/tarragon-scheduler/tests/rules/driver.rs
@@ -0,0 +1,212 @@
+//! Drives a scheduler by hand: builds requests, moves the time and collects actions.
+
+use std::time::{Duration, Instant};
+
+use tarragon_protocol::load::TargetState;
+pub use tarragon_scheduler::prelude::*;
+
+/// A scheduler with a clock and the actions of the last event.
+pub struct Driver {
+    pub scheduler: Scheduler,
+    pub now: Instant,
+    pub actions: Vec<SchedulerAction>,
+    next: RequestId,
+    alive: Vec<String>,
+}
+
+/// A request to be sent; the defaults are an idempotent model call that fits every target.
+pub struct Ask {
+    pub workspace: &'static str,
+    pub service: &'static str,
+    pub tier: Tier,
+    pub deadline: Duration,
+    pub idempotent: bool,
+    pub fingerprint: Option<Fingerprint>,
+    pub prompt: u32,
+    pub model: &'static str,
+    pub blocks: Vec<BlockHash>,
+}
+
+impl Default for Ask {
+    fn default() -> Ask {
+        Ask {
+            workspace: "depot",
+            service: "pool",
+            tier: Tier::Normal,
+            deadline: Duration::from_secs(60),
+            idempotent: true,
+            fingerprint: None,
+            prompt: 100,
+            model: "assess",
+            blocks: Vec::new(),
+        }
+    }
+}
+
+impl Ask {
+    pub fn tier(tier: Tier) -> Ask {
+        Ask { tier, ..Ask::default() }
+    }
+}
+
+impl Driver {
+    pub fn new(limits: SchedulerLimits) -> Driver {
+        let now = Instant::now();
+        Driver {
+            scheduler: Scheduler::new(limits, 7),
+            now,
+            actions: Vec::new(),
+            next: 1,
+            alive: Vec::new(),
+        }
+    }
+
+    /// Warm targets `t0`, `t1`, … of the service `pool`, with this many slots each.
+    pub fn with_targets(targets: usize, slots: u32) -> Driver {
+        let mut driver = Driver::new(SchedulerLimits::default());
+        for index in 0..targets {
+            driver.add_target("pool", &format!("t{index}"), slots);
+        }
+        driver
+    }
+
+    pub fn handle(&mut self, event: SchedulerEvent) -> &[SchedulerAction] {
+        self.actions.clear();
+        self.scheduler.handle(self.now, event, &mut self.actions);
+        &self.actions
+    }
+
+    pub fn add_target(&mut self, service: &str, name: &str, slots: u32) {
+        self.list(service, name, true);
+        self.slots(name, slots, false);
+        self.report(name, 1, TargetState::Warm);
+        self.alive.push(name.to_owned());
+    }
+
+    pub fn list(&mut self, service: &str, name: &str, in_service: bool) {
+        let entry = TargetEntry { target: name.into(), service: service.into(), in_service };
+        self.handle(SchedulerEvent::TargetListed(entry));
+    }
+
+    pub fn slots(&mut self, name: &str, slots: u32, cold: bool) {
+        let target = name.into();
+        let slots = TargetSlots { target, slots, bears: slots, cold };
+        self.handle(SchedulerEvent::SlotsChanged(slots));
+    }
+
+    pub fn report(&mut self, name: &str, restart: u64, state: TargetState) -> &[SchedulerAction] {
+        let report = LoadReport {
+            restart,
+            state,
+            bears: 4,
+            running: 0,
+            waiting: 0,
+            free_cache_tokens: 1_000_000,
+            models: vec!["assess".into()],
+            fencing: 0,
+            last_order_age_ms: None,
+            lag_ms: 0,
+        };
+        let age = Duration::ZERO;
+        self.handle(SchedulerEvent::LoadReported { target: name.into(), report, age })
+    }
+
+    pub fn ask(&mut self, ask: Ask) -> RequestId {
+        let request = self.next;
+        self.next += 1;
+        let kind = match ask.model {
+            "" => CallKind::Plain,
+            model => CallKind::Model(ModelCall {
+                model: model.into(),
+                prompt_tokens: ask.prompt,
+                max_tokens: 200,
+                blocks: ask.blocks,
+            }),
+        };
+        let profile = RequestProfile {
+            request,
+            workspace: ask.workspace.into(),
+            service: ask.service.into(),
+            tier: ask.tier,
+            deadline: self.now + ask.deadline,
+            idempotent: ask.idempotent,
+            fingerprint: ask.fingerprint.unwrap_or(request),
+            kind,
+        };
+        self.handle(SchedulerEvent::Arrived(Box::new(profile)));
+        request
+    }
+
+    pub fn end(&mut self, request: RequestId, attempt: u32, end: AttemptEnd) {
+        if !matches!(end, AttemptEnd::NotSent | AttemptEnd::Withheld) {
+            self.handle(SchedulerEvent::AttemptStarted(request, attempt));
+        }
+        self.handle(SchedulerEvent::AttemptEnded(request, attempt, end));
+    }
+
+    pub fn progress(&mut self, request: RequestId, attempt: u32, tokens: u32, first_ms: u64) {
+        self.handle(SchedulerEvent::AttemptProgress(AttemptProgress {
+            request,
+            attempt,
+            tokens,
+            prefill_tokens: None,
+            cached_tokens: None,
+            first_token: Duration::from_millis(first_ms),
+        }));
+    }
+
+    /// Moves the time while the targets go on to report.
+    pub fn advance(&mut self, duration: Duration) {
+        self.pass(duration, true);
+    }
+
+    /// Moves the time while nothing is heard of the targets.
+    pub fn advance_silently(&mut self, duration: Duration) {
+        self.pass(duration, false);
+    }
+
+    fn pass(&mut self, duration: Duration, reports: bool) {
+        let end = self.now + duration;
+        let mut all = Vec::new();
+        while self.now < end {
+            self.now = (self.now + Duration::from_millis(100)).min(end);
+            for name in if reports { self.alive.clone() } else { Vec::new() } {
+                self.report(&name, 1, TargetState::Warm);
+                all.append(&mut self.actions);
+            }
+            self.handle(SchedulerEvent::Tick);
+            all.append(&mut self.actions);
+        }
+        self.actions = all;
+    }
+
+    /// Request and target of each dispatch of the last event.
+    pub fn dispatched(&self) -> Vec<(RequestId, AttemptNumber, TargetName)> {
+        self.actions
+            .iter()
+            .filter_map(|action| match action {
+                SchedulerAction::Dispatch { request, attempt, target } => {
+                    Some((*request, *attempt, target.clone()))
+                }
+                _ => None,
+            })
+            .collect()
+    }
+
+    /// Request, code and outcome of each refusal of the last event.
+    pub fn refused(&self) -> Vec<(RequestId, RefusalCode, CallOutcome)> {
+        self.actions
+            .iter()
+            .filter_map(|action| match action {
+                SchedulerAction::Refuse { request, refusal } => {
+                    Some((*request, refusal.code, refusal.outcome))
+                }
+                _ => None,
+            })
+            .collect()
+    }
+
+    pub fn waiting(&self) -> u32 {
+        self.scheduler.waiting_by_tier().iter().sum()
+    }
+}
--- /dev/null
+++ b/crates/tarragon-scheduler/tests/rules/retry.rs
@@ -0,0 +1,73 @@
+//! Ends of attempts: what may run again, and what the caller is told.
+
+use super::*;
+use std::time::Duration;
+
+struct EndCase {
+    name: &'static str,
+    idempotent: bool,
+    end: AttemptEnd,
+    /// Final answer, or `None` if the request goes on at another target.
+    answer: Option<(RefusalCode, CallOutcome)>,
+}
+
+const UNKNOWN: Option<(RefusalCode, CallOutcome)> =
+    Some((RefusalCode::TargetFailed, CallOutcome::Unknown));
+const DEADLINE: Option<(RefusalCode, CallOutcome)> =
+    Some((RefusalCode::DeadlineExceeded, CallOutcome::NotRun));
+const NO_TARGET: Option<(RefusalCode, CallOutcome)> =
+    Some((RefusalCode::NoTarget, CallOutcome::NotRun));
+
+const ENDS: &[EndCase] = &[
+    EndCase { name: "refused", idempotent: true, end: AttemptEnd::NotSent, answer: None },
+    EndCase { name: "busy", idempotent: true, end: AttemptEnd::Rejected, answer: None },
+    EndCase { name: "reset", idempotent: true, end: AttemptEnd::Broken, answer: None },
+    EndCase { name: "error", idempotent: true, end: AttemptEnd::Failed, answer: None },
+    EndCase { name: "gap", idempotent: true, end: AttemptEnd::Garbled, answer: None },
+    EndCase { name: "late", idempotent: true, end: AttemptEnd::Withheld, answer: DEADLINE },
+    EndCase { name: "once, refused", idempotent: false, end: AttemptEnd::NotSent, answer: None },
+    EndCase { name: "once, busy", idempotent: false, end: AttemptEnd::Rejected, answer: NO_TARGET },
+    EndCase { name: "once, reset", idempotent: false, end: AttemptEnd::Broken, answer: UNKNOWN },
+    EndCase { name: "once, error", idempotent: false, end: AttemptEnd::Failed, answer: UNKNOWN },
+    EndCase { name: "once, gap", idempotent: false, end: AttemptEnd::Garbled, answer: UNKNOWN },
+    EndCase { name: "once, late", idempotent: false, end: AttemptEnd::Withheld, answer: DEADLINE },
+];
+
+/// Guards against a truck that is dispatched twice, and against a "not run" that is not true.
+#[test]
+fn ends_decide_on_another_attempt() {
+    for case in ENDS {
+        let mut driver = Driver::with_targets(2, 4);
+        let request = driver.ask(Ask { idempotent: case.idempotent, ..Ask::default() });
+        let first = driver.dispatched();
+        assert_eq!(first.len(), 1, "{}", case.name);
+        driver.end(request, 1, case.end);
+        let refused: Vec<_> =
+            driver.refused().into_iter().map(|(_, code, outcome)| (code, outcome)).collect();
+        assert_eq!(refused, Vec::from_iter(case.answer), "{}", case.name);
+        driver.advance(Duration::from_millis(200));
+        let again = driver.dispatched();
+        assert_eq!(again.is_empty(), case.answer.is_some(), "{}", case.name);
+        if let Some((_, attempt, target)) = again.first() {
+            assert_eq!(*attempt, 2, "{}", case.name);
+            assert_ne!(*target, first[0].2, "{}: another target", case.name);
+        }
+    }
+}
+
+/// Guards against a stream that starts again from its first token, and against a lost slot when an end of
+/// an old attempt arrives late.
+#[test]
+fn broken_streams_resume_and_late_ends_are_dropped() {
+    let mut driver = Driver::with_targets(2, 1);
+    let request = driver.ask(Ask::default());
+    driver.progress(request, 1, 20, 40);
+    driver.end(request, 1, AttemptEnd::Broken);
+    driver.advance(Duration::from_millis(200));
+    assert_eq!(driver.dispatched().len(), 1);
+    driver.handle(SchedulerEvent::AttemptEnded(request, 1, AttemptEnd::Broken));
+    assert_eq!(driver.scheduler.in_flight(), 1);
+    assert!(driver.scheduler.statistics().wasted_prefill_tokens >= 100);
+    driver.end(request, 2, AttemptEnd::Finished);
+    assert_eq!(driver.scheduler.in_flight(), 0);
+}
--- /dev/null
+++ b/crates/tarragon-scheduler/tests/rules/shed.rs
@@ -0,0 +1,141 @@
+//! Overload: order of shedding, floors and deadlines.
+
+use super::*;
+use std::time::Duration;
+use tarragon_protocol::peer::PeerIdentity;
+
+fn small(waiting: usize) -> Driver {
+    let mut driver = Driver::new(SchedulerLimits { waiting, waiting_tokens: 1_000_000 });
+    driver.add_target("pool", "t0", 1);
+    // The only slot is taken by work that nothing displaces.
+    driver.ask(Ask::tier(Tier::Urgent));
+    driver
+}
+
+struct ShedCase {
+    name: &'static str,
+    waiting: &'static [Tier],
+    arriving: Tier,
+    /// Tier that is shed, and whether it is the arriving request.
+    shed: (Tier, bool),
+}
+
+const SHEDDING: &[ShedCase] = &[
+    ShedCase {
+        name: "the lowest tier gives way",
+        waiting: &[Tier::Routine, Tier::Normal, Tier::High],
+        arriving: Tier::Urgent,
+        shed: (Tier::Routine, false),
+    },
+    ShedCase {
+        name: "the newest of the lowest tier gives way",
+        waiting: &[Tier::Normal, Tier::Normal, Tier::High],
+        arriving: Tier::High,
+        shed: (Tier::Normal, false),
+    },
+    ShedCase {
+        name: "among equals the arriving one is the newest",
+        waiting: &[Tier::High, Tier::High, Tier::Urgent],
+        arriving: Tier::High,
+        shed: (Tier::High, true),
+    },
+    ShedCase {
+        name: "a lower one displaces nothing",
+        waiting: &[Tier::High, Tier::High, Tier::Urgent],
+        arriving: Tier::Routine,
+        shed: (Tier::Routine, true),
+    },
+];
+
+/// Guards against an urgent question that is refused while routine work waits.
+#[test]
+fn overload_sheds_the_lowest_tier_first() {
+    for case in SHEDDING {
+        let mut driver = small(3);
+        let waiting: Vec<_> =
+            case.waiting.iter().map(|tier| (*tier, driver.ask(Ask::tier(*tier)))).collect();
+        let arriving = driver.ask(Ask::tier(case.arriving));
+        let newest = waiting.iter().rev().find(|(tier, _)| *tier == case.shed.0);
+        let expected = if case.shed.1 { arriving } else { newest.map_or(0, |found| found.1) };
+        let refused = driver.refused();
+        assert_eq!(refused, [(expected, RefusalCode::Shed, CallOutcome::NotRun)], "{}", case.name);
+    }
+}
+
+/// Guards against a place in the queue that is kept by work whose caller can't use the answer any more.
+#[test]
+fn hopeless_requests_give_way_before_newer_ones() {
+    let mut driver = small(2);
+    driver.ask(Ask::tier(Tier::Routine));
+    let late = driver.ask(Ask { deadline: Duration::from_millis(50), ..Ask::tier(Tier::Routine) });
+    driver.now += Duration::from_millis(60);
+    driver.ask(Ask::tier(Tier::Routine));
+    assert_eq!(driver.refused(), [(late, RefusalCode::DeadlineExceeded, CallOutcome::NotRun)]);
+    assert_eq!(driver.waiting(), 2);
+}
+
+fn peer_floor(driver: &mut Driver, floor: Tier) {
+    let peer = PeerIdentity { vm: "vm2".into(), incarnation: 5 };
+    let heard = driver.now;
+    let pressure = PeerPressure { peer, shed_floor: floor, waiting: [0; 4], heard };
+    driver.handle(SchedulerEvent::PeerReported(pressure));
+}
+
+/// Guards against routine work that begins here while another VM sheds a higher tier, also when a digest
+/// with the lower floor overtakes the announcement.
+#[test]
+fn floors_of_peers_are_held_for_three_seconds() {
+    let mut driver = Driver::with_targets(1, 4);
+    peer_floor(&mut driver, Tier::High);
+    peer_floor(&mut driver, Tier::Routine);
+    let request = driver.ask(Ask::tier(Tier::Normal));
+    assert_eq!(driver.refused(), [(request, RefusalCode::Shed, CallOutcome::NotRun)]);
+    driver.ask(Ask::tier(Tier::High));
+    assert_eq!(driver.dispatched().len(), 1);
+    driver.advance(Duration::from_millis(2_900));
+    driver.ask(Ask::tier(Tier::Normal));
+    assert!(driver.dispatched().is_empty());
+    driver.advance(Duration::from_millis(200));
+    driver.ask(Ask::tier(Tier::Normal));
+    assert_eq!(driver.dispatched().len(), 1);
+}
+
+/// Guards against work below the floor that was queued before the floor was heard.
+#[test]
+fn queued_work_below_a_floor_does_not_start() {
+    let mut driver = Driver::with_targets(1, 1);
+    let running = driver.ask(Ask::tier(Tier::Normal));
+    driver.ask(Ask::tier(Tier::Routine));
+    peer_floor(&mut driver, Tier::Normal);
+    driver.end(running, 1, AttemptEnd::Finished);
+    assert!(driver.dispatched().is_empty());
+    driver.advance(Duration::from_millis(3_100));
+    assert_eq!(driver.dispatched().len(), 1);
+}
+
+/// Guards against peers that learn of shedding only when it has begun.
+#[test]
+fn the_floor_is_announced_near_the_bound() {
+    let mut driver = small(8);
+    for _ in 0..5 {
+        driver.ask(Ask::tier(Tier::High));
+        assert!(driver.actions.is_empty());
+    }
+    driver.ask(Ask::tier(Tier::High));
+    assert_eq!(driver.actions, [SchedulerAction::AnnounceFloor(Tier::High)]);
+    assert_eq!(driver.scheduler.shed_floor(), Tier::High);
+    let request = driver.ask(Ask::tier(Tier::Normal));
+    assert_eq!(driver.refused(), [(request, RefusalCode::Shed, CallOutcome::NotRun)]);
+}
+
+/// Guards against targets that idle because a queue full of routine work forbids routine work.
+#[test]
+fn a_queue_of_routine_work_sets_no_floor() {
+    let mut driver = small(4);
+    for _ in 0..5 {
+        driver.ask(Ask::tier(Tier::Routine));
+    }
+    assert_eq!(driver.scheduler.shed_floor(), Tier::Routine);
+    driver.end(1, 1, AttemptEnd::Finished);
+    assert_eq!(driver.dispatched().len(), 1);
+}
--- /dev/null
+++ b/crates/tarragon-scheduler/tests/rules/window.rs
@@ -0,0 +1,139 @@
+//! Windows: cold targets, signs of a new cold spell and silence.
+
+use super::*;
+use std::time::Duration;
+use tarragon_protocol::load::TargetState;
+
+fn fill(driver: &mut Driver, requests: usize) -> Vec<RequestId> {
+    let mut sent = Vec::new();
+    for _ in 0..requests {
+        let request = driver.ask(Ask::default());
+        sent.extend(driver.dispatched().iter().map(|_| request));
+    }
+    sent
+}
+
+/// Guards against a collapse of a cold target, and against a jump to its full share when it turns warm.
+#[test]
+fn a_cold_target_gets_its_share_and_then_warms_up() {
+    let mut driver = Driver::with_targets(1, 8);
+    driver.slots("t0", 2, true);
+    let sent = fill(&mut driver, 12);
+    assert_eq!(sent.len(), 2);
+    driver.slots("t0", 8, false);
+    assert!(driver.dispatched().is_empty(), "the ramp starts at the cold share");
+    driver.progress(sent[0], 1, 1, 60);
+    assert_eq!(driver.dispatched().len(), 1);
+    driver.end(sent[0], 1, AttemptEnd::Finished);
+    assert_eq!(driver.dispatched().len(), 2);
+}
+
+struct SignCase {
+    name: &'static str,
+    sign: fn(&mut Driver, RequestId),
+}
+
+const SIGNS: &[SignCase] = &[
+    SignCase {
+        name: "restart id",
+        sign: |driver, _| {
+            driver.report("t0", 2, TargetState::Warm);
+        },
+    },
+    SignCase { name: "error", sign: |driver, request| driver.end(request, 1, AttemptEnd::Failed) },
+    SignCase { name: "reset", sign: |driver, request| driver.end(request, 1, AttemptEnd::Broken) },
+    SignCase { name: "busy", sign: |driver, request| driver.end(request, 1, AttemptEnd::Rejected) },
+    SignCase {
+        name: "late first token",
+        sign: |driver, request| driver.progress(request, 1, 1, 5_000),
+    },
+];
+
+/// Guards against full load on a target that became cold again without an announcement.
+#[test]
+fn signs_of_a_cold_spell_reduce_the_window_at_once() {
+    for case in SIGNS {
+        let mut driver = Driver::with_targets(1, 8);
+        for request in fill(&mut driver, 6) {
+            driver.progress(request, 1, 1, 60);
+            driver.end(request, 1, AttemptEnd::Finished);
+        }
+        let sent = fill(&mut driver, 2);
+        (case.sign)(&mut driver, sent[0]);
+        let poll = SchedulerAction::PollTarget("t0".into());
+        assert!(driver.actions.contains(&poll), "{}: {:?}", case.name, driver.actions);
+        assert!(fill(&mut driver, 3).is_empty(), "{}", case.name);
+        assert!(driver.scheduler.in_flight() <= 2, "{}", case.name);
+    }
+}
+
+/// Guards against a window full of requests for a target that died without a word.
+#[test]
+fn a_silent_target_gets_one_request_until_it_gives_a_sign_of_life() {
+    let mut driver = Driver::with_targets(1, 8);
+    driver.advance_silently(Duration::from_millis(900));
+    assert_eq!(fill(&mut driver, 2).len(), 2);
+    let mut driver = Driver::with_targets(1, 8);
+    driver.advance_silently(Duration::from_millis(1_100));
+    let sent = fill(&mut driver, 5);
+    assert_eq!(sent.len(), 1);
+    driver.progress(sent[0], 1, 1, 60);
+    assert_eq!(driver.dispatched().len(), 4);
+}
+
+struct ClosedCase {
+    name: &'static str,
+    close: fn(&mut Driver),
+}
+
+const CLOSED: &[ClosedCase] = &[
+    ClosedCase { name: "out of service", close: |driver| driver.list("pool", "t0", false) },
+    ClosedCase {
+        name: "reports that it is leaving",
+        close: |driver| {
+            driver.report("t0", 1, TargetState::Leaving);
+        },
+    },
+    ClosedCase {
+        name: "no longer published",
+        close: |driver| {
+            driver.handle(SchedulerEvent::TargetRemoved("t0".into()));
+        },
+    },
+];
+
+/// Guards against new work on a target or data centre that is being taken out of service, and against
+/// callers that wait though nothing can serve them.
+#[test]
+fn a_target_out_of_service_gets_no_new_work() {
+    for case in CLOSED {
+        let mut driver = Driver::with_targets(1, 1);
+        let running = driver.ask(Ask::default());
+        let waiting = driver.ask(Ask::default());
+        (case.close)(&mut driver);
+        driver.end(running, 1, AttemptEnd::Finished);
+        assert!(driver.dispatched().is_empty(), "{}", case.name);
+        let late = driver.ask(Ask::default());
+        let refusal = |request| (request, RefusalCode::NoTarget, CallOutcome::NotRun);
+        assert_eq!(driver.refused(), [refusal(late)], "{}", case.name);
+        driver.advance_silently(Duration::from_secs(3));
+        assert_eq!(driver.refused(), [refusal(waiting)], "{}", case.name);
+    }
+}
+
+/// Guards against streams that hold up the shutdown of a target.
+#[test]
+fn streams_move_when_the_grace_period_is_over() {
+    let mut driver = Driver::with_targets(2, 1);
+    let request = driver.ask(Ask::default());
+    let target = driver.dispatched()[0].2.clone();
+    driver.list("pool", &target, false);
+    driver.advance(Duration::from_secs(19));
+    assert!(driver.actions.is_empty());
+    driver.advance(Duration::from_secs(2));
+    assert_eq!(driver.actions, [SchedulerAction::Cancel { request, attempt: 1 }]);
+    driver.end(request, 1, AttemptEnd::Cancelled);
+    let moved = driver.dispatched();
+    assert_eq!(moved.len(), 1);
+    assert_ne!(moved[0].2, target);
+}
