Bound the cost of one decision

Cause: with 333 targets a decision read each target's whole row, walked all blocks of a prompt through the prefix index and searched all attempts for one to pre-empt.

Change: a compact outlook per target, brought up to date with each change and tick; models as bits; 16 sampled prefix probes with one visit per target; 64 sampled attempts per search for a pre-emption.

--- a/crates/tarragon-scheduler/src/inflight.rs
+++ b/crates/tarragon-scheduler/src/inflight.rs
@@ -102,6 +102,12 @@
         self.attempts.values()
     }
 
+    /// Up to `count` attempts from a position on, going round at the end.
+    pub fn sample(&self, start: usize, count: usize) -> impl Iterator<Item = &RunningAttempt> {
+        let total = self.attempts.len();
+        (0..count.min(total)).map(move |offset| &self.attempts[(start + offset) % total])
+    }
+
     /// Adds an attempt.
     pub fn insert(&mut self, running: RunningAttempt) {
         if running.suspect {
--- a/crates/tarragon-scheduler/src/job.rs
+++ b/crates/tarragon-scheduler/src/job.rs
@@ -15,6 +15,8 @@
     pub pool: usize,
     /// Position of its lane in the queue.
     pub lane: usize,
+    /// Bit of the model that the target must hold; all bits for a plain call.
+    pub models: u64,
     /// Position of its workspace in the share table.
     pub workspace: usize,
     /// Rises with each arrival.
--- a/crates/tarragon-scheduler/src/scheduler/arrival.rs
+++ b/crates/tarragon-scheduler/src/scheduler/arrival.rs
@@ -60,9 +60,9 @@
             let refusal = Refusal::not_run(RefusalCode::CrashesTargets, message);
             return Err(refusal.with_retry_after(SUSPECT_LIFETIME));
         }
-        let model = profile.model_call().map(|call| &call.model);
+        let models = self.targets.models.bit(profile.model_call().map(|call| &call.model));
         let pool = self.targets.find_pool(&profile.service);
-        if !pool.is_some_and(|pool| self.targets.can_serve(pool, model)) {
+        if !pool.is_some_and(|pool| self.targets.can_serve(pool, models)) {
             let message = "no target in service can take this request";
             let refusal = Refusal::not_run(RefusalCode::NoTarget, message);
             return Err(refusal.with_retry_after(NO_TARGET_RETRY));
@@ -74,6 +74,7 @@
         let pool = self.targets.pool_index(&profile.service);
         let model = profile.model_call().map(|call| &call.model);
         let lane = self.queue.lane_index(pool, model);
+        let models = self.targets.models.bit(model);
         let workspace = self.shares.index(&profile.workspace, &self.rules, now);
         let prediction = self.costs.predict(pool, workspace, &profile);
         self.sequence += 1;
@@ -82,6 +83,7 @@
             profile,
             pool,
             lane,
+            models,
             workspace,
             sequence: self.sequence,
             output: prediction.output,
--- a/crates/tarragon-scheduler/src/scheduler/attempt.rs
+++ b/crates/tarragon-scheduler/src/scheduler/attempt.rs
@@ -350,7 +350,7 @@
         let others = self.targets.pool(job.pool).members.iter().any(|index| {
             let row = self.targets.row(*index);
             !job.avoid.contains(index)
-                && row.is_some_and(|row| row.may_work() && row.holds(job.model()))
+                && row.is_some_and(|row| row.may_work() && row.holds(job.models))
         });
         if !others {
             job.avoid.clear();
--- a/crates/tarragon-scheduler/src/scheduler/candidate.rs
+++ b/crates/tarragon-scheduler/src/scheduler/candidate.rs
@@ -1,12 +1,10 @@
 //! The targets that can take a request now, with the times to be expected there.
 
-use std::time::Instant;
-
 use crate::{
     choose::ChooseCandidate,
     job::{Job, block_tokens},
     prelude::*,
-    targets::{TargetRow, TargetTable, estimate::AFFINITY_EXCESS},
+    targets::{TargetRow, TargetTable, estimate::AFFINITY_EXCESS, prefix::PrefixHits},
 };
 
 /// Reused between decisions, so that a decision allocates nothing.
@@ -14,7 +12,7 @@
 pub(super) struct CandidateList {
     /// Open targets, in the order of the table.
     pub items: Vec<ChooseCandidate>,
-    hits: Vec<u32>,
+    hits: PrefixHits,
 }
 
 /// What restricts the choice beside the open windows.
@@ -28,16 +26,9 @@
 
 impl CandidateList {
     /// Finds all targets that can take the job now.
-    pub(super) fn collect(
-        &mut self,
-        targets: &TargetTable,
-        job: &Job,
-        bounds: ChoiceBounds,
-        now: Instant,
-    ) {
+    pub(super) fn collect(&mut self, targets: &TargetTable, job: &Job, bounds: ChoiceBounds) {
         self.items.clear();
-        self.hits.clear();
-        let mean = self.collect_open(targets, job, bounds, now);
+        let mean = self.collect_open(targets, job, bounds);
         if bounds.suspects_run && !bounds.suspect {
             self.leave_suspects_alone(targets, job.tier());
         }
@@ -48,40 +39,30 @@
         targets.prefixes.lookup(blocks, targets.capacity(), &mut self.hits);
         let size = job.size();
         for candidate in &mut self.items {
-            let Some(row) = targets.row(candidate.target) else { continue };
-            let attracts = used_share(row, candidate.window) <= mean + AFFINITY_EXCESS;
-            let hit = if attracts { self.hits[candidate.target] } else { 0 };
-            candidate.estimate = row.estimate(size, block_tokens(hit), now);
+            let outlook = targets.outlook(candidate.target);
+            let attracts = outlook.used_share() <= mean + AFFINITY_EXCESS;
+            let hit = if attracts { self.hits.get(candidate.target) } else { 0 };
+            candidate.estimate = outlook.estimate(size, block_tokens(hit));
         }
     }
 
     /// Adds the open targets and returns the mean share of their windows that is in use.
-    fn collect_open(
-        &mut self,
-        targets: &TargetTable,
-        job: &Job,
-        bounds: ChoiceBounds,
-        now: Instant,
-    ) -> f32 {
-        let model = job.model();
+    fn collect_open(&mut self, targets: &TargetTable, job: &Job, bounds: ChoiceBounds) -> f32 {
         let mut used = 0.0;
         for index in &targets.pool(job.pool).members {
-            let Some(row) = targets.row(*index) else { continue };
-            if !row.may_work() {
-                continue;
-            }
-            let window = row.window.size(now);
-            if row.in_flight >= window || !row.holds(model) || job.avoid.contains(index) {
+            let outlook = targets.outlook(*index);
+            if !outlook.is_open() || outlook.models & job.models == 0 || job.avoid.contains(index) {
                 continue;
             }
-            if bounds.suspect && !suits_suspect(row, job.tier()) {
+            let suits = |row| suits_suspect(row, job.tier());
+            if bounds.suspect && !targets.row(*index).is_some_and(suits) {
                 continue;
             }
-            used += used_share(row, window);
+            used += outlook.used_share();
             self.items.push(ChooseCandidate {
                 target: *index,
-                in_flight: row.in_flight,
-                window,
+                in_flight: outlook.in_flight,
+                window: outlook.window,
                 estimate: Default::default(),
             });
         }
@@ -101,10 +82,6 @@
     }
 }
 
-fn used_share(row: &TargetRow, window: u32) -> f32 {
-    row.in_flight as f32 / window.max(1) as f32
-}
-
 /// A suspect runs alone among suspects and not beside work of a higher tier.
 pub(super) fn suits_suspect(row: &TargetRow, tier: Tier) -> bool {
     row.suspects.iter().all(|count| *count == 0)
--- a/crates/tarragon-scheduler/src/scheduler/dispatch.rs
+++ b/crates/tarragon-scheduler/src/scheduler/dispatch.rs
@@ -106,7 +106,7 @@
             Suspicion::Convicted => return PlacementStep::Convicted,
         };
         let bounds = ChoiceBounds { suspect, suspects_run: self.in_flight.suspect_count() > 0 };
-        self.candidates.collect(&self.targets, job, bounds, now);
+        self.candidates.collect(&self.targets, job, bounds);
         if self.candidates.items.is_empty() {
             let particular = suspect || !job.avoid.is_empty();
             return if particular { PlacementStep::Defer } else { PlacementStep::Closed };
--- a/crates/tarragon-scheduler/src/scheduler/explain.rs
+++ b/crates/tarragon-scheduler/src/scheduler/explain.rs
@@ -71,7 +71,7 @@
         let bounds = ChoiceBounds { suspect, suspects_run: self.in_flight.suspect_count() > 0 };
         let mut candidates = CandidateList::default();
         if pool.is_some() {
-            candidates.collect(&self.targets, &job, bounds, now);
+            candidates.collect(&self.targets, &job, bounds);
         }
         let chosen = self.choose_trial(&policy, &candidates, pool);
         let targets = self.explain_targets(&job, &candidates, suspect, now);
@@ -90,10 +90,12 @@
 
     fn trial_job(&self, profile: &RequestProfile, pool: usize) -> Job {
         let prediction = self.costs.predict(pool, usize::MAX, profile);
+        let models = self.targets.models.find(profile.model_call().map(|call| &call.model));
         Job {
             profile: Box::new(profile.clone()),
             pool,
             lane: 0,
+            models,
             workspace: usize::MAX,
             sequence: 0,
             output: prediction.output,
@@ -162,7 +164,7 @@
 fn exclusion(row: &TargetRow, job: &Job, suspect: bool, now: Instant) -> &'static str {
     if !row.may_work() {
         "not in service"
-    } else if !row.holds(job.model()) {
+    } else if !row.holds(job.models) {
         "does not hold the model"
     } else if row.window.slots() == 0 {
         "this process has no slot there"
--- a/crates/tarragon-scheduler/src/scheduler/preempt.rs
+++ b/crates/tarragon-scheduler/src/scheduler/preempt.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use rand::Rng;
+
 use crate::{
     inflight::{CancelCause, RunningAttempt},
     prelude::*,
@@ -15,7 +17,10 @@
 /// Pre-emptions that may be under way at once.
 const MAX_UNDER_WAY: usize = 8;
 
-/// The search looks at all attempts, so it is not made with every event.
+/// Attempts that one search looks at, so that its cost doesn't grow with the number of targets.
+const SEARCH_SAMPLE: usize = 64;
+
+/// The search is not made with every event.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(10);
 
 /// A stream that could give way.
@@ -50,15 +55,17 @@
     }
 
     /// The stream that is cheapest to resume, and the expected wait for a slot without pre-emption.
-    fn find_preemption(&self, lane: usize, now: Instant) -> Option<(PreemptionCandidate, f64)> {
+    fn find_preemption(&mut self, lane: usize, now: Instant) -> Option<(PreemptionCandidate, f64)> {
         let head = self.queue.head(lane, Tier::Urgent)?;
         let mut best: Option<PreemptionCandidate> = None;
         let mut wait = f64::INFINITY;
-        for running in self.in_flight.iter() {
+        let total = self.in_flight.len();
+        let start = self.rng.random_range(0..total.max(1));
+        for running in self.in_flight.sample(start, SEARCH_SAMPLE) {
             let Some(row) = self.targets.row(running.target) else { continue };
             let serves = running.job.pool == head.pool
                 && row.may_work()
-                && row.holds(head.model())
+                && row.holds(head.models)
                 && row.in_flight <= row.window.size(now);
             if !serves {
                 continue;
@@ -72,7 +79,9 @@
                 best = Some(PreemptionCandidate { request: running.job.request(), waste });
             }
         }
-        best.map(|best| (best, wait))
+        // The least of a sample is greater than the least of all by about the ratio of their numbers.
+        let ratio = SEARCH_SAMPLE.min(total) as f64 / total.max(1) as f64;
+        best.map(|best| (best, wait * ratio))
     }
 }
 
--- a/crates/tarragon-scheduler/src/scheduler/tick.rs
+++ b/crates/tarragon-scheduler/src/scheduler/tick.rs
@@ -61,7 +61,7 @@
         let closed = self.targets.row(running.target).and_then(|row| row.closed_since);
         running.cancel.is_none()
             && closed.is_some_and(|since| now.saturating_duration_since(since) >= MOVE_GRACE)
-            && self.targets.can_serve(running.job.pool, running.job.model())
+            && self.targets.can_serve(running.job.pool, running.job.models)
     }
 
     /// Refuses waiting requests of services that have had no target in service for a while.
--- a/crates/tarragon-scheduler/src/targets.rs
+++ b/crates/tarragon-scheduler/src/targets.rs
@@ -13,7 +13,13 @@
 
 use crate::{
     prelude::*,
-    targets::{prefix::PrefixIndex, rate::RateEstimate, trust::CacheTrust, window::TargetWindow},
+    targets::{
+        estimate::{ModelBits, TargetOutlook},
+        prefix::PrefixIndex,
+        rate::RateEstimate,
+        trust::CacheTrust,
+        window::TargetWindow,
+    },
 };
 
 /// Weight of a new interval in the mean of generated tokens a second.
@@ -67,6 +73,8 @@
     pub report: Option<ReportView>,
     /// Models held; empty if unknown.
     pub models: Vec<ModelName>,
+    /// The same as a set of bits.
+    pub model_set: u64,
     /// Trust in the prefix index.
     pub trust: CacheTrust,
     /// Requests whose connection broke here a short time ago.
@@ -92,28 +100,21 @@
             window: TargetWindow::new(now),
             report: None,
             models: Vec::new(),
+            model_set: u64::MAX,
             trust: CacheTrust::default(),
             broken: Vec::new(),
             open: false,
         }
     }
 
-    /// Whether the target may take one more own request now.
-    pub fn is_open(&self, now: Instant) -> bool {
-        self.may_work() && self.in_flight < self.window.size(now)
-    }
-
     /// Whether the target may get new work at all.
     pub fn may_work(&self) -> bool {
         self.listed && self.in_service && !self.leaving
     }
 
-    /// Whether the target holds the model, or it is not known what it holds.
-    pub fn holds(&self, model: Option<&ModelName>) -> bool {
-        match model {
-            Some(model) => self.models.is_empty() || self.models.contains(model),
-            None => true,
-        }
+    /// Whether the target holds one of the models, or it is not known what it holds.
+    pub fn holds(&self, models: u64) -> bool {
+        self.model_set & models != 0
     }
 
     /// Highest tier of own requests in flight.
@@ -151,6 +152,10 @@
 pub struct TargetTable {
     /// Rows; `None` is free for the next target.
     rows: Vec<Option<TargetRow>>,
+    /// What a choice needs of each row.
+    outlooks: Vec<TargetOutlook>,
+    /// Models by bit.
+    pub models: ModelBits,
     names: IndexMap<TargetName, usize>,
     pools: IndexMap<ServiceName, ServicePool>,
     /// Prefixes held by the targets.
@@ -173,6 +178,11 @@
         self.names.get(name).copied()
     }
 
+    /// Outlook at a position, as of the last change or tick.
+    pub fn outlook(&self, index: usize) -> &TargetOutlook {
+        &self.outlooks[index]
+    }
+
     /// All rows with their positions.
     pub fn iter(&self) -> impl Iterator<Item = (usize, &TargetRow)> {
         self.rows.iter().enumerate().filter_map(|(index, row)| Some((index, row.as_ref()?)))
@@ -251,6 +261,7 @@
         self.pools[pool].members.retain(|member| *member != index);
         self.prefixes.clear_target(index);
         self.rows[index] = None;
+        self.outlooks[index] = TargetOutlook::default();
     }
 
     /// Brings the count of open targets up to date after a change of one row.
@@ -261,7 +272,8 @@
         } else {
             row.closed_since.get_or_insert(now);
         }
-        let open = row.is_open(now);
+        self.outlooks[index] = TargetOutlook::of(row, now);
+        let open = self.outlooks[index].is_open();
         if open != row.open {
             row.open = open;
             let count = &mut self.pools[row.service].open;
@@ -291,6 +303,7 @@
                 }
             }
         }
+        self.refresh(index, now);
         gaps
     }
 
@@ -311,11 +324,13 @@
         if restarted {
             row.trust.restart();
             row.models.clear();
+            row.model_set = u64::MAX;
             row.window.suspect(now);
             self.prefixes.clear_target(index);
         }
         if !report.models.is_empty() {
             row.models.clone_from(&report.models);
+            row.model_set = self.models.set(&report.models);
         }
         row.report = Some(ReportView {
             restart: report.restart,
@@ -352,10 +367,10 @@
         self.pools[pool].drained += tokens;
     }
 
-    /// Whether a member of the pool may get work and holds the model.
-    pub fn can_serve(&self, pool: usize, model: Option<&ModelName>) -> bool {
+    /// Whether a member of the pool may get work and holds one of the models.
+    pub fn can_serve(&self, pool: usize, models: u64) -> bool {
         let members = self.pools[pool].members.iter();
-        members.filter_map(|index| self.row(*index)).any(|row| row.may_work() && row.holds(model))
+        members.filter_map(|index| self.row(*index)).any(|row| row.may_work() && row.holds(models))
     }
 
     fn add(&mut self, entry: &TargetEntry, pool: usize, now: Instant) -> usize {
@@ -365,6 +380,7 @@
             Some(index) => index,
             None => {
                 self.rows.push(None);
+                self.outlooks.push(TargetOutlook::default());
                 self.rows.len() - 1
             }
         };
--- a/crates/tarragon-scheduler/src/targets/estimate.rs
+++ b/crates/tarragon-scheduler/src/targets/estimate.rs
@@ -1,10 +1,17 @@
 //! Expected times of one request at one target.
+//!
+//! What a choice needs of a target is kept in a small row that is brought up to date whenever the target
+//! changes, and with each tick. A choice among hundreds of targets then reads a few contiguous cache
+//! lines instead of the whole table.
 
 use std::time::{Duration, Instant};
 
 use serde::Serialize;
 
-use crate::targets::{TargetRow, rate::RateEstimate};
+use crate::{
+    prelude::*,
+    targets::{TargetRow, rate::RateEstimate},
+};
 
 /// A report's figures of other processes' work count less with age and not at all after this time.
 const REPORT_LIFETIME: Duration = Duration::from_secs(5);
@@ -16,10 +23,10 @@
 const LOAD_SLOPE: f64 = 0.5;
 
 /// A computed prompt token also delays the work that follows, so its time counts a second time.
-const PREFILL_WEIGHT: f64 = 1.0;
+const PREFILL_WEIGHT: f32 = 1.0;
 
 /// Multiple of the cost at a target that is cold or may be.
-const COLD_FACTOR: f64 = 2.0;
+const COLD_FACTOR: f32 = 2.0;
 
 /// A cache hit attracts work only up to this much above the mean share of used slots, so that a common
 /// prefix does not pile all work on one target.
@@ -47,43 +54,90 @@
     pub cached: u32,
 }
 
-impl TargetRow {
-    /// Requests of other processes at the target, by the last report, weighted down by its age.
-    pub fn foreign(&self, now: Instant) -> (f64, f64) {
-        let Some(report) = &self.report else { return (0.0, 0.0) };
-        let age = now.saturating_duration_since(report.taken).as_secs_f64();
-        let weight = (1.0 - age / REPORT_LIFETIME.as_secs_f64()).max(0.0);
-        let total = report.running + report.waiting;
-        let running = f64::from(total.saturating_sub(report.own)) * weight;
-        (running, f64::from(report.waiting) * weight)
+/// What a choice needs of one target.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct TargetOutlook {
+    /// Own requests in flight.
+    pub in_flight: u32,
+    /// Own requests that may be in flight; 0 if the target may get no new work.
+    pub window: u32,
+    /// Set of models held.
+    pub models: u64,
+    /// Time to the first token without own prefill.
+    first: f32,
+    /// Time of a prompt token.
+    prefill: f32,
+    /// Time of a generated token.
+    decode: f32,
+    /// Time of a plain call.
+    call: f32,
+    /// Trust in expected cache hits.
+    trust: f32,
+    /// Multiple of the cost.
+    factor: f32,
+}
+
+impl TargetOutlook {
+    /// Outlook of a target as it is now.
+    pub fn of(row: &TargetRow, now: Instant) -> TargetOutlook {
+        let (running, waiting) = row.foreign(now);
+        let bears = f64::from(row.bears.max(1));
+        let occupancy = (f64::from(row.in_flight) + running) / bears;
+        let ahead = row.pending_prefill as f64 + waiting * FOREIGN_PROMPT;
+        let RateEstimate { base, prefill, decode, call, .. } = row.rates;
+        TargetOutlook {
+            in_flight: row.in_flight,
+            window: if row.may_work() { row.window.size(now) } else { 0 },
+            models: row.model_set,
+            first: (base + ahead * prefill) as f32,
+            prefill: prefill as f32,
+            decode: (decode * (1.0 + LOAD_SLOPE * occupancy)) as f32,
+            call: (call * (1.0 + occupancy)) as f32,
+            trust: row.trust.value(now),
+            factor: if row.window.is_cold() { COLD_FACTOR } else { 1.0 },
+        }
+    }
+
+    /// Whether one more own request may be sent there.
+    pub fn is_open(&self) -> bool {
+        self.in_flight < self.window
+    }
+
+    /// Part of the window that is in use.
+    pub fn used_share(&self) -> f32 {
+        self.in_flight as f32 / self.window.max(1) as f32
     }
 
     /// Expected times of a request of which `hit` leading prompt tokens are believed to be cached.
-    pub fn estimate(&self, size: RequestSize, hit: u32, now: Instant) -> CostEstimate {
-        let (running, waiting) = self.foreign(now);
-        let bears = f64::from(self.bears.max(1));
-        let occupancy = (f64::from(self.in_flight) + running) / bears;
+    pub fn estimate(&self, size: RequestSize, hit: u32) -> CostEstimate {
         let Some(prompt) = size.prompt else {
-            let time = self.rates.call * (1.0 + occupancy);
-            return self.finish_estimate(time, time, 0.0, 0);
+            let score = 2.0 * self.call * self.factor;
+            return CostEstimate {
+                first_token: self.call,
+                last_token: self.call,
+                score,
+                cached: 0,
+            };
         };
-        let cached = (hit.min(prompt) as f32 * self.trust.value(now)) as u32;
-        let uncached = f64::from(prompt - cached);
-        let ahead = self.pending_prefill as f64 + waiting * FOREIGN_PROMPT;
-        let first = self.rates.base + (uncached + ahead) * self.rates.prefill;
-        let decode = f64::from(size.output) * self.rates.decode * (1.0 + LOAD_SLOPE * occupancy);
-        let extra = PREFILL_WEIGHT * uncached * self.rates.prefill;
-        self.finish_estimate(first, first + decode, extra, cached)
+        let cached = (hit.min(prompt) as f32 * self.trust) as u32;
+        let computing = (prompt - cached) as f32 * self.prefill;
+        let first = self.first + computing;
+        let last = first + size.output as f32 * self.decode;
+        let score = (first + last + PREFILL_WEIGHT * computing) * self.factor;
+        CostEstimate { first_token: first, last_token: last, score, cached }
     }
+}
 
-    fn finish_estimate(&self, first: f64, last: f64, extra: f64, cached: u32) -> CostEstimate {
-        let factor = if self.window.is_cold() { COLD_FACTOR } else { 1.0 };
-        CostEstimate {
-            first_token: first as f32,
-            last_token: last as f32,
-            score: ((first + last + extra) * factor) as f32,
-            cached,
-        }
+impl TargetRow {
+    /// Requests of other processes that run and wait at the target, by the last report, weighted down
+    /// by its age.
+    fn foreign(&self, now: Instant) -> (f64, f64) {
+        let Some(report) = &self.report else { return (0.0, 0.0) };
+        let age = now.saturating_duration_since(report.taken).as_secs_f64();
+        let weight = (1.0 - age / REPORT_LIFETIME.as_secs_f64()).max(0.0);
+        let total = report.running.saturating_add(report.waiting);
+        let foreign = f64::from(total.saturating_sub(report.own)) * weight;
+        (foreign, f64::from(report.waiting) * weight)
     }
 }
 
@@ -97,3 +151,42 @@
         Duration::from_secs_f64(seconds.clamp(0.0, 3_600.0))
     }
 }
+
+/// Models as bits of a number.
+#[derive(Debug, Default)]
+pub struct ModelBits {
+    names: indexmap::IndexSet<ModelName>,
+}
+
+/// Models beyond this number share one bit: a target may be tried in vain for them, which it then
+/// rejects. Three models are in steady use.
+const MAX_BITS: usize = 63;
+
+impl ModelBits {
+    /// Bit of a model; for a plain call, which any target takes, all bits.
+    pub fn bit(&mut self, model: Option<&ModelName>) -> u64 {
+        let Some(model) = model else { return u64::MAX };
+        let index = match self.names.get_index_of(model) {
+            Some(index) => index,
+            None if self.names.len() < MAX_BITS => self.names.insert_full(model.clone()).0,
+            None => MAX_BITS,
+        };
+        1 << index.min(MAX_BITS)
+    }
+
+    /// Bit of a model without noting a new one, which no target holds.
+    pub fn find(&self, model: Option<&ModelName>) -> u64 {
+        match model {
+            Some(model) => self.names.get_index_of(model).map_or(1 << MAX_BITS, |index| 1 << index),
+            None => u64::MAX,
+        }
+    }
+
+    /// Bits of the models that a target holds; all if it is not known what it holds.
+    pub fn set(&mut self, models: &[ModelName]) -> u64 {
+        if models.is_empty() {
+            return u64::MAX;
+        }
+        models.iter().fold(0, |set, model| set | self.bit(Some(model)))
+    }
+}
--- a/crates/tarragon-scheduler/src/targets/prefix.rs
+++ b/crates/tarragon-scheduler/src/targets/prefix.rs
@@ -9,7 +9,7 @@
 const MAX_BLOCKS: usize = 65_536;
 
 /// Blocks of one prompt that are looked up. Longer prompts are sampled evenly.
-const MAX_PROBES: usize = 64;
+const MAX_PROBES: usize = 16;
 
 /// Blocks compared when one has to make room; the least recently used of them goes.
 const EVICTION_SAMPLE: usize = 4;
@@ -93,11 +93,10 @@
         }
     }
 
-    /// Writes, for each target, how many leading blocks of the prompt it holds. `hits` is resized and
-    /// zeroed. The walk starts at the longest prefix and visits each target once.
-    pub fn lookup(&self, blocks: &[BlockHash], targets: usize, hits: &mut Vec<u32>) {
-        hits.clear();
-        hits.resize(targets, 0);
+    /// Finds how many leading blocks of the prompt each target holds. The walk starts at the longest
+    /// prefix and counts each target once.
+    pub fn lookup(&self, blocks: &[BlockHash], targets: usize, hits: &mut PrefixHits) {
+        hits.reset(targets, self.stride);
         if blocks.is_empty() || self.blocks.is_empty() {
             return;
         }
@@ -106,9 +105,7 @@
         while end > 0 {
             if let Some(row) = self.blocks.get_index_of(&blocks[end - 1]) {
                 let start = row * self.stride;
-                for (word, bits) in self.holders[start..start + self.stride].iter().enumerate() {
-                    mark(*bits, word * 64, end as u32, hits);
-                }
+                hits.mark(&self.holders[start..start + self.stride], end as u32);
             }
             end -= step;
         }
@@ -172,14 +169,37 @@
     blocks.div_ceil(MAX_PROBES).max(1).next_power_of_two()
 }
 
-fn mark(mut bits: u64, base: usize, length: u32, hits: &mut [u32]) {
-    while bits != 0 {
-        let target = base + bits.trailing_zeros() as usize;
-        bits &= bits - 1;
-        if let Some(hit) = hits.get_mut(target)
-            && *hit == 0
-        {
-            *hit = length;
+/// Leading blocks of one prompt that each target holds. Reused between lookups.
+#[derive(Debug, Default)]
+pub struct PrefixHits {
+    lengths: Vec<u32>,
+    seen: Vec<u64>,
+}
+
+impl PrefixHits {
+    /// Blocks that a target holds.
+    pub fn get(&self, target: usize) -> u32 {
+        self.lengths.get(target).copied().unwrap_or(0)
+    }
+
+    fn reset(&mut self, targets: usize, stride: usize) {
+        self.lengths.clear();
+        self.lengths.resize(targets, 0);
+        self.seen.clear();
+        self.seen.resize(stride, 0);
+    }
+
+    fn mark(&mut self, holders: &[u64], length: u32) {
+        for (word, (bits, seen)) in holders.iter().zip(&mut self.seen).enumerate() {
+            let mut new = bits & !*seen;
+            *seen |= bits;
+            while new != 0 {
+                let target = word * 64 + new.trailing_zeros() as usize;
+                new &= new - 1;
+                if let Some(known) = self.lengths.get_mut(target) {
+                    *known = length;
+                }
+            }
         }
     }
 }
