Plan placement from rules and reports

Cause: orders to engines need a wanted state that every process derives in the same way.

Change: replicas by rendezvous hash, at most one order per target and 60 s, a bound on running loads of each model, and no unload while a wanted replica is missing.

--- a/crates/tarragon-scheduler/src/lib.rs
+++ b/crates/tarragon-scheduler/src/lib.rs
@@ -10,6 +10,7 @@
 mod inflight;
 pub mod invariant;
 mod job;
+pub mod placement;
 pub mod policy;
 pub mod prelude;
 mod pressure;
--- /dev/null
+++ b/crates/tarragon-scheduler/src/placement.rs
@@ -0,0 +1,249 @@
+//! Which target shall hold which model, and the orders that lead there.
+//!
+//! Both are pure functions of the rules and of published reports, so that every process with the same
+//! view plans the same orders. Who gives them, with which fencing number, is decided elsewhere.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use serde::Serialize;
+use tarragon_config::rules::{ModelRule, RuleSet};
+use tarragon_protocol::{
+    engine::{EngineRole, OrderChange},
+    peer::PlannedOrder,
+};
+
+use crate::prelude::*;
+
+/// Least time between two orders to one target. A load takes about this long, so a target whose last
+/// order is younger counts as loading.
+pub const ORDER_INTERVAL: Duration = Duration::from_secs(60);
+
+/// Loads of one model that may run at once in a data centre: the weight store is rate-limited.
+pub const DEFAULT_LOADS: usize = 1;
+
+/// One target as it is published and as it reports itself.
+#[derive(Debug, Clone)]
+pub struct PlacementTarget {
+    /// Name.
+    pub target: TargetName,
+    /// Service.
+    pub service: ServiceName,
+    /// Whether it may get new work.
+    pub in_service: bool,
+    /// Last report. Nothing is ordered from a target that has not reported.
+    pub report: Option<LoadReport>,
+    /// Role of the last order, if one is known. Reports don't tell the role.
+    pub role: Option<EngineRole>,
+}
+
+/// What one target shall be.
+#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+pub struct WantedState {
+    /// Models to hold, in the order of their names.
+    pub models: Vec<WantedModel>,
+    /// Role to take.
+    pub role: EngineRole,
+}
+
+/// A model that a target shall hold.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct WantedModel {
+    /// Name.
+    pub model: ModelName,
+    /// Version of the weights.
+    pub version: u32,
+    /// Adapter on top of it.
+    pub adapter: Option<String>,
+}
+
+impl WantedModel {
+    /// Whether an entry of a report's list of models is this model. An engine may name the version as
+    /// `model@version`; if it doesn't, the version can't be compared.
+    fn matches(&self, held: &str) -> bool {
+        match held.split_once('@') {
+            Some((model, version)) => model == &*self.model && version.parse() == Ok(self.version),
+            None => held == &*self.model,
+        }
+    }
+}
+
+/// The wanted state of every target that is in service.
+pub fn wanted_states(
+    rules: &RuleSet,
+    targets: &[PlacementTarget],
+) -> IndexMap<TargetName, WantedState> {
+    let mut usable: Vec<&PlacementTarget> =
+        targets.iter().filter(|target| target.in_service && !is_leaving(target)).collect();
+    usable.sort_by(|left, right| left.target.cmp(&right.target));
+    let mut states: IndexMap<TargetName, WantedState> =
+        usable.iter().map(|target| (target.target.clone(), WantedState::default())).collect();
+    let mut models: Vec<(&ModelName, &ModelRule)> = rules.models.iter().collect();
+    models.sort_by_key(|(name, _)| *name);
+    for (name, rule) in models {
+        for target in replicas(name, rule, &usable) {
+            let Some(state) = states.get_mut(&target.target) else { continue };
+            // A target with several models takes the role of the first that asks for a special one.
+            if state.role == EngineRole::Both {
+                state.role = rule.role;
+            }
+            state.models.push(WantedModel {
+                model: name.clone(),
+                version: rule.version,
+                adapter: rule.adapter.clone(),
+            });
+        }
+    }
+    states
+}
+
+/// The orders that may be given now: at most one for each target, and `loads` running loads of each
+/// model. All targets of one data centre must be given.
+pub fn plan_orders(
+    rules: &RuleSet,
+    targets: &[PlacementTarget],
+    loads: usize,
+) -> Vec<PlannedOrder> {
+    let states = wanted_states(rules, targets);
+    let mut budget = LoadBudget::new(loads, targets, &states);
+    let mut orders = Vec::new();
+    for (name, state) in &states {
+        let Some(target) = targets.iter().find(|target| target.target == *name) else { continue };
+        let Some(report) = &target.report else { continue };
+        if was_ordered(report) {
+            continue;
+        }
+        if let Some(change) = next_change(target, report, state, rules, &mut budget) {
+            orders.push(PlannedOrder { target: name.clone(), change });
+        }
+    }
+    orders
+}
+
+fn next_change(
+    target: &PlacementTarget,
+    report: &LoadReport,
+    state: &WantedState,
+    rules: &RuleSet,
+    budget: &mut LoadBudget,
+) -> Option<OrderChange> {
+    if target.role.is_some_and(|role| role != state.role) {
+        return Some(OrderChange::Role { role: state.role });
+    }
+    let missing = missing_models(report, state);
+    if let Some(wanted) = missing.iter().find(|wanted| budget.take(wanted)) {
+        return Some(OrderChange::Load {
+            model: wanted.model.clone(),
+            version: wanted.version,
+            adapter: wanted.adapter.clone(),
+        });
+    }
+    if !missing.is_empty() {
+        return None;
+    }
+    superfluous_model(target, report, state, rules, budget)
+        .map(|model| OrderChange::Unload { model })
+}
+
+fn missing_models<'a>(report: &LoadReport, state: &'a WantedState) -> Vec<&'a WantedModel> {
+    let held = |wanted: &&WantedModel| report.models.iter().any(|model| wanted.matches(model));
+    state.models.iter().filter(|wanted| !held(wanted)).collect()
+}
+
+/// A held model that the target shall not hold. It stays while a target that shall hold it does not, so
+/// that a move never leaves the service without the model.
+fn superfluous_model(
+    target: &PlacementTarget,
+    report: &LoadReport,
+    state: &WantedState,
+    rules: &RuleSet,
+    budget: &LoadBudget,
+) -> Option<ModelName> {
+    let name = |held: &str| ModelName::from(held.split('@').next().unwrap_or(held));
+    let held = report.models.iter().map(|held| name(held));
+    held.into_iter().find(|held| {
+        let wanted = state.models.iter().any(|wanted| wanted.model == *held);
+        let rule = rules.models.get(held).filter(|rule| rule.service == target.service);
+        !wanted && (rule.is_none() || !budget.is_missing(held))
+    })
+}
+
+/// The targets that shall hold a model: those that rank highest by rendezvous hash, so that a target
+/// that comes or goes moves few models.
+fn replicas<'a>(
+    name: &ModelName,
+    rule: &ModelRule,
+    usable: &[&'a PlacementTarget],
+) -> Vec<&'a PlacementTarget> {
+    let mut ranked: Vec<(u64, &PlacementTarget)> = usable
+        .iter()
+        .filter(|target| target.service == rule.service)
+        .map(|target| (rank(name, &target.target), *target))
+        .collect();
+    ranked.sort_by(|left, right| (right.0, &left.1.target).cmp(&(left.0, &right.1.target)));
+    let count = rule.replicas.map_or(ranked.len(), |replicas| replicas as usize);
+    ranked.into_iter().take(count).map(|(_, target)| target).collect()
+}
+
+fn rank(model: &str, target: &str) -> u64 {
+    let mut key = Vec::with_capacity(model.len() + target.len() + 1);
+    key.extend_from_slice(model.as_bytes());
+    key.push(0);
+    key.extend_from_slice(target.as_bytes());
+    xxhash_rust::xxh3::xxh3_64(&key)
+}
+
+fn is_leaving(target: &PlacementTarget) -> bool {
+    target.report.as_ref().is_some_and(|report| report.state == TargetState::Leaving)
+}
+
+fn was_ordered(report: &LoadReport) -> bool {
+    report.last_order_age_ms.is_some_and(|age| u128::from(age) < ORDER_INTERVAL.as_millis())
+}
+
+/// Loads that run and that may be started, by model.
+struct LoadBudget {
+    limit: usize,
+    running: IndexMap<ModelName, usize>,
+    missing: IndexMap<ModelName, usize>,
+}
+
+impl LoadBudget {
+    /// A target that was given an order a short time ago and lacks a model counts as loading it,
+    /// whoever gave the order.
+    fn new(
+        limit: usize,
+        targets: &[PlacementTarget],
+        states: &IndexMap<TargetName, WantedState>,
+    ) -> LoadBudget {
+        let mut budget = LoadBudget { limit, running: IndexMap::new(), missing: IndexMap::new() };
+        for target in targets {
+            let Some(state) = states.get(&target.target) else { continue };
+            let Some(report) = &target.report else {
+                for wanted in &state.models {
+                    *budget.missing.entry(wanted.model.clone()).or_default() += 1;
+                }
+                continue;
+            };
+            let missing = missing_models(report, state);
+            for wanted in &missing {
+                *budget.missing.entry(wanted.model.clone()).or_default() += 1;
+            }
+            if let Some(wanted) = missing.first().filter(|_| was_ordered(report)) {
+                *budget.running.entry(wanted.model.clone()).or_default() += 1;
+            }
+        }
+        budget
+    }
+
+    fn take(&mut self, wanted: &WantedModel) -> bool {
+        let running = self.running.entry(wanted.model.clone()).or_default();
+        let free = *running < self.limit;
+        *running += usize::from(free);
+        free
+    }
+
+    fn is_missing(&self, model: &ModelName) -> bool {
+        self.missing.get(model).is_some_and(|count| *count > 0)
+    }
+}
