--- /dev/null
+++ b/crates/tarragon-scheduler/src/scheduler/candidate.rs
@@ -0,0 +1,89 @@
+//! The targets that can take a request now, with the times to be expected there.
+
+use crate::{
+    choose::ChooseCandidate,
+    job::{Job, block_tokens},
+    prelude::*,
+    targets::{TargetRow, TargetTable, estimate::AFFINITY_EXCESS, prefix::PrefixHits},
+};
+
+/// Reused between decisions, so that a decision allocates nothing.
+#[derive(Debug, Default)]
+pub(super) struct CandidateList {
+    /// Open targets, in the order of the table.
+    pub items: Vec<ChooseCandidate>,
+    hits: PrefixHits,
+}
+
+/// What restricts the choice beside the open windows.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ChoiceBounds {
+    /// The request may crash targets.
+    pub suspect: bool,
+    /// Suspects are in flight somewhere.
+    pub suspects_run: bool,
+}
+
+impl CandidateList {
+    /// Finds all targets that can take the job now.
+    pub(super) fn collect(&mut self, targets: &TargetTable, job: &Job, bounds: ChoiceBounds) {
+        self.items.clear();
+        let mean = self.collect_open(targets, job, bounds);
+        if bounds.suspects_run && !bounds.suspect {
+            self.leave_suspects_alone(targets, job.tier());
+        }
+        if self.items.is_empty() {
+            return;
+        }
+        let blocks = job.blocks();
+        targets.prefixes.lookup(blocks, targets.capacity(), &mut self.hits);
+        let size = job.size();
+        for candidate in &mut self.items {
+            let outlook = targets.outlook(candidate.target);
+            let attracts = outlook.used_share() <= mean + AFFINITY_EXCESS;
+            let hit = if attracts { self.hits.get(candidate.target) } else { 0 };
+            candidate.estimate = outlook.estimate(size, block_tokens(hit));
+        }
+    }
+
+    /// Adds the open targets and returns the mean share of their windows that is in use.
+    fn collect_open(&mut self, targets: &TargetTable, job: &Job, bounds: ChoiceBounds) -> f32 {
+        let mut used = 0.0;
+        for index in &targets.pool(job.pool).members {
+            let outlook = targets.outlook(*index);
+            if !outlook.is_open() || outlook.models & job.models == 0 || job.avoid.contains(index) {
+                continue;
+            }
+            let suits = |row| suits_suspect(row, job.tier());
+            if bounds.suspect && !targets.row(*index).is_some_and(suits) {
+                continue;
+            }
+            used += outlook.used_share();
+            self.items.push(ChooseCandidate {
+                target: *index,
+                in_flight: outlook.in_flight,
+                window: outlook.window,
+                estimate: Default::default(),
+            });
+        }
+        used / self.items.len().max(1) as f32
+    }
+
+    /// Drops targets that run a suspect of a lower tier, unless there are no others.
+    fn leave_suspects_alone(&mut self, targets: &TargetTable, tier: Tier) {
+        let runs_lower = |candidate: &ChooseCandidate| {
+            targets
+                .row(candidate.target)
+                .is_some_and(|row| row.suspects[..tier.index()].iter().any(|count| *count > 0))
+        };
+        if self.items.iter().any(|candidate| !runs_lower(candidate)) {
+            self.items.retain(|candidate| !runs_lower(candidate));
+        }
+    }
+}
+
+/// A suspect runs alone among suspects and not beside work of a higher tier.
+pub(super) fn suits_suspect(row: &TargetRow, tier: Tier) -> bool {
+    row.suspects.iter().all(|count| *count == 0)
+        && row.highest_tier().is_none_or(|highest| highest <= tier)
+}
