--- a/crates/tarragon-cluster/src/ticket.rs
+++ b/crates/tarragon-cluster/src/ticket.rs
@@ -2,6 +2,7 @@
 
 pub mod adopted;
 pub mod binding;
+pub mod decision;
 pub mod record;
 pub mod table;
 #[cfg(test)]
@@ -18,8 +19,13 @@
     prelude::*,
 };
 
+pub use adopted::AdoptFault;
 pub use binding::CallBinding;
-pub use table::{TicketDecision, TicketEnd, TicketTable, TicketUse, WriteDecision};
+pub use decision::{
+    AbandonDecision, TicketDecision, TicketEnd, TicketLimits, TicketStatus, TicketUse,
+    WriteDecision,
+};
+pub use table::TicketTable;
 
 /// Time after its issue in which a ticket may be used.
 pub const TICKET_VALIDITY: Duration = Duration::from_secs(10 * 60);
--- a/crates/tarragon-cluster/src/ticket/record.rs
+++ b/crates/tarragon-cluster/src/ticket/record.rs
@@ -121,6 +121,13 @@
     answer.body.len() + headers.sum::<usize>()
 }
 
+impl RunningCall {
+    /// The requests that wait for the answer.
+    pub(super) fn requests(&self) -> Vec<RequestId> {
+        self.waiters.iter().map(|waiter| waiter.request).collect()
+    }
+}
+
 impl TicketRecord {
     /// Boot clock until which a record that becomes final now is kept.
     pub(super) fn keep_until(&self, boot: Duration) -> Duration {
--- a/crates/tarragon-cluster/src/ticket/table.rs
+++ b/crates/tarragon-cluster/src/ticket/table.rs
@@ -8,12 +8,12 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use serde::Serialize;
 use tarragon_protocol::{identity::TicketSequence, peer::HandoverRecord};
 
 use super::{
-    CallBinding, RECORD_KEEP, TICKET_VALIDITY, Ticket,
+    RECORD_KEEP, TICKET_VALIDITY, Ticket,
     adopted::{AdoptFault, AdoptedRecords},
+    decision::*,
     record::*,
 };
 use crate::{
@@ -21,122 +21,6 @@
     prelude::*,
 };
 
-/// Bounds of the table.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct TicketLimits {
-    /// Records, own and adopted.
-    pub records: usize,
-    /// Bytes of all kept answers, own and adopted.
-    pub answer_bytes: usize,
-    /// Requests that may wait for the answer of one ticket.
-    pub waiters: usize,
-}
-
-impl Default for TicketLimits {
-    fn default() -> TicketLimits {
-        TicketLimits { records: 65_536, answer_bytes: 16 * 1024 * 1024, waiters: 64 }
-    }
-}
-
-/// A request that presents a ticket.
-#[derive(Debug, Clone, Copy)]
-pub struct TicketUse<'a> {
-    /// The verified ticket.
-    pub ticket: &'a Ticket,
-    /// The call to run under it.
-    pub binding: CallBinding,
-    /// Deadline on this process's boot clock.
-    pub deadline: Duration,
-    /// The request that waits for the answer.
-    pub waiter: RequestId,
-    /// Largest body in bytes that is kept for a repeat.
-    pub answer_limit: usize,
-    /// Whether another entry VM has forwarded the call; it is not forwarded again.
-    pub forwarded: bool,
-    /// Who answers for the owner now, if that is known.
-    pub successor: Option<&'a SuccessorEntry>,
-}
-
-/// What to do with a request that presents a ticket.
-#[derive(Debug, Clone, PartialEq)]
-pub enum TicketDecision {
-    /// Send the whole call to the owner, or to its successor.
-    Forward(PeerAddress),
-    /// Queue the call. Its record has been created.
-    Start(TicketSequence),
-    /// Wait for the answer of the call that runs.
-    Join(TicketSequence),
-    /// Answer now.
-    Answer(TicketAnswer),
-    /// The ticket was used for another call; refuse with 422.
-    Mismatch,
-}
-
-/// Whether the first byte of a call may be written.
-#[derive(Debug, Clone, PartialEq)]
-pub enum WriteDecision {
-    /// Yes, under this number. No other attempt may be written until this one is known not to have run.
-    Write(AttemptNumber),
-    /// No. If this check has sealed the ticket, its waiters are given here.
-    Withhold(Option<TicketEnd>),
-}
-
-/// The answer of a ticket and the requests that wait for it.
-#[derive(Debug, Clone, PartialEq)]
-pub struct TicketEnd {
-    /// The ticket.
-    pub sequence: TicketSequence,
-    /// The requests.
-    pub waiters: Vec<RequestId>,
-    /// The answer for each of them.
-    pub answer: TicketAnswer,
-}
-
-/// What happens to a call whose caller has gone.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum AbandonDecision {
-    /// It was queued and nobody else waits: its ticket is sealed, and it must leave the queue.
-    Sealed,
-    /// It goes on: others wait, or it has been dispatched.
-    GoesOn,
-    /// The ticket has no running call.
-    NotRunning,
-}
-
-/// What is known of a ticket, for `query_ticket`.
-#[derive(Debug, Clone, PartialEq)]
-pub enum TicketStatus {
-    /// The call is queued or dispatched.
-    Running,
-    /// The final answer.
-    Answered(TicketAnswer),
-    /// No call has used the ticket. This does not exclude a later use.
-    Unused,
-    /// This process doesn't answer for the ticket's owner.
-    Elsewhere,
-}
-
-/// Figures of the table for the dump.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
-pub struct TicketDump {
-    /// Highest number issued.
-    pub issued: TicketSequence,
-    /// Tickets up to this number are sealed unless they have a record.
-    pub watermark: TicketSequence,
-    /// Own records.
-    pub records: usize,
-    /// Own records of calls without a final answer.
-    pub running: usize,
-    /// Bytes of kept answers, own and adopted.
-    pub answer_bytes: usize,
-    /// Processes whose records are held here, with the number of records.
-    pub adopted: Vec<(String, usize)>,
-    /// Whether the process has stopped to start calls.
-    pub draining: bool,
-    /// Whether the records are frozen.
-    pub frozen: bool,
-}
-
 /// Issues tickets and keeps the records of those that were used.
 #[derive(Debug)]
 pub struct TicketTable {
@@ -148,8 +32,9 @@
     records: IndexMap<TicketSequence, TicketRecord>,
     answer_bytes: usize,
     adopted: IndexMap<PeerIdentity, AdoptedRecords>,
-    /// Waiters of calls that were written when the table froze.
-    outstanding: IndexMap<TicketSequence, Vec<RequestId>>,
+    /// Calls that were written when the table froze. Their records are final; their own waiters still get
+    /// the answer if it arrives.
+    outstanding: IndexMap<TicketSequence, RunningCall>,
     ended: Vec<TicketEnd>,
     draining: bool,
     frozen: bool,
@@ -242,6 +127,14 @@
     fn start(&mut self, boot: Duration, ticket_use: &TicketUse<'_>) -> TicketDecision {
         let TicketUse { ticket, binding, deadline, waiter, answer_limit, .. } = *ticket_use;
         let sequence = ticket.sequence;
+        let usable = sequence > self.watermark && ticket.age(boot) < TICKET_VALIDITY;
+        let usable = hold(Invariant::SealedTicketStaysUnused, usable && !self.draining, || {
+            format!("ticket {sequence} is sealed or expired and was to be started")
+        });
+        if !usable {
+            let cause = "it can't be used any more";
+            return TicketDecision::Answer(not_run(RefusalCode::TicketSealed, sequence, cause));
+        }
         let waiters = vec![TicketWaiter { request: waiter, deadline }];
         let call = RunningCall { waiters, written: false, attempts: 0, answer_limit };
         let state = RecordState::Running(Box::new(call));
@@ -305,6 +198,10 @@
         }
         let in_time = call.waiters.iter().any(|waiter| waiter.deadline > boot);
         if !expired && in_time {
+            let detail = || format!("ticket {sequence} was to be written by a frozen process");
+            if !hold(Invariant::FrozenStartsNothing, !frozen, detail) {
+                return WriteDecision::Withhold(None);
+            }
             call.written = true;
             call.attempts += 1;
             return WriteDecision::Write(call.attempts);
@@ -322,7 +219,8 @@
     /// number is the one that [`TicketTable::may_write`] gave: a late note on an earlier attempt must not
     /// clear the open one.
     pub fn attempt_not_run(&mut self, sequence: TicketSequence, attempt: AttemptNumber) {
-        if let Some(call) = self.records.get_mut(&sequence).and_then(TicketRecord::running_mut)
+        let call = self.records.get_mut(&sequence).and_then(TicketRecord::running_mut);
+        if let Some(call) = call.or(self.outstanding.get_mut(&sequence))
             && call.attempts == attempt
         {
             call.written = false;
@@ -337,16 +235,16 @@
         answer: TicketAnswer,
         boot: Duration,
     ) -> Option<TicketEnd> {
-        if let Some(waiters) = self.outstanding.swap_remove(&sequence) {
-            return Some(TicketEnd { sequence, waiters, answer });
+        if let Some(call) = self.outstanding.swap_remove(&sequence) {
+            let answer = truthful(sequence, call.written, answer);
+            return Some(TicketEnd { sequence, waiters: call.requests(), answer });
         }
         let record = self.records.get(&sequence)?;
         let Some(call) = record.running() else {
             self.check_late(sequence, &answer);
             return None;
         };
-        let written = call.written;
-        let waiters = call.waiters.iter().map(|waiter| waiter.request).collect();
+        let (written, waiters) = (call.written, call.requests());
         let answer = truthful(sequence, written, answer);
         self.settle(boot, sequence, &answer);
         Some(TicketEnd { sequence, waiters, answer })
@@ -386,8 +284,8 @@
         waiter: RequestId,
         boot: Duration,
     ) -> AbandonDecision {
-        if let Some(waiters) = self.outstanding.get_mut(&sequence) {
-            waiters.retain(|request| *request != waiter);
+        if let Some(call) = self.outstanding.get_mut(&sequence) {
+            call.waiters.retain(|other| other.request != waiter);
         }
         let Some(call) = self.records.get_mut(&sequence).and_then(TicketRecord::running_mut) else {
             return AbandonDecision::NotRunning;
@@ -405,7 +303,7 @@
     /// Requests that wait for a ticket's answer.
     pub fn waiters(&self, sequence: TicketSequence) -> Vec<RequestId> {
         let call = self.records.get(&sequence).and_then(TicketRecord::running);
-        call.into_iter().flat_map(|call| &call.waiters).map(|waiter| waiter.request).collect()
+        call.or(self.outstanding.get(&sequence)).map_or_else(Vec::new, RunningCall::requests)
     }
 
     /// Calls without a final answer.
@@ -449,20 +347,20 @@
     }
 
     fn freeze_call(&mut self, sequence: TicketSequence, boot: Duration) {
-        let Some(call) = self.records.get(&sequence).and_then(TicketRecord::running) else {
+        let Some(call) = self.records.get(&sequence).and_then(TicketRecord::running).cloned()
+        else {
             return;
         };
-        let waiters: Vec<RequestId> = call.waiters.iter().map(|waiter| waiter.request).collect();
         let code = RefusalCode::ShuttingDown;
         if call.written {
             let cause = "its owner shut down while the call ran";
             self.settle(boot, sequence, &unknown(code, sequence, cause));
-            self.outstanding.insert(sequence, waiters);
+            self.outstanding.insert(sequence, call);
         } else {
-            let answer =
-                not_run(code, sequence, "its owner shut down before the call was dispatched");
+            let cause = "its owner shut down before the call was dispatched";
+            let answer = not_run(code, sequence, cause);
             self.settle(boot, sequence, &answer);
-            self.ended.push(TicketEnd { sequence, waiters, answer });
+            self.ended.push(TicketEnd { sequence, waiters: call.requests(), answer });
         }
     }
 
