--- a/crates/tarragon-cluster/src/cluster.rs
+++ b/crates/tarragon-cluster/src/cluster.rs
@@ -411,6 +411,11 @@
         up.filter(|member| member.is_reachable(now)).map(|member| member.peer_address()).collect()
     }
 
+    /// Age of the last report of each target of the data centre.
+    pub fn load_ages(&self, now: Instant) -> Vec<(TargetName, Option<Duration>)> {
+        self.loads.ages(now)
+    }
+
     /// Settings of this process.
     pub fn settings(&self) -> &ClusterSettings {
         &self.settings
--- a/crates/tarragon-cluster/src/cluster/service.rs
+++ b/crates/tarragon-cluster/src/cluster/service.rs
@@ -66,7 +66,8 @@
             && self.members.iter().next().is_none()
             && self.settings.seeds.iter().all(|seed| *seed == self.settings.peer_address);
         let asked = self.reader.manifest_asked() && (self.peer_checked || alone || waited);
-        let done = asked && self.publication.current().is_some() && self.slots.is_settled(now);
+        let settled = waited || self.slots.is_settled(now);
+        let done = asked && settled && self.publication.current().is_some();
         if done && !self.peer_checked && !alone {
             tracing::warn!("no peer has answered; serving with the configuration at hand");
         }
--- /dev/null
+++ b/crates/tarragon-cluster/tests/cluster_world.rs
@@ -0,0 +1,392 @@
+//! Whole clusters in one process: each test names the failure that it guards against.
+
+#[path = "support/world.rs"]
+mod world;
+
+use std::time::Duration;
+
+use tarragon_cluster::{
+    cluster::ClusterSettings, event::ClusterAction, fence::fencing_number, member::MemberStatus,
+    prelude::*,
+};
+use tarragon_protocol::{engine::OrderChange, peer::PlannedOrder};
+use world::{World, address_of};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn all_ready(world: &World) -> bool {
+    world.nodes.iter().filter(|node| node.alive).all(|node| node.ready)
+}
+
+fn all_have(world: &World, version: ConfigurationVersion) -> bool {
+    world.versions().iter().all(|known| *known == version)
+}
+
+fn settled(vms: usize, targets: usize, bears: u32) -> World {
+    let mut world = World::with(vms, targets, bears);
+    world.run_until(20 * SECOND, all_ready).expect("all nodes become ready");
+    world.run_for(10 * SECOND);
+    world
+}
+
+/// Guards against slots that don't add up to what a target bears, before, during and after changes of the
+/// view: a start, a death and a return under a new incarnation.
+#[test]
+fn slots_never_exceed_what_a_target_bears() {
+    for (vms, bears) in [(1, 5), (3, 2), (8, 20), (8, 3)] {
+        let mut world = World::with(vms, 4, bears);
+        let check = |world: &World, exact: bool| {
+            for target in world.targets.keys() {
+                let sum = world.slots_in_use(target);
+                assert!(sum <= bears, "{vms} VMs use {sum} of {bears} slots of {target}");
+                assert!(!exact || sum == bears, "{vms} VMs use only {sum} of {bears} slots");
+            }
+        };
+        let run = |world: &mut World, seconds: u32| {
+            for _ in 0..10 * seconds {
+                world.step();
+                check(world, false);
+            }
+        };
+        run(&mut world, 20);
+        check(&world, true);
+        world.list_vm("dc0-late", "dc0");
+        world.start_node("dc0-late", "dc0", 500);
+        run(&mut world, 20);
+        check(&world, true);
+        world.nodes[0].alive = false;
+        run(&mut world, 20);
+        world.platform.list.version += 1;
+        world.platform.list.vms.remove(0);
+        run(&mut world, 20);
+        check(&world, true);
+        world.list_vm("dc0-vm-00", "dc0");
+        world.start_node("dc0-vm-00", "dc0", 900);
+        run(&mut world, 20);
+        check(&world, true);
+    }
+}
+
+/// Guards against more work than a cold target can bear: one without a young report has one slot in all,
+/// and a target that turns cold loses its slots at every VM at once.
+#[test]
+fn cold_targets_get_what_they_bear() {
+    let mut world = settled(8, 2, 64);
+    let target: TargetName = "dc0-runner-000".into();
+    assert_eq!(world.slots_in_use(&target), 64);
+    let report = &mut world.targets[&target];
+    report.restart += 1;
+    report.state = TargetState::Cold;
+    report.bears = 2;
+    let took = world.run_until(5 * SECOND, |world| world.slots_in_use("dc0-runner-000") <= 2);
+    assert!(took.expect("slots fall") <= SECOND + SECOND / 2, "took {took:?}");
+    world.targets.swap_remove(&target);
+    world.run_for(12 * SECOND);
+    assert_eq!(world.slots_in_use(&target), 1);
+}
+
+/// Guards against a suspicion that stays with the VM that saw it.
+#[test]
+fn signs_of_a_cold_target_reach_all_vms_at_once() {
+    let mut world = settled(8, 2, 64);
+    let target: TargetName = "dc0-runner-001".into();
+    world.handle(3, ClusterEvent::TargetSuspicious(target.clone()));
+    world.step();
+    world.step();
+    assert!(world.slots_in_use(&target) <= 1, "{}", world.slots_in_use(&target));
+    world.run_for(5 * SECOND);
+    assert_eq!(world.slots_in_use(&target), 64);
+}
+
+/// Guards against a configuration that takes longer than 14 s, or reaches only the readers.
+#[test]
+fn a_configuration_is_in_force_everywhere_within_14_s() {
+    let mut world = settled(31, 10, 20);
+    let version = world.platform.manifest.version + 1;
+    world.publish_targets("dc0", 11, 20);
+    world.reset_counts();
+    let took = world.run_until(14 * SECOND, |world| all_have(world, version));
+    assert!(took.is_some(), "versions {:?}", world.versions());
+    let calls = world.platform.calls;
+    assert!(calls <= 8, "{calls} calls of the platform for one change");
+}
+
+/// Guards against a return to an older configuration when the service comes back with an old value.
+#[test]
+fn an_older_configuration_is_refused() {
+    let mut world = settled(4, 2, 8);
+    let old = world.platform.manifest.clone();
+    let old_parts = world.platform.parts.clone();
+    world.publish_targets("dc0", 3, 8);
+    let version = world.platform.manifest.version;
+    world.run_until(14 * SECOND, |world| all_have(world, version)).expect("the change arrives");
+    world.platform.manifest = old;
+    world.platform.parts = old_parts;
+    world.platform.up = false;
+    world.run_for(10 * SECOND);
+    world.platform.up = true;
+    world.start_node("dc0-new", "dc0", 77);
+    world.run_for(30 * SECOND);
+    assert!(all_have(&world, version), "versions {:?}", world.versions());
+    assert!(world.nodes[4].ready, "the new process takes the higher version of its peers");
+}
+
+/// Guards against an invalid configuration that replaces the last good one or is read in a loop.
+#[test]
+fn an_invalid_configuration_is_refused_everywhere() {
+    let mut world = settled(4, 2, 8);
+    let good = world.platform.manifest.version;
+    world.publish_part("targets-dc0", "{not a list");
+    world.reset_counts();
+    world.run_for(30 * SECOND);
+    assert!(all_have(&world, good), "versions {:?}", world.versions());
+    assert!(world.nodes.iter().any(|node| !node.refused.is_empty()));
+    assert!(world.platform.calls < 40, "{} calls", world.platform.calls);
+    world.publish_targets("dc0", 3, 8);
+    let version = world.platform.manifest.version;
+    let took = world.run_until(14 * SECOND, |world| all_have(world, version));
+    assert!(took.is_some(), "versions {:?}", world.versions());
+}
+
+/// Guards against a load on the platform that grows with the fleet.
+#[test]
+fn only_two_readers_call_the_platform() {
+    for vms in [8, 31] {
+        let mut world = settled(vms, 4, 40);
+        world.reset_counts();
+        world.run_for(60 * SECOND);
+        let calls = world.platform.calls;
+        assert!(calls <= 12, "{vms} VMs made {calls} calls in a minute without a change");
+    }
+}
+
+/// Guards against VMs that flood a platform that is down, and against one that misses its return.
+#[test]
+fn calls_are_paced_while_the_platform_is_down() {
+    let mut world = settled(8, 4, 40);
+    world.platform.up = false;
+    world.run_for(30 * SECOND);
+    world.reset_counts();
+    world.run_for(60 * SECOND);
+    let calls = world.platform.calls;
+    assert!(calls <= 60, "{calls} calls in a minute while the platform is down");
+    world.platform.up = true;
+    world.publish_targets("dc0", 5, 40);
+    let version = world.platform.manifest.version;
+    let took = world.run_until(14 * SECOND, |world| all_have(world, version));
+    assert!(took.is_some(), "versions {:?}", world.versions());
+}
+
+/// Guards against a new process that serves before it has asked a peer, or never serves without one.
+#[test]
+fn a_new_process_asks_service_and_peer() {
+    let mut world = World::with(1, 2, 8);
+    let alone = world.run_until(20 * SECOND, all_ready).expect("a lone process becomes ready");
+    assert!(alone <= 6 * SECOND, "took {alone:?}");
+
+    let mut world = World::with(2, 2, 8);
+    world.nodes[1].alive = false;
+    let waited = world.run_until(20 * SECOND, all_ready).expect("it serves without the peer");
+    assert!(waited >= 10 * SECOND, "took {waited:?}");
+}
+
+/// Guards against a process that can start only while the platform is up.
+#[test]
+fn a_seed_replaces_the_platform_at_start() {
+    let mut world = settled(3, 2, 8);
+    world.platform.up = false;
+    let identity = PeerIdentity { vm: "dc0-late".into(), incarnation: 55 };
+    let mut settings = ClusterSettings::new(
+        identity,
+        "dc0".into(),
+        "127.0.0.1:caller-late".to_owned(),
+        address_of("dc0-late"),
+    );
+    settings.seeds = vec![address_of("dc0-vm-01")];
+    let index = world.start_with(settings);
+    let took = world.run_until(20 * SECOND, |world| world.nodes[index].ready);
+    assert!(took.is_some(), "{:?}", world.nodes[index].cluster.dump(world.now));
+}
+
+/// Guards against a process that resumes after a pause with outdated slots, floors and roles, and against
+/// one that removes its peers because it did not hear them while it was paused.
+#[test]
+fn a_paused_process_trusts_only_its_old_slots() {
+    let mut world = settled(4, 2, 8);
+    world.nodes[0].paused = true;
+    world.run_for(20 * SECOND);
+    world.nodes[0].paused = false;
+    world.nodes[0].group = 1;
+    world.nodes[0].forgotten.clear();
+    let held: u32 = world.nodes[0].slots.values().map(|share| share.slots).sum();
+    world.step();
+    let node = &world.nodes[0];
+    assert_eq!(node.forgotten.len(), 3, "floors and grants of all peers lapse");
+    let dump = node.cluster.dump(world.now);
+    assert!(dump.members.iter().all(|(_, status)| *status == MemberStatus::Up), "{dump:?}");
+    assert!(!dump.peer_checked);
+    world.run_for(8 * SECOND);
+    let kept: u32 = world.nodes[0].slots.values().map(|share| share.slots).sum();
+    assert!(kept <= held, "{kept} slots after the pause, {held} before");
+    world.nodes[0].group = 0;
+    world.run_for(10 * SECOND);
+    assert_eq!(world.slots_in_use("dc0-runner-000"), 8);
+}
+
+/// Guards against an isolated VM that takes the slots of those that it does not hear.
+#[test]
+fn a_partition_gives_nobody_more_slots() {
+    let mut world = settled(6, 3, 12);
+    for index in 0..3 {
+        world.nodes[index].group = 1;
+    }
+    for _ in 0..300 {
+        world.step();
+        for target in world.targets.keys() {
+            assert!(world.slots_in_use(target) <= 12, "{}", world.slots_in_use(target));
+        }
+    }
+    for node in &mut world.nodes {
+        node.group = 0;
+    }
+    world.run_for(20 * SECOND);
+    let dump = world.nodes[0].cluster.dump(world.now);
+    assert!(dump.members.iter().all(|(_, status)| *status == MemberStatus::Up), "{dump:?}");
+    assert_eq!(world.slots_in_use("dc0-runner-001"), 12);
+}
+
+/// Guards against a sum above what the target bears when slots are lent, and against a slot that is lost
+/// with its borrower.
+#[test]
+fn borrowed_slots_are_subtracted_and_come_back() {
+    let mut world = settled(4, 1, 2);
+    let target: TargetName = "dc0-runner-000".into();
+    let slots = |world: &World, index: usize| world.nodes[index].slots[&target].slots;
+    let borrower = (0..4).find(|index| slots(&world, *index) == 0).expect("bears 2, 4 VMs");
+    world.handle(borrower, ClusterEvent::SlotWanted(target.clone()));
+    world.step();
+    assert_eq!(slots(&world, borrower), 1);
+    assert_eq!(world.slots_in_use(&target), 2);
+    world.handle(borrower, ClusterEvent::GrantReturned(target.clone()));
+    assert_eq!(slots(&world, borrower), 0);
+    assert_eq!(world.slots_in_use(&target), 2);
+
+    world.handle(borrower, ClusterEvent::SlotWanted(target.clone()));
+    world.step();
+    assert_eq!(slots(&world, borrower), 1);
+    world.nodes[borrower].alive = false;
+    world.run_for(12 * SECOND);
+    assert_eq!(world.slots_in_use(&target), 2);
+}
+
+/// Guards against an order from a VM that does not own the target, from one that has just become its owner,
+/// or sooner than 60 s after the last order of anybody.
+#[test]
+fn one_owner_gives_orders_with_a_distance() {
+    let mut world = settled(4, 1, 8);
+    world.run_for(5 * SECOND);
+    let target: TargetName = "dc0-runner-000".into();
+    let version = world.platform.manifest.version;
+    let change = OrderChange::Load { model: "m".into(), version: 1, adapter: None };
+    let plan = vec![PlannedOrder { target: target.clone(), change }];
+    world.targets[&target].last_order_age_ms = Some(50_000);
+    let give = |world: &mut World| {
+        for index in 0..4 {
+            world.handle(index, ClusterEvent::OrdersPlanned(version, plan.clone()));
+        }
+    };
+    let orders = |world: &World| -> Vec<(TargetName, u64)> {
+        world.nodes.iter().flat_map(|node| node.orders.clone()).collect()
+    };
+    give(&mut world);
+    world.run_for(3 * SECOND);
+    assert_eq!(orders(&world), [], "50 s after an order of somebody else");
+    world.targets[&target].last_order_age_ms = Some(61_000);
+    world.run_for(12 * SECOND);
+    assert_eq!(orders(&world), [(target.clone(), fencing_number(version, 1))]);
+    world.run_for(40 * SECOND);
+    assert_eq!(orders(&world).len(), 1, "a second order within 60 s");
+    world.targets[&target].models = vec!["m".into()];
+    world.run_for(60 * SECOND);
+    assert_eq!(orders(&world).len(), 1, "an order without a difference");
+}
+
+/// Guards against a verdict or a successor that reaches only the VMs that were up at that moment.
+#[test]
+fn news_reach_members_that_start_later() {
+    let mut world = settled(4, 1, 8);
+    let entry = SuspectEntry {
+        fingerprint: 9,
+        crashes: vec![("dc0-runner-000".into(), 1)],
+        convicted: true,
+        age_ms: 0,
+    };
+    world.handle(0, ClusterEvent::SuspectNoted(entry));
+    let owner = PeerIdentity { vm: "gone".into(), incarnation: 3 };
+    let successor = PeerIdentity { vm: "dc0-vm-01".into(), incarnation: 2 };
+    let entry = SuccessorEntry {
+        owner: owner.clone(),
+        successor,
+        peer_address: address_of("dc0-vm-01"),
+        age_ms: 0,
+    };
+    world.handle(0, ClusterEvent::HandoverDone(entry));
+    world.step();
+    world.step();
+    for index in 1..4 {
+        assert_eq!(world.nodes[index].suspects.len(), 1);
+        assert!(world.nodes[index].cluster.successor_of(&owner).is_some());
+    }
+    world.list_vm("dc0-late", "dc0");
+    let late = world.start_node("dc0-late", "dc0", 40);
+    world.run_for(15 * SECOND);
+    assert_eq!(world.nodes[late].suspects.len(), 1);
+    assert!(world.nodes[late].cluster.successor_of(&owner).is_some());
+    world.run_for(1200 * SECOND);
+    assert!(world.nodes[late].cluster.successor_of(&owner).is_none());
+}
+
+/// Guards against a draining or leaving VM that stays ready, keeps its targets open, or changes its
+/// successor between two tries.
+#[test]
+fn a_draining_vm_takes_no_new_work() {
+    let mut world = settled(3, 2, 8);
+    world.handle(0, ClusterEvent::DrainStarted);
+    assert!(!world.nodes[0].ready && world.nodes[0].relay);
+    assert_eq!(world.nodes[0].open_targets, 0);
+    let now = world.now;
+    let first = world.nodes[0].cluster.handover_successor(now);
+    assert!(first.is_some());
+    world.run_for(5 * SECOND);
+    let now = world.now;
+    assert_eq!(world.nodes[0].cluster.handover_successor(now), first);
+    world.handle(1, ClusterEvent::DrainStarted);
+    world.step();
+    world.step();
+    let successor = world.nodes[1].cluster.handover_successor(now).map(|peer| peer.vm);
+    assert_eq!(successor.as_deref(), Some("dc0-vm-02"), "not a peer that drains too");
+
+    world.platform.list.version += 1;
+    world.platform.list.vms[2].state = VmState::Leaving;
+    let took = world.run_until(3 * SECOND, |world| !world.nodes[2].ready);
+    assert!(took.is_some(), "a leaving VM is still ready after 3 s");
+    assert_eq!(world.nodes[2].open_targets, 0);
+}
+
+/// Guards against an old process of a VM that hides the new one, and against grants of the old one that
+/// stay lent.
+#[test]
+fn a_new_incarnation_replaces_the_old_one() {
+    let mut world = settled(3, 1, 6);
+    world.nodes[2].alive = false;
+    world.run_for(SECOND);
+    world.start_node("dc0-vm-02", "dc0", 300);
+    world.run_for(15 * SECOND);
+    let old = PeerIdentity { vm: "dc0-vm-02".into(), incarnation: 3 };
+    assert!(world.nodes[0].forgotten.contains(&old));
+    let mut actions: Vec<ClusterAction> = Vec::new();
+    let target: TargetName = "dc0-runner-000".into();
+    let now = world.now;
+    let grant = world.nodes[0].cluster.grant_slot(now, &old, &target, 0, &mut actions);
+    assert_eq!(grant, None, "a slot was lent to a process that is gone");
+}
