--- a/crates/tarragon-standin/src/engine/answer.rs
+++ b/crates/tarragon-standin/src/engine/answer.rs
@@ -20,6 +20,8 @@
     pub(super) request_id: String,
     pub(super) model: String,
     pub(super) events: UnboundedReceiver<EngineEvent>,
+    /// Index of the token that comes next; each chunk names it.
+    pub(super) next_index: u32,
 }
 
 impl AnswerStream {
@@ -83,6 +85,9 @@
                 Some(event) => event,
                 None => answer.next().await,
             };
+            if let EngineEvent::Token { index, .. } = &event {
+                answer.next_index = index + 1;
+            }
             let text = answer.event_text(&event);
             let more = matches!(event, EngineEvent::Token { .. });
             Some((Ok(Frame::data(Bytes::from(text))), more.then_some((answer, None))))
@@ -92,17 +97,13 @@
     fn event_text(&self, event: &EngineEvent) -> String {
         match event {
             EngineEvent::Token { index, text, prefill } => {
-                let extension = ChunkExtension {
-                    request_id: self.request_id.clone(),
-                    index: *index,
-                    tokens: 1,
-                    prefill_tokens: prefill.map(|(computed, _)| computed),
-                    cached_tokens: prefill.map(|(_, cached)| cached),
-                };
+                let extension = self.extension(*index, 1, *prefill);
                 data_line(&self.chunk(Some(text.clone()), None, Some(extension)))
             }
             EngineEvent::Finished(reason) => {
-                let last = data_line(&self.chunk(None, Some((*reason).to_owned()), None));
+                let extension = self.extension(self.next_index, 0, None);
+                let reason = Some((*reason).to_owned());
+                let last = data_line(&self.chunk(None, reason, Some(extension)));
                 format!("{last}data: [DONE]\n\n")
             }
             EngineEvent::Failed(message) => error_event("engine_failed", message),
@@ -110,6 +111,16 @@
         }
     }
 
+    fn extension(&self, index: u32, tokens: u32, prefill: Option<(u32, u32)>) -> ChunkExtension {
+        ChunkExtension {
+            request_id: self.request_id.clone(),
+            index,
+            tokens,
+            prefill_tokens: prefill.map(|(computed, _)| computed),
+            cached_tokens: prefill.map(|(_, cached)| cached),
+        }
+    }
+
     fn chunk(
         &self,
         content: Option<String>,
--- a/crates/tarragon-standin/src/engine/http.rs
+++ b/crates/tarragon-standin/src/engine/http.rs
@@ -64,8 +64,12 @@
             batch.submit(submission, Instant::now().into_std())
         };
         self.shared.wake();
-        let request_id = extension.request_id;
-        let answer = AnswerStream { request_id, model: chat.model, events };
+        let answer = AnswerStream {
+            request_id: extension.request_id,
+            model: chat.model,
+            events,
+            next_index: extension.resume_from,
+        };
         if chat.stream { answer.streamed().await } else { answer.collected().await }
     }
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,7 @@
 //! The `tarragonfront` binary.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    tarragon_command::run()
+}
