--- a/crates/tarragon-standin/src/engine/batch.rs
+++ b/crates/tarragon-standin/src/engine/batch.rs
@@ -16,7 +16,7 @@
 
 use super::{
     EngineCounters, EngineSettings, PrefixCache,
-    text::{answer_length, prompt_seed, token_text},
+    text::{bounded_length, prompt_seed, token_text},
 };
 
 /// A request for the engine.
@@ -156,8 +156,7 @@
         output: mpsc::UnboundedSender<EngineEvent>,
     ) -> Sequence {
         let whole = format!("{}{}", submission.prompt, submission.delivered);
-        let length = answer_length(&submission.prompt);
-        let bound = submission.max_tokens.unwrap_or(u32::MAX);
+        let (end_index, stop_reason) = bounded_length(&submission.prompt, submission.max_tokens);
         let crash_text = self.settings.crash_text.as_deref();
         let prompt_tokens = count_tokens(&whole).max(1);
         Sequence {
@@ -167,8 +166,8 @@
             cached_tokens: 0,
             prefill_left: prompt_tokens,
             next_index: submission.resume_from,
-            end_index: length.min(bound),
-            stop_reason: if bound < length { "length" } else { "stop" },
+            end_index,
+            stop_reason,
             started: false,
             crashes: crash_text.is_some_and(|text| submission.prompt.contains(text)),
             output,
--- a/crates/tarragon-standin/src/engine/text.rs
+++ b/crates/tarragon-standin/src/engine/text.rs
@@ -20,12 +20,25 @@
 
 /// Number of tokens of the whole answer to a prompt, before the caller's own bound.
 pub fn answer_length(prompt: &str) -> u32 {
-    let marked = prompt.rfind(LENGTH_MARK).and_then(|start| {
-        let rest = &prompt[start + LENGTH_MARK.len()..];
-        rest.split_once(']')?.0.parse::<u32>().ok()
-    });
     let default = MIN_ANSWER + prompt_seed(prompt) % ANSWER_SPREAD;
-    marked.unwrap_or(u32::try_from(default).unwrap_or(MAX_ANSWER)).clamp(1, MAX_ANSWER)
+    marked_length(prompt).unwrap_or(u32::try_from(default).unwrap_or(MAX_ANSWER))
+}
+
+/// Length of an answer with the caller's bound, and why it ends there. Without a mark in the prompt, an
+/// answer fills its bound, so that a load generator can choose lengths by `max_tokens` alone.
+pub(super) fn bounded_length(prompt: &str, max_tokens: Option<u32>) -> (u32, &'static str) {
+    let Some(bound) = max_tokens else { return (answer_length(prompt), "stop") };
+    match marked_length(prompt) {
+        Some(length) if length <= bound => (length, "stop"),
+        _ => (bound.min(MAX_ANSWER), "length"),
+    }
+}
+
+fn marked_length(prompt: &str) -> Option<u32> {
+    let start = prompt.rfind(LENGTH_MARK)?;
+    let rest = &prompt[start + LENGTH_MARK.len()..];
+    let length = rest.split_once(']')?.0.parse::<u32>().ok()?;
+    Some(length.clamp(1, MAX_ANSWER))
 }
 
 pub(super) fn prompt_seed(prompt: &str) -> u64 {
