Borrow slots, plan placement and relay waiting requests in the node

Cause: waiting work had no way to use slots that peers leave idle, rules for models led to no orders, and requests that waited when a data centre was taken out stayed until their deadline.

--- a/crates/tarragon-node/src/node.rs
+++ b/crates/tarragon-node/src/node.rs
@@ -11,12 +11,19 @@
 };
 use tarragon_protocol::peer::LoadEntry;
 
-use crate::{node::ticket::TicketDesk, prelude::*};
+use crate::{
+    node::{borrow::BorrowedUse, placement::PlacementView, ticket::TicketDesk},
+    prelude::*,
+};
 
+mod borrow;
+mod dump;
 mod guard;
+mod placement;
 mod relay;
 mod ticket;
 
+pub use dump::NodeDump;
 pub use guard::WriteCheck;
 pub use ticket::call_binding;
 
@@ -41,6 +48,8 @@
     /// Waiting or running requests that may be relayed, since no other process sent them here.
     relayable: IndexSet<RequestId>,
     targets: IndexMap<TargetName, bool>,
+    borrowed: IndexMap<TargetName, BorrowedUse>,
+    placement: PlacementView,
     draining: bool,
     boot: Duration,
     /// Boot clock until which writes wait for a peer's news after a pause.
@@ -59,6 +68,8 @@
             relay_peers: Vec::new(),
             relayable: IndexSet::new(),
             targets: IndexMap::new(),
+            borrowed: IndexMap::new(),
+            placement: PlacementView::default(),
             draining: false,
             boot: Duration::ZERO,
             hold_until: None,
@@ -73,12 +84,7 @@
                 self.schedule(now, SchedulerEvent::Arrived(profile), actions)
             }
             NodeEvent::Scheduler(event) => self.note(now, event, actions),
-            NodeEvent::Cluster(event) => {
-                if matches!(event, ClusterEvent::GossipReceived(_)) {
-                    self.hold_until = None;
-                }
-                self.coordinate(now, event, actions);
-            }
+            NodeEvent::Cluster(event) => self.hear(now, event, actions),
             NodeEvent::Tick { boot } => self.tick(now, boot, actions),
             NodeEvent::DrainStarted => self.drain(now, actions),
         }
@@ -109,6 +115,8 @@
             waiting: self.scheduler.waiting_by_tier(),
         };
         self.coordinate(now, pressure, actions);
+        self.balance_slots(now, actions);
+        self.plan_placement(now, actions);
     }
 
     /// News of requests and attempts. A dispatched request is not relayed any more, and an attempt that
@@ -133,6 +141,27 @@
         self.schedule(now, event, actions);
     }
 
+    /// News of peers, platform and targets. What the cluster part does not keep is noted here.
+    fn hear(&mut self, now: Instant, event: ClusterEvent, actions: &mut Vec<NodeAction>) {
+        match &event {
+            ClusterEvent::GossipReceived(_) => self.hold_until = None,
+            ClusterEvent::BorrowAnswered(_, target, Some(_)) => self.note_grant(now, target),
+            ClusterEvent::TargetPolled(target, report) => {
+                self.placement.report(target, report.clone());
+                if let Some(report) = report {
+                    let event = SchedulerEvent::LoadReported {
+                        target: target.clone(),
+                        report: report.clone(),
+                        age: Duration::ZERO,
+                    };
+                    self.schedule(now, event, actions);
+                }
+            }
+            _ => {}
+        }
+        self.coordinate(now, event, actions);
+    }
+
     fn schedule(&mut self, now: Instant, event: SchedulerEvent, actions: &mut Vec<NodeAction>) {
         let mut decisions = Vec::new();
         self.scheduler.handle(now, event, &mut decisions);
@@ -221,6 +250,9 @@
             ClusterAction::RelayChanged(target) => {
                 self.relay_peers =
                     target.as_ref().map(|relay| relay.peers.clone()).unwrap_or_default();
+                if target.is_some() {
+                    self.relay_waiting(now, actions);
+                }
             }
             _ => {}
         }
@@ -233,6 +265,7 @@
         entries: Vec<TargetEntry>,
         actions: &mut Vec<NodeAction>,
     ) {
+        self.placement.list(&entries);
         let previous = std::mem::take(&mut self.targets);
         for entry in entries {
             self.targets.insert(entry.target.clone(), entry.in_service);
@@ -254,6 +287,7 @@
         self.coordinate(now, ClusterEvent::DrainStarted, actions);
         self.tickets.table.start_drain();
         self.schedule(now, SchedulerEvent::DrainStarted, actions);
+        self.relay_waiting(now, actions);
     }
 }
 
--- a/crates/tarragon-node/src/node/relay.rs
+++ b/crates/tarragon-node/src/node/relay.rs
@@ -6,6 +6,9 @@
 const RELAY_CODES: [RefusalCode; 3] =
     [RefusalCode::NoTarget, RefusalCode::ShuttingDown, RefusalCode::DataCentreOut];
 
+/// When a caller may ask again after a refusal that no other process could avoid.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
 impl Node {
     /// Takes a request from a caller.
     pub(super) fn arrive(
@@ -52,6 +55,17 @@
         actions.push(NodeAction::Scheduler(SchedulerAction::Refuse { request, refusal }));
     }
 
+    /// Sends requests that wait here and were never dispatched to other processes, when this one stops to
+    /// take new work.
+    pub(super) fn relay_waiting(&mut self, now: Instant, actions: &mut Vec<NodeAction>) {
+        for profile in self.scheduler.release_waiting() {
+            let message = "this process has stopped to take new work";
+            let refusal =
+                Refusal::not_run(RefusalCode::ShuttingDown, message).with_retry_after(RETRY_AFTER);
+            self.refuse(now, profile.request, refusal, actions);
+        }
+    }
+
     fn peers_for_relay(&self, now: Instant) -> Vec<PeerAddress> {
         if self.relay_peers.is_empty() {
             self.cluster.remote_peers(now)
--- a/crates/tarragon-node/src/node/ticket.rs
+++ b/crates/tarragon-node/src/node/ticket.rs
@@ -6,8 +6,8 @@
 use tarragon_cluster::{
     key::PeerKeys,
     ticket::{
-        CallBinding, Ticket, TicketDecision, TicketEnd, TicketTable, TicketUse, WriteDecision,
-        table::{AbandonDecision, TicketDump, TicketLimits},
+        AbandonDecision, CallBinding, Ticket, TicketDecision, TicketEnd, TicketLimits, TicketTable,
+        TicketUse, WriteDecision, decision::TicketDump,
     },
 };
 use tarragon_protocol::identity::TicketSequence;
--- a/crates/tarragon-node/src/prelude.rs
+++ b/crates/tarragon-node/src/prelude.rs
@@ -5,5 +5,5 @@
 
 pub use crate::{
     event::{NodeAction, NodeEvent, TicketCall, TicketStart},
-    node::{Node, NodeSettings, WriteCheck, call_binding},
+    node::{Node, NodeDump, NodeSettings, WriteCheck, call_binding},
 };
--- a/crates/tarragon-scheduler/src/scheduler.rs
+++ b/crates/tarragon-scheduler/src/scheduler.rs
@@ -10,9 +10,11 @@
 mod report;
 mod shed;
 mod tick;
+mod wish;
 
 pub use dump::{SchedulerDump, TargetDump, WorkspaceDump};
 pub use explain::{ChoiceExplanation, TargetExplanation};
+pub use wish::SlotUse;
 
 use std::{
     sync::Arc,
--- /dev/null
+++ b/crates/tarragon-scheduler/src/scheduler/wish.rs
@@ -0,0 +1,52 @@
+//! Targets at which more slots would let waiting work go out.
+
+use std::time::Instant;
+
+use crate::{prelude::*, scheduler::Scheduler};
+
+/// Most targets wished for at a time and service, so that one process does not borrow everywhere.
+const WISHES_PER_SERVICE: usize = 2;
+
+/// Use of the slots at one target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SlotUse {
+    /// Own requests in flight.
+    pub in_flight: u32,
+    /// Slots of this process.
+    pub slots: u32,
+}
+
+impl Scheduler {
+    /// Targets of services with waiting work whose slots are all in use. A target whose window is closed
+    /// by its latency is not among them: more slots would not open it.
+    pub fn slot_wishes(&self, now: Instant) -> Vec<TargetName> {
+        let mut pools: Vec<usize> = (0..self.queue.lane_count())
+            .filter(|lane| Tier::DESCENDING.iter().any(|tier| self.queue.has_ready(*lane, *tier)))
+            .map(|lane| self.queue.lane_pool(lane))
+            .filter(|pool| self.targets.pool(*pool).open == 0)
+            .collect();
+        pools.sort_unstable();
+        pools.dedup();
+        pools.into_iter().flat_map(|pool| self.pool_wishes(pool, now)).collect()
+    }
+
+    /// Use of the slots at a target.
+    pub fn slot_use(&self, target: &str) -> Option<SlotUse> {
+        let row = self.targets.row(self.targets.find(target)?)?;
+        Some(SlotUse { in_flight: row.in_flight, slots: row.window.slots() })
+    }
+
+    fn pool_wishes(&self, pool: usize, now: Instant) -> Vec<TargetName> {
+        let mut rows: Vec<_> = self
+            .targets
+            .pool(pool)
+            .members
+            .iter()
+            .filter_map(|index| self.targets.row(*index))
+            .filter(|row| row.may_work() && row.bears > 0 && !row.window.is_suspicious())
+            .filter(|row| row.window.size(now) >= row.window.slots())
+            .collect();
+        rows.sort_by_key(|row| u64::from(row.in_flight) * 1_000 / u64::from(row.bears));
+        rows.into_iter().take(WISHES_PER_SERVICE).map(|row| row.name.clone()).collect()
+    }
+}
