Let the successor announce the records it took over

Cause: a leaving process may end before its own news of the successor gets through, and repeats would then find nobody who answers for its tickets. Change: adopting records queues the announcement at the successor; one test.

--- a/crates/tarragon-node/src/node.rs
+++ b/crates/tarragon-node/src/node.rs
@@ -50,6 +50,8 @@
     targets: IndexMap<TargetName, bool>,
     borrowed: IndexMap<TargetName, BorrowedUse>,
     placement: PlacementView,
+    /// Processes whose records were taken over since the last tick.
+    adoptions: Vec<SuccessorEntry>,
     draining: bool,
     boot: Duration,
     /// Boot clock until which writes wait for a peer's news after a pause.
@@ -70,6 +72,7 @@
             targets: IndexMap::new(),
             borrowed: IndexMap::new(),
             placement: PlacementView::default(),
+            adoptions: Vec::new(),
             draining: false,
             boot: Duration::ZERO,
             hold_until: None,
@@ -115,6 +118,7 @@
             waiting: self.scheduler.waiting_by_tier(),
         };
         self.coordinate(now, pressure, actions);
+        self.announce_adoptions(now, actions);
         self.balance_slots(now, actions);
         self.plan_placement(now, actions);
     }
--- a/crates/tarragon-node/src/node/ticket.rs
+++ b/crates/tarragon-node/src/node/ticket.rs
@@ -215,7 +215,16 @@
     /// process is itself about to end.
     pub fn adopt_tickets(&mut self, message: &HandoverMessage, boot: Duration) -> bool {
         match self.tickets.table.adopt(message, boot) {
-            Ok(()) => true,
+            Ok(()) => {
+                let settings = self.cluster.settings();
+                self.adoptions.push(SuccessorEntry {
+                    owner: message.owner.clone(),
+                    successor: settings.identity.clone(),
+                    peer_address: settings.peer_address.clone(),
+                    age_ms: 0,
+                });
+                true
+            }
             Err(fault) => {
                 tracing::warn!(owner = %message.owner.vm, ?fault, "refused the records of a peer");
                 false
@@ -223,6 +232,14 @@
         }
     }
 
+    /// Tells peers of records taken over since the last tick. The process that gave them may have ended
+    /// before its own news of this got through.
+    pub(super) fn announce_adoptions(&mut self, now: Instant, actions: &mut Vec<NodeAction>) {
+        for entry in std::mem::take(&mut self.adoptions) {
+            self.coordinate(now, ClusterEvent::HandoverDone(entry), actions);
+        }
+    }
+
     /// Figures of the ticket table.
     pub fn ticket_dump(&self) -> TicketDump {
         self.tickets.table.dump()
--- a/crates/tarragon-node/tests/ticket.rs
+++ b/crates/tarragon-node/tests/ticket.rs
@@ -18,8 +18,8 @@
     next_request: RequestId,
 }
 
-fn settings() -> NodeSettings {
-    let identity = PeerIdentity { vm: "vm-1".into(), incarnation: 7 };
+fn settings(vm: &str, incarnation: Incarnation) -> NodeSettings {
+    let identity = PeerIdentity { vm: vm.into(), incarnation };
     let address = "127.0.0.1:7001".to_owned();
     let mut cluster =
         ClusterSettings::new(identity, "oshakati".into(), "127.0.0.1:7000".to_owned(), address);
@@ -54,9 +54,18 @@
 
 impl Bench {
     fn new() -> Bench {
+        Bench::with_identity("vm-1", 7)
+    }
+
+    fn with_identity(vm: &str, incarnation: Incarnation) -> Bench {
         let now = tokio::time::Instant::now().into_std();
         let boot = Duration::from_secs(1000);
-        let mut bench = Bench { node: Node::new(settings(), 1, now), now, boot, next_request: 0 };
+        let mut bench = Bench {
+            node: Node::new(settings(vm, incarnation), 1, now),
+            now,
+            boot,
+            next_request: 0,
+        };
         bench.advance(Duration::from_millis(100));
         for _ in 0..3 {
             bench.poll();
@@ -219,3 +228,24 @@
         assert!(!actions.iter().any(is_dispatch));
     }
 }
+
+/// Guards against repeats that find nobody: the successor itself tells peers that it holds the records, since
+/// the leaving process may end before its own news gets through.
+#[test]
+fn successor_announces_the_records_it_took_over() {
+    let mut leaving = Bench::new();
+    let ticket = leaving.ticket();
+    let (request, _, _) = leaving.present(&ticket, "truck 1");
+    assert_eq!(leaving.check(request), WriteCheck::Write);
+    let boot = leaving.boot;
+    leaving.node.finish_ticket(request, answer("sent"), boot, &mut Vec::new());
+    let messages = leaving.node.freeze_tickets(boot, &mut Vec::new());
+    let mut successor = Bench::with_identity("vm-2", 8);
+    assert!(successor.node.adopt_tickets(&messages[0], successor.boot));
+    successor.advance(Duration::from_millis(100));
+    let owner = PeerIdentity { vm: "vm-1".into(), incarnation: 7 };
+    let known = successor.node.cluster().successor_of(&owner);
+    assert_eq!(known.map(|entry| &*entry.successor.vm), Some("vm-2"));
+    let (_, start, _) = successor.present(&ticket, "truck 1");
+    assert_eq!(start, TicketStart::Answered(answer("sent")));
+}
