Serve callers, targets, peers, platform and operators

Cause: the decisions of the node need a process that does their I/O. Change: HTTP/1 and HTTP/2 for callers with typed headers, bounds and time-outs; engine streams with position checks and resume; plain calls on verified connections; tickets run by their owner; JSON-RPC in sealed envelopes and one-hop relay between entry VMs; platform reads; administration API and metrics; graceful shutdown with handover. The node tells the status of a ticket for query_ticket.

--- a/crates/tarragon-node/src/node/ticket.rs
+++ b/crates/tarragon-node/src/node/ticket.rs
@@ -6,8 +6,8 @@
 use tarragon_cluster::{
     key::PeerKeys,
     ticket::{
-        AbandonDecision, CallBinding, Ticket, TicketDecision, TicketEnd, TicketLimits, TicketTable,
-        TicketUse, WriteDecision, decision::TicketDump,
+        AbandonDecision, CallBinding, Ticket, TicketDecision, TicketEnd, TicketLimits,
+        TicketStatus, TicketTable, TicketUse, WriteDecision, decision::TicketDump,
     },
 };
 use tarragon_protocol::identity::TicketSequence;
@@ -193,6 +193,11 @@
         }
     }
 
+    /// What is known of a ticket, for a peer's question.
+    pub fn ticket_status(&self, ticket: &Ticket) -> TicketStatus {
+        self.tickets.table.query(ticket)
+    }
+
     /// Non-idempotent calls without a final answer.
     pub fn open_tickets(&self) -> usize {
         self.tickets.table.running()
--- /dev/null
+++ b/crates/tarragon-server/src/caller/router.rs
@@ -0,0 +1,212 @@
+//! Finds the handler of a caller's request and sees it through to its answer.
+
+use std::{convert::Infallible, sync::Arc};
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
+use hyper::body::Incoming;
+use serde_json::json;
+use tarragon_cluster::{event::PeerAddress, seal::MessageSeal};
+use tarragon_protocol::{
+    header::{OUTCOME, RELAY},
+    prelude::*,
+};
+
+use super::{
+    answer::{CallerAnswer, error_answer, header_fault_answer, json_answer, refusal_answer},
+    arrival::{Arrival, CallerCall},
+    body::{BodyFault, BodyLimits, read_body},
+    chat::{ServedChat, prepare_chat, serve_chat},
+    header::{CallerHeaders, forwarded_headers},
+    layer::AssignedId,
+    service::{prepare_plain, serve_plain},
+};
+use crate::{
+    guarded::Guarded,
+    peer::relay::{open_relay, relay_call, stream_back},
+    process::{Deadline, ProcessContext},
+    ticket::{TicketedCall, serve_ticketed},
+};
+
+/// Path of chat completions.
+pub const CHAT_PATH: &str = "/v1/chat/completions";
+/// Path at which tickets are issued.
+const TICKET_PATH: &str = "/v1/tickets";
+/// Start of the path of plain service calls.
+pub const SERVICE_PREFIX: &str = "/services/";
+
+/// Answers a caller's request.
+pub async fn handle(
+    process: Arc<ProcessContext>,
+    message: Request<Incoming>,
+) -> Result<CallerAnswer, Infallible> {
+    let path = message.uri().path();
+    let answer = match path {
+        "/health/live" => json_answer(StatusCode::OK, CallOutcome::Done, "{\"live\":true}".into()),
+        "/health/ready" => ready_answer(&process),
+        TICKET_PATH if message.method() == Method::POST => issue_ticket(&process).await,
+        CHAT_PATH if message.method() == Method::POST => handle_call(&process, message).await,
+        TICKET_PATH | CHAT_PATH => method_answer(),
+        path if path.starts_with(SERVICE_PREFIX) => handle_call(&process, message).await,
+        _ => unknown_path(path),
+    };
+    Ok(answer)
+}
+
+/// Whether the load balancer shall send work here.
+pub fn ready_answer(process: &ProcessContext) -> CallerAnswer {
+    let ready = {
+        let view = process.view.borrow();
+        view.ready && !view.draining
+    };
+    let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+    json_answer(status, CallOutcome::Done, json!({"ready": ready}).to_string().into())
+}
+
+fn method_answer() -> CallerAnswer {
+    let message = "the method is not allowed here; send POST";
+    let refusal = Refusal::not_run(RefusalCode::InvalidBody, message);
+    error_answer(StatusCode::METHOD_NOT_ALLOWED, &refusal, None)
+}
+
+fn unknown_path(path: &str) -> CallerAnswer {
+    let message = format!(
+        "nothing is served at {path}; send to {CHAT_PATH}, {TICKET_PATH} or {SERVICE_PREFIX}NAME/PATH"
+    );
+    refusal_answer(&Refusal::not_run(RefusalCode::UnknownService, message))
+}
+
+async fn issue_ticket(process: &ProcessContext) -> CallerAnswer {
+    match process.link.issue_ticket().await {
+        Ok(ticket) => {
+            let body = json!({"ticket": ticket.text, "valid_ms": ticket.valid_ms});
+            json_answer(StatusCode::OK, CallOutcome::Done, body.to_string().into())
+        }
+        Err(refusal) => refusal_answer(&refusal),
+    }
+}
+
+async fn handle_call(process: &Arc<ProcessContext>, message: Request<Incoming>) -> CallerAnswer {
+    match read_call(process, message).await {
+        Ok(call) => serve_call(process, call).await,
+        Err(answer) => answer,
+    }
+}
+
+/// Reads headers and body.
+async fn read_call(
+    process: &ProcessContext,
+    message: Request<Incoming>,
+) -> Result<CallerCall, CallerAnswer> {
+    let (head, body) = message.into_parts();
+    let headers =
+        CallerHeaders::parse(&head.headers).map_err(|faults| header_fault_answer(&faults))?;
+    let deadline = Deadline::after(&process.clock, headers.deadline);
+    let request = head.extensions.get::<AssignedId>().map_or_else(|| process.ids.next(), |id| id.0);
+    let body = read_body(body, body_limits(process)).await.map_err(body_fault_answer)?;
+    Ok(CallerCall {
+        arrival: Arrival { request, headers, deadline, relayed: false },
+        method: head.method,
+        path: head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned(),
+        headers: forwarded_headers(&head.headers),
+        body,
+        run_once: false,
+    })
+}
+
+/// Bounds of a caller's body.
+pub fn body_limits(process: &ProcessContext) -> BodyLimits {
+    let limits = &process.settings.limits;
+    BodyLimits {
+        bytes: usize::try_from(limits.body_bytes).unwrap_or(usize::MAX),
+        part: limits.body_timeout / 3,
+        whole: limits.body_timeout,
+    }
+}
+
+/// The answer for a body that can't be used.
+pub fn body_fault_answer(fault: BodyFault) -> CallerAnswer {
+    let refusal = Refusal::not_run(RefusalCode::InvalidBody, fault.message());
+    error_answer(fault.status(), &refusal, None)
+}
+
+/// What became of a call that was served here.
+#[derive(Debug)]
+pub enum ServeEnd {
+    /// It has its answer.
+    Answered(CallerAnswer),
+    /// It was not run and can't be served here; these peers can take it.
+    Relay(Vec<PeerAddress>),
+}
+
+/// Serves a whole request: here, by another VM, or with a ticket.
+pub async fn serve_call(process: &Arc<ProcessContext>, call: CallerCall) -> CallerAnswer {
+    let end = match serve_here(process, &call).await {
+        Ok(end) => end,
+        Err(refusal) => return refusal_answer(&refusal),
+    };
+    match end {
+        ServeEnd::Answered(answer) => answer,
+        ServeEnd::Relay(peers) => relay_answer(process, &peers, &call).await,
+    }
+}
+
+async fn serve_here(process: &Arc<ProcessContext>, call: &CallerCall) -> Result<ServeEnd, Refusal> {
+    if call.path.split('?').next() == Some(CHAT_PATH) {
+        let job = prepare_chat(process, call)?;
+        if job.run_once && !call.run_once {
+            let ticketed = TicketedCall::of_chat(call, job.service);
+            return Ok(ServeEnd::Answered(serve_ticketed(process, &call.arrival, ticketed).await));
+        }
+        return Ok(match serve_chat(process, job).await {
+            ServedChat::Answered(answer) => ServeEnd::Answered(answer),
+            ServedChat::Relay(peers) => ServeEnd::Relay(peers),
+        });
+    }
+    let job = prepare_plain(process, call)?;
+    if job.run_once && !call.run_once {
+        let ticketed = TicketedCall { service: job.service, call: job.call };
+        return Ok(ServeEnd::Answered(serve_ticketed(process, &call.arrival, ticketed).await));
+    }
+    Ok(serve_plain(process, job).await)
+}
+
+async fn relay_answer(
+    process: &ProcessContext,
+    peers: &[PeerAddress],
+    call: &CallerCall,
+) -> CallerAnswer {
+    match relay_call(process, peers, call).await {
+        Ok(response) => {
+            let answer = stream_back(process, response);
+            let outcome = answer.headers().get(OUTCOME);
+            let outcome = outcome.and_then(|value| value.to_str().ok()).unwrap_or("unknown");
+            process.metrics.answered(Some(call.arrival.headers.tier), outcome, "relayed");
+            answer
+        }
+        Err(fault) => refusal_answer(&fault.refusal()),
+    }
+}
+
+/// Reads the body of a relayed request and serves it.
+pub async fn handle_relay(
+    process: Arc<ProcessContext>,
+    seal: Arc<Guarded<MessageSeal>>,
+    message: Request<Incoming>,
+) -> CallerAnswer {
+    let (head, body) = message.into_parts();
+    let body: Bytes = match read_body(body, body_limits(&process)).await {
+        Ok(body) => body,
+        Err(fault) => return body_fault_answer(fault),
+    };
+    let request = head.extensions.get::<AssignedId>().map_or_else(|| process.ids.next(), |id| id.0);
+    match open_relay(&seal, &process, &head, body, request) {
+        Ok(call) => serve_call(&process, call).await,
+        Err(fault) => {
+            tracing::warn!(cause = fault.0, "refused a relayed request");
+            let refusal = Refusal::not_run(RefusalCode::InvalidHeader, fault.0);
+            let header = Some(RELAY);
+            error_answer(StatusCode::FORBIDDEN, &refusal, header)
+        }
+    }
+}
--- /dev/null
+++ b/crates/tarragon-server/src/settings.rs
@@ -0,0 +1,3 @@
+//! The settings of `serve`, as the configuration crate defines them.
+
+pub use tarragon_config::settings::*;
--- /dev/null
+++ b/crates/tarragon-server/src/target/pool.rs
@@ -0,0 +1,140 @@
+//! Connections to targets. A pooled connection is used only for calls that may be repeated; a call that
+//! must not be repeated gets a connection of its own, so that a connection that the target has just
+//! closed can't make its outcome uncertain.
+
+use std::{io, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::{body::Incoming, client::conn::http1};
+use hyper_util::rt::TokioIo;
+use indexmap::IndexMap;
+use tokio::{net::TcpStream, time::timeout};
+
+use crate::guarded::Guarded;
+
+/// Body of a call to a target. It is whole, so that its length is known.
+pub type CallBody = Full<Bytes>;
+
+/// Idle connections that are kept for each target.
+const MAX_IDLE: usize = 32;
+
+/// Wait for a pooled connection whose last answer was read a moment ago and whose task has yet to run.
+const READY_WAIT: Duration = Duration::from_millis(10);
+
+/// Why a call got no answer.
+#[derive(Debug)]
+pub enum CallFault {
+    /// The connection could not be made: no byte was written.
+    NotSent(io::Error),
+    /// Bytes may have been written.
+    Broken(hyper::Error),
+    /// No answer in time; bytes were written.
+    TimedOut,
+}
+
+impl std::fmt::Display for CallFault {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            CallFault::NotSent(error) => write!(formatter, "no connection: {error}"),
+            CallFault::Broken(error) => write!(formatter, "connection broken: {error}"),
+            CallFault::TimedOut => formatter.write_str("no answer in time"),
+        }
+    }
+}
+
+/// A connection that is ready to take one call.
+pub struct TargetConnection {
+    sender: http1::SendRequest<CallBody>,
+    reused: bool,
+}
+
+impl TargetConnection {
+    /// Opens a connection.
+    pub async fn open(address: &str, limit: Duration) -> io::Result<TargetConnection> {
+        let timed_out = || io::Error::new(io::ErrorKind::TimedOut, "connect timed out");
+        let stream =
+            timeout(limit, TcpStream::connect(address)).await.map_err(|_| timed_out())??;
+        stream.set_nodelay(true)?;
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(io::Error::other)?;
+        tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                tracing::debug!(%error, "connection to a target ended");
+            }
+        });
+        Ok(TargetConnection { sender, reused: false })
+    }
+
+    /// Whether the connection has served a call before.
+    pub fn is_reused(&self) -> bool {
+        self.reused
+    }
+
+    /// Sends a call and waits for the head of its answer. A call that hyper returns unwritten, because
+    /// the connection was closed, counts as not sent.
+    pub async fn send(
+        &mut self,
+        request: Request<CallBody>,
+        limit: Duration,
+    ) -> Result<Response<Incoming>, CallFault> {
+        let answer = timeout(limit, self.sender.try_send_request(request)).await;
+        match answer {
+            Err(_) => Err(CallFault::TimedOut),
+            Ok(Ok(response)) => Ok(response),
+            Ok(Err(mut error)) => match error.take_message() {
+                Some(_) => Err(CallFault::NotSent(io::Error::other(error.into_error()))),
+                None => Err(CallFault::Broken(error.into_error())),
+            },
+        }
+    }
+}
+
+/// Idle connections of all targets.
+#[derive(Clone, Default)]
+pub struct ConnectionPool {
+    idle: Arc<Guarded<IndexMap<String, Vec<TargetConnection>>>>,
+}
+
+impl ConnectionPool {
+    /// An idle connection that is still open, or a new one.
+    pub async fn checkout(&self, address: &str, limit: Duration) -> io::Result<TargetConnection> {
+        while let Some(mut connection) = self.pop(address) {
+            let ready = timeout(READY_WAIT, connection.sender.ready()).await;
+            if matches!(ready, Ok(Ok(()))) {
+                connection.reused = true;
+                return Ok(connection);
+            }
+        }
+        TargetConnection::open(address, limit).await
+    }
+
+    /// Keeps a connection whose answer has been read to its end.
+    pub fn give_back(&self, address: &str, connection: TargetConnection) {
+        if connection.sender.is_closed() {
+            return;
+        }
+        self.idle.with(|idle| {
+            let connections = match idle.get_mut(address) {
+                Some(connections) => connections,
+                None => idle.entry(address.to_owned()).or_default(),
+            };
+            if connections.len() < MAX_IDLE {
+                connections.push(connection);
+            }
+        });
+    }
+
+    /// Closes the idle connections of targets that are no longer published.
+    pub fn retain<F>(&self, keep: F)
+    where
+        F: Fn(&str) -> bool,
+    {
+        self.idle.with(|idle| idle.retain(|address, _| keep(address)));
+    }
+
+    fn pop(&self, address: &str) -> Option<TargetConnection> {
+        self.idle.with(|idle| idle.get_mut(address).and_then(Vec::pop))
+    }
+}
--- /dev/null
+++ b/crates/tarragon-server/tests/serve/main.rs
@@ -0,0 +1,10 @@
+//! Tests of a whole process over real sockets on loopback addresses.
+
+mod administration;
+mod caller;
+mod chat;
+mod drain;
+mod fake;
+mod plain;
+mod support;
+mod ticket;
