Relay tickets, bound open requests, and test relay and signals

Cause: a VM that is out of service issued its own tickets; nothing bounded open requests; a node task that ended left a process that looked alive; a closed pooled connection counted as a failed target. Change: tickets come from a VM that takes work; each tier leaves room for open requests to the tiers above; the process ends with its node; a repeatable call replaces an unwritten pooled connection; signals are installed before serving.

--- a/crates/tarragon-server/src/caller/router.rs
+++ b/crates/tarragon-server/src/caller/router.rs
@@ -1,6 +1,6 @@
 //! Finds the handler of a caller's request and sees it through to its answer.
 
-use std::{convert::Infallible, sync::Arc};
+use std::{convert::Infallible, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{Method, Request, StatusCode};
@@ -35,6 +35,13 @@
 /// Start of the path of plain service calls.
 pub const SERVICE_PREFIX: &str = "/services/";
 
+/// Part of the room for open requests that each tier leaves to the tiers above it, as a divisor.
+const ROOM_PART: usize = 16;
+/// Delay that a caller is asked to wait when too many requests are open.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Longest time for a ticket to be issued by another VM.
+const TICKET_LIMIT: Duration = Duration::from_secs(2);
+
 /// Answers a caller's request.
 pub async fn handle(
     process: Arc<ProcessContext>,
@@ -76,7 +83,41 @@
     refusal_answer(&Refusal::not_run(RefusalCode::UnknownService, message))
 }
 
+/// Issues a ticket. A VM that takes no new work asks one that does, so that the ticket's owner can
+/// dispatch the call itself.
 async fn issue_ticket(process: &ProcessContext) -> CallerAnswer {
+    let relay = process.view.borrow().relay.clone();
+    match relay {
+        Some(relay) if !relay.peers.is_empty() => {
+            let call = ticket_call(process);
+            relay_answer(process, &relay.peers, &call).await
+        }
+        _ => issue_own_ticket(process).await,
+    }
+}
+
+/// The request for a ticket, as it is relayed. It belongs to no workspace and costs nothing.
+fn ticket_call(process: &ProcessContext) -> CallerCall {
+    let headers = CallerHeaders {
+        workspace: process.settings.vm.clone(),
+        tier: Tier::Urgent,
+        deadline: TICKET_LIMIT,
+        idempotent: Some(true),
+        ticket: None,
+        attempt: 1,
+    };
+    let deadline = Deadline::after(&process.clock, TICKET_LIMIT);
+    CallerCall {
+        arrival: Arrival { request: process.ids.next(), headers, deadline, relayed: false },
+        method: Method::POST,
+        path: TICKET_PATH.to_owned(),
+        headers: Vec::new(),
+        body: Bytes::new(),
+        run_once: false,
+    }
+}
+
+async fn issue_own_ticket(process: &ProcessContext) -> CallerAnswer {
     match process.link.issue_ticket().await {
         Ok(ticket) => {
             let body = json!({"ticket": ticket.text, "valid_ms": ticket.valid_ms});
@@ -101,6 +142,7 @@
     let (head, body) = message.into_parts();
     let headers =
         CallerHeaders::parse(&head.headers).map_err(|faults| header_fault_answer(&faults))?;
+    check_room(process, headers.tier).map_err(|refusal| refusal_answer(&refusal))?;
     let deadline = Deadline::after(&process.clock, headers.deadline);
     let request = head.extensions.get::<AssignedId>().map_or_else(|| process.ids.next(), |id| id.0);
     let body = read_body(body, body_limits(process)).await.map_err(body_fault_answer)?;
@@ -114,6 +156,18 @@
     })
 }
 
+/// Refuses a request if too many are open. Each tier leaves a part of the room to the tiers above it, so
+/// that a higher tier is not refused while a lower one is still taken.
+fn check_room(process: &ProcessContext, tier: Tier) -> Result<(), Refusal> {
+    let room = process.settings.limits.streams as usize;
+    let reserved = room / ROOM_PART * (Tier::COUNT - 1 - tier.index());
+    if process.tasks.len() < room - reserved {
+        return Ok(());
+    }
+    let message = "too many requests are open at this VM";
+    Err(Refusal::not_run(RefusalCode::Shed, message).with_retry_after(RETRY_AFTER))
+}
+
 /// Bounds of a caller's body.
 pub fn body_limits(process: &ProcessContext) -> BodyLimits {
     let limits = &process.settings.limits;
@@ -141,6 +195,9 @@
 
 /// Serves a whole request: here, by another VM, or with a ticket.
 pub async fn serve_call(process: &Arc<ProcessContext>, call: CallerCall) -> CallerAnswer {
+    if call.arrival.relayed && call.path == TICKET_PATH {
+        return issue_own_ticket(process).await;
+    }
     let end = match serve_here(process, &call).await {
         Ok(end) => end,
         Err(refusal) => return refusal_answer(&refusal),
--- a/crates/tarragon-server/src/serve.rs
+++ b/crates/tarragon-server/src/serve.rs
@@ -26,7 +26,7 @@
     platform::{PlatformClient, files::OwnAddresses},
     process::{ProcessContext, ProcessView, RequestIds},
     settings::ServeSettings,
-    shutdown::{self, ShutdownReport},
+    shutdown::{self, EndSignals, ShutdownReport},
     target::{pool::ConnectionPool, timeouts::TargetTimeouts},
 };
 
@@ -128,6 +128,7 @@
 
 /// Runs a process until it is told to end by a signal or an operator.
 pub async fn run(settings: ServeSettings) -> anyhow::Result<()> {
+    let signals = EndSignals::install()?;
     let handle = start(settings).await?;
     tracing::info!(
         callers = %handle.caller_address,
@@ -135,10 +136,8 @@
         administration = %handle.admin_address,
         "the process serves"
     );
-    let signals = tokio::spawn(shutdown::watch_signals(
-        handle.process.drain.clone(),
-        handle.process.abort.clone(),
-    ));
+    let signals =
+        tokio::spawn(signals.watch(handle.process.drain.clone(), handle.process.abort.clone()));
     let report = handle.wait().await;
     signals.abort();
     report?.into_result()
@@ -187,10 +186,24 @@
     });
     let platform = PlatformClient::new(settings, own);
     let end_node = CancellationToken::new();
-    tokio::spawn(task.run(process.clone(), platform, end_node.clone()));
+    let running = tokio::spawn(task.run(process.clone(), platform, end_node.clone()));
+    tokio::spawn(watch_node(running, process.clone(), end_node.clone()));
     listeners.start(process, seal, identity, end_node)
 }
 
+/// A process without its node can decide nothing: it ends, so that the load balancer sees it.
+async fn watch_node(
+    running: JoinHandle<()>,
+    process: Arc<ProcessContext>,
+    end_node: CancellationToken,
+) {
+    let ended = running.await;
+    if !end_node.is_cancelled() {
+        tracing::error!(failed = ended.is_err(), "the node's task has ended; the process ends");
+        process.abort.cancel();
+    }
+}
+
 fn peer_keys(settings: &ServeSettings) -> anyhow::Result<PeerKeys> {
     let mut keys = settings.peer_keys.iter().map(|key| key.expose().as_bytes().to_vec());
     let current = keys.next().context("peer_keys is empty; give at least one key")?;
@@ -267,11 +280,12 @@
         let others = signals(&process);
         let limits = &process.settings.limits;
         let headers = limits.header_timeout;
-        let streams = limits.streams as usize;
+        // Callers keep connections open between requests.
+        let connections = 2 * limits.streams as usize;
         tokio::spawn(listen(
             self.caller,
             caller_service(&process),
-            ListenerLimits { connections: streams, headers },
+            ListenerLimits { connections, headers },
             callers.clone(),
             process.metrics.connections.clone(),
         ));
--- a/crates/tarragon-server/src/shutdown.rs
+++ b/crates/tarragon-server/src/shutdown.rs
@@ -9,7 +9,7 @@
 use tarragon_node::prelude::*;
 use tarragon_protocol::peer::HandoverMessage;
 use tokio::{
-    signal::unix::{SignalKind, signal},
+    signal::unix::{Signal, SignalKind, signal},
     time::{Instant, sleep, timeout_at},
 };
 use tokio_util::sync::CancellationToken;
@@ -68,25 +68,35 @@
     }
 }
 
-/// Starts a graceful shutdown at the first signal and ends everything at the second.
-pub async fn watch_signals(drain: CancellationToken, abort: CancellationToken) {
-    let (terminate, interrupt) = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()));
-    let (Ok(mut terminate), Ok(mut interrupt)) = (terminate, interrupt) else {
-        tracing::error!("signals can't be received; shut down with POST /admin/drain");
-        return;
-    };
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-        }
-        if drain.is_cancelled() {
-            tracing::error!("a second signal ends the process at once");
-            abort.cancel();
-            return;
+/// The signals that end a process.
+pub struct EndSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl EndSignals {
+    /// Receives the signals from now on.
+    pub fn install() -> anyhow::Result<EndSignals> {
+        let terminate = signal(SignalKind::terminate())?;
+        Ok(EndSignals { terminate, interrupt: signal(SignalKind::interrupt())? })
+    }
+
+    /// Starts a graceful shutdown at the first signal and ends everything at the second, also if the
+    /// shutdown was started in another way.
+    pub async fn watch(mut self, drain: CancellationToken, abort: CancellationToken) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => {}
+                _ = self.interrupt.recv() => {}
+            }
+            if drain.is_cancelled() {
+                tracing::error!("a second signal ends the process at once");
+                abort.cancel();
+                return;
+            }
+            tracing::info!("a signal starts a graceful shutdown");
+            drain.cancel();
         }
-        tracing::info!("a signal starts a graceful shutdown");
-        drain.cancel();
     }
 }
 
--- a/crates/tarragon-server/src/target/engine.rs
+++ b/crates/tarragon-server/src/target/engine.rs
@@ -108,8 +108,11 @@
             return AttemptReport::Ended(end);
         }
         let written = Instant::now();
-        match self.send(order, &mut connection, request).await {
-            Err(end) => AttemptReport::Ended(end),
+        let answer = connection
+            .send_repeatable(&order.address, limits.connect, request, limits.first_byte)
+            .await;
+        match answer {
+            Err(fault) => AttemptReport::Ended(fault_end(order, &fault)),
             Ok(response) => {
                 let tag = order.tag();
                 let progress = ProgressMeter::default();
@@ -151,30 +154,6 @@
             .ok()
     }
 
-    /// Sends the call. A pooled connection that proves closed before a byte was written is replaced once.
-    async fn send(
-        &self,
-        order: &DispatchOrder,
-        connection: &mut TargetConnection,
-        request: Request<CallBody>,
-    ) -> Result<Response<Incoming>, AttemptEnd> {
-        let limits = self.process.timeouts;
-        let reused = connection.is_reused();
-        let spare = reused.then(|| request.clone());
-        let fault = match connection.send(request, limits.first_byte).await {
-            Ok(response) => return Ok(response),
-            Err(fault) => fault,
-        };
-        let (CallFault::NotSent(_), Some(request)) = (&fault, spare) else {
-            return Err(fault_end(order, &fault));
-        };
-        *connection = TargetConnection::open(&order.address, limits.connect)
-            .await
-            .map_err(|_| AttemptEnd::NotSent)?;
-        let answer = connection.send(request, limits.first_byte).await;
-        answer.map_err(|fault| fault_end(order, &fault))
-    }
-
     async fn take_response(
         &mut self,
         stream: AttemptStream<'_>,
--- a/crates/tarragon-server/src/target/plain.rs
+++ b/crates/tarragon-server/src/target/plain.rs
@@ -13,7 +13,7 @@
 use super::{
     body::read_whole,
     engine::fault_end,
-    pool::{CallBody, CallFault, TargetConnection},
+    pool::{CallBody, TargetConnection},
 };
 use crate::{
     caller::header::{apply_headers, forwarded_headers},
@@ -52,9 +52,15 @@
         let remaining = self.deadline.remaining(&self.process.clock);
         let first_byte =
             if self.idempotent { limits.first_byte } else { limits.first_byte.max(remaining) };
-        let response = match connection.send(request, first_byte).await {
+        let answer = if self.idempotent {
+            let address = &order.address;
+            connection.send_repeatable(address, limits.connect, request, first_byte).await
+        } else {
+            connection.send(request, first_byte).await
+        };
+        let response = match answer {
             Ok(response) => response,
-            Err(fault) => return AttemptReport::Ended(self.fault_end(order, &connection, &fault)),
+            Err(fault) => return AttemptReport::Ended(fault_end(order, &fault)),
         };
         let status = response.status();
         if self.idempotent && is_overloaded(status) {
@@ -104,20 +110,6 @@
         apply_headers(request.headers_mut(), &self.call.headers);
         Some(request)
     }
-
-    /// A pooled connection that the target had closed shows nothing about the target, and nothing was
-    /// written: the node tries again.
-    fn fault_end(
-        &self,
-        order: &DispatchOrder,
-        connection: &TargetConnection,
-        fault: &CallFault,
-    ) -> AttemptEnd {
-        if self.idempotent && connection.is_reused() {
-            tracing::debug!(attempt = order.tag(), %fault, "a pooled connection was closed");
-        }
-        fault_end(order, fault)
-    }
 }
 
 fn is_overloaded(status: StatusCode) -> bool {
--- a/crates/tarragon-server/src/target/pool.rs
+++ b/crates/tarragon-server/src/target/pool.rs
@@ -10,7 +10,10 @@
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
-use tokio::{net::TcpStream, time::timeout};
+use tokio::{
+    net::TcpStream,
+    time::{Instant, timeout},
+};
 
 use crate::guarded::Guarded;
 
@@ -19,6 +22,8 @@
 
 /// Idle connections that are kept for each target.
 const MAX_IDLE: usize = 32;
+/// Time after which an idle connection is not used again, below the common keep-alive limits of servers.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(10);
 
 /// Wait for a pooled connection whose last answer was read a moment ago and whose task has yet to run.
 const READY_WAIT: Duration = Duration::from_millis(10);
@@ -48,6 +53,8 @@
 pub struct TargetConnection {
     sender: http1::SendRequest<CallBody>,
     reused: bool,
+    /// When its last answer had been read.
+    idle_since: Instant,
 }
 
 impl TargetConnection {
@@ -64,12 +71,26 @@
                 tracing::debug!(%error, "connection to a target ended");
             }
         });
-        Ok(TargetConnection { sender, reused: false })
+        Ok(TargetConnection { sender, reused: false, idle_since: Instant::now() })
     }
 
-    /// Whether the connection has served a call before.
-    pub fn is_reused(&self) -> bool {
-        self.reused
+    /// Sends a call that may be repeated. A pooled connection that proves closed before a byte was written
+    /// is replaced once; a call that may have been written is not sent again here.
+    pub async fn send_repeatable(
+        &mut self,
+        address: &str,
+        connect: Duration,
+        request: Request<CallBody>,
+        limit: Duration,
+    ) -> Result<Response<Incoming>, CallFault> {
+        let spare = self.reused.then(|| request.clone());
+        let fault = match self.send(request, limit).await {
+            Ok(response) => return Ok(response),
+            Err(fault) => fault,
+        };
+        let (CallFault::NotSent(_), Some(request)) = (&fault, spare) else { return Err(fault) };
+        *self = TargetConnection::open(address, connect).await.map_err(CallFault::NotSent)?;
+        self.send(request, limit).await
     }
 
     /// Sends a call and waits for the head of its answer. A call that hyper returns unwritten, because
@@ -101,6 +122,9 @@
     /// An idle connection that is still open, or a new one.
     pub async fn checkout(&self, address: &str, limit: Duration) -> io::Result<TargetConnection> {
         while let Some(mut connection) = self.pop(address) {
+            if connection.idle_since.elapsed() >= MAX_IDLE_TIME {
+                continue;
+            }
             let ready = timeout(READY_WAIT, connection.sender.ready()).await;
             if matches!(ready, Ok(Ok(()))) {
                 connection.reused = true;
@@ -111,10 +135,11 @@
     }
 
     /// Keeps a connection whose answer has been read to its end.
-    pub fn give_back(&self, address: &str, connection: TargetConnection) {
+    pub fn give_back(&self, address: &str, mut connection: TargetConnection) {
         if connection.sender.is_closed() {
             return;
         }
+        connection.idle_since = Instant::now();
         self.idle.with(|idle| {
             let connections = match idle.get_mut(address) {
                 Some(connections) => connections,
--- a/crates/tarragon-server/tests/serve/main.rs
+++ b/crates/tarragon-server/tests/serve/main.rs
@@ -6,5 +6,6 @@
 mod drain;
 mod fake;
 mod plain;
+mod relay;
 mod support;
 mod ticket;
--- a/crates/tarragon-server/tests/serve/support.rs
+++ b/crates/tarragon-server/tests/serve/support.rs
@@ -18,7 +18,7 @@
 /// Longest time for a test.
 const TEST_LIMIT: Duration = Duration::from_secs(30);
 /// Rules of all tests.
-const RULES: &str = "\
+pub const RULES: &str = "\
 service pool kind=model idempotent=yes # asked by: tests
 service ledger kind=plain idempotent=no answer_limit=65536 # asked by: tests
 service lookup kind=plain idempotent=yes path=/v1 # asked by: tests
@@ -214,3 +214,8 @@
     let matching = text.lines().filter(|line| line.starts_with(name) && line.contains(filter));
     matching.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok()).sum()
 }
+
+/// A port that was free a moment ago.
+pub fn free_address() -> SocketAddr {
+    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
--- a/crates/tarragon-server/tests/serve/ticket.rs
+++ b/crates/tarragon-server/tests/serve/ticket.rs
@@ -118,11 +118,6 @@
     })
 }
 
-/// A port that was free a moment ago.
-fn free_address() -> SocketAddr {
-    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
 /// Guards against a call that runs on a process that does not own its ticket.
 #[tokio::test]
 async fn ticket_of_another_process_is_forwarded_to_its_owner() {
