Read incomplete parts again instead of refusing the version

Cause: when a lagging replica of the configuration service answered without a new part, the missing part became a finding and the version was refused for good at that process only.

--- a/crates/tarragon-cluster/src/publication.rs
+++ b/crates/tarragon-cluster/src/publication.rs
@@ -106,7 +106,13 @@
             let expected = manifest.parts.iter().find(|part| part.name == *name);
             expected.is_none_or(|part| part.hash == content_hash(text))
         });
-        if !fits {
+        // A part that a lagging replica of the service did not have yet is read again: refusing the version
+        // for it would make processes differ in what they refuse.
+        let complete = manifest.parts.iter().all(|part| {
+            self.hashes.get(&part.name) == Some(&part.hash)
+                || parts.iter().any(|(name, _)| *name == part.name)
+        });
+        if !fits || !complete {
             return OfferOutcome::Mismatch;
         }
         self.assemble(manifest, parts.into_iter().collect())
