--- /dev/null
+++ b/crates/tarragon-scheduler/tests/rules/choice.rs
@@ -0,0 +1,216 @@
+//! Choice of targets: plug-ins, cost, affinity, pre-emption and early refusal.
+
+use super::*;
+use std::{sync::Arc, time::Duration};
+use tarragon_config::rules::{PolicyRule, RuleSet};
+use tarragon_protocol::engine::{CacheChange, CacheEvent};
+use tarragon_scheduler::policy::unknown_plugins;
+
+fn policy(choose: &str, admission: &str) -> RuleSet {
+    let mut rules = RuleSet::default();
+    let rule = PolicyRule {
+        choose: Some(choose.to_owned()),
+        admission: Some(admission.to_owned()),
+        ..PolicyRule::default()
+    };
+    rules.policies.insert("pool".into(), rule);
+    rules
+}
+
+/// Guards against a rule with a misspelt plug-in that is accepted in silence.
+#[test]
+fn unknown_plugins_fall_back_and_are_listed() {
+    let rules = policy("fastest", "tiered");
+    let unknown = unknown_plugins(&rules);
+    assert_eq!(unknown.len(), 1);
+    assert_eq!((unknown[0].key, &*unknown[0].name), ("choose", "fastest"));
+    assert_eq!(unknown[0].known, ["least-cost", "least-requests", "random", "round-robin"]);
+    let mut driver = Driver::with_targets(2, 2);
+    driver.handle(SchedulerEvent::RulesChanged(Arc::new(rules)));
+    driver.ask(Ask::default());
+    assert_eq!(driver.dispatched().len(), 1);
+}
+
+/// Guards against plug-ins that are linked but not selected.
+#[test]
+fn rules_select_plugins() {
+    for name in ["least-cost", "least-requests", "random", "round-robin"] {
+        let mut driver = Driver::with_targets(4, 2);
+        driver.handle(SchedulerEvent::RulesChanged(Arc::new(policy(name, "first-come"))));
+        let mut targets = Vec::new();
+        for _ in 0..4 {
+            driver.ask(Ask::default());
+            targets.extend(driver.dispatched().into_iter().map(|(.., target)| target));
+        }
+        assert_eq!(targets.len(), 4, "{name}");
+        targets.sort();
+        targets.dedup();
+        if name == "round-robin" || name == "least-requests" {
+            assert_eq!(targets.len(), 4, "{name}");
+        }
+        let profile = profile(&driver);
+        let explanation = driver.scheduler.explain(&profile, driver.now);
+        assert_eq!((explanation.choose, explanation.admission), (name, "first-come"));
+    }
+}
+
+fn profile(driver: &Driver) -> RequestProfile {
+    RequestProfile {
+        request: 9_999,
+        workspace: "depot".into(),
+        service: "pool".into(),
+        tier: Tier::Normal,
+        deadline: driver.now + Duration::from_secs(30),
+        idempotent: true,
+        fingerprint: 1,
+        kind: CallKind::Model(ModelCall {
+            model: "assess".into(),
+            prompt_tokens: 2_048,
+            max_tokens: 100,
+            blocks: (0..32).collect(),
+        }),
+    }
+}
+
+fn stored(driver: &mut Driver, target: &str, sequence: u64) {
+    let event = CacheEvent { sequence, change: CacheChange::Stored, blocks: (0..32).collect() };
+    driver.handle(SchedulerEvent::CacheReported(target.into(), vec![event]));
+}
+
+fn cached(driver: &Driver, target: &str) -> u32 {
+    let explanation = driver.scheduler.explain(&profile(driver), driver.now);
+    let found = explanation.targets.iter().find(|found| &*found.target == target);
+    found.and_then(|found| found.cached_tokens).unwrap_or(0)
+}
+
+/// Guards against prefill that is done again though another target holds the prefix, and against trust in
+/// an index that has lost events.
+#[test]
+fn cached_prefixes_attract_and_gaps_lower_trust() {
+    let mut driver = Driver::with_targets(4, 4);
+    stored(&mut driver, "t2", 1);
+    assert_eq!(cached(&driver, "t2"), 2_048);
+    let explanation = driver.scheduler.explain(&profile(&driver), driver.now);
+    assert_eq!(explanation.chosen.as_deref(), Some("t2"));
+    stored(&mut driver, "t2", 9);
+    assert_eq!(cached(&driver, "t2"), 1_024);
+    assert_eq!(driver.scheduler.statistics().cache_gaps, 1);
+    driver.advance(Duration::from_secs(31));
+    assert_eq!(cached(&driver, "t2"), 2_048);
+    driver.report("t2", 2, tarragon_protocol::load::TargetState::Warm);
+    assert_eq!(cached(&driver, "t2"), 0, "a restart empties the cache");
+}
+
+/// Guards against a common prefix that piles all work on one target.
+#[test]
+fn affinity_is_bounded_by_load() {
+    let mut driver = Driver::with_targets(4, 8);
+    let mut counts = indexmap::IndexMap::<TargetName, u32>::new();
+    for _ in 0..16 {
+        driver.ask(Ask { prompt: 2_048, blocks: (0..32).collect(), ..Ask::default() });
+        for (.., target) in driver.dispatched() {
+            *counts.entry(target).or_default() += 1;
+        }
+    }
+    assert!(counts.values().all(|count| *count <= 7), "{counts:?}");
+    assert!(counts.len() >= 2, "{counts:?}");
+}
+
+/// Guards against urgent work that waits behind long routine streams, and against streams that are
+/// cancelled over and over.
+#[test]
+fn urgent_work_preempts_a_routine_stream_a_bounded_number_of_times() {
+    let mut driver = Driver::with_targets(1, 1);
+    let routine = driver.ask(Ask::tier(Tier::Routine));
+    for attempt in 1..=3 {
+        driver.progress(routine, attempt, attempt, 60);
+        driver.advance(Duration::from_millis(100));
+        let urgent = driver.ask(Ask::tier(Tier::Urgent));
+        if attempt == 3 {
+            assert!(driver.actions.is_empty(), "pre-empted twice already");
+            return;
+        }
+        let cancel = SchedulerAction::Cancel { request: routine, attempt };
+        assert_eq!(driver.actions, [cancel]);
+        driver.end(routine, attempt, AttemptEnd::Cancelled);
+        assert_eq!(driver.dispatched()[0].0, urgent);
+        driver.progress(urgent, 1, 1, 60);
+        driver.end(urgent, 1, AttemptEnd::Finished);
+        assert_eq!(driver.dispatched()[0].0, routine, "it goes on afterwards");
+    }
+}
+
+struct PreemptCase {
+    name: &'static str,
+    running: fn() -> Ask,
+    first_token_ms: u64,
+    arriving: Tier,
+}
+
+const NOT_PREEMPTED: &[PreemptCase] = &[
+    PreemptCase {
+        name: "must not run twice",
+        running: || Ask { idempotent: false, ..Ask::tier(Tier::Routine) },
+        first_token_ms: 60,
+        arriving: Tier::Urgent,
+    },
+    PreemptCase {
+        name: "not routine",
+        running: || Ask::tier(Tier::Normal),
+        first_token_ms: 60,
+        arriving: Tier::Urgent,
+    },
+    PreemptCase {
+        name: "not for work that is not urgent",
+        running: || Ask::tier(Tier::Routine),
+        first_token_ms: 60,
+        arriving: Tier::High,
+    },
+    PreemptCase {
+        name: "the prefill is worth more than the wait",
+        running: || Ask { prompt: 200_000, ..Ask::tier(Tier::Routine) },
+        first_token_ms: 20_000,
+        arriving: Tier::Urgent,
+    },
+];
+
+/// Guards against a second run of work that must not run twice, and against wasted prefill.
+#[test]
+fn some_streams_are_not_preempted() {
+    for case in NOT_PREEMPTED {
+        let mut driver = Driver::with_targets(1, 1);
+        let running = driver.ask((case.running)());
+        driver.progress(running, 1, 1, case.first_token_ms);
+        driver.ask(Ask::tier(case.arriving));
+        assert!(driver.actions.is_empty(), "{}: {:?}", case.name, driver.actions);
+    }
+}
+
+/// Guards against a caller that is held until its deadline though its answer can't come in time.
+#[test]
+fn requests_that_cannot_meet_their_deadline_are_refused_early() {
+    let mut driver = Driver::with_targets(1, 1);
+    for _ in 0..12 {
+        let request = driver.ask(Ask::default());
+        driver.progress(request, 1, 1, 100);
+        driver.now += Duration::from_secs(4);
+        driver.progress(request, 1, 100, 100);
+        driver.end(request, 1, AttemptEnd::Finished);
+        driver.advance(Duration::from_millis(600));
+    }
+    driver.ask(Ask::default());
+    let late = driver.ask(Ask { deadline: Duration::from_millis(500), ..Ask::default() });
+    assert_eq!(driver.refused(), [(late, RefusalCode::DeadlineExceeded, CallOutcome::NotRun)]);
+}
+
+/// Guards against a failing service that is flooded with retries.
+#[test]
+fn retries_end_with_the_budget() {
+    let mut driver = Driver::with_targets(2, 64);
+    let requests: Vec<_> = (0..20).map(|_| driver.ask(Ask::default())).collect();
+    for request in requests {
+        driver.end(request, 1, AttemptEnd::Failed);
+    }
+    let statistics = driver.scheduler.statistics();
+    assert_eq!((statistics.retries, statistics.retries_denied), (5, 15));
+}
--- /dev/null
+++ b/crates/tarragon-scheduler/tests/rules/suspect.rs
@@ -0,0 +1,174 @@
+//! Requests that crash targets.
+
+use super::*;
+use std::time::Duration;
+use tarragon_protocol::{load::TargetState, peer::SuspectEntry};
+
+const CULPRIT: Fingerprint = 666;
+
+fn culprit() -> Ask {
+    Ask { fingerprint: Some(CULPRIT), ..Ask::default() }
+}
+
+/// The target of a request's dispatch among the last actions.
+fn target_of(driver: &Driver, request: RequestId) -> Option<TargetName> {
+    driver.dispatched().into_iter().find(|(id, ..)| *id == request).map(|(.., target)| target)
+}
+
+fn suspicions(driver: &Driver) -> Vec<SuspectEntry> {
+    driver
+        .actions
+        .iter()
+        .filter_map(|action| match action {
+            SchedulerAction::AnnounceSuspect(entry) => Some(entry.clone()),
+            _ => None,
+        })
+        .collect()
+}
+
+struct CrashCase {
+    name: &'static str,
+    after: fn(&mut Driver, &str),
+    crash: bool,
+}
+
+const CRASHES: &[CrashCase] = &[
+    CrashCase {
+        name: "new restart id",
+        after: |driver, target| {
+            driver.report(target, 2, TargetState::Cold);
+        },
+        crash: true,
+    },
+    CrashCase {
+        name: "same restart id: only the connection broke",
+        after: |driver, target| {
+            driver.now += Duration::from_millis(10);
+            driver.report(target, 1, TargetState::Warm);
+        },
+        crash: false,
+    },
+    CrashCase {
+        name: "restart long after the break",
+        after: |driver, target| {
+            driver.advance_silently(Duration::from_secs(11));
+            driver.report(target, 2, TargetState::Cold);
+        },
+        crash: false,
+    },
+];
+
+/// Guards against a suspicion after an ordinary broken connection, and against a crash that peers do not
+/// learn of.
+#[test]
+fn a_crash_is_a_reset_with_a_restart() {
+    for case in CRASHES {
+        let mut driver = Driver::with_targets(2, 4);
+        let request = driver.ask(Ask { idempotent: false, ..culprit() });
+        let target = target_of(&driver, request).unwrap();
+        driver.end(request, 1, AttemptEnd::Broken);
+        (case.after)(&mut driver, &target);
+        let found = suspicions(&driver);
+        assert_eq!(found.len(), usize::from(case.crash), "{}", case.name);
+        for entry in found {
+            assert_eq!(entry.crashes, [(target.clone(), 1)], "{}", case.name);
+            assert!(!entry.convicted, "{}", case.name);
+        }
+    }
+}
+
+/// Guards against a request that crashes one target after another.
+#[test]
+fn the_second_crash_convicts() {
+    let mut driver = Driver::with_targets(4, 4);
+    let request = driver.ask(culprit());
+    let first = target_of(&driver, request).unwrap();
+    driver.end(request, 1, AttemptEnd::Broken);
+    driver.report(&first, 2, TargetState::Cold);
+    driver.advance(Duration::from_millis(200));
+    let second = target_of(&driver, request).unwrap();
+    assert_ne!(first, second);
+    driver.end(request, 2, AttemptEnd::Broken);
+    driver.advance_silently(Duration::from_millis(500));
+    assert!(driver.dispatched().is_empty(), "held until it is known whether the target crashed");
+    driver.report(&second, 2, TargetState::Cold);
+    assert!(suspicions(&driver)[0].convicted);
+    driver.advance(Duration::from_millis(100));
+    let answer = (request, RefusalCode::CrashesTargets, CallOutcome::Unknown);
+    assert_eq!(driver.refused(), [answer]);
+    let again = driver.ask(culprit());
+    assert_eq!(driver.refused(), [(again, RefusalCode::CrashesTargets, CallOutcome::NotRun)]);
+    driver.advance(Duration::from_secs(601));
+    driver.ask(culprit());
+    assert_eq!(driver.dispatched().len(), 1, "the verdict ends after ten minutes");
+}
+
+fn peer_finding(crashes: &[(&str, u64)]) -> SchedulerEvent {
+    SchedulerEvent::SuspectReported(SuspectEntry {
+        fingerprint: CULPRIT,
+        crashes: crashes.iter().map(|(target, restart)| ((*target).into(), *restart)).collect(),
+        convicted: false,
+        age_ms: 100,
+    })
+}
+
+/// Guards against a caller that sends the request again through another VM.
+#[test]
+fn findings_of_two_peers_convict_together() {
+    let mut driver = Driver::with_targets(2, 4);
+    driver.handle(peer_finding(&[("t8", 3)]));
+    driver.handle(peer_finding(&[("t8", 3)]));
+    assert!(driver.actions.is_empty(), "the same crash heard twice is one crash");
+    driver.handle(peer_finding(&[("t9", 5)]));
+    assert!(suspicions(&driver)[0].convicted);
+    let request = driver.ask(culprit());
+    assert_eq!(driver.refused(), [(request, RefusalCode::CrashesTargets, CallOutcome::NotRun)]);
+}
+
+/// Guards against an innocent request that stays under suspicion because peers repeat the old finding.
+#[test]
+fn a_finished_run_clears() {
+    let mut driver = Driver::with_targets(2, 4);
+    driver.handle(peer_finding(&[("t8", 3)]));
+    let request = driver.ask(culprit());
+    driver.end(request, 1, AttemptEnd::Finished);
+    driver.handle(peer_finding(&[("t8", 3)]));
+    driver.handle(peer_finding(&[("t9", 5)]));
+    assert!(suspicions(&driver).is_empty());
+    driver.ask(culprit());
+    assert_eq!(driver.dispatched().len(), 1);
+}
+
+/// Guards against urgent work that is lost in the crash which a routine suspect causes.
+#[test]
+fn suspects_run_alone_and_not_beside_higher_tiers() {
+    let mut driver = Driver::with_targets(1, 4);
+    driver.handle(peer_finding(&[("t8", 3)]));
+    let urgent = driver.ask(Ask::tier(Tier::Urgent));
+    driver.ask(Ask { tier: Tier::Normal, ..culprit() });
+    assert!(driver.dispatched().is_empty());
+    driver.end(urgent, 1, AttemptEnd::Finished);
+    driver.advance(Duration::from_millis(100));
+    assert_eq!(driver.dispatched().len(), 1);
+    driver.ask(culprit());
+    assert!(driver.dispatched().is_empty(), "the same suspect runs once at a time");
+    driver.ask(Ask::default());
+    assert_eq!(driver.dispatched().len(), 1, "others are not held up by a waiting suspect");
+}
+
+/// Guards against memory that grows with a flood of different crashing requests.
+#[test]
+fn suspicions_are_bounded() {
+    let mut driver = Driver::with_targets(1, 1);
+    for fingerprint in 0..3_000 {
+        driver.handle(SchedulerEvent::SuspectReported(SuspectEntry {
+            fingerprint,
+            crashes: vec![("t8".into(), fingerprint)],
+            convicted: fingerprint == 0,
+            age_ms: 0,
+        }));
+    }
+    assert_eq!(driver.scheduler.dump(driver.now).suspects, 1_024);
+    let request = driver.ask(Ask { fingerprint: Some(0), ..Ask::default() });
+    assert_eq!(driver.refused()[0].1, RefusalCode::CrashesTargets, "verdicts outlive: {request}");
+}
