--- a/crates/tarragon-lab/src/load.rs
+++ b/crates/tarragon-lab/src/load.rs
@@ -15,6 +15,7 @@
 
 pub use client::{LoadAnswer, LoadOutcome};
 pub use report::{ClassReport, LoadReportTable};
+pub(crate) use report::{latency_histogram, quantiles};
 
 use client::LoadClient;
 
