End a withheld call of a ticket as not run

Cause: when the deadline passed between the ticket's permission and the write, the node forgot the request without ending its record; repeats then waited for an answer that never came. Change: a withheld attempt counts as not written, and the refusal that follows ends the call. Measured: the new test saw no end of the call before the change and 'not run' after it.

--- a/crates/tarragon-node/src/node.rs
+++ b/crates/tarragon-node/src/node.rs
@@ -130,16 +130,19 @@
             SchedulerEvent::AttemptStarted(request, _) | SchedulerEvent::Disconnected(request) => {
                 self.relayable.swap_remove(request);
             }
-            SchedulerEvent::AttemptEnded(request, _, AttemptEnd::NotSent) => {
-                self.tickets.attempt_not_run(*request);
-            }
-            SchedulerEvent::AttemptEnded(request, _, AttemptEnd::Finished) => {
-                self.relayable.swap_remove(request);
-            }
-            SchedulerEvent::AttemptEnded(request, _, AttemptEnd::Withheld) => {
-                self.relayable.swap_remove(request);
-                self.tickets.withheld(*request);
-            }
+            SchedulerEvent::AttemptEnded(request, _, end) => match end {
+                AttemptEnd::NotSent => self.tickets.attempt_not_run(*request),
+                // Nothing was written, also if the ticket allowed it: the deadline is checked once more
+                // afterwards. The refusal that follows ends the ticket's call.
+                AttemptEnd::Withheld => {
+                    self.relayable.swap_remove(request);
+                    self.tickets.attempt_not_run(*request);
+                }
+                AttemptEnd::Finished => {
+                    self.relayable.swap_remove(request);
+                }
+                _ => {}
+            },
             _ => {}
         }
         self.schedule(now, event, actions);
--- a/crates/tarragon-node/src/node/ticket.rs
+++ b/crates/tarragon-node/src/node/ticket.rs
@@ -63,11 +63,6 @@
         }
     }
 
-    /// Forgets a request whose call the check before the write has ended.
-    pub(super) fn withheld(&mut self, request: RequestId) {
-        self.open.swap_remove(&request);
-    }
-
     fn request_of(&self, sequence: TicketSequence) -> Option<RequestId> {
         self.open.iter().find(|(_, call)| call.sequence == sequence).map(|(request, _)| *request)
     }
--- a/crates/tarragon-node/tests/ticket.rs
+++ b/crates/tarragon-node/tests/ticket.rs
@@ -196,6 +196,27 @@
     assert!(actions.is_empty());
 }
 
+/// Guards against a call that stays open for ever: the deadline passed between the ticket's permission and the
+/// write, and nothing was written.
+#[test]
+fn withheld_write_ends_the_call_as_not_run() {
+    let mut bench = Bench::new();
+    let ticket = bench.ticket();
+    let (request, _, _) = bench.present(&ticket, "truck 1");
+    assert_eq!(bench.check(request), WriteCheck::Write);
+    let mut actions = Vec::new();
+    let end = SchedulerEvent::AttemptEnded(request, 1, AttemptEnd::Withheld);
+    bench.node.handle(bench.now, NodeEvent::Scheduler(end), &mut actions);
+    let outcome = actions.iter().find_map(|action| match action {
+        NodeAction::TicketResolved { answer: TicketAnswer::Refused(refusal), .. } => {
+            Some(refusal.outcome)
+        }
+        _ => None,
+    });
+    assert_eq!(outcome, Some(CallOutcome::NotRun));
+    assert_eq!(bench.node.open_tickets(), 0);
+}
+
 /// Guards against a late dispatch by a process that was paused while a call waited for its connection.
 #[test]
 fn paused_process_writes_nothing_before_it_has_noticed() {
