Answer damaged and mismatched tickets with unknown; drain for up to 630 s

Cause: a repeat whose ticket header was damaged, or whose body had changed, was told 'not run' although the call behind the ticket may have run; the caller would have sent it again under a new ticket. The default of drain_timeout_ms is the longest deadline plus 30 s.

--- a/crates/tarragon-config/src/settings.rs
+++ b/crates/tarragon-config/src/settings.rs
@@ -133,7 +133,8 @@
     }
 }
 
-/// Default of [`ServeSettings::drain_timeout`].
-pub const DEFAULT_DRAIN_TIMEOUT: Duration = Duration::from_secs(30);
+/// Default of [`ServeSettings::drain_timeout`]: the longest deadline (600 s) and time for the handover, so that
+/// a graceful shutdown interrupts no request.
+pub const DEFAULT_DRAIN_TIMEOUT: Duration = Duration::from_secs(630);
 /// Shortest key, in characters. Shorter ones can be guessed.
 pub const MIN_KEY_CHARACTERS: usize = 16;
--- a/crates/tarragon-server/src/node_task/ticket.rs
+++ b/crates/tarragon-server/src/node_task/ticket.rs
@@ -107,6 +107,8 @@
 }
 
 fn mismatch() -> TicketAnswer {
-    let message = "the ticket is damaged or was used for another call; get a new ticket";
-    TicketAnswer::Refused(Refusal::not_run(RefusalCode::TicketMismatch, message))
+    // A damaged ticket, or a body that differs from the first one's, may belong to a call that has run: "not
+    // run" would invite the caller to run it again under a new ticket.
+    let message = "the ticket is damaged or was used for another call, which may have run";
+    TicketAnswer::Refused(Refusal::unknown(RefusalCode::TicketMismatch, message))
 }
