Do not answer a caller that has gone after its deadline

Cause: the property test with targets from the start found a request whose attempt was cancelled for its deadline, whose caller then left, and which was still refused.

Change: a caller that leaves replaces any other cause of a cancellation. The property test starts with six targets, hands half of the queues over and checks that the paths it is meant for are reached.

--- a/crates/tarragon-scheduler/src/inflight.rs
+++ b/crates/tarragon-scheduler/src/inflight.rs
@@ -136,7 +136,7 @@
     }
 
     /// Notes that an attempt is being cancelled. The first cause stays, but one that ends the request
-    /// replaces one after which it would go on. Returns the attempt's number if the cancellation is a new one.
+    /// replaces one after which it would go on, and nobody is answered who has gone. Returns the attempt's number if the cancellation is a new one.
     pub fn cancel(&mut self, request: RequestId, cause: CancelCause) -> Option<AttemptNumber> {
         let running = self.attempts.get_mut(&request)?;
         match running.cancel {
@@ -147,7 +147,12 @@
             }
             Some(old) => {
                 let goes_on = matches!(old, CancelCause::Preempted | CancelCause::Moved);
-                if goes_on && matches!(cause, CancelCause::Disconnected | CancelCause::Expired) {
+                let replaces = match cause {
+                    CancelCause::Disconnected => true,
+                    CancelCause::Expired => goes_on,
+                    CancelCause::Preempted | CancelCause::Moved => false,
+                };
+                if replaces {
                     running.cancel = Some(cause);
                     self.preempting -= usize::from(old == CancelCause::Preempted);
                 }
--- a/crates/tarragon-scheduler/tests/random/main.rs
+++ b/crates/tarragon-scheduler/tests/random/main.rs
@@ -2,6 +2,8 @@
 
 mod world;
 
+use std::cell::RefCell;
+
 use proptest::{
     prelude::*,
     test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
@@ -59,6 +61,7 @@
 /// Guards against lost requests, double answers, and slots that leak until a target is never used.
 #[test]
 fn every_request_ends_exactly_once() {
+    let reached = RefCell::new(Reached::default());
     for seed in SEEDS {
         let config = Config { cases: CASES, failure_persistence: None, ..Config::default() };
         let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[seed; 32]);
@@ -69,10 +72,49 @@
             for step in &steps {
                 world.apply(step)?;
             }
-            world.finish()
+            world.finish()?;
+            reached.borrow_mut().add(world.statistics());
+            Ok(())
         });
         if let Err(error) = result {
             panic!("seed {seed}: {error}");
         }
     }
+    reached.into_inner().check();
+}
+
+/// What the runs have reached. A run in which nothing happens proves nothing.
+#[derive(Default)]
+struct Reached {
+    counts: indexmap::IndexMap<&'static str, u64>,
+}
+
+impl Reached {
+    fn add(&mut self, statistics: &SchedulerStatistics) {
+        let counts = [
+            ("finished", statistics.finished.iter().sum()),
+            ("displaced", statistics.displaced.iter().sum()),
+            ("disconnected", statistics.disconnected.iter().sum()),
+            ("retries", statistics.retries),
+            ("denied retries", statistics.retries_denied),
+            ("pre-emptions", statistics.preemptions),
+            ("cold signs", statistics.cold_signs),
+            ("convictions", statistics.convictions),
+            ("shed", statistics.refusals(RefusalCode::Shed)),
+            ("deadline", statistics.refusals(RefusalCode::DeadlineExceeded)),
+            ("limit", statistics.refusals(RefusalCode::LimitReached)),
+            ("no target", statistics.refusals(RefusalCode::NoTarget)),
+            ("target failed", statistics.refusals(RefusalCode::TargetFailed)),
+            ("crashes targets", statistics.refusals(RefusalCode::CrashesTargets)),
+        ];
+        for (name, count) in counts {
+            *self.counts.entry(name).or_default() += count;
+        }
+    }
+
+    fn check(&self) {
+        println!("{:?}", self.counts);
+        let missed: Vec<_> = self.counts.iter().filter(|(_, count)| **count == 0).collect();
+        assert!(missed.is_empty(), "never reached: {missed:?}");
+    }
 }
--- a/crates/tarragon-scheduler/tests/random/world.rs
+++ b/crates/tarragon-scheduler/tests/random/world.rs
@@ -60,7 +60,14 @@
     pub fn new(seed: u64) -> World {
         let limits = SchedulerLimits { waiting: 12, waiting_tokens: 40_000 };
         let scheduler = Scheduler::new(limits, seed);
-        World { scheduler, now: Instant::now(), calls: IndexMap::new() }
+        let mut world = World { scheduler, now: Instant::now(), calls: IndexMap::new() };
+        for target in 0..6 {
+            for step in [Step::List(target, true), Step::Slots(target, 2, false)] {
+                let event = outside_event(&step, world.now);
+                world.scheduler.handle(world.now, event, &mut Vec::new());
+            }
+        }
+        world
     }
 
     pub fn apply(&mut self, step: &Step) -> Result<(), TestCaseError> {
@@ -99,8 +106,21 @@
         Ok(())
     }
 
+    pub fn statistics(&self) -> &SchedulerStatistics {
+        self.scheduler.statistics()
+    }
+
     /// Lets all deadlines pass; targets end what still runs.
-    pub fn finish(mut self) -> Result<(), TestCaseError> {
+    pub fn finish(&mut self) -> Result<(), TestCaseError> {
+        // Half of the processes hand their queue to a peer.
+        if self.calls.len().is_multiple_of(2) {
+            self.handle(SchedulerEvent::DrainStarted)?;
+            for profile in self.scheduler.release_waiting() {
+                let call = &mut self.calls[&profile.request];
+                prop_assert!(!call.ended && call.attempts == 0, "handed over: {call:?}");
+                call.ended = true;
+            }
+        }
         for _ in 0..60 {
             self.now += Duration::from_secs(1);
             self.handle(SchedulerEvent::Tick)?;
