Bound state that callers name, and refuse overtaken requests early

Model names of callers could use up the model bits and create lanes without bound; a sequence number of u64::MAX overflowed; learned lengths were keyed by table positions that are used again; the drain rate started at zero and counted only finished answers, so that bursts would have been refused wrongly; the oldest instead of the newest request gave way as hopeless.

Change: bits only for models that targets report, 256 lanes, saturating numbers, keys by name, the drain rate counts streamed tokens, hopeless means that the work of higher tiers takes the time left. Windows are refreshed before the first event after a pause. A concurrency limit of 0 suspends a workspace.

--- a/crates/tarragon-scheduler/src/cost.rs
+++ b/crates/tarragon-scheduler/src/cost.rs
@@ -45,17 +45,17 @@
     cursor: usize,
 }
 
-/// Pseudo position of "all workspaces of the service".
-const ALL_WORKSPACES: usize = 0xffff_ffff;
+/// Key that stands for all workspaces of a service.
+const ALL_WORKSPACES: u64 = 0;
+
+/// Key of a workspace. It is made of the name, since positions in tables are used again by others.
+pub fn workspace_key(name: &str) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(name.as_bytes()) | 1
+}
 
 impl CostTable {
     /// What is expected of a request.
-    pub fn predict(
-        &self,
-        pool: usize,
-        workspace: usize,
-        profile: &RequestProfile,
-    ) -> CostPrediction {
+    pub fn predict(&self, pool: usize, workspace: u64, profile: &RequestProfile) -> CostPrediction {
         let Some(call) = profile.model_call() else {
             return CostPrediction { output: 0, cost: PLAIN_COST };
         };
@@ -74,7 +74,7 @@
     pub fn learn(
         &mut self,
         pool: usize,
-        workspace: usize,
+        workspace: u64,
         prompt: u32,
         output: u32,
         cached: Option<f32>,
@@ -129,8 +129,8 @@
     (uncached / PREFILL_PART + u64::from(output)).max(1)
 }
 
-/// Size classes are powers of two. Service, workspace and class are packed into one number.
-fn key(pool: usize, workspace: usize, prompt: u32) -> u64 {
+/// Size classes are powers of two. A collision of two keys only mixes two estimates.
+fn key(pool: usize, workspace: u64, prompt: u32) -> u64 {
     let class = u64::from(32 - prompt.leading_zeros());
-    ((pool as u64 & 0xff_ffff) << 40) | ((workspace as u64 & 0xffff_ffff) << 8) | class
+    workspace ^ ((pool as u64) << 40) ^ (class << 32)
 }
--- a/crates/tarragon-scheduler/src/job.rs
+++ b/crates/tarragon-scheduler/src/job.rs
@@ -19,6 +19,8 @@
     pub models: u64,
     /// Position of its workspace in the share table.
     pub workspace: usize,
+    /// Key of its workspace in tables that outlive the position.
+    pub workspace_key: u64,
     /// Rises with each arrival.
     pub sequence: u64,
     /// Expected number of tokens of the whole answer; 0 for plain calls.
@@ -64,7 +66,10 @@
     /// What is still to be done.
     pub fn size(&self) -> RequestSize {
         RequestSize {
-            prompt: self.profile.model_call().map(|call| call.prompt_tokens + self.delivered),
+            prompt: self
+                .profile
+                .model_call()
+                .map(|call| call.prompt_tokens.saturating_add(self.delivered)),
             output: self.output.saturating_sub(self.delivered),
         }
     }
--- a/crates/tarragon-scheduler/src/queue.rs
+++ b/crates/tarragon-scheduler/src/queue.rs
@@ -2,15 +2,16 @@
 
 pub mod lane;
 
-use std::{
-    collections::BTreeSet,
-    time::{Duration, Instant},
-};
+use std::{collections::BTreeSet, time::Instant};
 
 use indexmap::IndexMap;
 
 use crate::{hash::NumberHash, job::Job, prelude::*, queue::lane::Lane};
 
+/// Above this number, further models of a service share one lane. Callers choose the names of models, so
+/// that lanes need a bound.
+const MAX_MODEL_LANES: usize = 256;
+
 /// Where a waiting request stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum WaitState {
@@ -59,11 +60,6 @@
         self.tokens.iter().sum()
     }
 
-    /// Tokens of waiting requests of one tier.
-    pub fn tier_tokens(&self, tier: Tier) -> u64 {
-        self.tokens[tier.index()]
-    }
-
     /// Waiting requests of a tier.
     pub fn tier_len(&self, tier: Tier) -> usize {
         self.arrivals[tier.index()].len()
@@ -76,7 +72,10 @@
 
     /// Position of the lane for a service's pool and a model; creates it if needed.
     pub fn lane_index(&mut self, pool: usize, model: Option<&ModelName>) -> usize {
-        let key = (pool, model.cloned());
+        let mut key = (pool, model.cloned());
+        if self.lanes.len() >= MAX_MODEL_LANES && !self.lane_keys.contains_key(&key) {
+            key.1 = None;
+        }
         if let Some(index) = self.lane_keys.get(&key) {
             return *index;
         }
@@ -124,7 +123,7 @@
 
     /// Adds a new request: it gets its place behind earlier ones of its workspace.
     pub fn push_new(&mut self, mut job: Job, weight: u32) {
-        job.tags = self.lanes[job.lane].assign(job.tier(), job.workspace, job.cost, weight);
+        job.tags = self.lanes[job.lane].assign(job.tier(), job.workspace_key, job.cost, weight);
         self.push(job, WaitState::Ready);
     }
 
@@ -155,7 +154,7 @@
     /// Takes a request out that will not run: its workspace is not charged for it.
     pub fn remove_unserved(&mut self, request: RequestId) -> Option<Job> {
         let job = self.remove(request)?;
-        self.lanes[job.lane].refund(job.tier(), job.workspace, job.tags);
+        self.lanes[job.lane].refund(job.tier(), job.workspace_key, job.tags);
         Some(job)
     }
 
@@ -191,7 +190,7 @@
 
     /// Charges a workspace for tokens that were not predicted, or credits them.
     pub fn correct(&mut self, job: &Job, tokens: i64, weight: u32) {
-        self.lanes[job.lane].correct(job.tier(), job.workspace, tokens, weight);
+        self.lanes[job.lane].correct(job.tier(), job.workspace_key, tokens, weight);
     }
 
     /// Moves a waiting request to another state.
@@ -214,10 +213,9 @@
         }
     }
 
-    /// A request that no target can finish before its deadline any more, given an additional delay.
-    pub fn hopeless(&self, tier: Tier, now: Instant, delay: Duration) -> Option<RequestId> {
-        let (start, request) = self.starts[tier.index()].first()?;
-        (*start < now + delay).then_some(*request)
+    /// The request of a tier whose latest useful start comes first.
+    pub fn earliest_start(&self, tier: Tier) -> Option<&Job> {
+        self.get(self.starts[tier.index()].first()?.1)
     }
 
     /// The request of a tier that arrived last.
--- a/crates/tarragon-scheduler/src/queue/lane.rs
+++ b/crates/tarragon-scheduler/src/queue/lane.rs
@@ -17,7 +17,7 @@
     /// Ready requests by start tag, then by arrival.
     ready: BTreeSet<(u64, u64, RequestId)>,
     /// Finish tag of the last request of each workspace, if above the virtual time.
-    finish: IndexMap<u32, u64, NumberHash>,
+    finish: IndexMap<u64, u64, NumberHash>,
     virtual_time: u64,
 }
 
@@ -38,9 +38,9 @@
     }
 
     /// Start and finish tag of a new request.
-    pub fn assign(&mut self, tier: Tier, workspace: usize, cost: u64, weight: u32) -> (u64, u64) {
+    pub fn assign(&mut self, tier: Tier, workspace: u64, cost: u64, weight: u32) -> (u64, u64) {
         let lane = &mut self.tiers[tier.index()];
-        let last = lane.finish.entry(workspace as u32).or_insert(lane.virtual_time);
+        let last = lane.finish.entry(workspace).or_insert(lane.virtual_time);
         let start = (*last).max(lane.virtual_time);
         let finish = start.saturating_add(cost.saturating_mul(TAG_UNIT) / u64::from(weight.max(1)));
         *last = finish;
@@ -48,9 +48,9 @@
     }
 
     /// Takes the charge of a request back that will not run, if nothing was queued behind it.
-    pub fn refund(&mut self, tier: Tier, workspace: usize, tags: (u64, u64)) {
+    pub fn refund(&mut self, tier: Tier, workspace: u64, tags: (u64, u64)) {
         let lane = &mut self.tiers[tier.index()];
-        if let Some(last) = lane.finish.get_mut(&(workspace as u32))
+        if let Some(last) = lane.finish.get_mut(&workspace)
             && *last == tags.1
         {
             *last = tags.0;
@@ -58,10 +58,10 @@
     }
 
     /// Charges or credits a workspace after the fact.
-    pub fn correct(&mut self, tier: Tier, workspace: usize, tokens: i64, weight: u32) {
+    pub fn correct(&mut self, tier: Tier, workspace: u64, tokens: i64, weight: u32) {
         let lane = &mut self.tiers[tier.index()];
         let amount = tokens.unsigned_abs().saturating_mul(TAG_UNIT) / u64::from(weight.max(1));
-        let last = lane.finish.entry(workspace as u32).or_insert(lane.virtual_time);
+        let last = lane.finish.entry(workspace).or_insert(lane.virtual_time);
         let base = (*last).max(lane.virtual_time);
         *last = if tokens >= 0 { base.saturating_add(amount) } else { base.saturating_sub(amount) };
     }
--- a/crates/tarragon-scheduler/src/scheduler.rs
+++ b/crates/tarragon-scheduler/src/scheduler.rs
@@ -58,6 +58,13 @@
 /// Delay that a refused caller is asked to wait.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Part of the expected wait that counts when a request is refused early. Expected waits err, and a
+/// request that is refused wrongly costs more than one that waits in vain.
+const WAIT_PART: f64 = 0.5;
+
+/// Windows that were computed longer ago than this are not used. Ticks come every 100 ms.
+const REFRESH_LIMIT: Duration = Duration::from_millis(250);
+
 /// Decides which request goes where and when.
 pub struct Scheduler {
     limits: SchedulerLimits,
@@ -90,6 +97,8 @@
 struct SchedulerClocks {
     /// Last refresh of the pools' figures.
     pools: Option<Instant>,
+    /// Last refresh of all targets.
+    targets: Option<Instant>,
     /// Earliest time of the next search for a stream to pre-empt.
     preemption: Option<Instant>,
 }
@@ -128,6 +137,7 @@
         event: SchedulerEvent,
         actions: &mut Vec<SchedulerAction>,
     ) {
+        self.refresh_if_late(now);
         // What can't be served any more must not make others give way.
         self.refuse_hopeless(now, actions);
         match event {
@@ -218,6 +228,16 @@
             .collect()
     }
 
+    /// Windows shrink as time passes. Ticks take care of that; if they were late, because the process was
+    /// paused, the first event after the pause must not use old windows.
+    fn refresh_if_late(&mut self, now: Instant) {
+        let late = |last: Instant| now.saturating_duration_since(last) > REFRESH_LIMIT;
+        if self.clocks.targets.is_none_or(late) {
+            self.clocks.targets = Some(now);
+            self.targets.refresh_all(now);
+        }
+    }
+
     fn disconnect(&mut self, request: RequestId, now: Instant, actions: &mut Vec<SchedulerAction>) {
         if let Some(job) = self.dequeue_unserved(request) {
             self.statistics.disconnected[job.tier().index()] += 1;
--- a/crates/tarragon-scheduler/src/scheduler/arrival.rs
+++ b/crates/tarragon-scheduler/src/scheduler/arrival.rs
@@ -4,9 +4,10 @@
 
 use crate::{
     admission::{AdmissionVerdict, AdmissionView},
+    cost,
     job::Job,
     prelude::*,
-    scheduler::{RETRY_AFTER, Scheduler},
+    scheduler::{RETRY_AFTER, Scheduler, WAIT_PART},
     share::LimitFault,
     suspect::{SUSPECT_LIFETIME, Suspicion},
 };
@@ -15,9 +16,6 @@
 /// a request is given up only when much less than the predicted time is left.
 const HOPELESS_PART: f64 = 0.6;
 
-/// Part of the expected wait that counts when a new request is refused early.
-const WAIT_PART: f64 = 0.5;
-
 /// A caller whose request found no target is asked to wait this long: a target that starts or loads a
 /// model takes seconds.
 const NO_TARGET_RETRY: Duration = Duration::from_secs(2);
@@ -60,7 +58,7 @@
             let refusal = Refusal::not_run(RefusalCode::CrashesTargets, message);
             return Err(refusal.with_retry_after(SUSPECT_LIFETIME));
         }
-        let models = self.targets.models.bit(profile.model_call().map(|call| &call.model));
+        let models = self.targets.models.find(profile.model_call().map(|call| &call.model));
         let pool = self.targets.find_pool(&profile.service);
         if !pool.is_some_and(|pool| self.targets.can_serve(pool, models)) {
             let message = "no target in service can take this request";
@@ -74,9 +72,10 @@
         let pool = self.targets.pool_index(&profile.service);
         let model = profile.model_call().map(|call| &call.model);
         let lane = self.queue.lane_index(pool, model);
-        let models = self.targets.models.bit(model);
+        let models = self.targets.models.find(model);
         let workspace = self.shares.index(&profile.workspace, &self.rules, now);
-        let prediction = self.costs.predict(pool, workspace, &profile);
+        let workspace_key = cost::workspace_key(&profile.workspace);
+        let prediction = self.costs.predict(pool, workspace_key, &profile);
         self.sequence += 1;
         let mut job = Job {
             latest_start: profile.deadline,
@@ -85,6 +84,7 @@
             lane,
             models,
             workspace,
+            workspace_key,
             sequence: self.sequence,
             output: prediction.output,
             cost: prediction.cost,
@@ -154,6 +154,9 @@
                 (format!("the workspace may ask for tier {limit} at most"), None)
             }
             LimitFault::Rate(delay) => ("the workspace is over its rate".to_owned(), Some(delay)),
+            LimitFault::Suspended => {
+                ("the workspace may have no request in flight".to_owned(), None)
+            }
             LimitFault::QueuedTokens => {
                 ("the workspace has too many tokens waiting".to_owned(), Some(RETRY_AFTER))
             }
@@ -179,7 +182,7 @@
     /// Expected wait of a new job: all work of higher tiers, and in its own tier at most its
     /// workspace's queue times the number of workspaces, as fair queueing promises.
     fn expected_wait(&self, job: &Job) -> Duration {
-        let rate = self.targets.pool(job.pool).drain_rate;
+        let rate = self.targets.pool(job.pool).drain_rate();
         if rate < 1.0 {
             return Duration::ZERO;
         }
--- a/crates/tarragon-scheduler/src/scheduler/attempt.rs
+++ b/crates/tarragon-scheduler/src/scheduler/attempt.rs
@@ -49,7 +49,9 @@
             return;
         };
         running.started = true;
-        running.tokens = running.tokens.max(progress.tokens);
+        let new = progress.tokens.saturating_sub(running.tokens);
+        running.tokens += new;
+        self.targets.note_drained(running.job.pool, u64::from(new));
         let target = running.target;
         let first = running.first_token.is_none();
         if first {
@@ -92,6 +94,7 @@
         let Some(row) = self.targets.row_mut(running.target) else { return };
         row.pending_prefill -= std::mem::take(&mut running.pending);
         let prompt = running.job.size().prompt.unwrap_or(0);
+        let pool = running.job.pool;
         if let Some(cached) = progress.cached_tokens {
             row.trust.compare(running.estimate.cached, cached);
             running.cached_part = Some(cached as f32 / prompt.max(1) as f32);
@@ -107,10 +110,12 @@
         let target = running.target;
         let jump = row.rates.samples >= MIN_SAMPLES && row.window.observe(observed, expected);
         row.window.prove(now);
+        self.targets.note_drained(pool, u64::from(prompt));
         if jump {
             self.suspect_cold(target, now, actions);
             return;
         }
+        let Some(row) = self.targets.row_mut(target) else { return };
         row.rates.learn_first_token(computed.min(u64::from(u32::MAX)) as u32, progress.first_token);
         row.window.grow();
     }
@@ -192,11 +197,18 @@
         now: Instant,
         actions: &mut Vec<SchedulerAction>,
     ) {
-        if end != AttemptEnd::Finished {
-            let computed = running.first_token.is_some() || running.started;
-            if computed && running.job.model().is_some() && end != AttemptEnd::Rejected {
-                self.statistics.wasted_prefill_tokens += u64::from(running.uncached);
-            }
+        let wasted = match end {
+            AttemptEnd::Broken
+            | AttemptEnd::Failed
+            | AttemptEnd::Garbled
+            | AttemptEnd::Cancelled => running.started && running.job.model().is_some(),
+            AttemptEnd::Finished
+            | AttemptEnd::NotSent
+            | AttemptEnd::Withheld
+            | AttemptEnd::Rejected => false,
+        };
+        if wasted {
+            self.statistics.wasted_prefill_tokens += u64::from(running.uncached);
         }
         match end {
             AttemptEnd::Finished => self.learn_from_finish(running, now, actions),
@@ -224,11 +236,13 @@
         let job = &running.job;
         let total = job.delivered.saturating_add(running.tokens);
         self.suspects.clear(job.profile.fingerprint, now);
-        self.targets.note_drained(job.pool, job.tokens());
+        if job.model().is_none() {
+            self.targets.note_drained(job.pool, job.tokens());
+        }
         if let Some(call) = job.profile.model_call() {
             self.costs.learn(
                 job.pool,
-                job.workspace,
+                job.workspace_key,
                 call.prompt_tokens,
                 total,
                 running.cached_part,
@@ -347,10 +361,10 @@
 
     /// Puts a request back that was dispatched before. It keeps its place.
     fn requeue(&mut self, mut job: Job, state: WaitState, now: Instant) {
+        let models = self.targets.models_of(&job);
         let others = self.targets.pool(job.pool).members.iter().any(|index| {
             let row = self.targets.row(*index);
-            !job.avoid.contains(index)
-                && row.is_some_and(|row| row.may_work() && row.holds(job.models))
+            !job.avoid.contains(index) && row.is_some_and(|row| row.may_work() && row.holds(models))
         });
         if !others {
             job.avoid.clear();
--- a/crates/tarragon-scheduler/src/scheduler/candidate.rs
+++ b/crates/tarragon-scheduler/src/scheduler/candidate.rs
@@ -49,9 +49,10 @@
     /// Adds the open targets and returns the mean share of their windows that is in use.
     fn collect_open(&mut self, targets: &TargetTable, job: &Job, bounds: ChoiceBounds) -> f32 {
         let mut used = 0.0;
+        let models = targets.models_of(job);
         for index in &targets.pool(job.pool).members {
             let outlook = targets.outlook(*index);
-            if !outlook.is_open() || outlook.models & job.models == 0 || job.avoid.contains(index) {
+            if !outlook.is_open() || outlook.models & models == 0 || job.avoid.contains(index) {
                 continue;
             }
             let suits = |row| suits_suspect(row, job.tier());
--- a/crates/tarragon-scheduler/src/scheduler/explain.rs
+++ b/crates/tarragon-scheduler/src/scheduler/explain.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     choose::{ChooseCandidate, ChooseView},
+    cost,
     job::Job,
     policy::PolicyChoice,
     prelude::*,
@@ -89,7 +90,8 @@
     }
 
     fn trial_job(&self, profile: &RequestProfile, pool: usize) -> Job {
-        let prediction = self.costs.predict(pool, usize::MAX, profile);
+        let workspace_key = cost::workspace_key(&profile.workspace);
+        let prediction = self.costs.predict(pool, workspace_key, profile);
         let models = self.targets.models.find(profile.model_call().map(|call| &call.model));
         Job {
             profile: Box::new(profile.clone()),
@@ -97,6 +99,7 @@
             lane: 0,
             models,
             workspace: usize::MAX,
+            workspace_key,
             sequence: 0,
             output: prediction.output,
             cost: prediction.cost,
--- a/crates/tarragon-scheduler/src/scheduler/preempt.rs
+++ b/crates/tarragon-scheduler/src/scheduler/preempt.rs
@@ -74,7 +74,8 @@
             if !may_give_way(running) {
                 continue;
             }
-            let waste = f64::from(running.uncached + running.tokens) * row.rates.prefill;
+            let waste =
+                (f64::from(running.uncached) + f64::from(running.tokens)) * row.rates.prefill;
             if best.as_ref().is_none_or(|best| waste < best.waste) {
                 best = Some(PreemptionCandidate { request: running.job.request(), waste });
             }
--- a/crates/tarragon-scheduler/src/scheduler/report.rs
+++ b/crates/tarragon-scheduler/src/scheduler/report.rs
@@ -42,7 +42,10 @@
             actions.push(SchedulerAction::PollTarget(target.clone()));
             self.confirm_crash(index, before, now, actions);
         } else if before == Some(report.restart) {
-            self.release_broken(index, now.checked_sub(age));
+            // The process survived whatever broke before these figures were taken.
+            if let Some(taken) = now.checked_sub(age) {
+                self.release_broken(index, Some(taken));
+            }
         }
         self.targets.refresh(index, now);
     }
--- a/crates/tarragon-scheduler/src/scheduler/shed.rs
+++ b/crates/tarragon-scheduler/src/scheduler/shed.rs
@@ -7,7 +7,7 @@
     job::Job,
     prelude::*,
     pressure::FLOOR_HOLD,
-    scheduler::{RETRY_AFTER, Scheduler},
+    scheduler::{RETRY_AFTER, Scheduler, WAIT_PART},
 };
 
 impl Scheduler {
@@ -66,15 +66,30 @@
     /// Refuses waiting requests that no target can finish before the deadline.
     pub(super) fn refuse_hopeless(&mut self, now: Instant, actions: &mut Vec<SchedulerAction>) {
         for tier in Tier::DESCENDING {
-            while let Some(request) = self.queue.hopeless(tier, now, Duration::ZERO) {
-                let Some(job) = self.dequeue_unserved(request) else { break };
-                let message = "the deadline can't be met any more";
-                let refusal = Scheduler::refusal_of(&job, RefusalCode::DeadlineExceeded, message);
-                self.refuse(request, tier, refusal, actions);
+            while let Some(job) = self.queue.earliest_start(tier)
+                && job.latest_start < now
+            {
+                self.refuse_late(job.request(), actions);
             }
         }
     }
 
+    /// Refuses waiting requests early that higher tiers keep from meeting their deadline.
+    pub(super) fn refuse_overtaken(&mut self, now: Instant, actions: &mut Vec<SchedulerAction>) {
+        for tier in Tier::DESCENDING {
+            while let Some(request) = self.overtaken(tier, now) {
+                self.refuse_late(request, actions);
+            }
+        }
+    }
+
+    fn refuse_late(&mut self, request: RequestId, actions: &mut Vec<SchedulerAction>) {
+        let Some(job) = self.dequeue_unserved(request) else { return };
+        let message = "the deadline can't be met any more";
+        let refusal = Scheduler::refusal_of(&job, RefusalCode::DeadlineExceeded, message);
+        self.refuse(request, job.tier(), refusal, actions);
+    }
+
     /// Announces the floor when the fill of the queue changes it.
     pub(super) fn adapt_floor(&mut self, now: Instant, actions: &mut Vec<SchedulerAction>) {
         let entries = self.queue.len() as f64 / self.limits.waiting.max(1) as f64;
@@ -88,24 +103,26 @@
     /// The request that gives way to one of this tier, if any does.
     fn find_victim(&self, tier: Tier, now: Instant) -> Option<RequestId> {
         let lowest = self.queue.lowest_tier().filter(|lowest| *lowest <= tier)?;
-        let hopeless = self.queue.hopeless(lowest, now, self.tier_delay(lowest));
+        let hopeless = self.overtaken(lowest, now);
         let newest = self.queue.newest(lowest).filter(|_| lowest < tier);
         hopeless.or(newest)
     }
 
-    /// Half of the time that the work of a tier and of those above it takes: a request with less time
-    /// left will hardly be served.
-    fn tier_delay(&self, tier: Tier) -> Duration {
-        let rate: f64 = self.targets.drain_rate();
+    /// The request of a tier with the least time left, if the work of higher tiers takes that time.
+    fn overtaken(&self, tier: Tier, now: Instant) -> Option<RequestId> {
+        let job = self.queue.earliest_start(tier)?;
+        (job.latest_start < now + self.higher_delay(job.pool, tier)).then(|| job.request())
+    }
+
+    /// Half of the time that a pool takes for what waits above a tier: a request of the tier with less
+    /// time left will hardly be served.
+    fn higher_delay(&self, pool: usize, tier: Tier) -> Duration {
+        let rate = self.targets.pool(pool).drain_rate();
         if rate < 1.0 {
             return Duration::ZERO;
         }
-        let ahead: u64 = Tier::DESCENDING
-            .into_iter()
-            .filter(|other| *other >= tier)
-            .map(|other| self.queue.tier_tokens(other))
-            .sum();
-        Duration::from_secs_f64((0.5 * ahead as f64 / rate).min(3_600.0))
+        let ahead: u64 = self.queue.pool_tokens(pool)[tier.index() + 1..].iter().sum();
+        Duration::from_secs_f64((WAIT_PART * ahead as f64 / rate).min(3_600.0))
     }
 
     fn shed_waiting(
--- a/crates/tarragon-scheduler/src/scheduler/tick.rs
+++ b/crates/tarragon-scheduler/src/scheduler/tick.rs
@@ -22,7 +22,9 @@
 
 impl Scheduler {
     pub(super) fn tick(&mut self, now: Instant, actions: &mut Vec<SchedulerAction>) {
+        self.clocks.targets = Some(now);
         self.targets.refresh_all(now);
+        self.refuse_overtaken(now, actions);
         self.stop_attempts(now, actions);
         self.refuse_without_target(now, actions);
         self.release_old_breaks(now);
@@ -32,7 +34,9 @@
         let elapsed = now.saturating_duration_since(last);
         if elapsed >= POOL_INTERVAL {
             self.clocks.pools = Some(now);
-            self.targets.refresh_pools(elapsed, !self.queue.is_empty(), now);
+            let queue = &self.queue;
+            let busy = |pool| queue.pool_tokens(pool).iter().any(|tokens| *tokens > 0);
+            self.targets.refresh_pools(elapsed, busy, now);
             self.shares.sweep(now);
             self.queue.sweep();
             self.suspects.expire(now);
--- a/crates/tarragon-scheduler/src/share.rs
+++ b/crates/tarragon-scheduler/src/share.rs
@@ -87,6 +87,8 @@
     Tier(Tier),
     /// The rate is used up for this time.
     Rate(Duration),
+    /// The workspace may have no request in flight.
+    Suspended,
     /// Too many tokens wait.
     QueuedTokens,
 }
@@ -184,6 +186,9 @@
         if tier > self.limits.tier {
             return Err(LimitFault::Tier(self.limits.tier));
         }
+        if self.limits.concurrency == Some(0) {
+            return Err(LimitFault::Suspended);
+        }
         if let Some(limit) = self.limits.queued_tokens {
             let limit = (limit as f64 * share) as u64;
             // A single request above the limit is let through when nothing else waits; otherwise it
@@ -198,7 +203,9 @@
     /// Whether one more request may be in flight.
     pub fn may_dispatch(&self, share: f64) -> bool {
         match self.limits.concurrency {
-            Some(limit) => self.in_flight < ((f64::from(limit) * share) as u32).max(1),
+            Some(limit) => {
+                self.in_flight < ((f64::from(limit) * share) as u32).clamp(1.min(limit), limit)
+            }
             None => true,
         }
     }
--- a/crates/tarragon-scheduler/src/targets.rs
+++ b/crates/tarragon-scheduler/src/targets.rs
@@ -1,6 +1,7 @@
 //! The target table: what is known of each target of the data centre, and which of them are open.
 
 pub mod estimate;
+pub mod models;
 pub mod prefix;
 pub mod rate;
 pub mod trust;
@@ -12,9 +13,11 @@
 use tarragon_protocol::engine::{CacheChange, CacheEvent};
 
 use crate::{
+    job::Job,
     prelude::*,
     targets::{
-        estimate::{ModelBits, TargetOutlook},
+        estimate::TargetOutlook,
+        models::{ModelBits, OTHER_MODEL},
         prefix::PrefixIndex,
         rate::RateEstimate,
         trust::CacheTrust,
@@ -141,10 +144,30 @@
     pub fastest: Option<RateEstimate>,
     /// Since when no member may get work.
     pub empty_since: Option<Instant>,
-    /// Tokens generated in the current interval, and a second's mean while requests waited.
-    pub drained: u64,
-    /// Tokens a second.
-    pub drain_rate: f64,
+    /// Tokens processed in the current interval.
+    drained: u64,
+    /// Mean tokens a second while requests waited.
+    drain_mean: f64,
+    /// Tokens a second in the last interval in which requests waited.
+    drain_last: f64,
+}
+
+impl ServicePool {
+    /// Tokens a second that the pool processes when it is busy; 0 if that is not known. The greater of
+    /// mean and last value, since a rate that is too low would refuse requests that can be served.
+    pub fn drain_rate(&self) -> f64 {
+        self.drain_mean.max(self.drain_last)
+    }
+
+    fn take_interval(&mut self, elapsed: Duration, busy: bool) {
+        let rate = std::mem::take(&mut self.drained) as f64 / elapsed.as_secs_f64().max(1e-3);
+        if !busy {
+            return;
+        }
+        let gain = if self.drain_mean > 0.0 { DRAIN_GAIN } else { 1.0 };
+        self.drain_mean += gain * (rate - self.drain_mean);
+        self.drain_last = rate;
+    }
 }
 
 /// All targets.
@@ -211,16 +234,17 @@
         self.pools.get_index(index).map_or("", |(name, _)| name)
     }
 
-    /// Tokens a second of all pools.
-    pub fn drain_rate(&self) -> f64 {
-        self.pools.values().map(|pool| pool.drain_rate).sum()
-    }
-
     /// Pool at a position.
     pub fn pool(&self, index: usize) -> &ServicePool {
         &self.pools[index]
     }
 
+    /// Bits of the models that serve a job. A model that no target had reported when the job arrived may
+    /// be known by now.
+    pub fn models_of(&self, job: &Job) -> u64 {
+        if job.models == OTHER_MODEL { self.models.find(job.model()) } else { job.models }
+    }
+
     /// Notes the position chosen last.
     pub fn set_last(&mut self, pool: usize, target: usize) {
         self.pools[pool].last = target;
@@ -316,7 +340,7 @@
         now: Instant,
     ) -> bool {
         let Some(row) = self.rows.get_mut(index).and_then(Option::as_mut) else { return false };
-        let taken = now.checked_sub(age).unwrap_or(now);
+        let Some(taken) = now.checked_sub(age) else { return false };
         if row.report.as_ref().is_some_and(|known| known.taken > taken) {
             return false;
         }
@@ -345,24 +369,21 @@
     }
 
     /// Brings figures of the pools up to date that change slowly. `elapsed` is the time since the last
-    /// call.
-    pub fn refresh_pools(&mut self, elapsed: Duration, busy: bool, now: Instant) {
-        for pool in &mut self.pools.values_mut() {
-            let rows = || pool.members.iter().filter_map(|index| self.rows[*index].as_ref());
+    /// call; `busy` tells whether requests wait for a pool.
+    pub fn refresh_pools<B>(&mut self, elapsed: Duration, busy: B, now: Instant)
+    where
+        B: Fn(usize) -> bool,
+    {
+        for (index, pool) in self.pools.values_mut().enumerate() {
+            let rows = || pool.members.iter().filter_map(|member| self.rows[*member].as_ref());
             pool.fastest = fastest(rows().filter(|row| row.may_work() && row.rates.is_trusted()));
-            if rows().any(TargetRow::may_work) {
-                pool.empty_since = None;
-            } else {
-                pool.empty_since.get_or_insert(now);
-            }
-            let rate = std::mem::take(&mut pool.drained) as f64 / elapsed.as_secs_f64().max(1e-3);
-            if busy {
-                pool.drain_rate += DRAIN_GAIN * (rate - pool.drain_rate);
-            }
+            let usable = rows().any(TargetRow::may_work);
+            pool.empty_since = if usable { None } else { pool.empty_since.or(Some(now)) };
+            pool.take_interval(elapsed, busy(index));
         }
     }
 
-    /// Notes that a service's targets generated tokens.
+    /// Notes that a service's targets processed tokens.
     pub fn note_drained(&mut self, pool: usize, tokens: u64) {
         self.pools[pool].drained += tokens;
     }
--- a/crates/tarragon-scheduler/src/targets/estimate.rs
+++ b/crates/tarragon-scheduler/src/targets/estimate.rs
@@ -8,10 +8,7 @@
 
 use serde::Serialize;
 
-use crate::{
-    prelude::*,
-    targets::{TargetRow, rate::RateEstimate},
-};
+use crate::targets::{TargetRow, rate::RateEstimate};
 
 /// A report's figures of other processes' work count less with age and not at all after this time.
 const REPORT_LIFETIME: Duration = Duration::from_secs(5);
@@ -25,9 +22,13 @@
 /// A computed prompt token also delays the work that follows, so its time counts a second time.
 const PREFILL_WEIGHT: f32 = 1.0;
 
-/// Multiple of the cost at a target that is cold or may be.
+/// Multiple of the cost at a cold target.
 const COLD_FACTOR: f32 = 2.0;
 
+/// Multiple of the cost at a target that showed an error or another sign of a restart and has not
+/// reported since. It is idle for that reason, and would attract work that fails again.
+const SUSPICIOUS_FACTOR: f32 = 8.0;
+
 /// A cache hit attracts work only up to this much above the mean share of used slots, so that a common
 /// prefix does not pile all work on one target.
 pub const AFFINITY_EXCESS: f32 = 0.25;
@@ -94,7 +95,11 @@
             decode: (decode * (1.0 + LOAD_SLOPE * occupancy)) as f32,
             call: (call * (1.0 + occupancy)) as f32,
             trust: row.trust.value(now),
-            factor: if row.window.is_cold() { COLD_FACTOR } else { 1.0 },
+            factor: match (row.window.is_suspicious(), row.window.is_cold()) {
+                (true, _) => SUSPICIOUS_FACTOR,
+                (false, true) => COLD_FACTOR,
+                (false, false) => 1.0,
+            },
         }
     }
 
@@ -151,42 +156,3 @@
         Duration::from_secs_f64(seconds.clamp(0.0, 3_600.0))
     }
 }
-
-/// Models as bits of a number.
-#[derive(Debug, Default)]
-pub struct ModelBits {
-    names: indexmap::IndexSet<ModelName>,
-}
-
-/// Models beyond this number share one bit: a target may be tried in vain for them, which it then
-/// rejects. Three models are in steady use.
-const MAX_BITS: usize = 63;
-
-impl ModelBits {
-    /// Bit of a model; for a plain call, which any target takes, all bits.
-    pub fn bit(&mut self, model: Option<&ModelName>) -> u64 {
-        let Some(model) = model else { return u64::MAX };
-        let index = match self.names.get_index_of(model) {
-            Some(index) => index,
-            None if self.names.len() < MAX_BITS => self.names.insert_full(model.clone()).0,
-            None => MAX_BITS,
-        };
-        1 << index.min(MAX_BITS)
-    }
-
-    /// Bit of a model without noting a new one, which no target holds.
-    pub fn find(&self, model: Option<&ModelName>) -> u64 {
-        match model {
-            Some(model) => self.names.get_index_of(model).map_or(1 << MAX_BITS, |index| 1 << index),
-            None => u64::MAX,
-        }
-    }
-
-    /// Bits of the models that a target holds; all if it is not known what it holds.
-    pub fn set(&mut self, models: &[ModelName]) -> u64 {
-        if models.is_empty() {
-            return u64::MAX;
-        }
-        models.iter().fold(0, |set, model| set | self.bit(Some(model)))
-    }
-}
--- a/crates/tarragon-scheduler/src/targets/trust.rs
+++ b/crates/tarragon-scheduler/src/targets/trust.rs
@@ -34,7 +34,7 @@
     /// Takes the number of an event. Returns whether events before it were lost.
     pub fn take_sequence(&mut self, sequence: u64, now: Instant) -> bool {
         let gap = self.next_sequence.is_some_and(|next| sequence > next);
-        self.next_sequence = Some(sequence + 1);
+        self.next_sequence = Some(sequence.saturating_add(1));
         if gap {
             self.after_gap = (self.value(now) * TRUST_AFTER_GAP).max(0.05);
             self.gap = Some(now);
--- a/crates/tarragon-scheduler/tests/rules/choice.rs
+++ b/crates/tarragon-scheduler/tests/rules/choice.rs
@@ -186,23 +186,46 @@
     }
 }
 
-/// Guards against a caller that is held until its deadline though its answer can't come in time.
-#[test]
-fn requests_that_cannot_meet_their_deadline_are_refused_early() {
+/// One target that answers a request in about four seconds, with its slot taken and another request
+/// waiting.
+fn busy() -> Driver {
     let mut driver = Driver::with_targets(1, 1);
+    let mut request = driver.ask(Ask::default());
     for _ in 0..12 {
-        let request = driver.ask(Ask::default());
+        let next = driver.ask(Ask::default());
         driver.progress(request, 1, 1, 100);
-        driver.now += Duration::from_secs(4);
-        driver.progress(request, 1, 100, 100);
+        for second in 1..=4 {
+            driver.advance(Duration::from_secs(1));
+            driver.progress(request, 1, 25 * second, 100);
+        }
         driver.end(request, 1, AttemptEnd::Finished);
-        driver.advance(Duration::from_millis(600));
+        request = next;
     }
-    driver.ask(Ask::default());
+    driver.ask(Ask { deadline: Duration::from_secs(500), ..Ask::default() });
+    driver
+}
+
+/// Guards against a caller that is held until its deadline though its answer can't come in time.
+#[test]
+fn requests_that_cannot_meet_their_deadline_are_refused_early() {
+    let mut driver = busy();
     let late = driver.ask(Ask { deadline: Duration::from_millis(500), ..Ask::default() });
     assert_eq!(driver.refused(), [(late, RefusalCode::DeadlineExceeded, CallOutcome::NotRun)]);
 }
 
+/// Guards against routine callers that are held until their deadline while urgent work overtakes them.
+#[test]
+fn overtaken_requests_are_refused_before_their_deadline() {
+    let mut driver = busy();
+    let routine = driver.ask(Ask { deadline: Duration::from_secs(20), ..Ask::tier(Tier::Routine) });
+    assert!(driver.actions.is_empty());
+    for _ in 0..20 {
+        driver.ask(Ask { deadline: Duration::from_secs(500), ..Ask::tier(Tier::High) });
+    }
+    driver.advance(Duration::from_millis(100));
+    assert_eq!(driver.refused(), [(routine, RefusalCode::DeadlineExceeded, CallOutcome::NotRun)]);
+}
+
 /// Guards against a failing service that is flooded with retries.
 #[test]
 fn retries_end_with_the_budget() {
--- a/crates/tarragon-scheduler/tests/rules/share.rs
+++ b/crates/tarragon-scheduler/tests/rules/share.rs
@@ -77,6 +77,12 @@
         tier: Tier::Normal,
         expected: (3, 9, 0),
     },
+    LimitCase {
+        name: "suspended",
+        rule: || WorkspaceRule { concurrency: Some(0), ..WorkspaceRule::default() },
+        tier: Tier::Normal,
+        expected: (0, 0, 12),
+    },
     LimitCase {
         name: "queued tokens",
         rule: || WorkspaceRule { queued_tokens: Some(2_600), ..WorkspaceRule::default() },
--- a/crates/tarragon-scheduler/tests/rules/window.rs
+++ b/crates/tarragon-scheduler/tests/rules/window.rs
@@ -81,6 +81,14 @@
     assert_eq!(driver.dispatched().len(), 4);
 }
 
+/// Guards against old windows in the first decision after a pause of the process, which no tick precedes.
+#[test]
+fn windows_are_not_used_after_a_pause() {
+    let mut driver = Driver::with_targets(1, 8);
+    driver.now += Duration::from_secs(20);
+    assert_eq!(fill(&mut driver, 5).len(), 1);
+}
+
 struct ClosedCase {
     name: &'static str,
     close: fn(&mut Driver),
