--- a/crates/tarragon-scheduler/src/pressure.rs
+++ b/crates/tarragon-scheduler/src/pressure.rs
@@ -10,8 +10,9 @@
 /// A floor of a peer is held this long after it was last heard.
 pub const FLOOR_HOLD: Duration = Duration::from_secs(3);
 
-/// A tier above the lowest that waits here is shed only after its floor was announced for this long.
-pub const FLOOR_NOTICE: Duration = Duration::from_millis(250);
+/// The own floor stays this long after a tier was shed: no process begins work of a lower tier more than
+/// 2 s after another one shed a higher tier.
+pub const SHED_HOLD: Duration = Duration::from_secs(2);
 
 /// Fill of the queue above which the floor is announced, and below which it is withdrawn.
 const NEAR_BOUND: f64 = 0.75;
@@ -37,14 +38,14 @@
 pub struct PressureTable {
     peers: IndexMap<PeerIdentity, PeerState>,
     own: Tier,
-    /// When the own floor last changed.
-    announced: Option<Instant>,
+    /// When each tier was last shed here.
+    shed: [Option<Instant>; Tier::COUNT],
 }
 
 impl Default for PressureTable {
     /// Nothing is known and nothing is shed.
     fn default() -> PressureTable {
-        PressureTable { peers: IndexMap::new(), own: Tier::Routine, announced: None }
+        PressureTable { peers: IndexMap::new(), own: Tier::Routine, shed: [None; Tier::COUNT] }
     }
 }
 
@@ -83,47 +84,37 @@
 
     /// Highest floor held, of peers and the own one.
     pub fn floor(&self, now: Instant) -> Tier {
-        let held = |state: &PeerState| {
-            Tier::DESCENDING.into_iter().find(|tier| {
-                state.floors[tier.index()]
-                    .is_some_and(|heard| now.saturating_duration_since(heard) < FLOOR_HOLD)
-            })
-        };
-        let peers = self.peers.values().filter_map(held).max().unwrap_or(Tier::Routine);
+        let held = |state: &PeerState| highest_within(&state.floors, FLOOR_HOLD, now);
+        let peers = self.peers.values().map(held).max().unwrap_or(Tier::Routine);
         peers.max(self.own)
     }
 
     /// Adapts the own floor to the fill of the queue. Returns the floor if it must be announced.
     ///
     /// The floor is the lowest tier that waits: this is what would be shed next, so peers should start
-    /// nothing below it.
+    /// nothing below it. It is announced while a quarter of the queue is still free, so that peers hold
+    /// it before the first request is shed. It is never below a tier that was shed a short time ago.
     pub fn adapt(&mut self, fill: f64, lowest: Option<Tier>, now: Instant) -> Option<Tier> {
-        let wanted = match lowest {
+        let by_fill = match lowest {
             Some(lowest) if fill >= NEAR_BOUND => lowest.max(self.own),
             _ if fill >= RELAXED => self.own,
             _ => Tier::Routine,
         };
-        (wanted != self.own).then(|| {
-            self.own = wanted;
-            self.announced = Some(now);
-            wanted
-        })
+        let shed = highest_within(&self.shed, SHED_HOLD, now);
+        self.announce(by_fill.max(shed))
     }
 
-    /// Raises the own floor to a tier that is about to be shed. Returns the floor if it must be
-    /// announced.
-    pub fn raise(&mut self, tier: Tier, now: Instant) -> Option<Tier> {
-        (tier > self.own).then(|| {
-            self.own = tier;
-            self.announced = Some(now);
-            tier
-        })
+    /// Notes that a request of a tier is being shed. Returns the floor if it must be announced.
+    pub fn note_shed(&mut self, tier: Tier, now: Instant) -> Option<Tier> {
+        self.shed[tier.index()] = Some(now);
+        self.announce(tier.max(self.own))
     }
 
-    /// Whether requests of a tier may be shed though lower ones may still wait here.
-    pub fn may_shed(&self, tier: Tier, now: Instant) -> bool {
-        let noticed = |announced| now.saturating_duration_since(announced) >= FLOOR_NOTICE;
-        self.own >= tier && self.announced.is_some_and(noticed)
+    fn announce(&mut self, floor: Tier) -> Option<Tier> {
+        (floor != self.own).then(|| {
+            self.own = floor;
+            floor
+        })
     }
 
     /// This process's part of deployment-wide limits, given its own waiting requests.
@@ -145,3 +136,12 @@
         EQUAL_PART / processes + (1.0 - EQUAL_PART) * own / total
     }
 }
+
+/// Highest tier whose time is within `hold`; the lowest tier if there is none.
+fn highest_within(times: &[Option<Instant>; Tier::COUNT], hold: Duration, now: Instant) -> Tier {
+    let within = |time: Instant| now.saturating_duration_since(time) < hold;
+    Tier::DESCENDING
+        .into_iter()
+        .find(|tier| times[tier.index()].is_some_and(within))
+        .unwrap_or(Tier::Routine)
+}
--- a/crates/tarragon-scheduler/src/scheduler/shed.rs
+++ b/crates/tarragon-scheduler/src/scheduler/shed.rs
@@ -140,18 +140,14 @@
         self.refuse(request, tier, refusal.with_retry_after(RETRY_AFTER), actions);
     }
 
-    /// Before a tier is shed: nothing lower may wait here, and peers learn of it. A tier that has been
-    /// announced for [`crate::pressure::FLOOR_NOTICE`] needs no further announcement.
+    /// Before a tier is shed: nothing lower may wait here, and peers hold the tier as floor.
     fn announce_shedding(&mut self, tier: Tier, now: Instant, actions: &mut Vec<SchedulerAction>) {
         let lowest = self.queue.lowest_tier();
         let lowest_first = lowest.is_none_or(|lowest| lowest >= tier);
         self.invariants.check(SchedulerInvariant::LowestTierShedFirst, lowest_first, || {
             format!("{tier} is shed while {lowest:?} waits")
         });
-        if self.pressure.may_shed(tier, now) {
-            return;
-        }
-        if let Some(floor) = self.pressure.raise(tier, now) {
+        if let Some(floor) = self.pressure.note_shed(tier, now) {
             actions.push(SchedulerAction::AnnounceFloor(floor));
         }
     }
--- a/crates/tarragon-scheduler/tests/rules/shed.rs
+++ b/crates/tarragon-scheduler/tests/rules/shed.rs
@@ -128,6 +128,22 @@
     assert_eq!(driver.refused(), [(request, RefusalCode::Shed, CallOutcome::NotRun)]);
 }
 
+/// Guards against a peer that begins routine work while this VM, obeying another one's floor, sheds normal
+/// work; and against an announcement with every refusal.
+#[test]
+fn a_shed_tier_is_announced_and_held_for_two_seconds() {
+    let mut driver = Driver::with_targets(1, 4);
+    peer_floor(&mut driver, Tier::High);
+    driver.ask(Ask::tier(Tier::Normal));
+    assert!(driver.actions.contains(&SchedulerAction::AnnounceFloor(Tier::Normal)));
+    driver.ask(Ask::tier(Tier::Normal));
+    assert_eq!(driver.actions.len(), 1, "{:?}", driver.actions);
+    driver.advance(Duration::from_millis(1_900));
+    assert_eq!(driver.scheduler.shed_floor(), Tier::Normal);
+    driver.advance(Duration::from_millis(200));
+    assert_eq!(driver.actions, [SchedulerAction::AnnounceFloor(Tier::Routine)]);
+}
+
 /// Guards against targets that idle because a queue full of routine work forbids routine work.
 #[test]
 fn a_queue_of_routine_work_sets_no_floor() {
