Choose in one pass over the targets

Change: the mean use of the windows is kept per pool, so that candidates are found and estimated in one pass.

--- a/crates/tarragon-scheduler/src/scheduler/candidate.rs
+++ b/crates/tarragon-scheduler/src/scheduler/candidate.rs
@@ -28,29 +28,13 @@
     /// Finds all targets that can take the job now.
     pub(super) fn collect(&mut self, targets: &TargetTable, job: &Job, bounds: ChoiceBounds) {
         self.items.clear();
-        let mean = self.collect_open(targets, job, bounds);
-        if bounds.suspects_run && !bounds.suspect {
-            self.leave_suspects_alone(targets, job.tier());
-        }
-        if self.items.is_empty() {
-            return;
-        }
         let blocks = job.blocks();
         targets.prefixes.lookup(blocks, targets.capacity(), &mut self.hits);
-        let size = job.size();
-        for candidate in &mut self.items {
-            let outlook = targets.outlook(candidate.target);
-            let attracts = outlook.used_share() <= mean + AFFINITY_EXCESS;
-            let hit = if attracts { self.hits.get(candidate.target) } else { 0 };
-            candidate.estimate = outlook.estimate(size, block_tokens(hit));
-        }
-    }
-
-    /// Adds the open targets and returns the mean share of their windows that is in use.
-    fn collect_open(&mut self, targets: &TargetTable, job: &Job, bounds: ChoiceBounds) -> f32 {
-        let mut used = 0.0;
+        let pool = targets.pool(job.pool);
+        let attraction = pool.used_share() + AFFINITY_EXCESS;
         let models = targets.models_of(job);
-        for index in &targets.pool(job.pool).members {
+        let size = job.size();
+        for index in &pool.members {
             let outlook = targets.outlook(*index);
             if !outlook.is_open() || outlook.models & models == 0 || job.avoid.contains(index) {
                 continue;
@@ -59,15 +43,18 @@
             if bounds.suspect && !targets.row(*index).is_some_and(suits) {
                 continue;
             }
-            used += outlook.used_share();
+            let attracts = outlook.in_flight as f32 <= attraction * outlook.window as f32;
+            let hit = if attracts { self.hits.get(*index) } else { 0 };
             self.items.push(ChooseCandidate {
                 target: *index,
                 in_flight: outlook.in_flight,
                 window: outlook.window,
-                estimate: Default::default(),
+                estimate: outlook.estimate(size, block_tokens(hit)),
             });
         }
-        used / self.items.len().max(1) as f32
+        if bounds.suspects_run && !bounds.suspect {
+            self.leave_suspects_alone(targets, job.tier());
+        }
     }
 
     /// Drops targets that run a suspect of a lower tier, unless there are no others.
--- a/crates/tarragon-scheduler/src/targets.rs
+++ b/crates/tarragon-scheduler/src/targets.rs
@@ -82,7 +82,6 @@
     pub trust: CacheTrust,
     /// Requests whose connection broke here a short time ago.
     pub broken: Vec<(Fingerprint, Instant)>,
-    open: bool,
 }
 
 impl TargetRow {
@@ -106,7 +105,6 @@
             model_set: u64::MAX,
             trust: CacheTrust::default(),
             broken: Vec::new(),
-            open: false,
         }
     }
 
@@ -138,6 +136,9 @@
     pub members: Vec<usize>,
     /// Members that were open when they last changed.
     pub open: u32,
+    /// Own requests in flight and windows of all members.
+    used: u64,
+    windows: u64,
     /// Position that was chosen last.
     pub last: usize,
     /// Least times of all members, from those with enough samples.
@@ -153,6 +154,18 @@
 }
 
 impl ServicePool {
+    /// Part of all windows that is in use.
+    pub fn used_share(&self) -> f32 {
+        self.used as f32 / self.windows.max(1) as f32
+    }
+
+    /// Replaces a member's part of the sums.
+    fn exchange(&mut self, old: &TargetOutlook, new: &TargetOutlook) {
+        self.open = self.open + u32::from(new.is_open()) - u32::from(old.is_open());
+        self.used = self.used + u64::from(new.in_flight) - u64::from(old.in_flight);
+        self.windows = self.windows + u64::from(new.window) - u64::from(old.window);
+    }
+
     /// Tokens a second that the pool processes when it is busy; 0 if that is not known. The greater of
     /// mean and last value, since a rate that is too low would refuse requests that can be served.
     pub fn drain_rate(&self) -> f64 {
@@ -296,13 +309,10 @@
         } else {
             row.closed_since.get_or_insert(now);
         }
-        self.outlooks[index] = TargetOutlook::of(row, now);
-        let open = self.outlooks[index].is_open();
-        if open != row.open {
-            row.open = open;
-            let count = &mut self.pools[row.service].open;
-            *count = if open { *count + 1 } else { *count - 1 };
-        }
+        let outlook = TargetOutlook::of(row, now);
+        let pool = row.service;
+        let old = std::mem::replace(&mut self.outlooks[index], outlook);
+        self.pools[pool].exchange(&old, &outlook);
     }
 
     /// Brings the count of open targets up to date after time has passed.
@@ -421,9 +431,8 @@
     fn move_pool(&mut self, index: usize, pool: usize) {
         let Some(row) = self.rows[index].as_mut().filter(|row| row.service != pool) else { return };
         let old = std::mem::replace(&mut row.service, pool);
-        if std::mem::take(&mut row.open) {
-            self.pools[old].open -= 1;
-        }
+        let outlook = std::mem::take(&mut self.outlooks[index]);
+        self.pools[old].exchange(&outlook, &TargetOutlook::default());
         self.pools[old].members.retain(|member| *member != index);
         insert_sorted(&mut self.pools[pool].members, index);
     }
--- a/crates/tarragon-scheduler/src/targets/estimate.rs
+++ b/crates/tarragon-scheduler/src/targets/estimate.rs
@@ -108,11 +108,6 @@
         self.in_flight < self.window
     }
 
-    /// Part of the window that is in use.
-    pub fn used_share(&self) -> f32 {
-        self.in_flight as f32 / self.window.max(1) as f32
-    }
-
     /// Expected times of a request of which `hit` leading prompt tokens are believed to be cached.
     pub fn estimate(&self, size: RequestSize, hit: u32) -> CostEstimate {
         let Some(prompt) = size.prompt else {
