--- a/crates/tarragon-lab/src/soak.rs
+++ b/crates/tarragon-lab/src/soak.rs
@@ -177,7 +177,7 @@
         Err(cause) => {
             let text = cause.downcast_ref::<String>().cloned();
             let text = text.or_else(|| cause.downcast_ref::<&str>().map(|text| text.to_string()));
-            world.observer.violate(CheckName::NodePanic, text.unwrap_or_default());
+            world.observer.violate(CheckName::NodeInvariant, text.unwrap_or_default());
             false
         }
     }
--- a/crates/tarragon-lab/src/soak/check/process.rs
+++ b/crates/tarragon-lab/src/soak/check/process.rs
@@ -12,6 +12,8 @@
     pub(super) home: usize,
     /// Whether the process runs.
     pub(super) running: bool,
+    /// Whether the process is paused.
+    pub(super) paused: bool,
     /// Since when nothing impairs the process.
     pub(super) clear_since: Duration,
     /// When the process was last impaired.
@@ -28,6 +30,7 @@
         ProcessView {
             home,
             running: false,
+            paused: false,
             clear_since: Duration::ZERO,
             impaired: None,
             version: 0,
--- a/crates/tarragon-lab/src/soak/world/ticket.rs
+++ b/crates/tarragon-lab/src/soak/world/ticket.rs
@@ -206,12 +206,19 @@
         self.act_all(vm, actions);
     }
 
-    /// The check of a ticketed call right before its first byte.
-    pub(super) fn may_write(&mut self, key: RunKey) -> bool {
-        self.may_write_request(key.vm, key.request)
+    /// The check right before the first byte of an attempt.
+    pub(super) fn check_write(&mut self, key: RunKey, target: usize) -> WriteCheck {
+        let boot = self.boot(key.vm);
+        let name = self.targets[target].name.clone();
+        let Some(process) = self.vms[key.vm].process.as_mut() else { return WriteCheck::Withhold };
+        let mut actions = Vec::new();
+        let check = process.node.check_write(key.request, &name, boot, &mut actions);
+        self.act_all(key.vm, actions);
+        check
     }
 
-    pub(super) fn may_write_request(&mut self, vm: usize, request: RequestId) -> bool {
+    /// The check of a ticketed call right before it is relayed.
+    pub(super) fn may_relay(&mut self, vm: usize, request: RequestId) -> bool {
         let ticketed =
             self.held(vm, request).is_some_and(|held| matches!(held.sink, AnswerSink::Ticket(_)));
         if !ticketed {
