Say unknown for early refusals of repeats, and bound the drain by callers

Cause: a repeat with a ticket that was refused before the ticket's owner decided (faulty header, no room, unknown service) was told "not run", so that its caller could have sent the call again under a new ticket. A caller that kept sending could keep a draining process alive. Change: such refusals say "unknown"; a refusal after an attempt that may have run never says "not run"; connections are accepted for at most 10 s of a drain.

--- a/crates/tarragon-server/src/caller/router.rs
+++ b/crates/tarragon-server/src/caller/router.rs
@@ -8,12 +8,14 @@
 use serde_json::json;
 use tarragon_cluster::{event::PeerAddress, seal::MessageSeal};
 use tarragon_protocol::{
-    header::{OUTCOME, RELAY},
+    header::{OUTCOME, RELAY, TICKET},
     prelude::*,
 };
 
 use super::{
-    answer::{CallerAnswer, error_answer, header_fault_answer, json_answer, refusal_answer},
+    answer::{
+        CallerAnswer, error_answer, header_fault_answer, json_answer, refusal_answer, set_outcome,
+    },
     arrival::{Arrival, CallerCall},
     body::{BodyFault, BodyLimits, read_body},
     chat::{ServedChat, prepare_chat, serve_chat},
@@ -127,10 +129,18 @@
     }
 }
 
+/// A refusal before the owner of a ticket has decided says nothing about an earlier sending of the same
+/// call: only the owner may say "not run" of a ticket.
 async fn handle_call(process: &Arc<ProcessContext>, message: Request<Incoming>) -> CallerAnswer {
+    let ticketed = message.headers().contains_key(TICKET);
     match read_call(process, message).await {
         Ok(call) => serve_call(process, call).await,
-        Err(answer) => answer,
+        Err(mut answer) => {
+            if ticketed {
+                set_outcome(&mut answer, CallOutcome::Unknown);
+            }
+            answer
+        }
     }
 }
 
@@ -200,6 +210,9 @@
     }
     let end = match serve_here(process, &call).await {
         Ok(end) => end,
+        Err(refusal) if call.arrival.headers.ticket.is_some() => {
+            return refusal_answer(&Refusal { outcome: CallOutcome::Unknown, ..refusal });
+        }
         Err(refusal) => return refusal_answer(&refusal),
     };
     match end {
--- a/crates/tarragon-server/src/request.rs
+++ b/crates/tarragon-server/src/request.rs
@@ -147,7 +147,9 @@
             };
             let order = match decision {
                 None => return RequestEnd::Refused(self.node_gone()),
-                Some(Decision::Refuse(refusal)) => return RequestEnd::Refused(refusal),
+                Some(Decision::Refuse(refusal)) => {
+                    return RequestEnd::Refused(self.truthful(refusal));
+                }
                 Some(Decision::Relay(peers)) => return RequestEnd::Relay(peers),
                 Some(Decision::Cancel(_)) => continue,
                 Some(Decision::Dispatch(order)) => order,
@@ -191,7 +193,10 @@
                 (end, Some(RequestEnd::Refused(refusal)))
             }
             AttemptOutcome::Cancelled => (cancelled, None),
-            AttemptOutcome::Refused(refusal) => (cancelled, Some(RequestEnd::Refused(refusal))),
+            AttemptOutcome::Refused(refusal) => {
+                self.may_have_run = true;
+                (cancelled, Some(RequestEnd::Refused(self.truthful(refusal))))
+            }
             AttemptOutcome::Abandoned => (cancelled, Some(RequestEnd::Abandoned)),
             AttemptOutcome::Overdue => {
                 let message = "the deadline passed while the request ran";
@@ -246,6 +251,14 @@
         self.refusal(RefusalCode::ShuttingDown, "the process is shutting down")
     }
 
+    /// "Not run" is only said if no attempt can have run.
+    fn truthful(&self, refusal: Refusal) -> Refusal {
+        if self.may_have_run && refusal.outcome == CallOutcome::NotRun {
+            return Refusal { outcome: CallOutcome::Unknown, ..refusal };
+        }
+        refusal
+    }
+
     fn refusal(&self, code: RefusalCode, message: &str) -> Refusal {
         if self.may_have_run {
             Refusal::unknown(code, message)
--- a/crates/tarragon-server/src/shutdown.rs
+++ b/crates/tarragon-server/src/shutdown.rs
@@ -26,6 +26,8 @@
 /// Time for the load balancer to see that the process is not ready, in which requests that still arrive
 /// are relayed or refused rather than cut off.
 const LINGER: Duration = Duration::from_millis(500);
+/// Longest time for which connections are still accepted while requests end.
+const OPEN_TIME: Duration = Duration::from_secs(10);
 /// Time that is kept for the handover, from the end of the drain time-out.
 const HANDOVER_RESERVE: Duration = Duration::from_secs(5);
 /// Peers that are asked at most to take the records.
@@ -138,8 +140,12 @@
     sleep(LINGER.min(limit / 10)).await;
     process.tasks.close();
     parts.callers.connections.close();
-    let requests_ended = timeout_at(work_end, process.tasks.wait()).await.is_ok();
+    // While requests run, the listener stays open for a while: the load balancer sees late that the
+    // process is not ready. Later, a caller that keeps sending must not keep the process alive.
+    let open_end = work_end.min(Instant::now() + OPEN_TIME);
+    let _ = timeout_at(open_end, process.tasks.wait()).await;
     parts.callers.close.cancel();
+    let requests_ended = timeout_at(work_end, process.tasks.wait()).await.is_ok();
     let connections_ended = timeout_at(work_end, parts.callers.connections.wait()).await.is_ok();
     let interrupted = if requests_ended { 0 } else { process.tasks.len() };
     if !connections_ended {
--- a/crates/tarragon-server/src/ticket.rs
+++ b/crates/tarragon-server/src/ticket.rs
@@ -199,7 +199,8 @@
             return Ok(OwnedCall::Plain(PlainJob { arrival, service, call, run_once: true }));
         }
         let body = ChatBody::parse(&call.body)
-            .map_err(|message| Refusal::not_run(RefusalCode::InvalidBody, message))?;
+            // The ticket may have been used with another body before.
+            .map_err(|message| Refusal::unknown(RefusalCode::InvalidBody, message))?;
         Ok(OwnedCall::Chat(Box::new(ChatJob { arrival, service, body, run_once: true }), call))
     }
 
--- a/crates/tarragon-server/tests/serve/ticket.rs
+++ b/crates/tarragon-server/tests/serve/ticket.rs
@@ -99,6 +99,57 @@
     .await;
 }
 
+struct EarlyRefusal {
+    name: &'static str,
+    header: &'static str,
+    value: &'static str,
+    path: &'static str,
+    status: u16,
+}
+
+/// Guards against a false "not run": a repeat that is refused before the owner of its ticket has decided
+/// must not let the caller send the call again under a new ticket.
+#[tokio::test]
+async fn early_refusal_of_a_repeat_says_unknown() {
+    let path = "/services/ledger/reserve";
+    let case =
+        |name, header, value, path, status| EarlyRefusal { name, header, value, path, status };
+    let cases = [
+        case("faulty tier", "x-tarragon-tier", "top", path, 400),
+        case("faulty deadline", "x-tarragon-deadline-ms", "0", path, 400),
+        case("unknown service", "x-tarragon-tier", "high", "/services/gone/reserve", 404),
+        case("no room", "x-tarragon-tier", "routine", path, 503),
+    ];
+    bounded(async {
+        let service = ledger().await;
+        let targets = vec![target("ledger-1", "ledger", service.address())];
+        let mut settings = settings("ticket-4", targets);
+        // Room for no request below the highest tier.
+        settings.limits.streams = 48;
+        let handle = start(settings).await;
+        let address = handle.caller_address;
+        let ticket = ticket(address).await;
+        let done = reserve(&ticket, "call-1").send(address).await;
+        assert_eq!(done.outcome(), "done", "{done:?}");
+        service.set_delay(Duration::from_millis(1_500));
+        let mut running = Vec::new();
+        for _ in 0..40 {
+            let other = self::ticket(address).await;
+            running.push(tokio::spawn(async move { reserve(&other, "other").send(address).await }));
+        }
+        until("requests are open", || metric(&handle, "tarragon_in_flight", "") >= 40.0).await;
+        for EarlyRefusal { name, header, value, path, status } in cases {
+            let mut repeat = reserve(&ticket, "call-1").with(header, value);
+            repeat.path = path.to_owned();
+            let answer = repeat.send(address).await;
+            assert_eq!((answer.status.as_u16(), answer.outcome()), (status, "unknown"), "{name}");
+        }
+        running.into_iter().for_each(|call| call.abort());
+        handle.abort().await.unwrap();
+    })
+    .await;
+}
+
 /// Settings of two processes that know each other.
 pub fn pair(
     name: &str,
