Test that a suspended machine withholds a late call

Cause: the scheduler's clock stands still while the machine is suspended. Change: the runtime clock of tests can be suspended; a ticketed call that waited meanwhile is sealed as not run.

--- a/crates/tarragon-server/src/clock.rs
+++ b/crates/tarragon-server/src/clock.rs
@@ -1,7 +1,13 @@
 //! Clocks that the runtime does not offer: the boot clock, which counts suspended time, and the
 //! calendar time for the `created` field of answers.
 
-use std::time::Duration;
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
 use rustix::time::{ClockId, clock_gettime};
 
@@ -28,15 +34,22 @@
 }
 
 /// A clock that follows the runtime's clock, which tests can pause and advance.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct RuntimeClock {
     start: tokio::time::Instant,
+    suspended_ms: Arc<AtomicU64>,
 }
 
 impl RuntimeClock {
     /// A clock that shows one hour now, so that ages can be subtracted from it.
     pub fn new() -> RuntimeClock {
-        RuntimeClock { start: tokio::time::Instant::now() }
+        RuntimeClock { start: tokio::time::Instant::now(), suspended_ms: Arc::default() }
+    }
+
+    /// Moves the boot clock, but not the runtime's clock, as a suspended machine does.
+    pub fn suspend(&self, time: Duration) {
+        let time = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+        self.suspended_ms.fetch_add(time, Ordering::Relaxed);
     }
 }
 
@@ -51,7 +64,8 @@
 
 impl BootClock for RuntimeClock {
     fn boot(&self) -> Duration {
-        RUNTIME_CLOCK_START + self.start.elapsed()
+        let suspended = Duration::from_millis(self.suspended_ms.load(Ordering::Relaxed));
+        RUNTIME_CLOCK_START + self.start.elapsed() + suspended
     }
 
     fn unix_seconds(&self) -> u64 {
@@ -60,7 +74,7 @@
 }
 
 /// The clock that a process uses.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub enum ProcessClock {
     /// The machine's clocks.
     System(SystemClock),
--- a/crates/tarragon-server/src/serve.rs
+++ b/crates/tarragon-server/src/serve.rs
@@ -167,8 +167,12 @@
     let seed = options.seed.unwrap_or_else(rand::random);
     let node_settings = listeners.node_settings(&settings, &identity, keys, options.settling);
     let node = Node::new(node_settings, seed, now());
-    let parts =
-        NodeTaskParts { node, clock: options.clock, view: view_sender, metrics: metrics.clone() };
+    let parts = NodeTaskParts {
+        node,
+        clock: options.clock.clone(),
+        view: view_sender,
+        metrics: metrics.clone(),
+    };
     let (task, link) = NodeTask::new(parts);
     let process = Arc::new(ProcessContext {
         settings: settings.clone(),
--- a/crates/tarragon-server/tests/serve/ticket.rs
+++ b/crates/tarragon-server/tests/serve/ticket.rs
@@ -3,7 +3,11 @@
 use std::{net::SocketAddr, time::Duration};
 
 use http::Method;
-use tarragon_server::settings::{SeedPeer, ServeSettings};
+use tarragon_server::{
+    clock::{ProcessClock, RuntimeClock},
+    serve::ServeOptions,
+    settings::{SeedPeer, ServeSettings},
+};
 use tarragon_standin::service::{self, CALL_ID, ServiceFault, ServiceHandle, ServiceSettings};
 
 use crate::support::*;
@@ -99,6 +103,37 @@
     .await;
 }
 
+/// Guards against a call that a VM dispatches when it resumes, after its caller's deadline: the
+/// scheduler's clock stands still while the machine is suspended.
+#[tokio::test]
+async fn call_is_withheld_after_a_suspension() {
+    bounded(async {
+        let mut only = ServiceSettings::new("ledger-1");
+        only.bears = 1;
+        only.delay = Duration::from_millis(800);
+        let service = service::start(only).await.unwrap();
+        let targets = vec![target("ledger-1", "ledger", service.address())];
+        let clock = RuntimeClock::new();
+        let options = ServeOptions { clock: ProcessClock::Runtime(clock.clone()), ..options() };
+        let handle = start_ready(settings("ticket-5", targets), options).await;
+        let address = handle.caller_address;
+        let (first, second) = (ticket(address).await, ticket(address).await);
+        let running = tokio::spawn(async move { reserve(&first, "call-1").send(address).await });
+        until("the first call runs", || service.counters().received == 1).await;
+        let repeat = reserve(&second, "call-2").with("x-tarragon-deadline-ms", "5000");
+        let waiting = tokio::spawn(async move { (repeat.send(address).await, repeat) });
+        until("both are open", || metric(&handle, "tarragon_in_flight", "") == 2.0).await;
+        clock.suspend(Duration::from_secs(60));
+        assert_eq!(running.await.unwrap().outcome(), "done");
+        let (late, repeat) = waiting.await.unwrap();
+        assert_eq!(late.outcome(), "not-run", "{late:?}");
+        assert_eq!(repeat.send(address).await.outcome(), "not-run");
+        assert_eq!(service.runs_of("call-2"), 0);
+        handle.shutdown().await.unwrap();
+    })
+    .await;
+}
+
 struct EarlyRefusal {
     name: &'static str,
     header: &'static str,
