Give up callers that read nothing, and test HTTP/2, stalls and hanging engines

Cause: a new test showed that the end of a stream waited for ever for a caller that reads nothing, so that its request and its connection stayed open; relayed bodies and connections had no limit for writes either. Change: the last parts of a stream, relayed parts and writes of connections wait for a limited time; a peer address that peers can't call is refused at start.

--- a/crates/tarragon-server/src/caller.rs
+++ b/crates/tarragon-server/src/caller.rs
@@ -10,3 +10,4 @@
 pub mod prompt;
 pub mod router;
 pub mod service;
+pub mod write_limit;
--- a/crates/tarragon-server/src/caller/chat.rs
+++ b/crates/tarragon-server/src/caller/chat.rs
@@ -145,10 +145,12 @@
     let sink = EventSink::new(head, id, created, job.body.model.clone(), times);
     let (end, sink, _) = drive(process, job, abandoned, sink).await;
     let metrics = &process.metrics;
+    let stall = process.timeouts.caller_stall;
     match end {
         RequestEnd::Answered(EngineAnswer::Streamed) => {
-            sink.finish().await;
-            metrics.answered(Some(tier), CallOutcome::Done.name(), "none");
+            let outcome =
+                if sink.finish(stall).await { CallOutcome::Done } else { CallOutcome::Unknown };
+            metrics.answered(Some(tier), outcome.name(), "none");
         }
         RequestEnd::Answered(EngineAnswer::Rejected(answer)) => {
             if let Some(head) = sink.into_head() {
@@ -161,7 +163,7 @@
             }
         }
         RequestEnd::Refused(refusal) => {
-            if let Some(head) = sink.fail(&refusal).await {
+            if let Some(head) = sink.fail(&refusal, stall).await {
                 let _ = head.send(ServedChat::Answered(refusal_answer(&refusal)));
             } else {
                 metrics.answered(Some(tier), refusal.outcome.name(), "stream_cut_short");
--- a/crates/tarragon-server/src/caller/listener.rs
+++ b/crates/tarragon-server/src/caller/listener.rs
@@ -10,6 +10,7 @@
     time::Duration,
 };
 
+use super::write_limit::WriteLimit;
 use http::{Request, Response};
 use hyper::body::{Body, Incoming};
 use hyper_util::{
@@ -45,8 +46,11 @@
 pub struct ListenerLimits {
     /// Connections at once.
     pub connections: usize,
-    /// Time for a request's headers to arrive.
+    /// Time for a request's headers to arrive. hyper also ends an idle HTTP/1 connection after this time, so
+    /// it is to be longer than the load balancer keeps its idle connections.
     pub headers: Duration,
+    /// Longest wait for the other side to read.
+    pub write: Duration,
 }
 
 /// Signals that end a listener.
@@ -124,6 +128,7 @@
         return;
     }
     let builder = connection_builder(limits);
+    let stream = WriteLimit::new(stream, limits.write);
     let called = Arc::new(AtomicBool::new(false));
     let service = TowerToHyperService::new(FirstCall { inner: service, called: called.clone() });
     let connection = builder.serve_connection(TokioIo::new(stream), service);
--- a/crates/tarragon-server/src/peer/relay.rs
+++ b/crates/tarragon-server/src/peer/relay.rs
@@ -28,7 +28,10 @@
     },
     guarded::Guarded,
     process::{Deadline, ProcessContext},
-    target::pool::{CallBody, CallFault, TargetConnection},
+    target::{
+        pool::{CallBody, CallFault, TargetConnection},
+        timeouts::TargetTimeouts,
+    },
 };
 
 /// Start of the path of relayed requests on the peer address.
@@ -168,8 +171,7 @@
 pub fn stream_back(process: &ProcessContext, response: Response<Incoming>) -> CallerAnswer {
     let (head, body) = response.into_parts();
     let (sender, parts) = mpsc::channel(RELAY_PARTS);
-    let idle = process.timeouts.idle;
-    process.spawn(copy_body(body, sender, idle));
+    process.spawn(copy_body(body, sender, process.timeouts));
     let mut answer = Response::new(AnswerBody::Stream { parts, guard: None });
     *answer.status_mut() = head.status;
     apply_headers(answer.headers_mut(), &forwarded_headers(&head.headers));
@@ -186,23 +188,23 @@
 
 /// Copies a body. Dropping the sender before its end breaks the caller's connection, so that a part is
 /// never taken for the whole; a caller that goes closes the connection to the other VM.
-async fn copy_body(mut body: Incoming, sender: mpsc::Sender<BodyPart>, idle: Duration) {
+async fn copy_body(mut body: Incoming, sender: mpsc::Sender<BodyPart>, timeouts: TargetTimeouts) {
     loop {
         let frame = tokio::select! {
             () = sender.closed() => return,
-            frame = timeout(idle, body.frame()) => frame,
+            frame = timeout(timeouts.idle, body.frame()) => frame,
         };
         let data = match frame {
             Err(_) | Ok(Some(Err(_))) => return,
             Ok(None) => {
-                let _ = sender.send(BodyPart::End).await;
+                let _ = timeout(timeouts.caller_stall, sender.send(BodyPart::End)).await;
                 return;
             }
             Ok(Some(Ok(frame))) => frame.into_data(),
         };
-        if let Ok(data) = data
-            && sender.send(BodyPart::Data(data)).await.is_err()
-        {
+        let Ok(data) = data else { continue };
+        let sent = timeout(timeouts.caller_stall, sender.send(BodyPart::Data(data))).await;
+        if !matches!(sent, Ok(Ok(()))) {
             return;
         }
     }
--- a/crates/tarragon-server/src/serve.rs
+++ b/crates/tarragon-server/src/serve.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use anyhow::Context;
+use anyhow::{Context, ensure};
 use tarragon_cluster::{
     cluster::ClusterSettings, key::PeerKeys, seal::MessageSeal, slot::SETTLING,
 };
@@ -154,6 +154,12 @@
     options: ServeOptions,
 ) -> anyhow::Result<ServerHandle> {
     admin::check_address(&settings)?;
+    // Peers seal their messages for the address that they call.
+    ensure!(
+        !settings.peer_address.ip().is_unspecified(),
+        "peer_address {} is not one that peers can call; write the VM's own IP number",
+        settings.peer_address
+    );
     let listeners = Listeners::bind(&settings).await?;
     let settings = Arc::new(settings);
     let identity =
@@ -284,12 +290,13 @@
         let others = signals(&process);
         let limits = &process.settings.limits;
         let headers = limits.header_timeout;
+        let write = process.timeouts.caller_stall;
         // Callers keep connections open between requests.
         let connections = 2 * limits.streams as usize;
         tokio::spawn(listen(
             self.caller,
             caller_service(&process),
-            ListenerLimits { connections, headers },
+            ListenerLimits { connections, headers, write },
             callers.clone(),
             process.metrics.connections.clone(),
         ));
@@ -299,7 +306,7 @@
         tokio::spawn(listen(
             self.peer,
             entry.into_service(),
-            ListenerLimits { connections: PEER_CONNECTIONS, headers },
+            ListenerLimits { connections: PEER_CONNECTIONS, headers, write },
             others.clone(),
             process.metrics.peer_connections.clone(),
         ));
@@ -307,7 +314,7 @@
         tokio::spawn(listen(
             self.admin,
             service_fn(move |message| admin::handle(admin.clone(), message)),
-            ListenerLimits { connections: ADMIN_CONNECTIONS, headers },
+            ListenerLimits { connections: ADMIN_CONNECTIONS, headers, write },
             others.clone(),
             process.metrics.admin_connections.clone(),
         ));
--- a/crates/tarragon-server/src/token_sink.rs
+++ b/crates/tarragon-server/src/token_sink.rs
@@ -1,13 +1,16 @@
 //! Takes the tokens of a chat answer: as server-sent events for the caller, or only collected for an
 //! answer in one piece.
 
-use std::future::Future;
+use std::{future::Future, time::Duration};
 
 use bytes::Bytes;
 use serde::Serialize;
 use serde_json::json;
 use tarragon_protocol::prelude::*;
-use tokio::sync::{mpsc, oneshot};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::timeout,
+};
 
 use crate::{
     caller::{
@@ -129,16 +132,19 @@
         EventSink { head: Some(head), sender, receiver: Some(receiver), frame, times }
     }
 
-    /// Ends a stream that is complete.
-    pub async fn finish(self) {
+    /// Ends a stream that is complete. `limit` bounds the wait for a caller that reads nothing: its
+    /// connection then breaks without the end mark. Tells whether the end was passed on.
+    pub async fn finish(self, limit: Duration) -> bool {
         let done = Bytes::from_static(b"data: [DONE]\n\n");
-        // A send fails only if the caller has gone.
-        let _ = self.sender.send(BodyPart::Data(done)).await;
-        let _ = self.sender.send(BodyPart::End).await;
+        self.send_last(done, limit).await
     }
 
     /// Ends a stream that can't be completed, or gives the head back if nothing was sent.
-    pub async fn fail(mut self, refusal: &Refusal) -> Option<oneshot::Sender<ServedChat>> {
+    pub async fn fail(
+        mut self,
+        refusal: &Refusal,
+        limit: Duration,
+    ) -> Option<oneshot::Sender<ServedChat>> {
         if let Some(head) = self.head.take() {
             return Some(head);
         }
@@ -146,11 +152,18 @@
         let mut event = b"event: error\ndata: ".to_vec();
         event.extend_from_slice(&error);
         event.extend_from_slice(b"\n\n");
-        let _ = self.sender.send(BodyPart::Data(event.into())).await;
-        let _ = self.sender.send(BodyPart::End).await;
+        self.send_last(event.into(), limit).await;
         None
     }
 
+    async fn send_last(self, data: Bytes, limit: Duration) -> bool {
+        let parts = async {
+            self.sender.send(BodyPart::Data(data)).await?;
+            self.sender.send(BodyPart::End).await
+        };
+        matches!(timeout(limit, parts).await, Ok(Ok(())))
+    }
+
     /// Takes the head back, if nothing was sent.
     pub fn into_head(self) -> Option<oneshot::Sender<ServedChat>> {
         self.head
--- a/crates/tarragon-server/tests/serve/chat.rs
+++ b/crates/tarragon-server/tests/serve/chat.rs
@@ -1,8 +1,13 @@
 //! Chat completions through one process.
 
+use std::time::Duration;
+
 use http_body_util::BodyExt;
+use hyper::client::conn::http2;
+use hyper_util::rt::{TokioExecutor, TokioIo};
 use tarragon_protocol::{engine::ChatMessage, prompt::render_prompt};
 use tarragon_standin::engine::{self, EngineSettings, HardwareProfile, answer_token};
+use tokio::net::TcpStream;
 
 use crate::{
     fake::{self, Step},
@@ -193,3 +198,93 @@
     })
     .await;
 }
+
+/// Guards against callers with HTTP/2 that get no answer, or whose departure is not seen.
+#[tokio::test]
+async fn http2_callers_are_served_and_seen_to_leave() {
+    bounded(async {
+        let engine = engine::start(fast_engine("runner-1")).await.unwrap();
+        let targets = vec![target("runner-1", "pool", engine.address())];
+        let handle = start(settings("chat-h2", targets)).await;
+        let stream = TcpStream::connect(handle.caller_address).await.unwrap();
+        let (mut sender, connection) =
+            http2::handshake(TokioExecutor::new(), TokioIo::new(stream)).await.unwrap();
+        tokio::spawn(connection);
+        let prompt = "two at once [answer=30]";
+        let request = || {
+            let mut request = TestCall::chat(prompt, true).request();
+            *request.uri_mut() = "http://test/v1/chat/completions".parse().unwrap();
+            request.headers_mut().remove("host");
+            request
+        };
+        let (first, second) =
+            tokio::join!(sender.clone().send_request(request()), sender.send_request(request()));
+        for response in [first.unwrap(), second.unwrap()] {
+            let body = response.into_body().collect().await.unwrap().to_bytes();
+            let streamed = read_events(std::str::from_utf8(&body).unwrap());
+            assert_eq!(streamed, (expected_text(prompt, 30), true));
+        }
+        engine.slow_down(100.0);
+        let open = sender.send_request(request()).await.unwrap();
+        drop(open);
+        until("the engine is idle", || engine.occupied() == 0).await;
+        handle.shutdown().await.unwrap();
+    })
+    .await;
+}
+
+/// Guards against a caller that reads nothing and holds a place at an engine.
+#[tokio::test]
+async fn caller_that_does_not_read_is_given_up() {
+    bounded(async {
+        // 30 MB, more than the buffers between the engine and the caller hold.
+        let text: &'static str = "word ".repeat(2_000).leak();
+        let mut script: Vec<Step> =
+            (0..3_000).map(|index| Step::Chunk(index * 2_000, text)).collect();
+        script.push(Step::End);
+        let engine = fake::start(vec![script]).await;
+        let targets = vec![target("runner-1", "pool", engine.address)];
+        let mut options = options();
+        options.timeouts.caller_stall = Duration::from_millis(300);
+        let handle = start_ready(settings("chat-stall", targets), options).await;
+        let call = TestCall::chat("long", true);
+        let response =
+            connect(handle.caller_address).await.send_request(call.request()).await.unwrap();
+        until("the request is given up", || metric(&handle, "tarragon_in_flight", "") == 0.0).await;
+        until("the connection is closed", || metric(&handle, "tarragon_connections", "") == 0.0)
+            .await;
+        assert!(response.into_body().collect().await.is_err(), "a part looks complete");
+        handle.shutdown().await.unwrap();
+    })
+    .await;
+}
+
+/// Guards against a stream that waits for ever for an engine that hangs.
+#[tokio::test]
+async fn stream_of_a_hanging_engine_moves() {
+    bounded(async {
+        let (first, second) = tokio::join!(
+            engine::start(fast_engine("runner-1")),
+            engine::start(fast_engine("runner-2"))
+        );
+        let engines = [first.unwrap(), second.unwrap()];
+        let targets = vec![
+            target("runner-1", "pool", engines[0].address()),
+            target("runner-2", "pool", engines[1].address()),
+        ];
+        let mut options = options();
+        options.timeouts.idle = Duration::from_millis(300);
+        let handle = start_ready(settings("chat-hang", targets), options).await;
+        let prompt = "a question [answer=600]";
+        let call = TestCall::chat(prompt, true);
+        let response =
+            connect(handle.caller_address).await.send_request(call.request()).await.unwrap();
+        let running = engines.iter().find(|engine| engine.occupied() > 0).expect("one works");
+        running.slow_down(1e6);
+        let body = response.into_body().collect().await.unwrap().to_bytes();
+        let streamed = read_events(std::str::from_utf8(&body).unwrap());
+        assert_eq!(streamed, (expected_text(prompt, 600), true));
+        handle.shutdown().await.unwrap();
+    })
+    .await;
+}
--- a/crates/tarragon-server/tests/serve/fake.rs
+++ b/crates/tarragon-server/tests/serve/fake.rs
@@ -85,8 +85,10 @@
     let script = &scripts[attempt.min(scripts.len() - 1)];
     let frames: Vec<FrameResult> = script.iter().map(|step| frame(*step, &tag)).collect();
     let frames = stream::iter(frames).then(|frame| async move {
-        // Lets the frames before a break reach the other side.
-        tokio::time::sleep(Duration::from_millis(20)).await;
+        if frame.is_err() {
+            // Lets the frames before a break reach the other side.
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
         frame
     });
     Ok(Response::new(StreamBody::new(frames).boxed_unsync()))
