--- /dev/null
+++ b/crates/tarragon-scheduler/src/pressure.rs
@@ -0,0 +1,147 @@
+//! What peers tell of their load: shed floors and the division of deployment-wide limits.
+
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+use tarragon_protocol::peer::PeerIdentity;
+
+use crate::prelude::*;
+
+/// A floor of a peer is held this long after it was last heard.
+pub const FLOOR_HOLD: Duration = Duration::from_secs(3);
+
+/// The own floor stays this long after a tier was shed: no process begins work of a lower tier more than
+/// 2 s after another one shed a higher tier.
+pub const SHED_HOLD: Duration = Duration::from_secs(2);
+
+/// Fill of the queue above which the floor is announced, and below which it is withdrawn.
+const NEAR_BOUND: f64 = 0.75;
+const RELAXED: f64 = 0.5;
+
+/// A peer's demand counts for this long; after that the peer counts with the mean demand.
+const DEMAND_LIFETIME: Duration = Duration::from_secs(10);
+
+/// Part of each limit that is divided equally. The rest follows demand. With the equal part, a process
+/// without recent demand can still start at once.
+const EQUAL_PART: f64 = 0.5;
+
+#[derive(Debug)]
+struct PeerState {
+    /// When each tier was last announced as floor.
+    floors: [Option<Instant>; Tier::COUNT],
+    waiting: u32,
+    heard: Instant,
+}
+
+/// Floors held, the own floor and peers' demand.
+#[derive(Debug)]
+pub struct PressureTable {
+    peers: IndexMap<PeerIdentity, PeerState>,
+    own: Tier,
+    /// When each tier was last shed here.
+    shed: [Option<Instant>; Tier::COUNT],
+}
+
+impl Default for PressureTable {
+    /// Nothing is known and nothing is shed.
+    fn default() -> PressureTable {
+        PressureTable { peers: IndexMap::new(), own: Tier::Routine, shed: [None; Tier::COUNT] }
+    }
+}
+
+impl PressureTable {
+    /// Takes a peer's digest. A lower floor doesn't replace a higher one that was heard within the hold
+    /// time, since digests may overtake each other.
+    pub fn take(&mut self, pressure: PeerPressure) {
+        let state = self.peers.entry(pressure.peer).or_insert(PeerState {
+            floors: [None; Tier::COUNT],
+            waiting: 0,
+            heard: pressure.heard,
+        });
+        let floor = &mut state.floors[pressure.shed_floor.index()];
+        *floor = Some(floor.map_or(pressure.heard, |known| known.max(pressure.heard)));
+        if pressure.heard >= state.heard {
+            state.heard = pressure.heard;
+            state.waiting =
+                pressure.waiting.iter().fold(0, |sum, count| sum.saturating_add(*count));
+        }
+    }
+
+    /// The peer no longer counts.
+    pub fn forget(&mut self, peer: &PeerIdentity) {
+        self.peers.swap_remove(peer);
+    }
+
+    /// Floor that this process announces.
+    pub fn own_floor(&self) -> Tier {
+        self.own
+    }
+
+    /// Number of peers.
+    pub fn peer_count(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// Highest floor held, of peers and the own one.
+    pub fn floor(&self, now: Instant) -> Tier {
+        let held = |state: &PeerState| highest_within(&state.floors, FLOOR_HOLD, now);
+        let peers = self.peers.values().map(held).max().unwrap_or(Tier::Routine);
+        peers.max(self.own)
+    }
+
+    /// Adapts the own floor to the fill of the queue. Returns the floor if it must be announced.
+    ///
+    /// The floor is the lowest tier that waits: this is what would be shed next, so peers should start
+    /// nothing below it. It is announced while a quarter of the queue is still free, so that peers hold
+    /// it before the first request is shed. It is never below a tier that was shed a short time ago.
+    pub fn adapt(&mut self, fill: f64, lowest: Option<Tier>, now: Instant) -> Option<Tier> {
+        let by_fill = match lowest {
+            Some(lowest) if fill >= NEAR_BOUND => lowest.max(self.own),
+            _ if fill >= RELAXED => self.own,
+            _ => Tier::Routine,
+        };
+        let shed = highest_within(&self.shed, SHED_HOLD, now);
+        self.announce(by_fill.max(shed))
+    }
+
+    /// Notes that a request of a tier is being shed. Returns the floor if it must be announced.
+    pub fn note_shed(&mut self, tier: Tier, now: Instant) -> Option<Tier> {
+        self.shed[tier.index()] = Some(now);
+        self.announce(tier.max(self.own))
+    }
+
+    fn announce(&mut self, floor: Tier) -> Option<Tier> {
+        (floor != self.own).then(|| {
+            self.own = floor;
+            floor
+        })
+    }
+
+    /// This process's part of deployment-wide limits, given its own waiting requests.
+    pub fn share(&self, own_waiting: u32, now: Instant) -> f64 {
+        if self.peers.is_empty() {
+            return 1.0;
+        }
+        let processes = (self.peers.len() + 1) as f64;
+        let own = f64::from(own_waiting) + 1.0;
+        let mut heard = own;
+        let mut count = 1.0;
+        for state in self.peers.values() {
+            if now.saturating_duration_since(state.heard) <= DEMAND_LIFETIME {
+                heard += f64::from(state.waiting) + 1.0;
+                count += 1.0;
+            }
+        }
+        let total = heard * processes / count;
+        EQUAL_PART / processes + (1.0 - EQUAL_PART) * own / total
+    }
+}
+
+/// Highest tier whose time is within `hold`; the lowest tier if there is none.
+fn highest_within(times: &[Option<Instant>; Tier::COUNT], hold: Duration, now: Instant) -> Tier {
+    let within = |time: Instant| now.saturating_duration_since(time) < hold;
+    Tier::DESCENDING
+        .into_iter()
+        .find(|tier| times[tier.index()].is_some_and(within))
+        .unwrap_or(Tier::Routine)
+}
--- /dev/null
+++ b/crates/tarragon-scheduler/src/scheduler/candidate.rs
@@ -0,0 +1,77 @@
+//! The targets that can take a request now, with the times to be expected there.
+
+use crate::{
+    choose::ChooseCandidate,
+    job::{Job, block_tokens},
+    prelude::*,
+    targets::{TargetRow, TargetTable, estimate::AFFINITY_EXCESS, prefix::PrefixHits},
+};
+
+/// Reused between decisions, so that a decision allocates nothing.
+#[derive(Debug, Default)]
+pub(super) struct CandidateList {
+    /// Open targets, in the order of the table.
+    pub items: Vec<ChooseCandidate>,
+    hits: PrefixHits,
+}
+
+/// What restricts the choice beside the open windows.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ChoiceBounds {
+    /// The request may crash targets.
+    pub suspect: bool,
+    /// Suspects are in flight somewhere.
+    pub suspects_run: bool,
+}
+
+impl CandidateList {
+    /// Finds all targets that can take the job now.
+    pub(super) fn collect(&mut self, targets: &TargetTable, job: &Job, bounds: ChoiceBounds) {
+        self.items.clear();
+        let blocks = job.blocks();
+        targets.prefixes.lookup(blocks, targets.capacity(), &mut self.hits);
+        let pool = targets.pool(job.pool);
+        let attraction = pool.used_share() + AFFINITY_EXCESS;
+        let models = targets.models_of(job);
+        let size = job.size();
+        for index in &pool.members {
+            let outlook = targets.outlook(*index);
+            if !outlook.is_open() || outlook.models & models == 0 || job.avoid.contains(index) {
+                continue;
+            }
+            let suits = |row| suits_suspect(row, job.tier());
+            if bounds.suspect && !targets.row(*index).is_some_and(suits) {
+                continue;
+            }
+            let attracts = outlook.in_flight as f32 <= attraction * outlook.window as f32;
+            let hit = if attracts { self.hits.get(*index) } else { 0 };
+            self.items.push(ChooseCandidate {
+                target: *index,
+                in_flight: outlook.in_flight,
+                window: outlook.window,
+                estimate: outlook.estimate(size, block_tokens(hit)),
+            });
+        }
+        if bounds.suspects_run && !bounds.suspect {
+            self.leave_suspects_alone(targets, job.tier());
+        }
+    }
+
+    /// Drops targets that run a suspect of a lower tier, unless there are no others.
+    fn leave_suspects_alone(&mut self, targets: &TargetTable, tier: Tier) {
+        let runs_lower = |candidate: &ChooseCandidate| {
+            targets
+                .row(candidate.target)
+                .is_some_and(|row| row.suspects[..tier.index()].iter().any(|count| *count > 0))
+        };
+        if self.items.iter().any(|candidate| !runs_lower(candidate)) {
+            self.items.retain(|candidate| !runs_lower(candidate));
+        }
+    }
+}
+
+/// A suspect runs alone among suspects and not beside work of a higher tier.
+pub(super) fn suits_suspect(row: &TargetRow, tier: Tier) -> bool {
+    row.suspects.iter().all(|count| *count == 0)
+        && row.highest_tier().is_none_or(|highest| highest <= tier)
+}
