Count requests from the warm time against a cold target's slots

Lent slots had the same hole: the lender's share shrinks and the borrower still counts the loan. Change: the load table keeps an upper bound of old requests per cold target, which falls only with reports taken 2 s after the news, and takes it off what new work may use; nothing is lent at cold targets and loans there do not count.

--- a/crates/tarragon-cluster/src/digest.rs
+++ b/crates/tarragon-cluster/src/digest.rs
@@ -1,6 +1,8 @@
 //! Load of the data centre's targets: last reports with their age, who polls which target, and which
 //! entries go into the next digest.
 
+mod leftover;
+
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
@@ -10,7 +12,7 @@
 };
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{prelude::*, rendezvous, slot::TargetCapacity};
+use crate::{digest::leftover::LeftoverLoad, prelude::*, rendezvous, slot::TargetCapacity};
 
 /// Age from which a report says nothing any more: the target counts as cold with one slot in all.
 pub const REPORT_VALID: Duration = Duration::from_secs(10);
@@ -63,6 +65,7 @@
     published: PublishedTarget,
     last: Option<StampedReport>,
     before: Option<StampedReport>,
+    leftover: LeftoverLoad,
     /// Whether the last report has not been sent in a digest.
     changed: bool,
     last_sent: Option<Instant>,
@@ -148,6 +151,9 @@
         };
         let stamped = StampedReport { entry: entry.clone(), at };
         let Some(last) = &mut load.last else {
+            if entry.state == TargetState::Cold {
+                load.leftover.turn_cold(entry, entry.occupied, now);
+            }
             load.last = Some(stamped);
             load.changed = true;
             load.spell_known_since = now;
@@ -165,6 +171,11 @@
         if entry.restart != last.entry.restart {
             load.spell_known_since = now;
         }
+        if turned_cold {
+            load.leftover.turn_cold(entry, last.entry.bears, now);
+        } else {
+            load.leftover.observe(entry, at);
+        }
         load.before = load.last.replace(stamped);
         load.changed = true;
         if turned_cold { ReportOutcome::TurnedCold } else { ReportOutcome::Newer }
@@ -177,8 +188,15 @@
             return None;
         }
         let last = self.targets.get(target)?.last.as_ref()?;
-        let entry =
-            LoadEntry { state: TargetState::Cold, bears: 1, age_ms: 0, ..last.entry.clone() };
+        // How many requests it runs is not known: at most what it bore.
+        let occupied = last.entry.occupied.max(last.entry.bears);
+        let entry = LoadEntry {
+            state: TargetState::Cold,
+            bears: 1,
+            occupied,
+            age_ms: 0,
+            ..last.entry.clone()
+        };
         self.take(&entry, now);
         Some(entry)
     }
@@ -194,7 +212,9 @@
         }
         let before = load.before.as_ref().map_or(u32::MAX, |before| before.entry.bears);
         let cold = last.entry.state == TargetState::Cold;
-        TargetCapacity { bears: last.entry.bears.min(before), cold }
+        let bears = last.entry.bears.min(before);
+        let bears = if cold { load.leftover.remaining(bears) } else { bears };
+        TargetCapacity { bears, cold }
     }
 
     /// Whether the target's last report says that it is about to stop.
@@ -306,6 +326,7 @@
         published: target.clone(),
         last: None,
         before: None,
+        leftover: LeftoverLoad::default(),
         changed: false,
         last_sent: None,
         times_sent: rendezvous::key_seed(&target.target) % WHOLE_ENTRY_EACH,
--- a/crates/tarragon-cluster/src/slot.rs
+++ b/crates/tarragon-cluster/src/slot.rs
@@ -176,7 +176,10 @@
         now: Instant,
     ) -> Option<SlotGrant> {
         let slots = self.targets.get_mut(target)?;
-        if self.restricted || slots.held <= slots.lent + in_use {
+        // A target that turns cold leaves fewer slots than were lent, so a slot lent there could not be
+        // relied on by its borrower.
+        let cold = slots.reported.as_ref().is_some_and(|share| share.cold);
+        if cold || self.restricted || slots.held <= slots.lent + in_use {
             return None;
         }
         slots.lent += 1;
@@ -272,8 +275,10 @@
         hold(Invariant::SlotsWithinShare, own == 0 || own + self.lent <= self.share, || {
             format!("{own} own and {} lent of {} slots at {target}", self.lent, self.share)
         });
-        let slots = own + self.borrowed.len() as u32;
         let TargetCapacity { bears, cold } = capacity;
+        // The lender's share of a target that has turned cold may not cover what it has lent.
+        let borrowed = if cold { 0 } else { self.borrowed.len() as u32 };
+        let slots = own + borrowed;
         let share = SlotShare { target: target.clone(), slots, bears, cold };
         if self.reported.as_ref() == Some(&share) {
             return None;
--- /dev/null
+++ b/crates/tarragon-cluster/tests/cold.rs
@@ -0,0 +1,113 @@
+//! What all VMs together may send to a target that has turned cold.
+
+use std::time::{Duration, Instant};
+
+use tarragon_cluster::{digest::LoadTable, prelude::*};
+use tarragon_protocol::{peer::LoadEntry, platform::PublishedTarget};
+
+struct ReportStep {
+    /// Seconds since the start.
+    second: u64,
+    state: TargetState,
+    restart: u64,
+    bears: u32,
+    occupied: u32,
+    /// What new work may use after the report.
+    expected: u32,
+}
+
+struct ColdCase {
+    failure: &'static str,
+    steps: Vec<ReportStep>,
+}
+
+fn step(
+    second: u64,
+    state: TargetState,
+    restart: u64,
+    bears: u32,
+    occupied: u32,
+    expected: u32,
+) -> ReportStep {
+    ReportStep { second, state, restart, bears, occupied, expected }
+}
+
+use TargetState::{Cold, Warm};
+
+/// Guards against work on a cold target on top of the requests that it still runs from its warm time: their
+/// senders have no slot any more, so the slots alone do not count them.
+#[test]
+fn old_requests_count_against_a_cold_target() {
+    let cases = [
+        ColdCase {
+            failure: "an old request runs on while two VMs use their slots",
+            steps: vec![
+                step(1, Warm, 1, 16, 1, 16),
+                step(2, Cold, 1, 2, 1, 0),
+                step(5, Cold, 1, 2, 1, 1),
+                step(6, Cold, 1, 2, 0, 2),
+            ],
+        },
+        ColdCase {
+            failure: "requests that were under way when the news spread are not in the first reports",
+            steps: vec![
+                step(1, Warm, 1, 16, 0, 16),
+                step(2, Cold, 1, 2, 0, 0),
+                step(3, Cold, 1, 2, 0, 0),
+                step(5, Cold, 1, 2, 3, 0),
+                step(6, Cold, 1, 2, 1, 1),
+            ],
+        },
+        ColdCase {
+            failure: "VMs that had nothing there learn of a restart late",
+            steps: vec![
+                step(1, Warm, 1, 16, 4, 16),
+                step(2, Cold, 2, 2, 0, 0),
+                step(5, Cold, 2, 2, 0, 2),
+            ],
+        },
+        ColdCase {
+            failure: "a target that was never warm has no old requests",
+            steps: vec![step(1, Cold, 1, 2, 0, 2), step(4, Cold, 1, 2, 1, 2)],
+        },
+        ColdCase {
+            failure: "a warm target is bounded by its report alone",
+            steps: vec![
+                step(1, Cold, 1, 2, 2, 0),
+                step(5, Warm, 1, 16, 2, 2),
+                step(6, Warm, 1, 16, 2, 16),
+            ],
+        },
+    ];
+    let start = tokio_start();
+    for case in cases {
+        let mut table = LoadTable::default();
+        let name: TargetName = "engine-1".into();
+        table.set_targets(&[target(&name)], start);
+        for (index, report) in case.steps.iter().enumerate() {
+            let now = start + Duration::from_secs(report.second);
+            table.take(&entry(&name, report), now);
+            let left = table.capacity(&name, now).bears;
+            assert_eq!(left, report.expected, "{}, step {index}", case.failure);
+        }
+    }
+}
+
+fn tokio_start() -> Instant {
+    tokio::time::Instant::now().into_std()
+}
+
+fn target(name: &TargetName) -> PublishedTarget {
+    PublishedTarget {
+        target: name.clone(),
+        service: "model-pool".into(),
+        address: "127.0.0.1:9000".to_owned(),
+        hardware: None,
+        checks_fencing: false,
+    }
+}
+
+fn entry(name: &TargetName, report: &ReportStep) -> LoadEntry {
+    let ReportStep { state, restart, bears, occupied, .. } = *report;
+    LoadEntry { target: name.clone(), restart, state, bears, occupied, age_ms: 0 }
+}
