--- a/crates/tarragon-lab/src/soak/world/action.rs
+++ b/crates/tarragon-lab/src/soak/world/action.rs
@@ -60,9 +60,6 @@
             let tier = self.call_of(held.sending).tier;
             self.observer.shed(self.now, vm, tier);
         }
-        if self.mutation == Some(Mutation::SwallowRefusals) {
-            return;
-        }
         self.finish_request(vm, request, RequestAnswer::Refused(refusal));
     }
 
--- a/crates/tarragon-lab/src/soak/world/caller.rs
+++ b/crates/tarragon-lab/src/soak/world/caller.rs
@@ -96,6 +96,10 @@
 
     /// Sends an answer to a caller.
     pub(super) fn answer_caller(&mut self, sending: SendingId, answer: RequestAnswer) {
+        let swallows = self.mutation == Some(Mutation::SwallowRefusals);
+        if swallows && matches!(answer, RequestAnswer::Refused(_)) {
+            return;
+        }
         let vm = self.sending(sending).vm;
         let from = Endpoint::Vm(vm, self.vms[vm].data_centre);
         let delay = self.network.delay(&mut self.random, from, Endpoint::Caller);
--- a/crates/tarragon-lab/src/soak/world/fault.rs
+++ b/crates/tarragon-lab/src/soak/world/fault.rs
@@ -46,7 +46,6 @@
             FaultStep::Poison(count) => self.callers.poison_left += count,
             FaultStep::Publish => {
                 self.publish();
-                self.forget_versions();
             }
             FaultStep::Out(home, on) => self.take_out(home, on),
             FaultStep::Drain(vm) => self.drain(vm),
@@ -62,6 +61,7 @@
             FaultStep::ServiceStale(Some(older)) => {
                 let index = self.platform.history.len().saturating_sub(1 + older);
                 self.platform.mode = ServiceMode::Stale(index);
+                self.forget_versions();
             }
             FaultStep::ListDown(down) => self.platform.list_up = !down,
             FaultStep::ListLag(lag) => self.platform.list_lag = lag,
--- a/crates/tarragon-lab/src/soak/world/ticket.rs
+++ b/crates/tarragon-lab/src/soak/world/ticket.rs
@@ -214,7 +214,10 @@
         let mut actions = Vec::new();
         let check = process.node.check_write(key.request, &name, boot, &mut actions);
         self.act_all(key.vm, actions);
-        check
+        match (self.mutation, check) {
+            (Some(Mutation::IgnoreOut), WriteCheck::Elsewhere) => WriteCheck::Write,
+            (_, check) => check,
+        }
     }
 
     /// The check of a ticketed call right before it is relayed.
