--- a/crates/tarragon-lab/src/scenario/step.rs
+++ b/crates/tarragon-lab/src/scenario/step.rs
@@ -207,7 +207,11 @@
         "restart" => FaultStep::Restart(target()?, arguments.duration("down")?),
         "leave" => FaultStep::Leave(target()?, arguments.duration("after")?),
         "lossy" => FaultStep::Lossy(arguments.required("on")? == "yes"),
-        "lose-answers" => FaultStep::LoseAnswers(arguments.required("on")? == "yes"),
+        "lose-answers" => FaultStep::LoseAnswers(match arguments.required("on")? {
+            "all" => 1.0,
+            "some" => 0.2,
+            _ => 0.0,
+        }),
         _ => bail!("there is no step `{step}`"),
     })
 }
--- a/crates/tarragon-lab/src/soak/fault.rs
+++ b/crates/tarragon-lab/src/soak/fault.rs
@@ -57,8 +57,8 @@
     Drain(usize),
     /// Messages get lost, doubled and reordered, or not.
     Lossy(bool),
-    /// Answers to callers get lost, or not.
-    LoseAnswers(bool),
+    /// This part of the answers to callers gets lost.
+    LoseAnswers(f64),
     /// The configuration is published again with a change.
     Publish,
 }
@@ -204,7 +204,7 @@
         FaultKind::Drain => vec![(at, FaultStep::Drain(vm))],
         FaultKind::Lossy => vec![(at, FaultStep::Lossy(true)), (end, FaultStep::Lossy(false))],
         FaultKind::LoseAnswers => {
-            vec![(at, FaultStep::LoseAnswers(true)), (end, FaultStep::LoseAnswers(false))]
+            vec![(at, FaultStep::LoseAnswers(0.2)), (end, FaultStep::LoseAnswers(0.0))]
         }
         FaultKind::Publish => vec![(at, FaultStep::Publish)],
     }
--- a/crates/tarragon-lab/src/soak/world/fault.rs
+++ b/crates/tarragon-lab/src/soak/world/fault.rs
@@ -42,7 +42,7 @@
                 self.schedule(length + Duration::from_secs(30), WorldEvent::Fault(restart));
             }
             FaultStep::Lossy(on) => self.set_lossy(on),
-            FaultStep::LoseAnswers(on) => self.callers.lost_answers = if on { 0.2 } else { 0.0 },
+            FaultStep::LoseAnswers(part) => self.callers.lost_answers = part,
             FaultStep::Poison(count) => self.callers.poison_left += count,
             FaultStep::Publish => {
                 self.publish();
