--- a/crates/tarragon-cluster/src/cluster/gossip.rs
+++ b/crates/tarragon-cluster/src/cluster/gossip.rs
@@ -15,7 +15,7 @@
 
 /// Load updates in one digest; a whole entry counts twice. Measured by `benches/control.rs`: within the
 /// bound of 21 KB/s, and with 333 targets and 31 VMs a report is younger than 10 s at nearly every VM.
-const DIGEST_BUDGET: usize = 160;
+const DIGEST_BUDGET: usize = 128;
 
 /// Members that are told of a new configuration at once by a process that read it from the platform.
 /// Digests carry it to the others within a few rounds. Telling all 30 would cost a reader more than its
--- a/crates/tarragon-cluster/src/digest.rs
+++ b/crates/tarragon-cluster/src/digest.rs
@@ -30,7 +30,7 @@
 
 /// Age from which a report is not sent on. Older ones would take the place of those that still reach their
 /// readers in time.
-const SEND_VALID: Duration = Duration::from_secs(6);
+const SEND_VALID: Duration = Duration::from_secs(5);
 
 /// Cost of a whole entry in a digest, where an update costs 1: about 16 bytes to 9.
 const ENTRY_COST: usize = 2;
@@ -55,6 +55,8 @@
 struct StampedReport {
     entry: LoadEntry,
     at: Instant,
+    /// Whether the entry's restart id is the target's. If only updates have been heard, it is their check.
+    has_restart: bool,
 }
 
 /// One target.
@@ -142,27 +144,40 @@
 
     /// Takes an entry of a peer, or one of this VM.
     pub fn take(&mut self, entry: &LoadEntry, now: Instant) -> ReportOutcome {
+        self.take_as(entry, true, now)
+    }
+
+    fn take_as(&mut self, entry: &LoadEntry, has_restart: bool, now: Instant) -> ReportOutcome {
         let Some(load) = self.targets.get_mut(&entry.target) else { return ReportOutcome::Old };
         let Some(at) = now.checked_sub(Duration::from_millis(entry.age_ms)) else {
             return ReportOutcome::Old;
         };
-        let stamped = StampedReport { entry: entry.clone(), at };
+        let stamped = StampedReport { entry: entry.clone(), at, has_restart };
         let Some(last) = &mut load.last else {
             load.last = Some(stamped);
             load.changed = true;
             load.spell_known_since = now;
             return ReportOutcome::Newer;
         };
-        let turned_cold = entry.restart != last.entry.restart
-            || entry.state == TargetState::Cold && last.entry.state != TargetState::Cold;
+        let both_known = has_restart && last.has_restart;
+        let learned = has_restart && !last.has_restart;
+        let restarted = both_known && entry.restart != last.entry.restart;
+        let turned_cold =
+            restarted || entry.state == TargetState::Cold && last.entry.state != TargetState::Cold;
         let distance = at.saturating_duration_since(last.at);
+        if learned && at <= last.at && last.entry.restart == placeholder(entry.restart) {
+            last.entry.restart = entry.restart;
+            last.has_restart = true;
+            load.spell_known_since = now;
+            return ReportOutcome::Newer;
+        }
         if at < last.at && (last.at - at > SAME_REPORT || turned_cold) {
             return ReportOutcome::Old;
         }
-        if distance <= SAME_REPORT && !turned_cold {
+        if distance <= SAME_REPORT && !turned_cold && !learned {
             return merge(last, entry);
         }
-        if entry.restart != last.entry.restart {
+        if restarted || learned {
             load.spell_known_since = now;
         }
         load.before = load.last.replace(stamped);
@@ -220,8 +235,9 @@
             .targets
             .values_mut()
             .filter_map(|load| {
-                let age = now.saturating_duration_since(load.last.as_ref()?.at);
-                let unsent = load.changed && age <= SEND_VALID;
+                let last = load.last.as_ref()?;
+                let age = now.saturating_duration_since(last.at);
+                let unsent = load.changed && last.has_restart && age <= SEND_VALID;
                 unsent.then_some((load.last_sent, age, load))
             })
             .collect();
@@ -236,16 +252,19 @@
         loads
     }
 
-    /// Takes an update of a peer. Returns it as an entry if it is news. An update of a spell that is not
-    /// known here is ignored; its whole entry follows in one of the next digests.
+    /// Takes an update of a peer. Returns it as an entry if it is news. Without a known restart id it counts
+    /// for the slots only; with another one it is ignored until a whole entry has told of the restart.
     pub fn take_update(&mut self, update: &LoadUpdate, now: Instant) -> Option<LoadEntry> {
-        let known = self.targets.get(&update.target)?.last.as_ref()?.entry.restart;
-        if restart_check(known) != update.restart_check {
+        let last = self.targets.get(&update.target)?.last.as_ref();
+        let known = last.filter(|last| last.has_restart).map(|last| last.entry.restart);
+        if known.is_some_and(|known| restart_check(known) != update.restart_check) {
             return None;
         }
         let LoadUpdate { target, state, bears, occupied, age_ms, .. } = update.clone();
-        let entry = LoadEntry { target, restart: known, state, bears, occupied, age_ms };
-        (self.take(&entry, now) != ReportOutcome::Old).then_some(entry)
+        let restart = known.unwrap_or(u64::from(u16::from_le_bytes(update.restart_check)));
+        let entry = LoadEntry { target, restart, state, bears, occupied, age_ms };
+        let outcome = self.take_as(&entry, known.is_some(), now);
+        (known.is_some() && outcome != ReportOutcome::Old).then_some(entry)
     }
 
     /// A published target.
@@ -327,6 +346,11 @@
     [first, second]
 }
 
+/// Stands for a restart id of which only the check is known.
+fn placeholder(restart: u64) -> u64 {
+    u16::from_le_bytes(restart_check(restart)).into()
+}
+
 /// A report in the form for digests.
 pub fn entry_of(target: &TargetName, report: &LoadReport) -> LoadEntry {
     LoadEntry {
--- a/crates/tarragon-cluster/tests/cluster_world.rs
+++ b/crates/tarragon-cluster/tests/cluster_world.rs
@@ -390,3 +390,40 @@
     let grant = world.nodes[0].cluster.grant_slot(now, &old, &target, 0, &mut actions);
     assert_eq!(grant, None, "a slot was lent to a process that is gone");
 }
+
+/// Guards against work that starts in a data centre that was taken out of service, and against full load on
+/// its targets when it returns.
+#[test]
+fn a_data_centre_leaves_and_returns() {
+    let mut world = World::new();
+    for (vm, data_centre) in [("a-0", "a"), ("a-1", "a"), ("b-0", "b"), ("b-1", "b")] {
+        world.list_vm(vm, data_centre);
+    }
+    world.publish_targets("a", 2, 8);
+    world.publish_targets("b", 2, 8);
+    for (index, vm) in ["a-0", "a-1", "b-0", "b-1"].into_iter().enumerate() {
+        world.start_node(vm, &vm[..1], index as u64 + 1);
+    }
+    world.run_until(20 * SECOND, all_ready).expect("all nodes become ready");
+    world.publish_part("rules-00", "data-centre a state=out # asked by: test\n");
+    let out = |world: &World| !world.nodes[0].ready && !world.nodes[1].ready;
+    world.run_until(14 * SECOND, out).expect("its VMs become unready");
+    world.run_for(2 * SECOND);
+    for (index, node) in world.nodes.iter().enumerate() {
+        let out = index < 2;
+        assert_eq!((node.relay, node.open_targets), (out, if out { 0 } else { 2 }));
+    }
+    let peers = world.nodes[2].cluster.remote_peers(world.now);
+    assert_eq!(peers, [], "the data centre that is out gets no relayed work");
+    world.run_for(10 * SECOND);
+    world.targets["a-runner-000"].state = TargetState::Cold;
+    world.targets["a-runner-000"].bears = 1;
+    world.publish_part("rules-00", "data-centre a state=in # asked by: test\n");
+    let version = world.platform.manifest.version;
+    world.run_until(14 * SECOND, |world| all_have(world, version)).expect("the change arrives");
+    assert!(world.slots_in_use("a-runner-001") <= 1, "warm again before a report says so");
+    world.run_for(5 * SECOND);
+    assert!(world.nodes[0].ready && !world.nodes[0].relay);
+    assert_eq!(world.slots_in_use("a-runner-000"), 1);
+    assert_eq!(world.slots_in_use("a-runner-001"), 8);
+}
