--- a/crates/tarragon-command/src/admin_client.rs
+++ b/crates/tarragon-command/src/admin_client.rs
@@ -57,6 +57,11 @@
 }
 
 impl AdminClient {
+    /// A client of a process without a key.
+    pub(crate) fn new(address: SocketAddr) -> AdminClient {
+        AdminClient { address, key: None }
+    }
+
     /// Sends a request and returns the body of a successful answer.
     pub(crate) async fn call(&self, method: Method, path: &str) -> anyhow::Result<String> {
         let whole = timeout(CALL_TIMEOUT, self.exchange(method, path)).await;
--- a/crates/tarragon-command/src/logging.rs
+++ b/crates/tarragon-command/src/logging.rs
@@ -7,7 +7,7 @@
 use tracing_subscriber::EnvFilter;
 
 /// Environment variable with the filter, in the form of `tracing-subscriber`, for example `debug`.
-const FILTER_VARIABLE: &str = "TARRAGON_LOG";
+pub(crate) const FILTER_VARIABLE: &str = "TARRAGON_LOG";
 const DEFAULT_FILTER: &str = "info";
 
 /// Starts the log of this process.
--- a/crates/tarragon-standin/src/engine/batch.rs
+++ b/crates/tarragon-standin/src/engine/batch.rs
@@ -188,6 +188,16 @@
             return false;
         }
         self.counters.cold_overloads += 1;
+        let ids = self.running.iter().chain(&self.waiting);
+        let ids: Vec<&str> = ids.map(|sequence| sequence.submission.request_id.as_str()).collect();
+        let bears = self.settings.cold_bears;
+        tracing::debug!(
+            engine = &*self.settings.name,
+            inside,
+            bears,
+            ?ids,
+            "overloaded while cold"
+        );
         self.collapsed_until = Some(now + self.settings.collapse_duration);
         self.cold_until = Some(now + self.settings.cold_duration);
         self.overload_failures += 1;
