Seal overtaken messages again, and let answers to peers end in a drain

Cause: more than 64 relayed requests at once can overtake each other by more than the replay window holds and were then refused; a drain cut off answers that were still on their way to other entry VMs; a relayed answer without an outcome counted as done. Change: a message whose seal was refused as too old is sealed again, at most three times; a drain waits for the connections of peers and counts cut connections; a relayed answer without an outcome is unknown.

--- a/crates/tarragon-server/src/caller/router.rs
+++ b/crates/tarragon-server/src/caller/router.rs
@@ -3,7 +3,7 @@
 use std::{convert::Infallible, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http::{Method, Request, StatusCode};
+use http::{HeaderValue, Method, Request, StatusCode};
 use hyper::body::Incoming;
 use serde_json::json;
 use tarragon_cluster::{event::PeerAddress, seal::MessageSeal};
@@ -275,8 +275,9 @@
         Err(fault) => {
             tracing::warn!(cause = fault.0, "refused a relayed request");
             let refusal = Refusal::not_run(RefusalCode::InvalidHeader, fault.0);
-            let header = Some(RELAY);
-            error_answer(StatusCode::FORBIDDEN, &refusal, header)
+            let mut answer = error_answer(StatusCode::FORBIDDEN, &refusal, Some(RELAY));
+            answer.headers_mut().insert(RELAY, HeaderValue::from_static("refused"));
+            answer
         }
     }
 }
--- a/crates/tarragon-server/src/peer/client.rs
+++ b/crates/tarragon-server/src/peer/client.rs
@@ -14,7 +14,7 @@
     seal::{MessageSeal, SealedAnswer, SealedMessage},
 };
 use tarragon_protocol::peer::PeerIdentity;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout_at};
 
 use super::envelope::{PeerMethod, write_call};
 use crate::{
@@ -32,6 +32,11 @@
 pub const TRANSFER_LIMIT: Duration = Duration::from_secs(10);
 /// Largest message, in bytes: a handover of 16 MiB of answers, written as base64 inside JSON.
 pub const MAX_MESSAGE_BYTES: u32 = 48 << 20;
+/// Times that a message is sealed. Many messages at once can overtake each other by more than the
+/// receiver's replay window holds; a new seal has a newer counter.
+const SEAL_TRIES: usize = 3;
+/// JSON-RPC error code for a message that was overtaken and not read.
+pub const OVERTAKEN_CODE: i32 = -32_001;
 /// Clients that are kept, above the fleet of the design scale.
 const MAX_CLIENTS: usize = 1_024;
 
@@ -96,13 +101,19 @@
     {
         let invalid = |error: serde_json::Error| PeerFault::Invalid(error.to_string());
         let payload = write_call(method, content).map_err(invalid)?;
-        let message = self.seal.with(|seal| seal.seal(&peer.address, payload));
-        self.metrics.peer_bytes(PeerDirection::Sent, message.payload.len());
         let client = self.client(&peer.address)?;
-        let call = client.request::<SealedAnswer, _>(method.name(), rpc_params![&message]);
-        let answer = timeout(limit, call).await.map_err(|_| PeerFault::TimedOut)?;
-        let answer = answer.map_err(|error| read_fault(&error))?;
-        self.open_answer(&message, &answer)
+        let end = Instant::now() + limit;
+        for _ in 0..SEAL_TRIES {
+            let message = self.seal.with(|seal| seal.seal(&peer.address, payload.clone()));
+            self.metrics.peer_bytes(PeerDirection::Sent, message.payload.len());
+            let call = client.request::<SealedAnswer, _>(method.name(), rpc_params![&message]);
+            match timeout_at(end, call).await.map_err(|_| PeerFault::TimedOut)? {
+                Ok(answer) => return self.open_answer(&message, &answer),
+                Err(RpcError::Call(error)) if error.code() == OVERTAKEN_CODE => {}
+                Err(error) => return Err(read_fault(&error)),
+            }
+        }
+        Err(PeerFault::Invalid("the message was overtaken by others each time".to_owned()))
     }
 
     fn open_answer<R>(
--- a/crates/tarragon-server/src/peer/relay.rs
+++ b/crates/tarragon-server/src/peer/relay.rs
@@ -4,7 +4,7 @@
 
 use base64::{Engine, engine::general_purpose::STANDARD_NO_PAD};
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Method, Request, Response, header};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
@@ -22,7 +22,7 @@
 use super::envelope::{PeerMethod, read_call, write_call};
 use crate::{
     caller::{
-        answer::{AnswerBody, BodyPart, CallerAnswer},
+        answer::{AnswerBody, BodyPart, CallerAnswer, set_outcome},
         arrival::{Arrival, CallerCall},
         header::{CallerHeaders, apply_headers, forwarded_headers},
     },
@@ -36,6 +36,8 @@
 
 /// Start of the path of relayed requests on the peer address.
 pub const RELAY_PREFIX: &str = "/relay";
+/// Times that a request is sealed for one peer.
+const SEAL_TRIES: usize = 3;
 /// Parts of a relayed answer that wait for a slow caller.
 const RELAY_PARTS: usize = 16;
 /// Time that the answer of the other VM may take beyond the caller's deadline.
@@ -122,31 +124,63 @@
     call: &CallerCall,
 ) -> Result<Response<Incoming>, RelayFault> {
     for peer in peers {
-        let limit = process.timeouts.connect;
-        let Ok(mut connection) = TargetConnection::open(&peer.address, limit).await else {
-            tracing::debug!(peer = &*peer.vm, "a peer can't be reached for a relay");
-            continue;
-        };
-        let remaining = call.arrival.deadline.remaining(&process.clock);
-        let Some(request) = build_request(process, peer, call, remaining) else {
-            return Err(RelayFault::NotSent);
-        };
-        let allowed = !call.run_once || process.link.may_relay(call.arrival.request).await;
-        if !allowed || call.arrival.deadline.has_passed(&process.clock) {
-            return Err(RelayFault::Withheld);
-        }
-        match connection.send(request, remaining + ANSWER_GRACE).await {
-            Ok(response) => return Ok(response),
-            Err(CallFault::NotSent(_)) if !call.run_once => continue,
-            Err(fault) => {
-                tracing::warn!(peer = &*peer.vm, %fault, "a relayed request got no answer");
-                return Err(RelayFault::Lost);
+        for _ in 0..SEAL_TRIES {
+            match relay_to(process, peer, call).await {
+                RelayTry::Answered(response) => return Ok(response),
+                RelayTry::SealRefused => {
+                    if call.run_once {
+                        process.link.relay_not_run(call.arrival.request).await;
+                    }
+                }
+                RelayTry::Unreachable => break,
+                RelayTry::Failed(fault) => return Err(fault),
             }
         }
     }
     Err(RelayFault::NotSent)
 }
 
+/// How an attempt to relay a request ended.
+enum RelayTry {
+    Answered(Response<Incoming>),
+    /// The peer did not accept the seal and ran nothing. Many requests at once can overtake each other by
+    /// more than the peer's replay window holds; a new seal has a newer counter.
+    SealRefused,
+    /// Nothing was sent.
+    Unreachable,
+    Failed(RelayFault),
+}
+
+async fn relay_to(process: &ProcessContext, peer: &PeerAddress, call: &CallerCall) -> RelayTry {
+    let limit = process.timeouts.connect;
+    let Ok(mut connection) = TargetConnection::open(&peer.address, limit).await else {
+        tracing::debug!(peer = &*peer.vm, "a peer can't be reached for a relay");
+        return RelayTry::Unreachable;
+    };
+    let allowed = !call.run_once || process.link.may_relay(call.arrival.request).await;
+    let remaining = call.arrival.deadline.remaining(&process.clock);
+    if !allowed || remaining.is_zero() {
+        return RelayTry::Failed(RelayFault::Withheld);
+    }
+    let Some(request) = build_request(process, peer, call, remaining) else {
+        return RelayTry::Failed(RelayFault::NotSent);
+    };
+    match connection.send(request, remaining + ANSWER_GRACE).await {
+        Ok(response) if is_seal_refusal(&response) => RelayTry::SealRefused,
+        Ok(response) => RelayTry::Answered(response),
+        Err(CallFault::NotSent(_)) if !call.run_once => RelayTry::Unreachable,
+        Err(fault) => {
+            tracing::warn!(peer = &*peer.vm, %fault, "a relayed request got no answer");
+            RelayTry::Failed(RelayFault::Lost)
+        }
+    }
+}
+
+/// Whether the answer is the peer's own refusal of a seal, which names the header.
+fn is_seal_refusal(response: &Response<Incoming>) -> bool {
+    response.status() == StatusCode::FORBIDDEN && response.headers().contains_key(RELAY)
+}
+
 fn build_request(
     process: &ProcessContext,
     peer: &PeerAddress,
@@ -175,6 +209,8 @@
     let mut answer = Response::new(AnswerBody::Stream { parts, guard: None });
     *answer.status_mut() = head.status;
     apply_headers(answer.headers_mut(), &forwarded_headers(&head.headers));
+    // An answer that comes from before the other VM's service says nothing of the request's run.
+    set_outcome(&mut answer, CallOutcome::Unknown);
     copy_header(&head.headers, answer.headers_mut(), OUTCOME);
     copy_header(&head.headers, answer.headers_mut(), header::RETRY_AFTER.as_str());
     answer
--- a/crates/tarragon-server/src/peer/server.rs
+++ b/crates/tarragon-server/src/peer/server.rs
@@ -13,13 +13,13 @@
 use tarragon_cluster::{
     codec::decode_digest,
     event::ClusterEvent,
-    seal::{MessageSeal, SealedAnswer, SealedMessage},
+    seal::{MessageSeal, SealFault, SealedAnswer, SealedMessage},
 };
 use tarragon_protocol::peer::{ForwardedCall, HandoverMessage, PeerAnnouncement, PeerIdentity};
 use tower::layer::util::Identity;
 
 use super::{
-    client::MAX_MESSAGE_BYTES,
+    client::{MAX_MESSAGE_BYTES, OVERTAKEN_CODE},
     envelope::{PeerMethod, read_call},
 };
 use crate::{
@@ -72,7 +72,9 @@
         self.process.metrics.peer_bytes(PeerDirection::Received, message.payload.len());
         let sender = self.seal.with(|seal| seal.open(&message)).map_err(|fault| {
             tracing::warn!(method = method.name(), sender = &*message.sender, %fault, "refused a message");
-            refuse(&fault.to_string())
+            let invalid = ErrorCode::InvalidParams.code();
+            let code = if fault == SealFault::TooOld { OVERTAKEN_CODE } else { invalid };
+            ErrorObjectOwned::owned(code, fault.to_string(), None::<()>)
         })?;
         let payload = self.answer(method, sender, &message.payload).await?;
         self.process.metrics.peer_bytes(PeerDirection::Sent, payload.len());
--- a/crates/tarragon-server/src/shutdown.rs
+++ b/crates/tarragon-server/src/shutdown.rs
@@ -147,11 +147,14 @@
     parts.callers.close.cancel();
     let requests_ended = timeout_at(work_end, process.tasks.wait()).await.is_ok();
     let connections_ended = timeout_at(work_end, parts.callers.connections.wait()).await.is_ok();
-    let interrupted = if requests_ended { 0 } else { process.tasks.len() };
-    if !connections_ended {
-        tracing::warn!("connections of callers were still open at the end of the drain time");
-    }
+    let cut_requests = if requests_ended { 0 } else { process.tasks.len() };
+    let cut_connections = if connections_ended { 0 } else { parts.callers.connections.len() };
     let successor = hand_over(process, end).await;
+    // Answers to relayed and forwarded requests may still be on their way to other entry VMs.
+    parts.others.close.cancel();
+    parts.others.connections.close();
+    let _ = timeout_at(end, parts.others.connections.wait()).await;
+    let interrupted = cut_requests.max(cut_connections);
     ShutdownReport { interrupted, aborted: false, successor }
 }
 
--- a/crates/tarragon-server/tests/serve/relay.rs
+++ b/crates/tarragon-server/tests/serve/relay.rs
@@ -133,6 +133,17 @@
             assert_eq!((answer.status.as_u16(), answer.outcome()), (200, "done"), "{answer:?}");
         }
         assert_eq!(here.counters().admitted, runs.admitted);
+        // Far more at once than the replay window of a peer holds.
+        let burst: Vec<_> = (0..300)
+            .map(|index| {
+                let call = TestCall::chat(&format!("burst {index} [answer=1]"), index % 2 == 0);
+                tokio::spawn(async move { call.send(address).await })
+            })
+            .collect();
+        for call in burst {
+            let answer = call.await.unwrap();
+            assert_eq!((answer.status.as_u16(), answer.outcome()), (200, "done"), "{answer:?}");
+        }
         let late = ticket(address).await;
         let done = reserve(&late, "call-2").send(address).await;
         assert_eq!((done.status.as_u16(), done.outcome()), (200, "done"), "{done:?}");
