Refuse hopeless waits at once and use cached prompts under load

Change: a new request is refused when its expected wait, with the new work of higher tiers, takes more than half of its time; for the only open target, one of the next eight requests goes first if its prompt is cached there, and at most four go before any other; prefill weighs more and the draw is narrower in least-cost; the latency gradient and the jump tolerate more noise.

--- a/crates/tarragon-scheduler/src/choose/least_cost.rs
+++ b/crates/tarragon-scheduler/src/choose/least_cost.rs
@@ -7,9 +7,9 @@
 /// Number of best candidates among which two are drawn.
 const BEST: usize = 4;
 
-/// A candidate that costs more than this multiple of the best one is not drawn. Without the bound, a
-/// small pool would often draw a target that is known to be slow.
-const MAX_RATIO: f32 = 1.5;
+/// A candidate that costs more than this multiple of the best one is not drawn. With a wider bound, a
+/// small pool would often draw a target that is slow or has to compute the whole prompt.
+const MAX_RATIO: f32 = 1.1;
 
 /// Draws two of the best candidates and takes the cheaper one, so that several processes do not all
 /// choose the target that was last seen idle.
--- a/crates/tarragon-scheduler/src/job.rs
+++ b/crates/tarragon-scheduler/src/job.rs
@@ -37,6 +37,8 @@
     pub avoid: Vec<usize>,
     /// Tokens that reached the caller in earlier attempts.
     pub delivered: u32,
+    /// Requests that went before it because a target had their prompts cached.
+    pub passed: u8,
     /// How often it was pre-empted.
     pub preemptions: u8,
     /// After this time no target can finish it before the deadline.
--- a/crates/tarragon-scheduler/src/queue.rs
+++ b/crates/tarragon-scheduler/src/queue.rs
@@ -173,6 +173,18 @@
         self.get(self.lanes[lane].head(tier)?)
     }
 
+    /// The ready requests of a tier of a lane, in order.
+    pub fn ready(&self, lane: usize, tier: Tier) -> impl Iterator<Item = &Job> {
+        self.lanes[lane].ready(tier).filter_map(|request| self.get(request))
+    }
+
+    /// Notes that another request went before one.
+    pub fn note_passed(&mut self, request: RequestId) {
+        if let Some(entry) = self.entries.get_mut(&request) {
+            entry.job.passed = entry.job.passed.saturating_add(1);
+        }
+    }
+
     /// Whether a request of a tier is ready in a lane.
     pub fn has_ready(&self, lane: usize, tier: Tier) -> bool {
         self.lanes[lane].head(tier).is_some()
--- a/crates/tarragon-scheduler/src/queue/lane.rs
+++ b/crates/tarragon-scheduler/src/queue/lane.rs
@@ -89,7 +89,12 @@
         self.tiers[tier.index()].ready.first().map(|(_, _, request)| *request)
     }
 
-    /// Ready requests of a tier.
+    /// Ready requests of a tier, in order.
+    pub fn ready(&self, tier: Tier) -> impl Iterator<Item = RequestId> + '_ {
+        self.tiers[tier.index()].ready.iter().map(|(_, _, request)| *request)
+    }
+
+    /// Number of ready requests of a tier.
     pub fn len(&self, tier: Tier) -> usize {
         self.tiers[tier.index()].ready.len()
     }
--- a/crates/tarragon-scheduler/src/scheduler.rs
+++ b/crates/tarragon-scheduler/src/scheduler.rs
@@ -60,10 +60,6 @@
 /// Delay that a refused caller is asked to wait.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Part of the expected wait that counts when a request is refused early. Expected waits err, and a
-/// request that is refused wrongly costs more than one that waits in vain.
-const WAIT_PART: f64 = 0.5;
-
 /// Windows that were computed longer ago than this are not used. Ticks come every 100 ms.
 const REFRESH_LIMIT: Duration = Duration::from_millis(250);
 
--- a/crates/tarragon-scheduler/src/scheduler/arrival.rs
+++ b/crates/tarragon-scheduler/src/scheduler/arrival.rs
@@ -7,7 +7,7 @@
     cost,
     job::Job,
     prelude::*,
-    scheduler::{RETRY_AFTER, Scheduler, WAIT_PART},
+    scheduler::{RETRY_AFTER, Scheduler},
     share::LimitFault,
     suspect::{SUSPECT_LIFETIME, Suspicion},
 };
@@ -16,6 +16,13 @@
 /// a request is given up only when much less than the predicted time is left.
 const HOPELESS_PART: f64 = 0.6;
 
+/// The wait may take half of the time that a new request has. What waits longer is dispatched shortly
+/// before its deadline and, if its answer is longer than predicted, cancelled after its prefill.
+const WAIT_FACTOR: f64 = 2.0;
+
+/// Longest time that a caller is asked to wait because of work that waits.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
+
 /// A caller whose request found no target is asked to wait this long: a target that starts or loads a
 /// model takes seconds.
 const NO_TARGET_RETRY: Duration = Duration::from_secs(2);
@@ -41,6 +48,7 @@
         if let Err(refusal) = self.admit(&job, now, actions) {
             return self.refuse(request, tier, refusal, actions);
         }
+        self.targets.note_arrived(job.pool, tier, job.tokens());
         self.enqueue_new(job);
     }
 
@@ -93,6 +101,7 @@
             may_have_run: false,
             avoid: Vec::new(),
             delivered: 0,
+            passed: 0,
             preemptions: 0,
         };
         self.set_latest_start(&mut job, now);
@@ -168,21 +177,22 @@
         })
     }
 
-    /// Refuses a job that would wait beyond its latest start.
+    /// Refuses a job that would wait too long.
     fn check_wait(&self, job: &Job, now: Instant) -> Result<(), Refusal> {
-        let wait = self.expected_wait(job).mul_f64(WAIT_PART);
-        if now + wait <= job.latest_start {
+        let wait = self.expected_wait(job);
+        if now + wait.mul_f64(WAIT_FACTOR) <= job.latest_start {
             return Ok(());
         }
         let message = "the deadline can't be met with the work that waits";
         Err(Refusal::not_run(RefusalCode::DeadlineExceeded, message)
-            .with_retry_after(wait.clamp(RETRY_AFTER, Duration::from_secs(30))))
+            .with_retry_after(wait.clamp(RETRY_AFTER, MAX_RETRY_AFTER)))
     }
 
     /// Expected wait of a new job: all work of higher tiers, and in its own tier at most its
-    /// workspace's queue times the number of workspaces, as fair queueing promises.
+    /// workspace's queue times the number of workspaces, as fair queueing promises. New work of higher
+    /// tiers goes before it meanwhile.
     fn expected_wait(&self, job: &Job) -> Duration {
-        let rate = self.targets.pool(job.pool).drain_rate();
+        let rate = self.targets.pool(job.pool).rate_for(job.tier());
         if rate < 1.0 {
             return Duration::ZERO;
         }
--- a/crates/tarragon-scheduler/src/scheduler/dispatch.rs
+++ b/crates/tarragon-scheduler/src/scheduler/dispatch.rs
@@ -24,6 +24,15 @@
 /// goes on.
 const MAX_MOVES: usize = 64;
 
+/// Requests that are compared for the only open target.
+const LOOK_AHEAD: usize = 8;
+
+/// A request goes before an earlier one only if it saves the prefill of at least this many blocks more.
+const LEAST_GAIN: u32 = 4;
+
+/// Requests that may go before one for the sake of a cached prompt.
+const MAX_PASSED: u8 = 4;
+
 /// What can be done with the first request of a lane.
 enum PlacementStep {
     /// It goes to a target, as a suspect or not.
@@ -66,7 +75,7 @@
     ) {
         let pool = self.queue.lane_pool(lane);
         for _ in 0..MAX_MOVES {
-            let Some(request) = self.queue.head(lane, tier).map(Job::request) else { return };
+            let Some(request) = self.next_request(lane, tier) else { return };
             let step = match self.targets.pool(pool).open {
                 0 => PlacementStep::Closed,
                 _ => self.place(request, now),
@@ -90,6 +99,31 @@
         }
     }
 
+    /// The request of a lane and tier that goes next. This is the one with the least start tag, but if
+    /// only one target is open, one of the next few whose prompt that target has cached goes before it.
+    /// Under load, targets open one by one, so that without this cached prompts would be found by chance
+    /// only.
+    fn next_request(&mut self, lane: usize, tier: Tier) -> Option<RequestId> {
+        let head = self.queue.head(lane, tier)?;
+        let request = head.request();
+        if tier == Tier::Urgent || head.passed >= MAX_PASSED {
+            return Some(request);
+        }
+        let Some(target) = self.targets.only_open(head.pool) else { return Some(request) };
+        let hit = |job: &Job| self.targets.prefixes.hit(job.blocks(), target);
+        let mut best = (hit(head) + LEAST_GAIN, request);
+        for job in self.queue.ready(lane, tier).take(LOOK_AHEAD).skip(1) {
+            let hit = hit(job);
+            if hit > best.0 {
+                best = (hit, job.request());
+            }
+        }
+        if best.1 != request {
+            self.queue.note_passed(request);
+        }
+        Some(best.1)
+    }
+
     fn place(&mut self, request: RequestId, now: Instant) -> PlacementStep {
         let Some(job) = self.queue.get(request) else { return PlacementStep::Closed };
         if self.shares.row(job.workspace).is_some_and(|usage| !usage.may_dispatch(self.share)) {
--- a/crates/tarragon-scheduler/src/scheduler/explain.rs
+++ b/crates/tarragon-scheduler/src/scheduler/explain.rs
@@ -108,6 +108,7 @@
             may_have_run: false,
             avoid: Vec::new(),
             delivered: 0,
+            passed: 0,
             preemptions: 0,
             latest_start: profile.deadline,
         }
--- a/crates/tarragon-scheduler/src/scheduler/shed.rs
+++ b/crates/tarragon-scheduler/src/scheduler/shed.rs
@@ -7,7 +7,7 @@
     job::Job,
     prelude::*,
     pressure::FLOOR_HOLD,
-    scheduler::{RETRY_AFTER, Scheduler, WAIT_PART},
+    scheduler::{RETRY_AFTER, Scheduler},
 };
 
 impl Scheduler {
@@ -114,15 +114,15 @@
         (job.latest_start < now + self.higher_delay(job.pool, tier)).then(|| job.request())
     }
 
-    /// Half of the time that a pool takes for what waits above a tier: a request of the tier with less
-    /// time left will hardly be served.
+    /// The time that a pool takes for what waits above a tier: a request of the tier with less time left
+    /// will hardly be served.
     fn higher_delay(&self, pool: usize, tier: Tier) -> Duration {
         let rate = self.targets.pool(pool).drain_rate();
         if rate < 1.0 {
             return Duration::ZERO;
         }
         let ahead: u64 = self.queue.pool_tokens(pool)[tier.index() + 1..].iter().sum();
-        Duration::from_secs_f64((WAIT_PART * ahead as f64 / rate).min(3_600.0))
+        Duration::from_secs_f64((ahead as f64 / rate).min(3_600.0))
     }
 
     fn shed_waiting(
--- a/crates/tarragon-scheduler/src/targets.rs
+++ b/crates/tarragon-scheduler/src/targets.rs
@@ -28,6 +28,13 @@
 /// Weight of a new interval in the mean of generated tokens a second.
 const DRAIN_GAIN: f64 = 0.2;
 
+/// Weight of a new interval in the mean of arriving tokens a second. Its memory of about ten seconds
+/// rides out short bursts of a higher tier.
+const ARRIVAL_GAIN: f64 = 0.05;
+
+/// Part of the rate that is assumed for a tier though higher ones arrive faster than work is done.
+const LEAST_PART: f64 = 0.05;
+
 /// The last report of a target.
 #[derive(Debug, Clone)]
 pub struct ReportView {
@@ -147,6 +154,10 @@
     pub empty_since: Option<Instant>,
     /// Tokens processed in the current interval.
     drained: u64,
+    /// Tokens of admitted requests in the current interval, by tier.
+    arrived: [u64; Tier::COUNT],
+    /// Mean tokens of admitted requests a second, by tier.
+    arrival_mean: [f64; Tier::COUNT],
     /// Mean tokens a second while requests waited.
     drain_mean: f64,
     /// Tokens a second in the last interval in which requests waited.
@@ -172,8 +183,19 @@
         self.drain_mean.max(self.drain_last)
     }
 
+    /// Tokens a second that are left for a tier by new work of higher tiers; 0 if that is not known.
+    pub fn rate_for(&self, tier: Tier) -> f64 {
+        let drain = self.drain_rate();
+        let higher: f64 = self.arrival_mean[tier.index() + 1..].iter().sum();
+        (drain - higher).max(drain * LEAST_PART)
+    }
+
     fn take_interval(&mut self, elapsed: Duration, busy: bool) {
-        let rate = std::mem::take(&mut self.drained) as f64 / elapsed.as_secs_f64().max(1e-3);
+        let seconds = elapsed.as_secs_f64().max(1e-3);
+        for (mean, arrived) in self.arrival_mean.iter_mut().zip(&mut self.arrived) {
+            *mean += ARRIVAL_GAIN * (std::mem::take(arrived) as f64 / seconds - *mean);
+        }
+        let rate = std::mem::take(&mut self.drained) as f64 / seconds;
         if !busy {
             return;
         }
@@ -393,6 +415,18 @@
         }
     }
 
+    /// Notes that a request was admitted.
+    pub fn note_arrived(&mut self, pool: usize, tier: Tier, tokens: u64) {
+        self.pools[pool].arrived[tier.index()] += tokens;
+    }
+
+    /// The only open member of a pool.
+    pub fn only_open(&self, pool: usize) -> Option<usize> {
+        let pool = &self.pools[pool];
+        let is_open = |index: &&usize| self.outlooks[**index].is_open();
+        if pool.open == 1 { pool.members.iter().find(is_open).copied() } else { None }
+    }
+
     /// Notes that a service's targets processed tokens.
     pub fn note_drained(&mut self, pool: usize, tokens: u64) {
         self.pools[pool].drained += tokens;
--- a/crates/tarragon-scheduler/src/targets/estimate.rs
+++ b/crates/tarragon-scheduler/src/targets/estimate.rs
@@ -19,8 +19,9 @@
 /// Growth of the time between tokens from an idle to a full target.
 const LOAD_SLOPE: f64 = 0.5;
 
-/// A computed prompt token also delays the work that follows, so its time counts a second time.
-const PREFILL_WEIGHT: f32 = 1.0;
+/// Prefill delays all other work of the target, which the request's own times don't tell, so it counts
+/// this many times more.
+const PREFILL_WEIGHT: f32 = 6.0;
 
 /// Multiple of the cost at a cold target.
 const COLD_FACTOR: f32 = 2.0;
--- a/crates/tarragon-scheduler/src/targets/prefix.rs
+++ b/crates/tarragon-scheduler/src/targets/prefix.rs
@@ -111,6 +111,32 @@
         }
     }
 
+    /// Leading blocks of the prompt that one target holds. Most prompts end with the first look-up;
+    /// the rest is searched by halves, since a target that holds a block mostly holds those before it.
+    pub fn hit(&self, blocks: &[BlockHash], target: usize) -> u32 {
+        let step = sample_step(blocks.len());
+        let mut open = blocks.len() / step;
+        if open == 0 || !self.holds(blocks[step - 1], target) {
+            return 0;
+        }
+        let mut held = 1;
+        while held < open {
+            let middle = (held + open).div_ceil(2);
+            if self.holds(blocks[middle * step - 1], target) {
+                held = middle;
+            } else {
+                open = middle - 1;
+            }
+        }
+        (held * step) as u32
+    }
+
+    fn holds(&self, block: BlockHash, target: usize) -> bool {
+        let Some(row) = self.blocks.get_index_of(&block) else { return false };
+        let holders = &self.holders[row * self.stride..(row + 1) * self.stride];
+        holders.get(target / 64).is_some_and(|word| word >> (target % 64) & 1 == 1)
+    }
+
     fn insert_block(&mut self, target: usize, block: BlockHash) {
         let row = match self.blocks.get_index_of(&block) {
             Some(row) => row,
--- a/crates/tarragon-scheduler/src/targets/window.rs
+++ b/crates/tarragon-scheduler/src/targets/window.rs
@@ -12,18 +12,19 @@
 const SHORT_GAIN: f64 = 0.25;
 const LONG_GAIN: f64 = 0.02;
 
-/// Latency may rise by this factor over its long mean before the window falls.
-const TOLERANCE: f64 = 1.5;
+/// Latency may rise by this factor over its long mean before the window falls. Times to first token
+/// behind prompts of very different lengths vary by half without any overload.
+const TOLERANCE: f64 = 2.0;
 
 /// Bounds of one step and of the whole factor. The lower bound keeps a trickle of samples.
 const MIN_STEP: f64 = 0.8;
-const RECOVERY_STEP: f64 = 1.03;
+const RECOVERY_STEP: f64 = 1.05;
 const MIN_FACTOR: f64 = 0.1;
 
 /// A first token that takes this many times the expected time is a sign of a new cold spell, if it is
 /// also late by an absolute amount that noise on a fast target doesn't reach.
 const JUMP_RATIO: f64 = 4.0;
-const JUMP_MARGIN: f64 = 0.5;
+const JUMP_MARGIN: f64 = 1.0;
 
 /// Window of one target.
 #[derive(Debug, Clone, Serialize)]
