--- a/crates/tarragon-server/src/shutdown.rs
+++ b/crates/tarragon-server/src/shutdown.rs
@@ -9,7 +9,7 @@
 use tarragon_node::prelude::*;
 use tarragon_protocol::peer::HandoverMessage;
 use tokio::{
-    signal::unix::{SignalKind, signal},
+    signal::unix::{Signal, SignalKind, signal},
     time::{Instant, sleep, timeout_at},
 };
 use tokio_util::sync::CancellationToken;
@@ -26,6 +26,8 @@
 /// Time for the load balancer to see that the process is not ready, in which requests that still arrive
 /// are relayed or refused rather than cut off.
 const LINGER: Duration = Duration::from_millis(500);
+/// Longest time for which connections are still accepted while requests end.
+const OPEN_TIME: Duration = Duration::from_secs(10);
 /// Time that is kept for the handover, from the end of the drain time-out.
 const HANDOVER_RESERVE: Duration = Duration::from_secs(5);
 /// Peers that are asked at most to take the records.
@@ -68,25 +70,35 @@
     }
 }
 
-/// Starts a graceful shutdown at the first signal and ends everything at the second.
-pub async fn watch_signals(drain: CancellationToken, abort: CancellationToken) {
-    let (terminate, interrupt) = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()));
-    let (Ok(mut terminate), Ok(mut interrupt)) = (terminate, interrupt) else {
-        tracing::error!("signals can't be received; shut down with POST /admin/drain");
-        return;
-    };
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-        }
-        if drain.is_cancelled() {
-            tracing::error!("a second signal ends the process at once");
-            abort.cancel();
-            return;
+/// The signals that end a process.
+pub struct EndSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl EndSignals {
+    /// Receives the signals from now on.
+    pub fn install() -> anyhow::Result<EndSignals> {
+        let terminate = signal(SignalKind::terminate())?;
+        Ok(EndSignals { terminate, interrupt: signal(SignalKind::interrupt())? })
+    }
+
+    /// Starts a graceful shutdown at the first signal and ends everything at the second, also if the
+    /// shutdown was started in another way.
+    pub async fn watch(mut self, drain: CancellationToken, abort: CancellationToken) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => {}
+                _ = self.interrupt.recv() => {}
+            }
+            if drain.is_cancelled() {
+                tracing::error!("a second signal ends the process at once");
+                abort.cancel();
+                return;
+            }
+            tracing::info!("a signal starts a graceful shutdown");
+            drain.cancel();
         }
-        tracing::info!("a signal starts a graceful shutdown");
-        drain.cancel();
     }
 }
 
@@ -128,8 +140,12 @@
     sleep(LINGER.min(limit / 10)).await;
     process.tasks.close();
     parts.callers.connections.close();
-    let requests_ended = timeout_at(work_end, process.tasks.wait()).await.is_ok();
+    // While requests run, the listener stays open for a while: the load balancer sees late that the
+    // process is not ready. Later, a caller that keeps sending must not keep the process alive.
+    let open_end = work_end.min(Instant::now() + OPEN_TIME);
+    let _ = timeout_at(open_end, process.tasks.wait()).await;
     parts.callers.close.cancel();
+    let requests_ended = timeout_at(work_end, process.tasks.wait()).await.is_ok();
     let connections_ended = timeout_at(work_end, parts.callers.connections.wait()).await.is_ok();
     let interrupted = if requests_ended { 0 } else { process.tasks.len() };
     if !connections_ended {
--- a/crates/tarragon-server/tests/serve/ticket.rs
+++ b/crates/tarragon-server/tests/serve/ticket.rs
@@ -3,7 +3,11 @@
 use std::{net::SocketAddr, time::Duration};
 
 use http::Method;
-use tarragon_server::settings::{SeedPeer, ServeSettings};
+use tarragon_server::{
+    clock::{ProcessClock, RuntimeClock},
+    serve::ServeOptions,
+    settings::{SeedPeer, ServeSettings},
+};
 use tarragon_standin::service::{self, CALL_ID, ServiceFault, ServiceHandle, ServiceSettings};
 
 use crate::support::*;
@@ -35,14 +39,14 @@
         let missing = reserve("", "none").send(address).await;
         assert_eq!((missing.status.as_u16(), missing.outcome()), (428, "not-run"));
         let damaged = reserve("bm90IGEgdGlja2V0", "none").send(address).await;
-        assert_eq!((damaged.status.as_u16(), damaged.outcome()), (422, "not-run"));
+        assert_eq!((damaged.status.as_u16(), damaged.outcome()), (422, "unknown"));
         let first = ticket(address).await;
         let done = reserve(&first, "call-1").send(address).await;
         let repeat = reserve(&first, "call-1").send(address).await;
         assert_eq!((done.status.as_u16(), done.outcome()), (200, "done"), "{done:?}");
         assert_eq!(repeat.body, done.body);
         let other = reserve(&first, "call-1").with_body("roll=8").send(address).await;
-        assert_eq!(other.status, 422);
+        assert_eq!((other.status.as_u16(), other.outcome()), (422, "unknown"));
         assert_eq!(service.runs_of("call-1"), 1);
         service.fail_next(ServiceFault::CloseAfterRun, 1);
         let second = ticket(address).await;
@@ -99,6 +103,88 @@
     .await;
 }
 
+/// Guards against a call that a VM dispatches when it resumes, after its caller's deadline: the
+/// scheduler's clock stands still while the machine is suspended.
+#[tokio::test]
+async fn call_is_withheld_after_a_suspension() {
+    bounded(async {
+        let mut only = ServiceSettings::new("ledger-1");
+        only.bears = 1;
+        only.delay = Duration::from_millis(800);
+        let service = service::start(only).await.unwrap();
+        let targets = vec![target("ledger-1", "ledger", service.address())];
+        let clock = RuntimeClock::new();
+        let options = ServeOptions { clock: ProcessClock::Runtime(clock.clone()), ..options() };
+        let handle = start_ready(settings("ticket-5", targets), options).await;
+        let address = handle.caller_address;
+        let (first, second) = (ticket(address).await, ticket(address).await);
+        let running = tokio::spawn(async move { reserve(&first, "call-1").send(address).await });
+        until("the first call runs", || service.counters().received == 1).await;
+        let repeat = reserve(&second, "call-2").with("x-tarragon-deadline-ms", "5000");
+        let waiting = tokio::spawn(async move { (repeat.send(address).await, repeat) });
+        until("both are open", || metric(&handle, "tarragon_in_flight", "") == 2.0).await;
+        clock.suspend(Duration::from_secs(60));
+        assert_eq!(running.await.unwrap().outcome(), "done");
+        let (late, repeat) = waiting.await.unwrap();
+        assert_eq!(late.outcome(), "not-run", "{late:?}");
+        assert_eq!(repeat.send(address).await.outcome(), "not-run");
+        assert_eq!(service.runs_of("call-2"), 0);
+        handle.shutdown().await.unwrap();
+    })
+    .await;
+}
+
+struct EarlyRefusal {
+    name: &'static str,
+    header: &'static str,
+    value: &'static str,
+    path: &'static str,
+    status: u16,
+}
+
+/// Guards against a false "not run": a repeat that is refused before the owner of its ticket has decided
+/// must not let the caller send the call again under a new ticket.
+#[tokio::test]
+async fn early_refusal_of_a_repeat_says_unknown() {
+    let path = "/services/ledger/reserve";
+    let case =
+        |name, header, value, path, status| EarlyRefusal { name, header, value, path, status };
+    let cases = [
+        case("faulty tier", "x-tarragon-tier", "top", path, 400),
+        case("faulty deadline", "x-tarragon-deadline-ms", "0", path, 400),
+        case("unknown service", "x-tarragon-tier", "high", "/services/gone/reserve", 404),
+        case("no room", "x-tarragon-tier", "routine", path, 503),
+    ];
+    bounded(async {
+        let service = ledger().await;
+        let targets = vec![target("ledger-1", "ledger", service.address())];
+        let mut settings = settings("ticket-4", targets);
+        // Room for no request below the highest tier.
+        settings.limits.streams = 48;
+        let handle = start(settings).await;
+        let address = handle.caller_address;
+        let ticket = ticket(address).await;
+        let done = reserve(&ticket, "call-1").send(address).await;
+        assert_eq!(done.outcome(), "done", "{done:?}");
+        service.set_delay(Duration::from_millis(1_500));
+        let mut running = Vec::new();
+        for _ in 0..40 {
+            let other = self::ticket(address).await;
+            running.push(tokio::spawn(async move { reserve(&other, "other").send(address).await }));
+        }
+        until("requests are open", || metric(&handle, "tarragon_in_flight", "") >= 40.0).await;
+        for EarlyRefusal { name, header, value, path, status } in cases {
+            let mut repeat = reserve(&ticket, "call-1").with(header, value);
+            repeat.path = path.to_owned();
+            let answer = repeat.send(address).await;
+            assert_eq!((answer.status.as_u16(), answer.outcome()), (status, "unknown"), "{name}");
+        }
+        running.into_iter().for_each(|call| call.abort());
+        handle.abort().await.unwrap();
+    })
+    .await;
+}
+
 /// Settings of two processes that know each other.
 pub fn pair(
     name: &str,
@@ -118,11 +204,6 @@
     })
 }
 
-/// A port that was free a moment ago.
-fn free_address() -> SocketAddr {
-    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
 /// Guards against a call that runs on a process that does not own its ticket.
 #[tokio::test]
 async fn ticket_of_another_process_is_forwarded_to_its_owner() {
