--- a/crates/tarragon-scheduler/src/scheduler.rs
+++ b/crates/tarragon-scheduler/src/scheduler.rs
@@ -1,6 +1,7 @@
 //! The kernel: owns the queue, the in-flight table and the target table, and turns events into actions.
 
 mod arrival;
+mod assume;
 mod attempt;
 mod candidate;
 mod dispatch;
@@ -83,6 +84,8 @@
     rng: ChaCha8Rng,
     sequence: u64,
     draining: bool,
+    /// Whether rules or targets have changed since the assumed models were computed.
+    placement_changed: bool,
     /// Lane that comes first in the next round, so that lanes of one pool take turns.
     turn: usize,
     /// This process's part of deployment-wide limits.
@@ -122,6 +125,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             sequence: 0,
             draining: false,
+            placement_changed: false,
             turn: 0,
             share: 1.0,
             clocks: SchedulerClocks::default(),
@@ -150,7 +154,10 @@
             SchedulerEvent::AttemptEnded(request, attempt, end) => {
                 self.end_attempt(request, attempt, end, now, actions)
             }
-            SchedulerEvent::TargetListed(entry) => self.targets.list(&entry, now),
+            SchedulerEvent::TargetListed(entry) => {
+                self.targets.list(&entry, now);
+                self.placement_changed = true;
+            }
             SchedulerEvent::TargetRemoved(target) => self.remove_target(&target, now),
             SchedulerEvent::SlotsChanged(slots) => self.change_slots(&slots, now),
             SchedulerEvent::LoadReported { target, report, age } => {
@@ -266,6 +273,7 @@
     fn apply_rules(&mut self, rules: Arc<RuleSet>) {
         self.shares.apply_rules(&rules);
         self.rules = rules;
+        self.placement_changed = true;
         self.policies.clear();
         let parked: Vec<RequestId> = self.queue.iter().map(Job::request).collect();
         for request in parked {
--- /dev/null
+++ b/crates/tarragon-scheduler/src/scheduler/assume.rs
@@ -0,0 +1,45 @@
+//! Models of targets that have not told what they hold.
+//!
+//! Only the VMs that poll a target see its list of models; digests leave it out. For other targets the
+//! placement that follows from the rules stands in.
+
+use std::time::Instant;
+
+use crate::{
+    placement::{self, PlacementTarget},
+    prelude::*,
+    scheduler::Scheduler,
+    targets::TargetRow,
+};
+
+impl Scheduler {
+    /// Brings the assumed models up to date after a change of rules or targets.
+    pub(super) fn assume_models(&mut self, now: Instant) {
+        self.targets.forget_old_models(now);
+        if !std::mem::take(&mut self.placement_changed) {
+            return;
+        }
+        let targets: Vec<PlacementTarget> =
+            self.targets.iter().map(|(_, row)| self.placement_target(row)).collect();
+        let states = placement::wanted_states(&self.rules, &targets);
+        for target in &targets {
+            let models: Vec<ModelName> = states
+                .get(&target.target)
+                .map(|state| state.models.iter().map(|wanted| wanted.model.clone()).collect())
+                .unwrap_or_default();
+            let ruled = self.rules.models.values().any(|rule| rule.service == target.service);
+            let models = ruled.then_some(models);
+            self.targets.assume_models(&target.target, models.as_deref(), now);
+        }
+    }
+
+    fn placement_target(&self, row: &TargetRow) -> PlacementTarget {
+        PlacementTarget {
+            target: row.name.clone(),
+            service: self.targets.pool_name(row.service).into(),
+            in_service: row.listed && row.in_service,
+            report: None,
+            role: None,
+        }
+    }
+}
--- a/crates/tarragon-scheduler/src/scheduler/report.rs
+++ b/crates/tarragon-scheduler/src/scheduler/report.rs
@@ -14,6 +14,7 @@
         if let Some(index) = self.targets.find(target) {
             self.release_broken(index, None);
             self.targets.unlist(index, now);
+            self.placement_changed = true;
         }
     }
 
--- a/crates/tarragon-scheduler/src/scheduler/tick.rs
+++ b/crates/tarragon-scheduler/src/scheduler/tick.rs
@@ -23,6 +23,7 @@
 impl Scheduler {
     pub(super) fn tick(&mut self, now: Instant, actions: &mut Vec<SchedulerAction>) {
         self.clocks.targets = Some(now);
+        self.assume_models(now);
         self.targets.refresh_all(now);
         self.refuse_overtaken(now, actions);
         self.stop_attempts(now, actions);
--- a/crates/tarragon-scheduler/src/targets.rs
+++ b/crates/tarragon-scheduler/src/targets.rs
@@ -28,6 +28,10 @@
 /// Weight of a new interval in the mean of generated tokens a second.
 const DRAIN_GAIN: f64 = 0.2;
 
+/// A target's list of models counts for this long. The pollers of a target, which alone see the list,
+/// repeat it each second; another process may have become the poller since.
+const MODELS_LIFETIME: Duration = Duration::from_secs(30);
+
 /// Weight of a new interval in the mean of arriving tokens a second. Its memory of about ten seconds
 /// rides out short bursts of a higher tier.
 const ARRIVAL_GAIN: f64 = 0.05;
@@ -83,7 +87,11 @@
     pub report: Option<ReportView>,
     /// Models held; empty if unknown.
     pub models: Vec<ModelName>,
-    /// The same as a set of bits.
+    /// When the target last told its models.
+    models_told: Option<Instant>,
+    /// Models that it should hold by the rules, as a set of bits.
+    assumed_set: u64,
+    /// Models held or, if they are unknown, assumed, as a set of bits.
     pub model_set: u64,
     /// Trust in the prefix index.
     pub trust: CacheTrust,
@@ -109,6 +117,8 @@
             window: TargetWindow::new(now),
             report: None,
             models: Vec::new(),
+            models_told: None,
+            assumed_set: u64::MAX,
             model_set: u64::MAX,
             trust: CacheTrust::default(),
             broken: Vec::new(),
@@ -120,7 +130,13 @@
         self.listed && self.in_service && !self.leaving
     }
 
-    /// Whether the target holds one of the models, or it is not known what it holds.
+    fn forget_models(&mut self) {
+        self.models.clear();
+        self.models_told = None;
+        self.model_set = self.assumed_set;
+    }
+
+    /// Whether the target holds one of the models, or may hold it as far as is known.
     pub fn holds(&self, models: u64) -> bool {
         self.model_set & models != 0
     }
@@ -379,13 +395,13 @@
         let restarted = row.restart().is_some_and(|known| known != report.restart);
         if restarted {
             row.trust.restart();
-            row.models.clear();
-            row.model_set = u64::MAX;
+            row.forget_models();
             row.window.suspect(now);
             self.prefixes.clear_target(index);
         }
         if !report.models.is_empty() {
             row.models.clone_from(&report.models);
+            row.models_told = Some(taken);
             row.model_set = self.models.set(&report.models);
         }
         row.report = Some(ReportView {
@@ -415,6 +431,28 @@
         }
     }
 
+    /// Sets the models that a target should hold by the rules; `None` if no rule names models of its
+    /// service.
+    pub fn assume_models(&mut self, target: &str, models: Option<&[ModelName]>, now: Instant) {
+        let Some(index) = self.find(target) else { return };
+        let Some(row) = self.rows[index].as_mut() else { return };
+        row.assumed_set = models.map_or(u64::MAX, |models| self.models.set_exactly(models));
+        if row.models.is_empty() {
+            row.model_set = row.assumed_set;
+        }
+        self.refresh(index, now);
+    }
+
+    /// Forgets lists of models that no report has confirmed for long.
+    pub fn forget_old_models(&mut self, now: Instant) {
+        for row in self.rows.iter_mut().flatten() {
+            let old = |told| now.saturating_duration_since(told) > MODELS_LIFETIME;
+            if row.models_told.is_some_and(old) {
+                row.forget_models();
+            }
+        }
+    }
+
     /// Notes that a request was admitted.
     pub fn note_arrived(&mut self, pool: usize, tier: Tier, tokens: u64) {
         self.pools[pool].arrived[tier.index()] += tokens;
--- a/crates/tarragon-scheduler/src/targets/models.rs
+++ b/crates/tarragon-scheduler/src/targets/models.rs
@@ -11,7 +11,7 @@
 /// it can't serve.
 pub const OTHER_MODEL: u64 = 1 << MAX_MODELS;
 
-/// Models that targets have reported, by bit. Names that only callers use get no bit, so that callers
+/// Models that targets have reported or that rules name, by bit. Names that only callers use get no bit, so that callers
 /// can't use the bits up.
 #[derive(Debug, Default)]
 pub struct ModelBits {
@@ -32,6 +32,11 @@
         if models.is_empty() {
             return u64::MAX;
         }
+        self.set_exactly(models)
+    }
+
+    /// Bits of models; none if there are none.
+    pub fn set_exactly(&mut self, models: &[ModelName]) -> u64 {
         models.iter().fold(0, |set, model| set | self.add(model))
     }
 
--- a/crates/tarragon-scheduler/tests/rules/window.rs
+++ b/crates/tarragon-scheduler/tests/rules/window.rs
@@ -89,6 +89,43 @@
     assert_eq!(fill(&mut driver, 5).len(), 1);
 }
 
+/// Guards against requests for a model that are sent to targets which don't hold it, on a VM that polls
+/// none of them and so sees no list of models.
+#[test]
+fn rules_tell_the_models_of_targets_that_others_poll() {
+    let mut driver = Driver::new(SchedulerLimits::default());
+    for name in ["t0", "t1"] {
+        driver.list("pool", name, true);
+        driver.slots(name, 8, false);
+    }
+    let mut rules = tarragon_config::rules::RuleSet::default();
+    for model in ["assess", "draft"] {
+        let rule = tarragon_config::rules::ModelRule {
+            service: "pool".into(),
+            replicas: Some(1),
+            adapter: None,
+            version: 1,
+            role: Default::default(),
+            origin: Default::default(),
+        };
+        rules.models.insert(model.into(), rule);
+    }
+    driver.handle(SchedulerEvent::RulesChanged(std::sync::Arc::new(rules)));
+    driver.handle(SchedulerEvent::Tick);
+    for _ in 0..4 {
+        driver.ask(Ask::default());
+    }
+    let explanation = |driver: &Driver| driver.scheduler.dump(driver.now).targets;
+    let used = explanation(&driver).iter().filter(|target| target.in_flight > 0).count();
+    assert_eq!(used, 1, "only the target that holds the model by the rules");
+    let other = explanation(&driver).into_iter().find(|target| target.in_flight == 0).unwrap();
+    driver.report(&other.target, 1, TargetState::Warm);
+    driver.ask(Ask::default());
+    driver.ask(Ask::default());
+    let used = explanation(&driver).iter().filter(|target| target.in_flight > 0).count();
+    assert_eq!(used, 2, "a report that names the model goes before the rules");
+}
+
 struct ClosedCase {
     name: &'static str,
     close: fn(&mut Driver),
