--- a/crates/tarragon-command/src/command/demo/account.rs
+++ b/crates/tarragon-command/src/command/demo/account.rs
@@ -24,10 +24,12 @@
     refusals: IndexMap<String, u64>,
     unknown: IndexMap<String, u64>,
     violations: IndexMap<String, u64>,
-    /// Answered dispatches, by call id.
-    pub(super) done_calls: Vec<String>,
-    /// Dispatches that were refused as "not run".
-    pub(super) refused_calls: Vec<String>,
+    /// Violations one by one, as far as they belong to a request.
+    details: Vec<String>,
+    /// Answered dispatches: call id, and the answer for the log.
+    pub(super) done_calls: Vec<(String, String)>,
+    /// Dispatches that were refused as "not run": call id, and the answer for the log.
+    pub(super) refused_calls: Vec<(String, String)>,
     /// Prompt tokens computed by all engines.
     pub(super) prefill: u64,
     /// Prompt tokens computed in vain or again.
@@ -44,6 +46,7 @@
             refusals: IndexMap::new(),
             unknown: IndexMap::new(),
             violations: IndexMap::new(),
+            details: Vec::new(),
             done_calls: Vec::new(),
             refused_calls: Vec::new(),
             prefill: 0,
@@ -61,15 +64,16 @@
                 tier.answered += 1;
                 tier.in_time += u64::from(result.in_time);
                 tier.tokens += if result.in_time { u64::from(result.tokens) } else { 0 };
-                self.done_calls.extend(result.call_id);
+                self.done_calls.extend(result.call_id.map(|id| (id, result.detail.clone())));
             }
             DemoEnding::Refused(code) => {
                 *self.refusals.entry(code).or_default() += 1;
-                self.refused_calls.extend(result.call_id);
+                self.refused_calls.extend(result.call_id.map(|id| (id, result.detail.clone())));
             }
             DemoEnding::Unknown(code) => *self.unknown.entry(code).or_default() += 1,
         }
         if let Some(fault) = result.fault {
+            self.details.push(format!("{fault}: {}", result.detail));
             self.violation(fault, 1);
         }
     }
@@ -81,6 +85,12 @@
         }
     }
 
+    /// Adds a violation that belongs to one request.
+    pub(super) fn violation_of(&mut self, kind: &str, call_id: &str, detail: &str) {
+        self.violation(kind, 1);
+        self.details.push(format!("{kind}: {call_id}: {detail}"));
+    }
+
     fn answered(&self) -> u64 {
         self.tiers.iter().map(|tier| tier.answered).sum()
     }
@@ -114,6 +124,9 @@
         write_counts(formatter, "refused", &self.refusals)?;
         write_counts(formatter, "unknown", &self.unknown)?;
         write_counts(formatter, "violations", &self.violations)?;
+        for detail in &self.details {
+            writeln!(formatter, "  {detail}")?;
+        }
         let refused: u64 = self.refusals.values().sum();
         let unknown: u64 = self.unknown.values().sum();
         let (answered, sent) = (self.answered(), self.sent);
--- a/crates/tarragon-command/src/command/demo/audit.rs
+++ b/crates/tarragon-command/src/command/demo/audit.rs
@@ -62,16 +62,20 @@
             *runs.entry(call_id).or_default() += count;
         }
     }
-    let runs_of = |call_id: &String| runs.get(call_id).copied().unwrap_or(0);
-    let count = |calls: &[String], wrong: &dyn Fn(u32) -> bool| {
-        u64::try_from(calls.iter().filter(|call| wrong(runs_of(call))).count()).unwrap_or(u64::MAX)
-    };
-    let doubled = u64::try_from(runs.values().filter(|count| **count > 1).count());
-    let not_run = count(&account.refused_calls, &|runs| runs > 0);
-    let missing = count(&account.done_calls, &|runs| runs == 0);
-    account.violation("dispatches that ran twice", doubled.unwrap_or(u64::MAX));
-    account.violation("dispatches that ran after \"not run\"", not_run);
-    account.violation("answered dispatches that did not run", missing);
+    for (call_id, count) in runs.iter().filter(|(_, count)| **count > 1) {
+        let detail = format!("ran {count} times");
+        account.violation_of("dispatches that ran twice", call_id, &detail);
+    }
+    for (call_id, detail) in std::mem::take(&mut account.refused_calls) {
+        if runs.contains_key(&call_id) {
+            account.violation_of("dispatches that ran after \"not run\"", &call_id, &detail);
+        }
+    }
+    for (call_id, detail) in std::mem::take(&mut account.done_calls) {
+        if !runs.contains_key(&call_id) {
+            account.violation_of("answered dispatches that did not run", &call_id, &detail);
+        }
+    }
 }
 
 /// Adds the violations that the VMs counted themselves. The VMs of the demo share one process and with it
--- a/crates/tarragon-command/src/command/demo/call.rs
+++ b/crates/tarragon-command/src/command/demo/call.rs
@@ -54,6 +54,8 @@
     pub(super) call_id: Option<String>,
     /// What the caller found wrong with the answer.
     pub(super) fault: Option<String>,
+    /// Request id and message of the answer, to find it in the log.
+    pub(super) detail: String,
 }
 
 /// An answer as it was read.
@@ -61,6 +63,8 @@
 struct ReadAnswer {
     outcome: String,
     code: Option<String>,
+    request_id: String,
+    message: String,
     text: String,
     /// Whether the answer is known to be whole.
     complete: bool,
@@ -128,11 +132,14 @@
                 DemoKind::Chat { .. } => None,
             },
             fault: None,
+            detail: String::new(),
         };
         match answer {
             Err(cause) => result.ending = DemoEnding::Unknown(cause),
             Ok((answer, fault)) => {
                 result.ending = ending(&answer);
+                let ReadAnswer { request_id, outcome, message, .. } = answer;
+                result.detail = format!("request {request_id} was {outcome}: {message}");
                 result.fault = fault;
             }
         }
@@ -281,7 +288,7 @@
         value.unwrap_or_default().to_owned()
     };
     let streamed = text("content-type").starts_with("text/event-stream");
-    let outcome = text(header::OUTCOME);
+    let (outcome, request_id) = (text(header::OUTCOME), text(header::REQUEST_ID));
     let mut body = response.into_body();
     let mut bytes = Vec::new();
     let mut whole = true;
@@ -292,7 +299,7 @@
             Err(_) => whole = false,
         }
     }
-    let mut answer = ReadAnswer { outcome, complete: whole, ..ReadAnswer::default() };
+    let mut answer = ReadAnswer { outcome, request_id, complete: whole, ..ReadAnswer::default() };
     match streamed {
         true => read_stream(&String::from_utf8_lossy(&bytes), &mut answer),
         false => read_json(&bytes, &mut answer),
@@ -304,6 +311,8 @@
 fn read_json(bytes: &[u8], answer: &mut ReadAnswer) {
     let Ok(value) = serde_json::from_slice::<Value>(bytes) else { return };
     answer.code = error_code(&value);
+    let message = value.pointer("/error/message").and_then(Value::as_str);
+    answer.message = message.unwrap_or_default().to_owned();
     let content = value.pointer("/choices/0/message/content").and_then(Value::as_str);
     answer.text = content.unwrap_or_default().to_owned();
 }
