--- a/crates/tarragon-lab/examples/trial.rs
+++ b/crates/tarragon-lab/examples/trial.rs
@@ -20,6 +20,10 @@
         println!("{}", tarragon_lab::experiment::run(&options).unwrap());
         return;
     }
+    if arguments.first().is_some_and(|first| first == "scenario") {
+        tarragon_lab::scenario::run(std::path::Path::new(&arguments[1]));
+        return;
+    }
     let options = SoakOptions {
         seed: number("--seed", 1),
         seeds: number("--seeds", 1),
--- a/crates/tarragon-lab/src/soak/world/manual.rs
+++ b/crates/tarragon-lab/src/soak/world/manual.rs
@@ -26,7 +26,7 @@
         Ok(call)
     }
 
-    /// Sends a call to a VM, after taking a ticket from another one if it needs one and has none.
+    /// Sends a call to a VM with its whole time left, after taking a ticket from another one if it needs one and has none.
     pub(crate) fn send_by_hand(
         &mut self,
         call: usize,
@@ -40,6 +40,8 @@
             let ask = self.observer.ask(call, true);
             self.callers.calls[call].ticket = Some((ticket, ask));
         }
+        let class = &self.topology.workload.classes[self.callers.calls[call].plan.class];
+        self.callers.calls[call].deadline = self.now + Duration::from_millis(class.deadline_ms);
         self.callers.calls[call].end = None;
         self.send_to(call, vm);
         Ok(())
