Keep the slots of a paused or isolated process apart from momentary capacity

Cause: after a pause no target has a young report, so all counted as cold and the slots held before were lost until the view had settled again. A process without a VM list and without peers took all slots after 5 s.

Change: each target remembers its part under every view since the settled one; the least counts. A missing VM list restricts like a list that shows others.

Result: all tests of the crate pass; the pause test now also asks for old slots.

--- a/crates/tarragon-cluster/src/cluster.rs
+++ b/crates/tarragon-cluster/src/cluster.rs
@@ -328,9 +328,10 @@
             actions.extend(member.identity().map(ClusterAction::PeerForgotten));
         }
         self.members.refresh_all(now);
-        self.loads.forget_reports();
-        self.slots.drop_borrowed();
+        self.slots.set_restricted(true, now);
         self.slots.unsettle(now);
+        self.slots.drop_borrowed();
+        self.loads.forget_reports();
         self.borrows.asked.clear();
         self.owners.restart(now);
         self.orders.clear();
@@ -353,10 +354,12 @@
         actions.push(ClusterAction::PeerForgotten(peer));
     }
 
-    /// Recomputes who is up and who shares slots, and what follows from it.
+    /// Recomputes who is up and who shares slots, and what follows from it. Without a VM list there may be
+    /// others that this process has not heard.
     fn refresh_views(&mut self, now: Instant) {
         self.slots.set_view(self.members.slot_view(now), now);
-        let others = self.members.local().any(|member| member.listed.is_some());
+        let listed = self.members.local().any(|member| member.listed.is_some());
+        let others = listed || self.vm_list.version() == 0;
         let heard = self.members.last_heard().unwrap_or(self.started);
         let isolated = others && now.saturating_duration_since(heard) >= ISOLATED_AFTER;
         if !others {
--- a/crates/tarragon-cluster/src/slot.rs
+++ b/crates/tarragon-cluster/src/slot.rs
@@ -47,15 +47,37 @@
     grant: SlotGrant,
 }
 
-/// Slots at one target.
-#[derive(Debug, Clone, Default)]
-struct TargetSlots {
+/// This process's part of a target under one view.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct ViewPart {
+    /// VMs that share the slots.
+    vms: u32,
     /// Number of VMs that rank above this one.
     rank: u32,
-    /// Slots in use by this process or lent; at most `share`.
-    held: u32,
-    /// Share under the present view.
-    share: u32,
+}
+
+impl ViewPart {
+    fn share(self, bears: u32) -> u32 {
+        bears / self.vms + u32::from(self.rank < bears % self.vms)
+    }
+}
+
+/// Views since the last settled one that are remembered. If there are more, a target gets no slots until
+/// the view has settled.
+const MAX_PARTS: usize = 8;
+
+/// Slots at one target.
+#[derive(Debug, Clone)]
+struct TargetSlots {
+    /// Part under the present view.
+    part: ViewPart,
+    /// Parts under the last settled view and all views since. The least of them is what no other process
+    /// can have taken meanwhile. Empty if no view has settled.
+    parts: Vec<ViewPart>,
+    /// Slots that may be used, by this process or by borrowers.
+    usable: u32,
+    /// Value of `usable` when the restriction began.
+    before_restriction: u32,
     lent: u32,
     borrowed: Vec<BorrowedSlot>,
     reported: Option<SlotShare>,
@@ -109,8 +131,8 @@
     {
         let mut before = std::mem::take(&mut self.targets);
         for name in names {
-            let mut slots = before.swap_remove(name).unwrap_or_default();
-            slots.rank = rank_of(&self.view, &self.own, name);
+            let part = part_of(&self.view, &self.own, name);
+            let slots = before.swap_remove(name).unwrap_or_else(|| TargetSlots::new(part));
             self.targets.insert(name.clone(), slots);
         }
         self.lent.retain(|_, lent| self.targets.contains_key(&lent.target));
@@ -121,11 +143,16 @@
         if view == self.view {
             return false;
         }
-        self.view = view;
-        self.settled_at = now + self.settling;
+        let settled = self.is_settled(now);
         for (name, slots) in &mut self.targets {
-            slots.rank = rank_of(&self.view, &self.own, name);
+            if settled {
+                slots.parts = vec![slots.part];
+            }
+            slots.part = part_of(&view, &self.own, name);
+            slots.add_part();
         }
+        self.view = view;
+        self.settled_at = now + self.settling;
         true
     }
 
@@ -137,6 +164,11 @@
     /// Only slots held before may be used, and none at cold targets: this process was paused, or hears
     /// nobody.
     pub fn set_restricted(&mut self, restricted: bool, now: Instant) {
+        if restricted && !self.restricted {
+            for slots in self.targets.values_mut() {
+                slots.before_restriction = slots.usable;
+            }
+        }
         if self.restricted && !restricted {
             self.unsettle(now);
         }
@@ -156,13 +188,16 @@
         now: Instant,
     ) -> Option<SlotShare> {
         let settled = self.is_settled(now);
-        let vms = self.view.len().max(1) as u32;
+        let restricted = self.restricted;
         let slots = self.targets.get_mut(target)?;
-        let remainder = u32::from(slots.rank < capacity.bears % vms);
-        slots.share = capacity.bears / vms + remainder;
-        slots.held = if settled { slots.share } else { slots.held.min(slots.share) };
-        if self.restricted && capacity.cold {
-            slots.held = 0;
+        if settled && slots.parts != [slots.part] {
+            slots.parts = vec![slots.part];
+        }
+        let TargetCapacity { bears, cold } = capacity;
+        slots.usable = slots.parts.iter().map(|part| part.share(bears)).min().unwrap_or(0);
+        if restricted {
+            let limit = if cold { 0 } else { slots.before_restriction };
+            slots.usable = slots.usable.min(limit);
         }
         slots.report(target, capacity)
     }
@@ -176,7 +211,7 @@
         now: Instant,
     ) -> Option<SlotGrant> {
         let slots = self.targets.get_mut(target)?;
-        if self.restricted || slots.held <= slots.lent + in_use {
+        if self.restricted || slots.usable <= slots.lent + in_use {
             return None;
         }
         slots.lent += 1;
@@ -265,12 +300,37 @@
 }
 
 impl TargetSlots {
+    fn new(part: ViewPart) -> TargetSlots {
+        TargetSlots {
+            part,
+            parts: Vec::new(),
+            usable: 0,
+            before_restriction: 0,
+            lent: 0,
+            borrowed: Vec::new(),
+            reported: None,
+        }
+    }
+
+    /// Remembers the part under a new view.
+    fn add_part(&mut self) {
+        if self.parts.is_empty() || self.parts.contains(&self.part) {
+            return;
+        }
+        if self.parts.len() == MAX_PARTS {
+            self.parts.clear();
+            return;
+        }
+        self.parts.push(self.part);
+    }
+
     /// Slots that the scheduler may use, if they differ from the last ones. Lent slots that exceed a share
     /// that has shrunk stay with their borrowers; this process then has none of its own.
     fn report(&mut self, target: &TargetName, capacity: TargetCapacity) -> Option<SlotShare> {
-        let own = self.held.saturating_sub(self.lent);
-        hold(Invariant::SlotsWithinShare, own == 0 || own + self.lent <= self.share, || {
-            format!("{own} own and {} lent of {} slots at {target}", self.lent, self.share)
+        let share = self.part.share(capacity.bears);
+        let own = self.usable.saturating_sub(self.lent);
+        hold(Invariant::SlotsWithinShare, own == 0 || own + self.lent <= share, || {
+            format!("{own} own and {} lent of {share} slots at {target}", self.lent)
         });
         let slots = own + self.borrowed.len() as u32;
         let TargetCapacity { bears, cold } = capacity;
@@ -283,6 +343,7 @@
     }
 }
 
-fn rank_of(view: &[VmName], own: &VmName, target: &TargetName) -> u32 {
-    rendezvous::rank(target, own, view.iter().map(|vm| &**vm)) as u32
+fn part_of(view: &[VmName], own: &VmName, target: &TargetName) -> ViewPart {
+    let rank = rendezvous::rank(target, own, view.iter().map(|vm| &**vm)) as u32;
+    ViewPart { vms: view.len().max(1) as u32, rank }
 }
--- a/crates/tarragon-cluster/tests/cluster_world.rs
+++ b/crates/tarragon-cluster/tests/cluster_world.rs
@@ -228,6 +228,7 @@
     world.run_for(8 * SECOND);
     let kept: u32 = world.nodes[0].slots.values().map(|share| share.slots).sum();
     assert!(kept <= held, "{kept} slots after the pause, {held} before");
+    assert!(kept > 0, "the slots held before the pause are lost");
     world.nodes[0].group = 0;
     world.run_for(10 * SECOND);
     assert_eq!(world.slots_in_use("dc0-runner-000"), 8);
