Reconcile lent slots by digest and survive random faults

A digest that was slower than a third VM's entry for the same heartbeat was dropped with its loads.

Change: a digest names the grants of its receiver that the sender holds; the lender takes back the others after 10 s. A borrower stops using a slot when its lender is silent for 5 s. Grant numbers differ between processes. The heartbeat of direct digests is followed apart.

--- a/crates/tarragon-cluster/src/cluster.rs
+++ b/crates/tarragon-cluster/src/cluster.rs
@@ -33,6 +33,7 @@
     prelude::*,
     publication::PublicationState,
     reader::{PlatformReader, ReaderDump},
+    rendezvous::key_seed,
     slot::{SETTLING, SlotDump, SlotTable},
     vm_list::VmListState,
 };
@@ -46,6 +47,12 @@
 /// Silence of all peers after which this process uses only slots that it held before.
 pub const ISOLATED_AFTER: Duration = Duration::from_secs(5);
 
+/// Silence of a lender after which its slots are no longer used. Shorter than [`DOWN_AFTER`], after which
+/// the lender takes them back from a borrower that it does not hear.
+///
+/// [`DOWN_AFTER`]: crate::member::DOWN_AFTER
+const LENDER_SILENCE: Duration = Duration::from_secs(5);
+
 /// What the process knows of itself at start.
 #[derive(Debug, Clone)]
 pub struct ClusterSettings {
@@ -206,6 +213,7 @@
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let own = settings.identity.vm.clone();
         let spread = Duration::from_millis(random.random_range(50..300));
+        let first_grant = key_seed(&settings.identity.incarnation.to_string()) as u32;
         let mut cluster = Cluster {
             random,
             started: now,
@@ -218,7 +226,7 @@
             reader: PlatformReader::default(),
             is_reader: false,
             loads: LoadTable::default(),
-            slots: SlotTable::new(own, settings.settling, now),
+            slots: SlotTable::new(own, settings.settling, first_grant, now),
             news: NewsTable::default(),
             owners: OwnerTable::default(),
             orders: OrderDesk::new(settings.loads_at_once),
@@ -330,8 +338,9 @@
         self.members.refresh_all(now);
         self.slots.set_restricted(true, now);
         self.slots.unsettle(now);
-        self.slots.drop_borrowed();
+        let borrowed = self.slots.remove_borrowed_from(|_| true);
         self.loads.forget_reports();
+        self.give_back(now, borrowed, actions);
         self.borrows.asked.clear();
         self.owners.restart(now);
         self.orders.clear();
@@ -346,11 +355,32 @@
         for peer in self.members.sweep(now) {
             self.forget_peer(now, peer, actions);
         }
+        let members = &self.members;
+        let silent = |lender: &PeerAddress| {
+            members.get(&lender.vm).is_none_or(|member| member.silence(now) >= LENDER_SILENCE)
+        };
+        let lapsed = self.slots.remove_borrowed_from(silent);
+        self.give_back(now, lapsed, actions);
+    }
+
+    fn give_back(
+        &mut self,
+        now: Instant,
+        borrowed: Vec<(PeerAddress, SlotGrant)>,
+        actions: &mut Vec<ClusterAction>,
+    ) {
+        for (lender, grant) in borrowed {
+            let target = grant.target.clone();
+            actions.push(ClusterAction::ReturnSlot(lender, grant));
+            self.update_some_slots(now, vec![target], actions);
+        }
     }
 
     fn forget_peer(&mut self, now: Instant, peer: PeerIdentity, actions: &mut Vec<ClusterAction>) {
         let freed = self.slots.take_back_from(&peer);
         self.update_some_slots(now, freed, actions);
+        let lapsed = self.slots.remove_borrowed_from(|lender| lender.vm == peer.vm);
+        self.give_back(now, lapsed, actions);
         actions.push(ClusterAction::PeerForgotten(peer));
     }
 
--- a/crates/tarragon-cluster/src/cluster/gossip.rs
+++ b/crates/tarragon-cluster/src/cluster/gossip.rs
@@ -39,7 +39,8 @@
             let loads = self.loads.digest_loads(DIGEST_BUDGET, now);
             for peer in local {
                 let DigestLoads { entries: loads, updates: load_updates } = loads.clone();
-                let digest = GossipDigest { loads, load_updates, ..digest.clone() };
+                let borrowed = self.slots.borrowed_from(&peer);
+                let digest = GossipDigest { loads, load_updates, borrowed, ..digest.clone() };
                 actions.push(ClusterAction::SendGossip(peer, Box::new(digest)));
             }
         }
@@ -64,6 +65,7 @@
             members: self.members.entries(now),
             loads: Vec::new(),
             load_updates: Vec::new(),
+            borrowed: Vec::new(),
             suspects: self.news.digest_suspects(now),
             successors: self.news.digest_successors(now),
         }
@@ -143,6 +145,8 @@
             }
         }
         if local {
+            let freed = self.slots.take_back_unheld(&digest.sender, &digest.borrowed, now);
+            self.update_some_slots(now, freed, actions);
             for entry in &digest.loads {
                 self.take_load(now, entry, actions);
             }
--- a/crates/tarragon-cluster/src/codec.rs
+++ b/crates/tarragon-cluster/src/codec.rs
@@ -45,6 +45,7 @@
     members: Vec<WireMember>,
     loads: Vec<WireLoad>,
     load_updates: Vec<WireUpdate>,
+    borrowed: Vec<u64>,
     suspects: Vec<SuspectEntry>,
     successors: Vec<SuccessorEntry>,
 }
@@ -101,6 +102,7 @@
         members: encode_members(&digest.members),
         loads: encode_loads(&digest.loads),
         load_updates: encode_updates(&digest.load_updates),
+        borrowed: digest.borrowed.clone(),
         suspects: digest.suspects.clone(),
         successors: digest.successors.clone(),
     };
@@ -129,6 +131,7 @@
         members: decode_members(wire.members)?,
         loads: decode_loads(wire.loads)?,
         load_updates: decode_updates(wire.load_updates)?,
+        borrowed: wire.borrowed,
         suspects: wire.suspects,
         successors: wire.successors,
     })
--- a/crates/tarragon-cluster/src/member.rs
+++ b/crates/tarragon-cluster/src/member.rs
@@ -56,6 +56,8 @@
     /// Whether it is shutting down.
     pub draining: bool,
     heartbeat: u64,
+    /// Heartbeat of the last digest that the member sent to this process itself.
+    direct_heartbeat: u64,
     heard: Instant,
     failed: Option<Instant>,
     retired: Option<Incarnation>,
@@ -65,7 +67,7 @@
 impl Member {
     /// Whether the member is heard at this time.
     pub fn status(&self, now: Instant) -> MemberStatus {
-        let silence = now.saturating_duration_since(self.heard);
+        let silence = self.silence(now);
         if silence >= DOWN_AFTER {
             MemberStatus::Down
         } else if silence >= SUSPECT_AFTER {
@@ -75,6 +77,11 @@
         }
     }
 
+    /// Time since the member was heard.
+    pub fn silence(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.heard)
+    }
+
     /// The process, if one was heard.
     pub fn identity(&self) -> Option<PeerIdentity> {
         self.incarnation.map(|incarnation| PeerIdentity { vm: self.vm.clone(), incarnation })
@@ -159,12 +166,19 @@
         if late {
             return HeartbeatOutcome::Stale;
         }
+        let same = member.incarnation == Some(*incarnation);
+        if same && digest.heartbeat <= member.direct_heartbeat {
+            return HeartbeatOutcome::Stale;
+        }
         let outcome = member.beat(*incarnation, digest.heartbeat, now);
-        if outcome != HeartbeatOutcome::Stale {
-            member.draining = digest.draining;
-            member.failed = None;
+        member.direct_heartbeat = digest.heartbeat;
+        member.draining = digest.draining;
+        member.failed = None;
+        match outcome {
+            // A third VM's entry was faster than the digest itself, which has more to tell.
+            HeartbeatOutcome::Stale => HeartbeatOutcome::Newer,
+            outcome => outcome,
         }
-        outcome
     }
 
     /// Takes what a peer has heard of a third VM of its data centre. A different process is believed only
@@ -314,6 +328,7 @@
         match known {
             Some(before) if before != incarnation => {
                 self.retired = Some(before);
+                self.direct_heartbeat = 0;
                 self.draining = false;
                 let vm = self.vm.clone();
                 HeartbeatOutcome::Replaced(PeerIdentity { vm, incarnation: before })
@@ -332,6 +347,7 @@
         listed: None,
         draining: false,
         heartbeat: 0,
+        direct_heartbeat: 0,
         heard: now,
         failed: None,
         retired: None,
--- a/crates/tarragon-cluster/src/slot.rs
+++ b/crates/tarragon-cluster/src/slot.rs
@@ -20,6 +20,9 @@
 /// slot whose return was lost is free then.
 const GRANT_LIFE: Duration = Duration::from_secs(660);
 
+/// Time in which a grant, or a digest sent before it arrived, may be on its way.
+const GRANT_ON_ITS_WAY: Duration = Duration::from_secs(10);
+
 /// Time within which a borrowed slot must be put to use.
 const USE_WITHIN: Duration = Duration::from_secs(2);
 
@@ -111,7 +114,10 @@
 
 impl SlotTable {
     /// A table of a new process, which is unsettled. The settling time is [`SETTLING`] in production.
-    pub fn new(own: VmName, settling: Duration, now: Instant) -> SlotTable {
+    ///
+    /// `first_grant` differs from process to process, so that the late return of a slot that an earlier
+    /// process on this VM lent frees none of this one.
+    pub fn new(own: VmName, settling: Duration, first_grant: u32, now: Instant) -> SlotTable {
         SlotTable {
             view: Vec::new(),
             own,
@@ -120,7 +126,7 @@
             restricted: false,
             targets: IndexMap::new(),
             lent: IndexMap::new(),
-            next_grant: 0,
+            next_grant: first_grant.into(),
         }
     }
 
@@ -237,6 +243,31 @@
         self.take_back_if(|lent| lent.borrower == *borrower)
     }
 
+    /// Takes back the slots that a borrower does not hold by its own account: the grant or its return was
+    /// lost. A young grant may still be on its way.
+    pub fn take_back_unheld(
+        &mut self,
+        borrower: &PeerIdentity,
+        held: &[u64],
+        now: Instant,
+    ) -> Vec<TargetName> {
+        let unheld = |grant: u64, lent: &LentSlot| {
+            lent.borrower == *borrower
+                && !held.contains(&grant)
+                && now.saturating_duration_since(lent.since) >= GRANT_ON_ITS_WAY
+        };
+        let lent = self.lent.iter().filter(|(grant, lent)| unheld(**grant, lent));
+        let grants: Vec<u64> = lent.map(|(grant, _)| *grant).collect();
+        grants.into_iter().filter_map(|grant| self.take_back(grant)).collect()
+    }
+
+    /// Numbers of the grants that this process holds from a lender.
+    pub fn borrowed_from(&self, lender: &PeerAddress) -> Vec<u64> {
+        let borrowed = self.targets.values().flat_map(|slots| &slots.borrowed);
+        let from = borrowed.filter(|borrowed| borrowed.lender.address == lender.address);
+        from.map(|borrowed| borrowed.grant.grant).collect()
+    }
+
     /// Takes back slots whose return must have been lost.
     pub fn take_back_expired(&mut self, now: Instant) -> Vec<TargetName> {
         self.take_back_if(|lent| now.saturating_duration_since(lent.since) >= GRANT_LIFE)
@@ -264,11 +295,20 @@
         Some((borrowed.lender, borrowed.grant))
     }
 
-    /// Drops all borrowed slots, after a pause in which the lenders may have taken them back.
-    pub fn drop_borrowed(&mut self) {
+    /// Removes the borrowed slots whose lenders match, to be returned to them.
+    pub fn remove_borrowed_from<Condition>(
+        &mut self,
+        condition: Condition,
+    ) -> Vec<(PeerAddress, SlotGrant)>
+    where
+        Condition: Fn(&PeerAddress) -> bool,
+    {
+        let mut removed = Vec::new();
         for slots in self.targets.values_mut() {
-            slots.borrowed.clear();
+            let matching = slots.borrowed.extract_if(.., |borrowed| condition(&borrowed.lender));
+            removed.extend(matching.map(|borrowed| (borrowed.lender, borrowed.grant)));
         }
+        removed
     }
 
     /// Number of VMs that share the slots.
--- a/crates/tarragon-cluster/tests/peer_messages.rs
+++ b/crates/tarragon-cluster/tests/peer_messages.rs
@@ -170,6 +170,7 @@
         members: names.iter().enumerate().map(member).collect(),
         loads: names.iter().map(load).collect(),
         load_updates: names.iter().map(update).collect(),
+        borrowed: vec![5],
         suspects: vec![SuspectEntry {
             fingerprint: 1,
             crashes: vec![("t".into(), 2)],
--- a/crates/tarragon-cluster/tests/support/world.rs
+++ b/crates/tarragon-cluster/tests/support/world.rs
@@ -297,9 +297,9 @@
         }
     }
 
-    /// Sum of the slots that live nodes hold at a target, without what a paused node remembers.
+    /// Sum of the slots at a target that nodes may use that are alive and run.
     pub fn slots_in_use(&self, target: &str) -> u32 {
-        let live = self.nodes.iter().filter(|node| node.alive);
+        let live = self.nodes.iter().filter(|node| node.alive && !node.paused);
         live.filter_map(|node| node.slots.get(target)).map(|share| share.slots).sum()
     }
 
--- a/crates/tarragon-protocol/src/peer.rs
+++ b/crates/tarragon-protocol/src/peer.rs
@@ -40,6 +40,9 @@
     pub loads: Vec<LoadEntry>,
     /// Load of further targets whose restart id the receiver is likely to know.
     pub load_updates: Vec<LoadUpdate>,
+    /// Numbers of the grants of the receiver that the sender holds. Complete, so that the receiver can take
+    /// back a slot whose grant or return was lost.
+    pub borrowed: Vec<u64>,
     /// Requests that are suspected or found to crash targets.
     pub suspects: Vec<SuspectEntry>,
     /// Incarnations whose records another process holds now.
