--- a/crates/tarragon-cluster/tests/cluster_world.rs
+++ b/crates/tarragon-cluster/tests/cluster_world.rs
@@ -417,8 +417,8 @@
     let peers = world.nodes[2].cluster.remote_peers(world.now);
     assert_eq!(peers, [], "the data centre that is out gets no relayed work");
     world.run_for(10 * SECOND);
-    world.targets["a-runner-000"].state = TargetState::Cold;
-    world.targets["a-runner-000"].bears = 1;
+    let report = &mut world.targets["a-runner-000"];
+    (report.state, report.bears, report.running, report.waiting) = (TargetState::Cold, 1, 0, 0);
     world.publish_part("rules-00", "data-centre a state=in # asked by: test\n");
     let version = world.platform.manifest.version;
     world.run_until(14 * SECOND, |world| all_have(world, version)).expect("the change arrives");
