--- a/crates/tarragon-cluster/src/cluster/gossip.rs
+++ b/crates/tarragon-cluster/src/cluster/gossip.rs
@@ -277,8 +277,9 @@
                 }
             }
             PeerAnnouncement::ShedFloor(shed_floor) => {
+                let member = self.members.get(&peer.vm);
+                let waiting = member.map_or([0; Tier::COUNT], |member| member.waiting);
                 let peer = peer.clone();
-                let waiting = [0; Tier::COUNT];
                 actions.push(ClusterAction::PressureHeard { peer, shed_floor, waiting });
             }
             PeerAnnouncement::Suspect(entry) => self.take_suspect(now, &entry, actions),
--- a/crates/tarragon-cluster/src/member.rs
+++ b/crates/tarragon-cluster/src/member.rs
@@ -55,6 +55,8 @@
     pub listed: Option<VmState>,
     /// Whether it is shutting down.
     pub draining: bool,
+    /// Waiting requests by tier in its last digest.
+    pub waiting: [u32; Tier::COUNT],
     heartbeat: u64,
     /// Heartbeat of the last digest that the member sent to this process itself.
     direct_heartbeat: u64,
@@ -173,6 +175,7 @@
         let outcome = member.beat(*incarnation, digest.heartbeat, now);
         member.direct_heartbeat = digest.heartbeat;
         member.draining = digest.draining;
+        member.waiting = digest.waiting;
         member.failed = None;
         match outcome {
             // A third VM's entry was faster than the digest itself, which has more to tell.
@@ -346,6 +349,7 @@
         address: String::new(),
         listed: None,
         draining: false,
+        waiting: [0; Tier::COUNT],
         heartbeat: 0,
         direct_heartbeat: 0,
         heard: now,
