Share the reading budget between kinds of calls

Cause: a process that reads alone spent every call of its budget on the manifest and never read the VM list. Change: the kind that was called longest ago goes first.

--- a/crates/tarragon-cluster/src/cluster.rs
+++ b/crates/tarragon-cluster/src/cluster.rs
@@ -4,8 +4,6 @@
 mod gossip;
 mod platform;
 mod service;
-#[cfg(test)]
-mod tests;
 
 use std::{
     sync::Arc,
--- a/crates/tarragon-cluster/src/reader.rs
+++ b/crates/tarragon-cluster/src/reader.rs
@@ -54,6 +54,7 @@
 #[derive(Debug, Clone, Default)]
 struct ReadLane {
     outstanding: Option<(PlatformRead, Instant)>,
+    begun: Option<Instant>,
     earliest: Option<Instant>,
     failures: u32,
     answered: bool,
@@ -113,7 +114,7 @@
         Random: Rng,
     {
         let mut reads = Vec::new();
-        for kind in ReadKind::ALL {
+        for kind in self.by_last_call() {
             if let Some(read) = self.wanted(kind, view)
                 && self.may_call(kind, now, view, random)
             {
@@ -124,6 +125,13 @@
         reads
     }
 
+    /// Kinds, the one called longest ago first, so that none takes the whole budget.
+    fn by_last_call(&self) -> [ReadKind; 3] {
+        let mut kinds = ReadKind::ALL;
+        kinds.sort_by_key(|kind| self.lanes[*kind as usize].begun);
+        kinds
+    }
+
     /// Asks for parts of the last manifest.
     pub fn want_parts(&mut self, names: Vec<String>) {
         self.wanted_parts = Some(names);
@@ -259,6 +267,7 @@
         }
         let lane = &mut self.lanes[kind as usize];
         lane.outstanding = Some((read, now));
+        lane.begun = Some(now);
         lane.earliest = Some(now + READER_INTERVAL);
         self.calls += 1;
     }
--- /dev/null
+++ b/crates/tarragon-cluster/tests/reader.rs
@@ -0,0 +1,90 @@
+//! Pacing of the calls to the platform.
+
+use std::time::{Duration, Instant};
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tarragon_cluster::{
+    prelude::*,
+    reader::{PlatformReader, ReadKind, ReaderView},
+};
+
+struct PaceCase {
+    /// The failure that the case guards against.
+    guards: &'static str,
+    view: ReaderView,
+    fault: Option<PlatformFault>,
+    /// Least and most calls of each kind (manifest, VM list) in five minutes, each answered at once.
+    manifests: (usize, usize),
+    lists: (usize, usize),
+}
+
+const VIEW: ReaderView =
+    ReaderView { is_reader: false, reads_alone: false, configuration: 1, vm_list: 1 };
+
+const CASES: &[PaceCase] = &[
+    PaceCase {
+        guards: "a process with peers and a configuration goes on to call a service that is down",
+        view: VIEW,
+        fault: Some(PlatformFault::Unreachable),
+        manifests: (1, 1),
+        lists: (1, 1),
+    },
+    PaceCase {
+        guards: "one kind of call takes the whole budget of a process that reads alone",
+        view: ReaderView { reads_alone: true, ..VIEW },
+        fault: None,
+        manifests: (20, 31),
+        lists: (20, 31),
+    },
+    PaceCase {
+        guards: "a reader floods a service that fails at once",
+        view: ReaderView { is_reader: true, ..VIEW },
+        fault: Some(PlatformFault::Throttled),
+        manifests: (30, 90),
+        lists: (30, 90),
+    },
+];
+
+#[test]
+fn calls_stay_within_their_pace() {
+    for case in CASES {
+        let mut random = ChaCha8Rng::seed_from_u64(3);
+        let mut reader = PlatformReader::default();
+        let start = Instant::now();
+        let (mut manifests, mut lists) = (0, 0);
+        for tick in 0..3000 {
+            let now = start + Duration::from_millis(100 * tick);
+            for read in reader.due(now, &case.view, &mut random) {
+                match ReadKind::of(&read) {
+                    ReadKind::Manifest => manifests += 1,
+                    ReadKind::VmList => lists += 1,
+                    ReadKind::Parts => panic!("{}: parts were not asked for", case.guards),
+                }
+                reader.ended(&read, case.fault, now, &mut random);
+                if case.fault.is_none() {
+                    reader.useful(ReadKind::of(&read));
+                }
+            }
+        }
+        let within = |(least, most): (usize, usize), calls| (least..=most).contains(&calls);
+        assert!(within(case.manifests, manifests), "{}: {manifests} manifests", case.guards);
+        assert!(within(case.lists, lists), "{}: {lists} lists", case.guards);
+    }
+}
+
+/// Guards against two calls of one kind at a time, and against a lost call that blocks its kind for good.
+#[test]
+fn one_call_of_a_kind_is_outstanding() {
+    let mut random = ChaCha8Rng::seed_from_u64(3);
+    let mut reader = PlatformReader::default();
+    let view = ReaderView { is_reader: true, ..VIEW };
+    let start = Instant::now();
+    let mut calls = Vec::new();
+    for second in 0..60 {
+        let now = start + Duration::from_secs(second);
+        let reads = reader.due(now, &view, &mut random).len();
+        calls.extend((reads > 0).then_some((second, reads)));
+    }
+    assert_eq!(calls, [(0, 2), (45, 2)]);
+}
