--- a/crates/tarragon-scheduler/src/scheduler.rs
+++ b/crates/tarragon-scheduler/src/scheduler.rs
@@ -1,6 +1,7 @@
 //! The kernel: owns the queue, the in-flight table and the target table, and turns events into actions.
 
 mod arrival;
+mod assume;
 mod attempt;
 mod candidate;
 mod dispatch;
@@ -60,10 +61,6 @@
 /// Delay that a refused caller is asked to wait.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Part of the expected wait that counts when a request is refused early. Expected waits err, and a
-/// request that is refused wrongly costs more than one that waits in vain.
-const WAIT_PART: f64 = 0.5;
-
 /// Windows that were computed longer ago than this are not used. Ticks come every 100 ms.
 const REFRESH_LIMIT: Duration = Duration::from_millis(250);
 
@@ -87,6 +84,8 @@
     rng: ChaCha8Rng,
     sequence: u64,
     draining: bool,
+    /// Whether rules or targets have changed since the assumed models were computed.
+    placement_changed: bool,
     /// Lane that comes first in the next round, so that lanes of one pool take turns.
     turn: usize,
     /// This process's part of deployment-wide limits.
@@ -126,6 +125,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             sequence: 0,
             draining: false,
+            placement_changed: false,
             turn: 0,
             share: 1.0,
             clocks: SchedulerClocks::default(),
@@ -154,7 +154,10 @@
             SchedulerEvent::AttemptEnded(request, attempt, end) => {
                 self.end_attempt(request, attempt, end, now, actions)
             }
-            SchedulerEvent::TargetListed(entry) => self.targets.list(&entry, now),
+            SchedulerEvent::TargetListed(entry) => {
+                self.targets.list(&entry, now);
+                self.placement_changed = true;
+            }
             SchedulerEvent::TargetRemoved(target) => self.remove_target(&target, now),
             SchedulerEvent::SlotsChanged(slots) => self.change_slots(&slots, now),
             SchedulerEvent::LoadReported { target, report, age } => {
@@ -270,6 +273,7 @@
     fn apply_rules(&mut self, rules: Arc<RuleSet>) {
         self.shares.apply_rules(&rules);
         self.rules = rules;
+        self.placement_changed = true;
         self.policies.clear();
         let parked: Vec<RequestId> = self.queue.iter().map(Job::request).collect();
         for request in parked {
