--- a/crates/tarragon-lab/src/experiment.rs
+++ b/crates/tarragon-lab/src/experiment.rs
@@ -14,10 +14,12 @@
 use crate::workload::{WORKLOAD_NAMES, Workload};
 
 mod capacity;
+mod control;
 mod plot;
 mod trial;
 
 pub use capacity::measure_capacity;
+pub use control::control_table;
 pub use trial::{Trial, TrialResult};
 
 /// Offered load relative to the measured capacity.
@@ -55,7 +57,9 @@
 pub fn run(options: &ExperimentOptions) -> anyhow::Result<String> {
     let folder = &options.output;
     fs::create_dir_all(folder).with_context(|| format!("create {}", folder.display()))?;
-    let mut tables = String::new();
+    let mut tables = String::from("## configuration changes\n\n");
+    tables.push_str(&control_table(options.seed)?);
+    tables.push('\n');
     for name in WORKLOAD_NAMES {
         let workload = Workload::named(name)?;
         let capacity = measure_capacity(&workload, options.seed);
--- a/crates/tarragon-lab/src/soak/figure.rs
+++ b/crates/tarragon-lab/src/soak/figure.rs
@@ -25,7 +25,7 @@
 }
 
 /// Figures of a run.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub(crate) struct RunFigures {
     /// Figures by tier.
     pub(crate) tiers: BTreeMap<Tier, TierFigures>,
@@ -40,9 +40,27 @@
     pub(crate) wasted_prefill: u64,
     /// First and last token of each call.
     pub(crate) tokens: IndexMap<usize, (Duration, Duration)>,
+    /// Time from the publication of a configuration until a process has it in force, in microseconds,
+    /// without the one in force at the start.
+    pub(crate) applied: Histogram<u64>,
     seen_blocks: IndexSet<(usize, BlockHash)>,
 }
 
+impl Default for RunFigures {
+    fn default() -> RunFigures {
+        RunFigures {
+            tiers: BTreeMap::new(),
+            done_by_second: BTreeMap::new(),
+            offered_by_second: BTreeMap::new(),
+            prefill: 0,
+            wasted_prefill: 0,
+            tokens: IndexMap::new(),
+            applied: latency_histogram(),
+            seen_blocks: IndexSet::new(),
+        }
+    }
+}
+
 impl RunFigures {
     /// Figures of a tier.
     pub(crate) fn tier(&mut self, tier: Tier) -> &mut TierFigures {
--- a/crates/tarragon-lab/src/soak/platform.rs
+++ b/crates/tarragon-lab/src/soak/platform.rs
@@ -94,6 +94,11 @@
         version
     }
 
+    /// A publication by its version.
+    pub(crate) fn publication(&self, version: ConfigurationVersion) -> Option<&Publication> {
+        self.history.get((version as usize).checked_sub(1)?)
+    }
+
     /// Changes the VM list; readers see it after the lag.
     pub(crate) fn change_list(&mut self, now: Duration, change: impl FnOnce(&mut Vec<ListedVm>)) {
         let (_, last) = &self.lists[self.lists.len() - 1];
@@ -120,7 +125,8 @@
 
     /// Answers a call, or gives nothing if it is a watch that has to wait.
     pub(crate) fn answer(&mut self, now: Duration, read: &PlatformRead) -> Option<PlatformAnswer> {
-        self.calls += 1;
+        let is_list = matches!(read, PlatformRead::VmList | PlatformRead::WatchVmList(_));
+        self.calls += u64::from(!is_list);
         self.try_answer(now, read)
     }
 
--- a/crates/tarragon-lab/src/soak/world/action.rs
+++ b/crates/tarragon-lab/src/soak/world/action.rs
@@ -101,6 +101,12 @@
                 let version = configuration.version;
                 self.journal.note(self.now, format_args!("vm{vm} applies {version} out {out:?}"));
                 self.observer.applied(self.now, vm, version, &out);
+                if let Some(publication) = self.platform.publication(version)
+                    && version > 1
+                {
+                    let delay = self.now - publication.at;
+                    self.figures.applied.saturating_record(delay.as_micros() as u64);
+                }
             }
             ClusterAction::ConfigurationRefused(version, findings) => {
                 self.fault_found(format!("VM {vm} refused version {version}: {findings}"));
