--- a/crates/tarragon-lab/tests/parsers.rs
+++ b/crates/tarragon-lab/tests/parsers.rs
@@ -214,6 +214,7 @@
                 members,
                 loads,
                 load_updates: Vec::new(),
+                borrowed: Vec::new(),
                 suspects: Vec::new(),
                 successors: Vec::new(),
             }
--- a/crates/tarragon-scheduler/src/scheduler/dispatch.rs
+++ b/crates/tarragon-scheduler/src/scheduler/dispatch.rs
@@ -13,7 +13,7 @@
         Scheduler,
         candidate::{ChoiceBounds, suits_suspect},
     },
-    suspect::Suspicion,
+    suspect::{SUSPECT_LIFETIME, Suspicion},
 };
 
 /// A request that no open target suits is looked at again after this time, so that it doesn't block
@@ -239,7 +239,10 @@
     fn refuse_convicted(&mut self, request: RequestId, actions: &mut Vec<SchedulerAction>) {
         let Some(job) = self.dequeue_unserved(request) else { return };
         let message = "targets crashed while they ran this request";
-        let refusal = Scheduler::refusal_of(&job, RefusalCode::CrashesTargets, message);
+        // The verdict holds this long everywhere; an earlier repeat could reach a VM that has not heard of it
+        // and crash a third target.
+        let refusal = Scheduler::refusal_of(&job, RefusalCode::CrashesTargets, message)
+            .with_retry_after(SUSPECT_LIFETIME);
         self.refuse(request, job.tier(), refusal, actions);
     }
 
