--- a/crates/tarragon-cluster/benches/control.rs
+++ b/crates/tarragon-cluster/benches/control.rs
@@ -276,10 +276,6 @@
         table.dump().answer_bytes as f64 / 1e6,
         resident_megabytes() - before
     );
-    let message = table.freeze(Duration::from_secs(200));
-    let text = serde_json::to_string(&message).expect("a handover serialises");
-    println!("  handover of that table: {:.1} MB of JSON", text.len() as f64 / 1e6);
-    drop((message, text));
     let before = resident_megabytes();
     let parts = rule_parts();
     let mut state = PublicationState::default();
@@ -288,6 +284,10 @@
     drop(parts);
     println!("  configuration of 10,000 rules: {:.1} MB", resident_megabytes() - before);
     drop(state);
+    let message = table.freeze(Duration::from_secs(200));
+    let text = serde_json::to_string(&message).expect("a handover serialises");
+    println!("  handover of that table: {:.1} MB of JSON", text.len() as f64 / 1e6);
+    drop((message, text));
     let before = resident_megabytes();
     let mut world = build(&split(920, 30));
     world.run_for(Duration::from_secs(5));
