Test an isolated VM's slots and the end of a loan across a partition

Cause: two trial changes (no restriction when isolated; a borrower that ignores its lender's silence) passed all tests. Change: one test for each.

--- a/crates/tarragon-cluster/tests/cluster_world.rs
+++ b/crates/tarragon-cluster/tests/cluster_world.rs
@@ -428,3 +428,42 @@
     assert_eq!(world.slots_in_use("a-runner-000"), 1);
     assert_eq!(world.slots_in_use("a-runner-001"), 8);
 }
+
+/// Guards against an isolated VM that takes more than it held, or works on cold targets, whose other work it
+/// does not see.
+#[test]
+fn an_isolated_vm_uses_only_slots_it_held() {
+    let mut world = settled(4, 2, 8);
+    let [first, second]: [TargetName; 2] = ["dc0-runner-000".into(), "dc0-runner-001".into()];
+    let slots = |world: &World, target: &TargetName| world.nodes[0].slots[target].slots;
+    let held = slots(&world, &first);
+    world.nodes[0].group = 1;
+    world.run_for(7 * SECOND);
+    world.targets[&first].bears = 64;
+    let report = &mut world.targets[&second];
+    (report.state, report.bears) = (TargetState::Cold, 4);
+    world.run_for(10 * SECOND);
+    assert_eq!((slots(&world, &first), slots(&world, &second)), (held, 0));
+    world.nodes[0].group = 0;
+    world.run_for(15 * SECOND);
+    assert_eq!((slots(&world, &first), slots(&world, &second)), (16, 1));
+}
+
+/// Guards against a borrowed slot that is still used when its lender, who hears nothing of the borrower,
+/// takes it back.
+#[test]
+fn a_borrower_stops_before_its_lender_takes_the_slot_back() {
+    let mut world = settled(4, 1, 2);
+    let target: TargetName = "dc0-runner-000".into();
+    let slots = |world: &World, index: usize| world.nodes[index].slots[&target].slots;
+    let borrower = (0..4).find(|index| slots(&world, *index) == 0).expect("bears 2, 4 VMs");
+    world.handle(borrower, ClusterEvent::SlotWanted(target.clone()));
+    world.step();
+    assert_eq!(slots(&world, borrower), 1);
+    world.nodes[borrower].group = 1;
+    for _ in 0..200 {
+        world.step();
+        assert!(world.slots_in_use(&target) <= 2, "{}", world.slots_in_use(&target));
+    }
+    assert_eq!((slots(&world, borrower), world.slots_in_use(&target)), (0, 2));
+}
