Count left-over work at cold targets against the own slots

A request from the warm time of a target that turned cold took no slot, so that three requests ran where two were borne; the refusal after the second crash had no retry-after.

Change: at a cold target the window is at most the slots less the requests of other processes in the last report. The refusal asks for 2 s.

--- a/crates/tarragon-scheduler/src/scheduler/attempt.rs
+++ b/crates/tarragon-scheduler/src/scheduler/attempt.rs
@@ -14,7 +14,7 @@
 
 /// A caller whose request ran on a target that broke the connection is asked to wait this long, so that
 /// peers have heard of the suspicion before the caller's next attempt.
-const RETRY_AFTER_BREAK: Duration = Duration::from_secs(2);
+pub(super) const RETRY_AFTER_BREAK: Duration = Duration::from_secs(2);
 
 /// A stream that outgrows its predicted length is expected to become this much longer again.
 const OUTGROWN: f64 = 1.25;
--- a/crates/tarragon-scheduler/src/scheduler/dispatch.rs
+++ b/crates/tarragon-scheduler/src/scheduler/dispatch.rs
@@ -11,6 +11,7 @@
     queue::WaitState,
     scheduler::{
         Scheduler,
+        attempt::RETRY_AFTER_BREAK,
         candidate::{ChoiceBounds, suits_suspect},
     },
     suspect::Suspicion,
@@ -240,6 +241,7 @@
         let Some(job) = self.dequeue_unserved(request) else { return };
         let message = "targets crashed while they ran this request";
         let refusal = Scheduler::refusal_of(&job, RefusalCode::CrashesTargets, message);
+        let refusal = refusal.with_retry_after(RETRY_AFTER_BREAK);
         self.refuse(request, job.tier(), refusal, actions);
     }
 
--- a/crates/tarragon-scheduler/src/scheduler/report.rs
+++ b/crates/tarragon-scheduler/src/scheduler/report.rs
@@ -38,7 +38,8 @@
         let Some(index) = self.targets.find(target) else { return };
         let before = self.targets.row(index).and_then(|row| row.restart());
         let age = age.saturating_add(Duration::from_millis(report.lag_ms));
-        if self.targets.take_report(index, report, age, now) {
+        let own = self.own_within(index, report, now.checked_sub(age));
+        if self.targets.take_report(index, report, own, age, now) {
             self.statistics.cold_signs += 1;
             actions.push(SchedulerAction::PollTarget(target.clone()));
             self.confirm_crash(index, before, now, actions);
@@ -51,6 +52,19 @@
         self.targets.refresh(index, now);
     }
 
+    /// Own requests at a target that a report of figures taken at a time may include. At a cold target
+    /// this is exact, so that a request sent since does not hide one of another process.
+    fn own_within(&self, target: usize, report: &LoadReport, taken: Option<Instant>) -> u32 {
+        let Some(row) = self.targets.row(target) else { return 0 };
+        if !row.window.is_cold() && report.state != TargetState::Cold {
+            return row.in_flight;
+        }
+        let included = self.in_flight.iter().filter(|running| {
+            running.target == target && taken.is_some_and(|taken| running.dispatched <= taken)
+        });
+        included.count() as u32
+    }
+
     /// Remembers that a connection broke: a restart of the target makes it a crash.
     pub(super) fn note_broken(&mut self, running: &RunningAttempt, now: Instant) {
         let fingerprint = running.job.profile.fingerprint;
--- a/crates/tarragon-scheduler/src/targets.rs
+++ b/crates/tarragon-scheduler/src/targets.rs
@@ -48,7 +48,7 @@
     pub running: u32,
     /// Waiting requests.
     pub waiting: u32,
-    /// Own requests in flight when the report arrived.
+    /// Own requests that the figures may include.
     pub own: u32,
     /// When the figures were taken.
     pub taken: Instant,
@@ -379,11 +379,12 @@
         gaps
     }
 
-    /// Takes a report. Returns whether the restart id is a new one.
+    /// Takes a report, given the own requests that it may include. Returns whether the restart id is a new one.
     pub fn take_report(
         &mut self,
         index: usize,
         report: &LoadReport,
+        own: u32,
         age: Duration,
         now: Instant,
     ) -> bool {
@@ -408,7 +409,7 @@
             restart: report.restart,
             running: report.running,
             waiting: report.waiting,
-            own: row.in_flight,
+            own,
             taken,
         });
         row.leaving = report.state == TargetState::Leaving;
--- a/crates/tarragon-scheduler/src/targets/estimate.rs
+++ b/crates/tarragon-scheduler/src/targets/estimate.rs
@@ -89,7 +89,7 @@
         let RateEstimate { base, prefill, decode, call, .. } = row.rates;
         TargetOutlook {
             in_flight: row.in_flight,
-            window: if row.may_work() { row.window.size(now) } else { 0 },
+            window: if row.may_work() { row.safe_window(now) } else { 0 },
             models: row.model_set,
             first: (base + ahead * prefill) as f32,
             prefill: prefill as f32,
@@ -130,6 +130,21 @@
 }
 
 impl TargetRow {
+    /// The window, at a cold target less the requests of other processes there. They may be left over
+    /// from before the cold spell, when their processes had more slots; together with the slots given
+    /// out since, they would exceed what the target bears.
+    fn safe_window(&self, now: Instant) -> u32 {
+        let size = self.window.size(now);
+        match &self.report {
+            Some(report) if self.window.is_cold() => {
+                let total = report.running.saturating_add(report.waiting);
+                let foreign = total.saturating_sub(report.own);
+                size.min(self.window.slots().saturating_sub(foreign))
+            }
+            _ => size,
+        }
+    }
+
     /// Requests of other processes that run and wait at the target, by the last report, weighted down
     /// by its age.
     fn foreign(&self, now: Instant) -> (f64, f64) {
--- a/crates/tarragon-scheduler/tests/rules/driver.rs
+++ b/crates/tarragon-scheduler/tests/rules/driver.rs
@@ -95,11 +95,36 @@
     }
 
     pub fn report(&mut self, name: &str, restart: u64, state: TargetState) -> &[SchedulerAction] {
+        self.report_running(name, restart, state, 0)
+    }
+
+    pub fn report_running(
+        &mut self,
+        name: &str,
+        restart: u64,
+        state: TargetState,
+        running: u32,
+    ) -> &[SchedulerAction] {
+        self.report_in_full(name, restart, state, running, Duration::ZERO)
+    }
+
+    pub fn report_aged(&mut self, name: &str, state: TargetState, running: u32, age: Duration) {
+        self.report_in_full(name, 1, state, running, age);
+    }
+
+    fn report_in_full(
+        &mut self,
+        name: &str,
+        restart: u64,
+        state: TargetState,
+        running: u32,
+        age: Duration,
+    ) -> &[SchedulerAction] {
         let report = LoadReport {
             restart,
             state,
             bears: 4,
-            running: 0,
+            running,
             waiting: 0,
             free_cache_tokens: 1_000_000,
             models: vec!["assess".into()],
@@ -107,7 +132,6 @@
             last_order_age_ms: None,
             lag_ms: 0,
         };
-        let age = Duration::ZERO;
         self.handle(SchedulerEvent::LoadReported { target: name.into(), report, age })
     }
 
--- a/crates/tarragon-scheduler/tests/rules/window.rs
+++ b/crates/tarragon-scheduler/tests/rules/window.rs
@@ -28,6 +28,26 @@
     assert_eq!(driver.dispatched().len(), 2);
 }
 
+/// Guards against a cold target above what it bears, because another VM's request from its warm time still
+/// runs there. A request sent after the figures were taken must not hide that one.
+#[test]
+fn work_left_over_at_a_cold_target_takes_slots() {
+    let mut driver = Driver::with_targets(1, 8);
+    driver.slots("t0", 1, true);
+    driver.report_running("t0", 1, TargetState::Cold, 1);
+    assert!(fill(&mut driver, 2).is_empty());
+    driver.report_running("t0", 1, TargetState::Cold, 0);
+    assert_eq!(driver.dispatched().len(), 1);
+
+    let mut driver = Driver::with_targets(1, 8);
+    driver.slots("t0", 2, true);
+    driver.now += Duration::from_millis(100);
+    assert_eq!(fill(&mut driver, 1).len(), 1);
+    driver.now += Duration::from_millis(100);
+    driver.report_aged("t0", TargetState::Cold, 1, Duration::from_millis(150));
+    assert!(fill(&mut driver, 1).is_empty());
+}
+
 struct SignCase {
     name: &'static str,
     sign: fn(&mut Driver, RequestId),
