--- a/crates/tarragon-scheduler/src/scheduler/dispatch.rs
+++ b/crates/tarragon-scheduler/src/scheduler/dispatch.rs
@@ -11,6 +11,7 @@
     queue::WaitState,
     scheduler::{
         Scheduler,
+        attempt::RETRY_AFTER_BREAK,
         candidate::{ChoiceBounds, suits_suspect},
     },
     suspect::{SUSPECT_LIFETIME, Suspicion},
