--- /dev/null
+++ b/tests/command_line.rs
@@ -0,0 +1,60 @@
+//! The binary as operators and scripts call it.
+
+use std::process::{Command, Output};
+
+fn tarragonfront(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_tarragonfront")).args(arguments).output().unwrap()
+}
+
+struct CallCase {
+    arguments: &'static [&'static str],
+    code: i32,
+    output: &'static str,
+}
+
+/// Scripts decide by the exit code whether to publish.
+#[test]
+fn exit_codes_and_output() {
+    let cases = [
+        CallCase {
+            arguments: &["check", "examples/settings.jsonc"],
+            code: 0,
+            output: "no findings in examples/settings.jsonc and examples/oshana.rules",
+        },
+        CallCase {
+            arguments: &["check", "--json", "examples/settings.jsonc", "examples/settings.jsonc"],
+            code: 1,
+            output: "\"findings\": [",
+        },
+        CallCase {
+            arguments: &["check", "no-such-file"],
+            code: 1,
+            output: "the file can't be read",
+        },
+        CallCase { arguments: &["serve", "no-such-file"], code: 1, output: "can't be read" },
+        CallCase { arguments: &["dump"], code: 1, output: "name the process by --settings" },
+        CallCase { arguments: &["demo", "--seconds", "100"], code: 1, output: "write 3 to 25" },
+        CallCase { arguments: &["--help"], code: 0, output: "Available commands" },
+    ];
+    for CallCase { arguments, code, output } in cases {
+        let result = tarragonfront(arguments);
+        let text = String::from_utf8_lossy(&[result.stdout, result.stderr].concat()).into_owned();
+        assert_eq!(result.status.code(), Some(code), "{arguments:?}: {text}");
+        assert!(text.contains(output), "{arguments:?}: {text}");
+    }
+}
+
+/// An unknown plug-in would silently fall back to the default when the rules are in force.
+#[test]
+fn unknown_plug_ins_are_findings() {
+    let rules = std::env::temp_dir().join(format!("plug-ins-{}.rules", std::process::id()));
+    let rules_text = std::fs::read_to_string("examples/oshana.rules").unwrap();
+    let rules_text =
+        rules_text.replace("policy default choose=least-cost", "policy default choose=fastest");
+    std::fs::write(&rules, rules_text).unwrap();
+    let result = tarragonfront(&["check", "examples/settings.jsonc", rules.to_str().unwrap()]);
+    std::fs::remove_file(&rules).unwrap();
+    let output = String::from_utf8_lossy(&result.stdout).into_owned();
+    assert_eq!(result.status.code(), Some(1), "{output}");
+    assert!(output.contains("there is no plug-in `fastest`") && output.contains("least-cost"));
+}
