Treat a closed pipe as no failure of a command

Cause: 'explain | head' panicked, since print! panics on a closed pipe. Change: all results go through one writer that accepts a closed pipe.

--- a/crates/tarragon-command/src/admin_client.rs
+++ b/crates/tarragon-command/src/admin_client.rs
@@ -89,10 +89,3 @@
         Ok(text)
     }
 }
-
-/// Prints JSON over several lines, and any other text as it is.
-pub(crate) fn print_answer(text: &str) {
-    let pretty = serde_json::from_str::<serde_json::Value>(text)
-        .and_then(|value| serde_json::to_string_pretty(&value));
-    println!("{}", pretty.as_deref().unwrap_or(text));
-}
--- a/crates/tarragon-command/src/command/check.rs
+++ b/crates/tarragon-command/src/command/check.rs
@@ -14,7 +14,10 @@
 use tarragon_protocol::prelude::*;
 use tarragon_scheduler::policy::{UnknownPlugin, unknown_plugins};
 
-use crate::excerpt::{ExcerptStyle, render_findings};
+use crate::{
+    excerpt::{ExcerptStyle, render_findings},
+    output::{write_answer, write_text},
+};
 
 /// Check settings and rules and report all findings
 #[derive(Debug, Clone, Bpaf)]
@@ -34,9 +37,9 @@
 pub(crate) fn execute(arguments: &CheckArguments) -> anyhow::Result<ExitCode> {
     let report = check_all(&arguments.settings, arguments.rules.as_deref());
     if arguments.json {
-        println!("{}", serde_json::to_string_pretty(&report.findings)?);
+        write_answer(&serde_json::to_string(&report.findings)?)?;
     } else {
-        print!("{}", render_report(&report));
+        write_text(&render_report(&report))?;
     }
     Ok(if report.findings.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
--- a/crates/tarragon-command/src/command/demo.rs
+++ b/crates/tarragon-command/src/command/demo.rs
@@ -24,7 +24,7 @@
 use plan::DemoRequest;
 use tarragon_config::settings::LogFormat;
 
-use crate::logging;
+use crate::{logging, output::write_text};
 
 /// Time after the last arrival in which open requests must end.
 const TAIL_TIME: Duration = Duration::from_secs(15);
@@ -65,7 +65,7 @@
         logging::start(LogFormat::Text)?;
     }
     let length = Duration::from_secs(arguments.seconds);
-    println!("starting stand-ins and 4 entry VMs of 2 data centres on loopback ports");
+    write_text("starting stand-ins and 4 entry VMs of 2 data centres on loopback ports\n")?;
     let fleet = Arc::new(DemoFleet::start().await?);
     let requests = plan::plan_requests(arguments.seed, arguments.rate, length);
     let events = tokio::spawn(run_events(fleet.clone(), Instant::now(), length));
@@ -73,7 +73,7 @@
     let audit = events.await?;
     audit.finish(&fleet, &mut account).await;
     fleet.shut_down(&mut account).await;
-    print!("{account}");
+    write_text(&account.to_string())?;
     Ok(if account.is_clean() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
--- a/crates/tarragon-command/src/command/drain.rs
+++ b/crates/tarragon-command/src/command/drain.rs
@@ -5,7 +5,10 @@
 use bpaf::Bpaf;
 use hyper::Method;
 
-use crate::admin_client::{AdminTarget, admin_target, print_answer};
+use crate::{
+    admin_client::{AdminTarget, admin_target},
+    output::write_answer,
+};
 
 /// Start the graceful shutdown of a running process
 #[derive(Debug, Clone, Bpaf)]
@@ -17,6 +20,6 @@
 
 pub(crate) async fn execute(arguments: DrainArguments) -> anyhow::Result<ExitCode> {
     let client = arguments.target.client()?;
-    print_answer(&client.call(Method::POST, "/admin/drain").await?);
+    write_answer(&client.call(Method::POST, "/admin/drain").await?)?;
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/tarragon-command/src/command/dump.rs
+++ b/crates/tarragon-command/src/command/dump.rs
@@ -5,7 +5,10 @@
 use bpaf::Bpaf;
 use hyper::Method;
 
-use crate::admin_client::{AdminTarget, admin_target, print_answer};
+use crate::{
+    admin_client::{AdminTarget, admin_target},
+    output::write_answer,
+};
 
 /// Print the state of a running process
 #[derive(Debug, Clone, Bpaf)]
@@ -17,6 +20,6 @@
 
 pub(crate) async fn execute(arguments: DumpArguments) -> anyhow::Result<ExitCode> {
     let client = arguments.target.client()?;
-    print_answer(&client.call(Method::GET, "/admin/dump").await?);
+    write_answer(&client.call(Method::GET, "/admin/dump").await?)?;
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/tarragon-command/src/command/explain.rs
+++ b/crates/tarragon-command/src/command/explain.rs
@@ -6,7 +6,10 @@
 use hyper::Method;
 use tarragon_protocol::prelude::*;
 
-use crate::admin_client::{AdminTarget, admin_target, print_answer};
+use crate::{
+    admin_client::{AdminTarget, admin_target},
+    output::write_answer,
+};
 
 /// Print why a request would go where, without sending it
 #[derive(Debug, Clone, Bpaf)]
@@ -69,6 +72,6 @@
 pub(crate) async fn execute(arguments: ExplainArguments) -> anyhow::Result<ExitCode> {
     let client = arguments.target.client()?;
     let path = format!("/admin/explain?{}", arguments.query());
-    print_answer(&client.call(Method::GET, &path).await?);
+    write_answer(&client.call(Method::GET, &path).await?)?;
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/tarragon-command/src/command/lab/experiment.rs
+++ b/crates/tarragon-command/src/command/lab/experiment.rs
@@ -5,6 +5,8 @@
 use bpaf::Bpaf;
 use tarragon_lab::experiment::{self, ExperimentOptions};
 
+use crate::output::write_text;
+
 /// Measure goodput, wasted prefill and latency against the baselines and write tables and plots
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(command("experiment"))]
@@ -27,6 +29,6 @@
     let ExperimentArguments { output, seed, seconds, vms } = arguments;
     let length = Duration::from_secs(seconds);
     let tables = experiment::run(&ExperimentOptions { output, seed, length, vms })?;
-    print!("{tables}");
+    write_text(&tables)?;
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/tarragon-command/src/command/lab/load.rs
+++ b/crates/tarragon-command/src/command/lab/load.rs
@@ -5,6 +5,8 @@
 use bpaf::Bpaf;
 use tarragon_lab::load::{self, LoadOptions};
 
+use crate::output::write_text;
+
 /// Send a deployment's load to running processes on loopback
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(command("load"))]
@@ -39,7 +41,7 @@
         repeats: arguments.repeats,
     };
     let table = load::run(options).await?;
-    println!("{table}");
+    write_text(&format!("{table}\n"))?;
     let planned = u64::try_from(table.planned).unwrap_or(u64::MAX);
     Ok(if table.answered() == planned { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
--- a/crates/tarragon-command/src/command/lab/soak.rs
+++ b/crates/tarragon-command/src/command/lab/soak.rs
@@ -5,6 +5,8 @@
 use bpaf::Bpaf;
 use tarragon_lab::soak::{self, Mutation, SoakOptions};
 
+use crate::output::write_text;
+
 /// Run nodes with random faults in virtual time and check what must hold
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(command("soak"))]
@@ -29,6 +31,6 @@
 pub(crate) fn execute(arguments: SoakArguments) -> anyhow::Result<ExitCode> {
     let SoakArguments { seed, seeds, steps, mutation, echo } = arguments;
     let report = soak::run(SoakOptions { seed, seeds, steps, mutation, echo });
-    println!("{report}");
+    write_text(&format!("{report}\n"))?;
     Ok(if report.is_clean() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
--- a/crates/tarragon-command/src/command/rules.rs
+++ b/crates/tarragon-command/src/command/rules.rs
@@ -5,7 +5,10 @@
 use bpaf::Bpaf;
 use hyper::Method;
 
-use crate::admin_client::{AdminTarget, admin_target, print_answer};
+use crate::{
+    admin_client::{AdminTarget, admin_target},
+    output::write_answer,
+};
 
 /// Print the rules in force and who asked for each
 #[derive(Debug, Clone, Bpaf)]
@@ -17,6 +20,6 @@
 
 pub(crate) async fn execute(arguments: RulesArguments) -> anyhow::Result<ExitCode> {
     let client = arguments.target.client()?;
-    print_answer(&client.call(Method::GET, "/admin/rules").await?);
+    write_answer(&client.call(Method::GET, "/admin/rules").await?)?;
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/tarragon-command/src/lib.rs
+++ b/crates/tarragon-command/src/lib.rs
@@ -4,6 +4,7 @@
 mod command;
 mod excerpt;
 mod logging;
+mod output;
 
 use std::process::ExitCode;
 
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -1,6 +1,6 @@
 //! The binary as operators and scripts call it.
 
-use std::process::{Command, Output};
+use std::process::{Command, Output, Stdio};
 
 fn tarragonfront(arguments: &[&str]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_tarragonfront")).args(arguments).output().unwrap()
@@ -58,3 +58,15 @@
     assert_eq!(result.status.code(), Some(1), "{output}");
     assert!(output.contains("there is no plug-in `fastest`") && output.contains("least-cost"));
 }
+
+/// `tarragonfront dump | head` must not end in a panic when `head` closes the pipe.
+#[test]
+fn a_closed_pipe_is_no_failure() {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_tarragonfront"))
+        .args(["check", "examples/settings.jsonc"])
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    drop(child.stdout.take());
+    assert_eq!(child.wait().unwrap().code(), Some(0));
+}
