--- a/crates/tarragon-lab/src/soak/mutation.rs
+++ b/crates/tarragon-lab/src/soak/mutation.rs
@@ -27,7 +27,8 @@
     DropConfiguration,
     /// Refusals are not passed on.
     SwallowRefusals,
-    /// Requests that crash targets can't be recognised.
+    /// Requests that crash targets can't be recognised when they are sent again, and callers do not wait
+    /// as they are asked to.
     ChangeFingerprints,
 }
 
--- a/crates/tarragon-lab/src/soak/world/caller.rs
+++ b/crates/tarragon-lab/src/soak/world/caller.rs
@@ -165,7 +165,8 @@
             state.ticket = None;
             self.observer.told_not_run(ask);
         }
-        let delay = refusal.retry_after.unwrap_or(REFUSED_DELAY);
+        let obeys = self.mutation != Some(Mutation::ChangeFingerprints);
+        let delay = refusal.retry_after.filter(|_| obeys).unwrap_or(REFUSED_DELAY);
         self.repeat_later(call, delay);
     }
 
