--- a/crates/tarragon-lab/src/load.rs
+++ b/crates/tarragon-lab/src/load.rs
@@ -25,8 +25,8 @@
 pub const MAX_LENGTH: Duration = Duration::from_secs(600);
 /// Greatest number of requests that are open at once; a request beyond it counts as `not-sent`.
 const MAX_OPEN: usize = 4_096;
-/// Time that open requests get after the last arrival.
-const TAIL_TIME: Duration = Duration::from_secs(60);
+/// Time after the longest deadline of the workload in which the last answers are awaited.
+const ANSWER_GRACE: Duration = Duration::from_secs(5);
 
 /// What to send where.
 #[derive(Debug, Clone)]
@@ -94,7 +94,7 @@
         });
     }
     drop(answers);
-    let end = Instant::now() + TAIL_TIME;
+    let end = Instant::now() + workload.longest_deadline() + ANSWER_GRACE;
     while let Ok(Some(answer)) = tokio::time::timeout_at(end, received.recv()).await {
         table.add(&answer);
     }
--- a/crates/tarragon-lab/src/workload.rs
+++ b/crates/tarragon-lab/src/workload.rs
@@ -157,6 +157,12 @@
         serde_json::from_str(text).with_context(|| format!("workload `{name}`"))
     }
 
+    /// Longest time that a caller of any class waits for its answer.
+    pub fn longest_deadline(&self) -> Duration {
+        let longest = self.classes.iter().map(|class| class.deadline_ms).max();
+        Duration::from_millis(longest.unwrap_or_default())
+    }
+
     /// The same workload without calls of the plain service.
     pub fn without_plain(mut self) -> Workload {
         self.classes.retain(|class| class.plain.is_none());
