Announce suspects and successors to all data centres at once

Cause: suspicions left their data centre only with the digest to one remote member a second. Ruled out: retries at the same VM, which stay within one more target. Change: such news go to the data centre and to two members of each other one, which pass them on at home; successors of ended processes likewise.

--- a/crates/tarragon-cluster/src/cluster/drain.rs
+++ b/crates/tarragon-cluster/src/cluster/drain.rs
@@ -12,7 +12,7 @@
         self.update_service(now, actions);
     }
 
-    /// Notes a successor, of this process or of one whose records it held, and tells the data centre.
+    /// Notes a successor, of this process or of one whose records it held, and tells all data centres.
     pub(super) fn note_handover(
         &mut self,
         now: Instant,
@@ -20,7 +20,7 @@
         actions: &mut Vec<ClusterAction>,
     ) {
         if self.news.take_successor(&entry, now) {
-            self.announce(now, PeerAnnouncement::Successor(entry), actions);
+            self.announce_everywhere(now, PeerAnnouncement::Successor(entry), actions);
         }
     }
 }
--- a/crates/tarragon-cluster/src/cluster/gossip.rs
+++ b/crates/tarragon-cluster/src/cluster/gossip.rs
@@ -26,6 +26,10 @@
 /// other meet again.
 const SILENT_PEER_ROUNDS: u64 = 5;
 
+/// Members of each other data centre that get rare news directly. Two, so that the loss of one message or
+/// one VM does not keep a whole data centre uninformed until the next digest reaches it.
+const REMOTE_ENTRIES: usize = 2;
+
 /// Time after which a pull counts as lost.
 const PULL_LOST_AFTER: Duration = Duration::from_secs(3);
 
@@ -170,15 +174,18 @@
         self.compare_versions(now, &digest, actions);
     }
 
+    /// Returns whether the finding is news.
     fn take_suspect(
         &mut self,
         now: Instant,
         entry: &SuspectEntry,
         actions: &mut Vec<ClusterAction>,
-    ) {
-        if self.news.take_suspect(entry, now) {
+    ) -> bool {
+        let news = self.news.take_suspect(entry, now);
+        if news {
             actions.push(ClusterAction::SuspectHeard(entry.clone()));
         }
+        news
     }
 
     pub(super) fn take_load(
@@ -282,15 +289,59 @@
                 let peer = peer.clone();
                 actions.push(ClusterAction::PressureHeard { peer, shed_floor, waiting });
             }
-            PeerAnnouncement::Suspect(entry) => self.take_suspect(now, &entry, actions),
+            PeerAnnouncement::Suspect(entry) => {
+                if self.take_suspect(now, &entry, actions) {
+                    self.pass_on(now, peer, PeerAnnouncement::Suspect(entry), actions);
+                }
+            }
             PeerAnnouncement::Load(entry) => self.take_load(now, &entry, actions),
             PeerAnnouncement::Draining => self.members.mark_draining(peer),
             PeerAnnouncement::Successor(entry) => {
-                self.news.take_successor(&entry, now);
+                if self.news.take_successor(&entry, now) {
+                    self.pass_on(now, peer, PeerAnnouncement::Successor(entry), actions);
+                }
             }
         }
     }
 
+    /// Tells the own data centre what a member of another one has announced.
+    fn pass_on(
+        &self,
+        now: Instant,
+        peer: &PeerIdentity,
+        announcement: PeerAnnouncement,
+        actions: &mut Vec<ClusterAction>,
+    ) {
+        let member = self.members.get(&peer.vm);
+        if member.is_some_and(|member| member.data_centre != self.settings.data_centre) {
+            self.announce(now, announcement, actions);
+        }
+    }
+
+    /// Sends news to the data centre and to some members of each other one, which pass it on at home. For
+    /// rare news that must overtake a caller that repeats its request in another data centre.
+    pub(super) fn announce_everywhere(
+        &mut self,
+        now: Instant,
+        announcement: PeerAnnouncement,
+        actions: &mut Vec<ClusterAction>,
+    ) {
+        self.announce(now, announcement.clone(), actions);
+        let mut remote: Vec<&Member> =
+            self.members.remote().filter(|member| member.is_reachable(now)).collect();
+        remote.shuffle(&mut self.random);
+        let mut entries: IndexMap<&DataCentreName, usize> = IndexMap::new();
+        remote.retain(|member| {
+            let count = entries.entry(&member.data_centre).or_default();
+            *count += 1;
+            *count <= REMOTE_ENTRIES
+        });
+        let peers: Vec<PeerAddress> = remote.into_iter().map(Member::peer_address).collect();
+        if !peers.is_empty() {
+            actions.push(ClusterAction::SendAnnouncement(peers, announcement));
+        }
+    }
+
     /// Sends news to all members of the data centre that are not down.
     pub(super) fn announce(
         &self,
@@ -328,7 +379,7 @@
         actions: &mut Vec<ClusterAction>,
     ) {
         if self.news.take_suspect(&entry, now) {
-            self.announce(now, PeerAnnouncement::Suspect(entry), actions);
+            self.announce_everywhere(now, PeerAnnouncement::Suspect(entry), actions);
         }
     }
 }
--- a/crates/tarragon-cluster/tests/cluster_world.rs
+++ b/crates/tarragon-cluster/tests/cluster_world.rs
@@ -467,3 +467,37 @@
     }
     assert_eq!((slots(&world, borrower), world.slots_in_use(&target)), (0, 2));
 }
+
+/// Guards against a third crashed target in another data centre: a caller repeats its request there 2 s after
+/// the crash, which digests to one remote member a second often do not overtake.
+#[test]
+fn suspects_and_successors_reach_other_data_centres_at_once() {
+    let mut world = World::new();
+    let vms: Vec<String> = ["a", "b", "c"]
+        .iter()
+        .flat_map(|data_centre| (0..6).map(move |number| format!("{data_centre}-{number}")))
+        .collect();
+    for vm in &vms {
+        world.list_vm(vm, &vm[..1]);
+    }
+    for data_centre in ["a", "b", "c"] {
+        world.publish_targets(data_centre, 1, 8);
+    }
+    for (index, vm) in vms.iter().enumerate() {
+        world.start_node(vm, &vm[..1], index as u64 + 1);
+    }
+    world.run_until(20 * SECOND, all_ready).expect("all nodes become ready");
+    let crashes = vec![("a-runner-000".into(), 1)];
+    let entry = SuspectEntry { fingerprint: 9, crashes, convicted: false, age_ms: 0 };
+    world.handle(0, ClusterEvent::SuspectNoted(entry));
+    let owner = PeerIdentity { vm: "gone".into(), incarnation: 3 };
+    let successor = PeerIdentity { vm: "a-1".into(), incarnation: 2 };
+    let peer_address = address_of("a-1");
+    let entry = SuccessorEntry { owner: owner.clone(), successor, peer_address, age_ms: 0 };
+    world.handle(0, ClusterEvent::HandoverDone(entry));
+    world.run_for(Duration::from_millis(500));
+    for node in &world.nodes[1..] {
+        assert_eq!(node.suspects.len(), 1);
+        assert!(node.cluster.successor_of(&owner).is_some());
+    }
+}
