Keep 8 MiB of recorded answers in place of 16

Cause: at the design scale the full ticket table (22.9 MB) and the configuration (6.8 MB) left 1.5 MB of the 32 MB for control, and a transfer holds a second configuration for a moment. Change: the bound of all kept answers, and of one rule's answer_limit, is 8 MiB. A request whose answer finds no room is still done and answered; its repeat gets 'unknown' with answer_not_kept.

--- a/crates/tarragon-cluster/src/ticket/decision.rs
+++ b/crates/tarragon-cluster/src/ticket/decision.rs
@@ -21,7 +21,7 @@
 
 impl Default for TicketLimits {
     fn default() -> TicketLimits {
-        TicketLimits { records: 65_536, answer_bytes: 16 * 1024 * 1024, waiters: 64 }
+        TicketLimits { records: 65_536, answer_bytes: 8 * 1024 * 1024, waiters: 64 }
     }
 }
 
--- a/crates/tarragon-config/src/rules/kind.rs
+++ b/crates/tarragon-config/src/rules/kind.rs
@@ -9,8 +9,8 @@
     WorkspaceRule, field::FieldReader, value,
 };
 
-/// Largest answer limit in bytes: the records of one process keep 16 MiB of answers in all.
-const MAX_ANSWER_LIMIT: u64 = 16 * 1024 * 1024;
+/// Largest answer limit in bytes: the records of one process keep 8 MiB of answers in all.
+const MAX_ANSWER_LIMIT: u64 = 8 * 1024 * 1024;
 /// Largest concurrency of a workspace and number of replicas; far above any deployment's need.
 const MAX_COUNT: u32 = 1_000_000;
 /// Largest share of a workspace, so that a sum of shares stays far from overflow.
--- a/crates/tarragon-server/src/peer/client.rs
+++ b/crates/tarragon-server/src/peer/client.rs
@@ -30,7 +30,7 @@
 pub const NEWS_LIMIT: Duration = Duration::from_secs(2);
 /// Longest time for a configuration or a handover to be sent.
 pub const TRANSFER_LIMIT: Duration = Duration::from_secs(10);
-/// Largest message, in bytes: a handover of 16 MiB of answers, written as base64 inside JSON.
+/// Largest message, in bytes: a handover of 8 MiB of answers, written as base64 inside JSON.
 pub const MAX_MESSAGE_BYTES: u32 = 48 << 20;
 /// Times that a message is sealed. Many messages at once can overtake each other by more than the
 /// receiver's replay window holds; a new seal has a newer counter.
