Build jobs and request drivers in one place each

Cause: explaining a choice and admitting a request wrote out the same fields of a job, and three kinds of calls the same fields of a request driver; a new field could have been set differently. Change: Job::new and RequestDriver::new. Behaviour stays as it is. Measured: the scheduler and server tests pass.

--- a/crates/tarragon-scheduler/src/job.rs
+++ b/crates/tarragon-scheduler/src/job.rs
@@ -4,7 +4,24 @@
 
 use tarragon_protocol::identity::BLOCK_TOKENS;
 
-use crate::{prelude::*, targets::estimate::RequestSize};
+use crate::{cost::CostPrediction, prelude::*, targets::estimate::RequestSize};
+
+/// Where a request belongs in the scheduler's tables.
+#[derive(Debug, Clone, Copy)]
+pub struct JobPlace {
+    /// See [`Job::pool`].
+    pub pool: usize,
+    /// See [`Job::lane`].
+    pub lane: usize,
+    /// See [`Job::models`].
+    pub models: u64,
+    /// See [`Job::workspace`].
+    pub workspace: usize,
+    /// See [`Job::workspace_key`].
+    pub workspace_key: u64,
+    /// See [`Job::sequence`].
+    pub sequence: u64,
+}
 
 /// A request from its arrival to its end. It moves between the queue and the in-flight table.
 #[derive(Debug)]
@@ -46,6 +63,30 @@
 }
 
 impl Job {
+    /// A request that has just arrived.
+    pub fn new(profile: Box<RequestProfile>, place: JobPlace, prediction: CostPrediction) -> Job {
+        let JobPlace { pool, lane, models, workspace, workspace_key, sequence } = place;
+        Job {
+            latest_start: profile.deadline,
+            profile,
+            pool,
+            lane,
+            models,
+            workspace,
+            workspace_key,
+            sequence,
+            output: prediction.output,
+            cost: prediction.cost,
+            tags: (0, 0),
+            attempts: 0,
+            may_have_run: false,
+            avoid: Vec::new(),
+            delivered: 0,
+            passed: 0,
+            preemptions: 0,
+        }
+    }
+
     /// Id.
     pub fn request(&self) -> RequestId {
         self.profile.request
--- a/crates/tarragon-scheduler/src/scheduler/arrival.rs
+++ b/crates/tarragon-scheduler/src/scheduler/arrival.rs
@@ -5,7 +5,7 @@
 use crate::{
     admission::{AdmissionVerdict, AdmissionView},
     cost,
-    job::Job,
+    job::{Job, JobPlace},
     prelude::*,
     scheduler::{RETRY_AFTER, Scheduler},
     share::LimitFault,
@@ -85,25 +85,9 @@
         let workspace_key = cost::workspace_key(&profile.workspace);
         let prediction = self.costs.predict(pool, workspace_key, &profile);
         self.sequence += 1;
-        let mut job = Job {
-            latest_start: profile.deadline,
-            profile,
-            pool,
-            lane,
-            models,
-            workspace,
-            workspace_key,
-            sequence: self.sequence,
-            output: prediction.output,
-            cost: prediction.cost,
-            tags: (0, 0),
-            attempts: 0,
-            may_have_run: false,
-            avoid: Vec::new(),
-            delivered: 0,
-            passed: 0,
-            preemptions: 0,
-        };
+        let sequence = self.sequence;
+        let place = JobPlace { pool, lane, models, workspace, workspace_key, sequence };
+        let mut job = Job::new(profile, place, prediction);
         self.set_latest_start(&mut job, now);
         job
     }
--- a/crates/tarragon-scheduler/src/scheduler/explain.rs
+++ b/crates/tarragon-scheduler/src/scheduler/explain.rs
@@ -7,7 +7,7 @@
 use crate::{
     choose::{ChooseCandidate, ChooseView},
     cost,
-    job::Job,
+    job::{Job, JobPlace},
     policy::PolicyChoice,
     prelude::*,
     scheduler::{
@@ -93,25 +93,10 @@
         let workspace_key = cost::workspace_key(&profile.workspace);
         let prediction = self.costs.predict(pool, workspace_key, profile);
         let models = self.targets.models.find(profile.model_call().map(|call| &call.model));
-        Job {
-            profile: Box::new(profile.clone()),
-            pool,
-            lane: 0,
-            models,
-            workspace: usize::MAX,
-            workspace_key,
-            sequence: 0,
-            output: prediction.output,
-            cost: prediction.cost,
-            tags: (0, 0),
-            attempts: 0,
-            may_have_run: false,
-            avoid: Vec::new(),
-            delivered: 0,
-            passed: 0,
-            preemptions: 0,
-            latest_start: profile.deadline,
-        }
+        // It is in no queue and charged to no workspace.
+        let (lane, workspace, sequence) = (0, usize::MAX, 0);
+        let place = JobPlace { pool, lane, models, workspace, workspace_key, sequence };
+        Job::new(Box::new(profile.clone()), place, prediction)
     }
 
     fn choose_trial(
--- a/crates/tarragon-server/src/caller/chat.rs
+++ b/crates/tarragon-server/src/caller/chat.rs
@@ -209,7 +209,6 @@
 where
     S: TokenSink,
 {
-    let deadline = job.arrival.deadline;
     let mut runner = engine_runner(process, job, sink);
     let end = match process.link.admit(job.profile(), job.arrival.relayed).await {
         None => RequestEnd::Refused(Refusal::not_run(
@@ -217,15 +216,7 @@
             "the process is shutting down",
         )),
         Some(decisions) => {
-            let driver = RequestDriver {
-                link: process.link.clone(),
-                request: job.arrival.request,
-                deadline,
-                attempt_limit: deadline.instant,
-                abandoned,
-                decisions,
-                may_have_run: false,
-            };
+            let driver = RequestDriver::new(&process.link, &job.arrival, abandoned, decisions);
             driver.run(&mut runner).await
         }
     };
--- a/crates/tarragon-server/src/caller/service.rs
+++ b/crates/tarragon-server/src/caller/service.rs
@@ -158,15 +158,7 @@
         let _ = sender.send(RequestEnd::Refused(refusal));
         return;
     };
-    let driver = RequestDriver {
-        link: process.link.clone(),
-        request: job.arrival.request,
-        deadline,
-        attempt_limit: deadline.instant,
-        abandoned,
-        decisions,
-        may_have_run: false,
-    };
+    let driver = RequestDriver::new(&process.link, &job.arrival, abandoned, decisions);
     let idempotent = !job.run_once;
     let mut runner = PlainRunner { process: &process, call: &job.call, idempotent, deadline };
     let end = driver.run(&mut runner).await;
--- a/crates/tarragon-server/src/request.rs
+++ b/crates/tarragon-server/src/request.rs
@@ -12,7 +12,7 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::{node_task::NodeLink, process::Deadline};
+use crate::{caller::arrival::Arrival, node_task::NodeLink, process::Deadline};
 
 /// Time after the deadline in which the node's own refusal is awaited.
 const DECISION_GRACE: Duration = Duration::from_millis(500);
@@ -119,6 +119,25 @@
 }
 
 impl RequestDriver {
+    /// A driver of a request that the node has just taken. Its attempts are not waited for beyond the deadline.
+    pub fn new(
+        link: &NodeLink,
+        arrival: &Arrival,
+        abandoned: CancellationToken,
+        decisions: mpsc::Receiver<Decision>,
+    ) -> RequestDriver {
+        let Arrival { request, deadline, .. } = *arrival;
+        RequestDriver {
+            link: link.clone(),
+            request,
+            deadline,
+            attempt_limit: deadline.instant,
+            abandoned,
+            decisions,
+            may_have_run: false,
+        }
+    }
+
     /// Runs the request to its end.
     pub async fn run<R>(mut self, runner: &mut R) -> RequestEnd<R::Answer>
     where
--- a/crates/tarragon-server/src/ticket.rs
+++ b/crates/tarragon-server/src/ticket.rs
@@ -282,15 +282,9 @@
     decisions: mpsc::Receiver<Decision>,
 ) {
     let deadline = job.arrival().deadline;
-    let driver = RequestDriver {
-        link: process.link.clone(),
-        request: job.arrival().request,
-        deadline,
-        attempt_limit: deadline.instant + OUTCOME_LIMIT,
-        abandoned: CancellationToken::new(),
-        decisions,
-        may_have_run: false,
-    };
+    let abandoned = CancellationToken::new();
+    let mut driver = RequestDriver::new(&process.link, job.arrival(), abandoned, decisions);
+    driver.attempt_limit = deadline.instant + OUTCOME_LIMIT;
     let end = match &job {
         OwnedCall::Chat(chat, _) => run_chat_once(&process, chat, driver).await,
         OwnedCall::Plain(plain) => {
