Keep prefill backlogs here, weigh waits by tier, and judge late first tokens by what explains them

Traced causes: the score took a wait of 0.3 s behind other prompts to save 0.1 s of prefill also for urgent work; routine prompts were sent into engines that already had prefill waiting, which no later urgent request can pass; and a first token that was late because of another process's long prompt was announced as a new cold spell, which closed a warm target to all. Change: weights for waiting and prefill by tier; above 0.25 s (routine) to 1 s (urgent) of prefill under way at a target, requests wait here; a jump must exceed what 16,384 foreign prompt tokens explain; the doubled safety on the expected wait does not apply to the top tier.

--- a/crates/tarragon-scheduler/src/scheduler/arrival.rs
+++ b/crates/tarragon-scheduler/src/scheduler/arrival.rs
@@ -164,7 +164,9 @@
     /// Refuses a job that would wait too long.
     fn check_wait(&self, job: &Job, now: Instant) -> Result<(), Refusal> {
         let wait = self.expected_wait(job);
-        if now + wait.mul_f64(WAIT_FACTOR) <= job.latest_start {
+        // Nothing that arrives later goes before the highest tier.
+        let factor = if job.tier() == Tier::Urgent { 1.0 } else { WAIT_FACTOR };
+        if now + wait.mul_f64(factor) <= job.latest_start {
             return Ok(());
         }
         let message = "the deadline can't be met with the work that waits";
--- a/crates/tarragon-scheduler/src/scheduler/attempt.rs
+++ b/crates/tarragon-scheduler/src/scheduler/attempt.rs
@@ -10,6 +10,7 @@
     queue::WaitState,
     retry::{MAX_ATTEMPTS, back_off},
     scheduler::{RETRY_AFTER, Scheduler},
+    targets::window::FOREIGN_PREFILL,
 };
 
 /// A caller whose request ran on a target that broke the connection is asked to wait this long, so that
@@ -108,7 +109,9 @@
         let observed = progress.first_token.as_secs_f64();
         let expected = f64::from(running.estimate.first_token);
         let target = running.target;
-        let jump = row.rates.samples >= MIN_SAMPLES && row.window.observe(observed, expected);
+        let foreign = FOREIGN_PREFILL * row.rates.prefill;
+        let jump =
+            row.rates.samples >= MIN_SAMPLES && row.window.observe(observed, expected, foreign);
         row.window.prove(now);
         self.targets.note_drained(pool, u64::from(prompt));
         if jump {
@@ -258,7 +261,7 @@
             let elapsed = now.saturating_duration_since(running.dispatched);
             let expected = f64::from(running.estimate.first_token);
             jump = row.rates.samples >= MIN_SAMPLES
-                && row.window.observe(elapsed.as_secs_f64(), expected);
+                && row.window.observe(elapsed.as_secs_f64(), expected, 0.0);
             row.rates.learn_call(elapsed);
         } else if let Some(first) = running.first_token {
             let elapsed = now.saturating_duration_since(first);
--- a/crates/tarragon-scheduler/src/scheduler/candidate.rs
+++ b/crates/tarragon-scheduler/src/scheduler/candidate.rs
@@ -39,6 +39,9 @@
             if !outlook.is_open() || outlook.models & models == 0 || job.avoid.contains(index) {
                 continue;
             }
+            if job.model().is_some() && outlook.is_backed_up(job.tier()) {
+                continue;
+            }
             let suits = |row| suits_suspect(row, job.tier());
             if bounds.suspect && !targets.row(*index).is_some_and(suits) {
                 continue;
@@ -49,7 +52,7 @@
                 target: *index,
                 in_flight: outlook.in_flight,
                 window: outlook.window,
-                estimate: outlook.estimate(size, block_tokens(hit)),
+                estimate: outlook.estimate(size, block_tokens(hit), job.tier()),
             });
         }
         if bounds.suspects_run && !bounds.suspect {
--- a/crates/tarragon-scheduler/src/scheduler/dispatch.rs
+++ b/crates/tarragon-scheduler/src/scheduler/dispatch.rs
@@ -90,7 +90,7 @@
                 }
                 PlacementStep::Convicted => self.refuse_convicted(request, actions),
                 PlacementStep::Closed => {
-                    if tier == Tier::Urgent {
+                    if tier == Tier::Urgent && self.targets.pool(pool).open == 0 {
                         self.preempt(lane, now, actions);
                     }
                     return;
--- a/crates/tarragon-scheduler/src/targets/estimate.rs
+++ b/crates/tarragon-scheduler/src/targets/estimate.rs
@@ -8,7 +8,10 @@
 
 use serde::Serialize;
 
-use crate::targets::{TargetRow, rate::RateEstimate};
+use crate::{
+    prelude::*,
+    targets::{TargetRow, rate::RateEstimate},
+};
 
 /// A report's figures of other processes' work count less with age and not at all after this time.
 const REPORT_LIFETIME: Duration = Duration::from_secs(5);
@@ -16,12 +19,33 @@
 /// Prompt tokens assumed for a request of another process that waits inside the target.
 const FOREIGN_PROMPT: f64 = 512.0;
 
+/// Seconds of prefill under way at a target above which requests of a tier wait here, from routine to urgent.
+/// An engine computes prompts in the order in which they arrive, so what waits there can't give way to urgent
+/// work that comes later.
+const PREFILL_BACKLOG: [f32; Tier::COUNT] = [0.25, 0.35, 0.5, 1.0];
+
 /// Growth of the time between tokens from an idle to a full target.
 const LOAD_SLOPE: f64 = 0.5;
 
-/// Prefill delays all other work of the target, which the request's own times don't tell, so it counts
-/// this many times more.
-const PREFILL_WEIGHT: f32 = 6.0;
+/// How the parts of an estimate count when targets are compared.
+#[derive(Debug, Clone, Copy)]
+struct CostWeights {
+    /// Time behind prefill that is already under way.
+    wait: f32,
+    /// Own prefill. It delays all other work of the target, which the request's own times don't tell, so it
+    /// counts more than its time.
+    prefill: f32,
+}
+
+/// Weights by tier, from routine to urgent. A routine request accepts a wait if that saves prefill, and goes
+/// behind prefill that is under way rather than in front of urgent work at another target. An urgent
+/// one accepts more prefill if that saves a wait.
+const WEIGHTS: [CostWeights; Tier::COUNT] = [
+    CostWeights { wait: 0.5, prefill: 8.0 },
+    CostWeights { wait: 2.0, prefill: 8.0 },
+    CostWeights { wait: 3.0, prefill: 5.0 },
+    CostWeights { wait: 4.0, prefill: 3.0 },
+];
 
 /// Multiple of the cost at a cold target.
 const COLD_FACTOR: f32 = 2.0;
@@ -67,6 +91,8 @@
     pub models: u64,
     /// Time to the first token without own prefill.
     first: f32,
+    /// Part of it behind prefill that is under way.
+    backlog: f32,
     /// Time of a prompt token.
     prefill: f32,
     /// Time of a generated token.
@@ -92,6 +118,7 @@
             window: if row.may_work() { row.safe_window(now) } else { 0 },
             models: row.model_set,
             first: (base + ahead * prefill) as f32,
+            backlog: if row.rates.is_trusted() { (ahead * prefill) as f32 } else { 0.0 },
             prefill: prefill as f32,
             decode: (decode * (1.0 + LOAD_SLOPE * occupancy)) as f32,
             call: (call * (1.0 + occupancy)) as f32,
@@ -109,8 +136,13 @@
         self.in_flight < self.window
     }
 
-    /// Expected times of a request of which `hit` leading prompt tokens are believed to be cached.
-    pub fn estimate(&self, size: RequestSize, hit: u32) -> CostEstimate {
+    /// Whether so much prefill is under way that requests of a tier have to wait for it here.
+    pub fn is_backed_up(&self, tier: Tier) -> bool {
+        self.backlog > PREFILL_BACKLOG[tier.index()]
+    }
+
+    /// Expected times of a request of a tier of which `hit` leading prompt tokens are believed to be cached.
+    pub fn estimate(&self, size: RequestSize, hit: u32, tier: Tier) -> CostEstimate {
         let Some(prompt) = size.prompt else {
             let score = 2.0 * self.call * self.factor;
             return CostEstimate {
@@ -124,7 +156,9 @@
         let computing = (prompt - cached) as f32 * self.prefill;
         let first = self.first + computing;
         let last = first + size.output as f32 * self.decode;
-        let score = (first + last + PREFILL_WEIGHT * computing) * self.factor;
+        let weights = WEIGHTS[tier.index()];
+        let score =
+            (weights.wait * self.first + weights.prefill * computing + last - first) * self.factor;
         CostEstimate { first_token: first, last_token: last, score, cached }
     }
 }
--- a/crates/tarragon-scheduler/src/targets/window.rs
+++ b/crates/tarragon-scheduler/src/targets/window.rs
@@ -26,6 +26,10 @@
 const JUMP_RATIO: f64 = 4.0;
 const JUMP_MARGIN: f64 = 1.0;
 
+/// Prompt tokens of other processes that a target may have to compute first. A delay that they explain is no
+/// sign: taken for one, it would close a warm target to all processes for a second or two.
+pub const FOREIGN_PREFILL: f64 = 16_384.0;
+
 /// Window of one target.
 #[derive(Debug, Clone, Serialize)]
 pub struct TargetWindow {
@@ -128,11 +132,11 @@
         news
     }
 
-    /// Takes the observed and the expected time of one request. Returns whether the observation is a
-    /// jump that looks like a new cold spell.
-    pub fn observe(&mut self, observed: f64, expected: f64) -> bool {
+    /// Takes the observed and the expected time of one request, and the time that unknown work of other
+    /// processes can add. Returns whether the observation is a jump that looks like a new cold spell.
+    pub fn observe(&mut self, observed: f64, expected: f64, unknown: f64) -> bool {
         let ratio = observed / expected.max(1e-4);
-        if !self.cold && ratio > JUMP_RATIO && observed - expected > JUMP_MARGIN {
+        if !self.cold && ratio > JUMP_RATIO && observed - expected > JUMP_MARGIN + unknown {
             return true;
         }
         self.short += SHORT_GAIN * (ratio - self.short);
