--- a/crates/tarragon-scheduler/src/scheduler/arrival.rs
+++ b/crates/tarragon-scheduler/src/scheduler/arrival.rs
@@ -178,8 +178,11 @@
     /// workspace's queue times the number of workspaces, as fair queueing promises. New work of higher
     /// tiers goes before it meanwhile.
     fn expected_wait(&self, job: &Job) -> Duration {
-        let rate = self.targets.pool(job.pool).rate_for(job.tier());
-        if rate < 1.0 {
+        let pool = self.targets.pool(job.pool);
+        let rate = pool.rate_for(job.tier());
+        // Before enough requests have been served, the rate is that of a pool that was waiting for slots, and
+        // would refuse work that it can serve at once.
+        if pool.fastest.is_none() || rate < 1.0 {
             return Duration::ZERO;
         }
         let tokens = self.queue.pool_tokens(job.pool);
