--- a/crates/tarragon-command/src/command.rs
+++ b/crates/tarragon-command/src/command.rs
@@ -54,7 +54,7 @@
     pub(crate) fn execute(self) -> anyhow::Result<ExitCode> {
         match self {
             Command::Check(arguments) => check::execute(&arguments),
-            Command::Serve(arguments) => block_on(serve::execute(arguments)),
+            Command::Serve(arguments) => serve::execute(arguments),
             Command::Demo(arguments) => block_on(demo::execute(arguments)),
             Command::Standin(arguments) => block_on(standin::execute(arguments)),
             Command::Lab(arguments) => block_on(lab::execute(arguments)),
--- a/crates/tarragon-config/src/check.rs
+++ b/crates/tarragon-config/src/check.rs
@@ -10,7 +10,9 @@
 
 use crate::{
     rules::{RuleSet, ServiceRule, parse_rules},
-    settings::{ServeSettings, parse_settings},
+    settings::{
+        GatewaySettings, ServeSettings, is_gateway_settings, parse_gateway_settings, parse_settings,
+    },
 };
 
 /// Result of a check.
@@ -22,6 +24,8 @@
     pub findings: FindingList,
     /// The settings, if they have no finding of their own.
     pub settings: Option<ServeSettings>,
+    /// The settings of a process that reads a shared store, if they are such and have no finding.
+    pub gateway: Option<GatewaySettings>,
     /// The rules that are valid, if a rules file was read.
     pub rules: Option<RuleSet>,
 }
@@ -31,9 +35,16 @@
 pub fn check_files(settings: &Path, rules: Option<&Path>) -> CheckReport {
     let mut report = CheckReport::default();
     if let Some((source, text)) = report.read_file(settings) {
-        let (parsed, findings) = parse_settings(&source, &text);
+        let findings = if is_gateway_settings(&text) {
+            let (parsed, findings) = parse_gateway_settings(&source, &text);
+            report.gateway = parsed;
+            findings
+        } else {
+            let (parsed, findings) = parse_settings(&source, &text);
+            report.settings = parsed;
+            findings
+        };
         report.findings.findings.extend(findings.findings);
-        report.settings = parsed;
     }
     let named = report.settings.as_ref().and_then(|settings| settings.rules_file.clone());
     let path = rules.map(Path::to_owned).or(named.map(|path| beside(settings, &path)));
--- a/crates/tarragon-config/src/settings/document.rs
+++ b/crates/tarragon-config/src/settings/document.rs
@@ -53,6 +53,15 @@
         self.findings.push(Finding { place, message: message.into(), help: help.into() });
     }
 
+    pub(super) fn add_at(
+        &mut self,
+        value: &Value<'a>,
+        message: impl Into<String>,
+        help: impl Into<String>,
+    ) {
+        self.add(value.range(), message, help);
+    }
+
     /// All findings, in the order of the text.
     pub(super) fn finish(mut self) -> FindingList {
         self.findings.findings.sort_by_key(|finding| finding.place.span);
@@ -183,6 +192,16 @@
     number
 }
 
+/// A number that is not negative.
+pub(super) fn fraction_value<'a>(document: &mut Document<'a>, value: &Value<'a>) -> Option<f64> {
+    let number = value.as_number_lit().and_then(|number| number.value.parse::<f64>().ok());
+    let number = number.filter(|number| number.is_finite() && *number >= 0.0);
+    if number.is_none() {
+        document.add(value.range(), "not a valid number", "write a number from 0 on");
+    }
+    number
+}
+
 /// A time in milliseconds.
 pub(super) fn duration_value<'a>(
     document: &mut Document<'a>,
--- a/crates/tarragon-config/src/settings/read.rs
+++ b/crates/tarragon-config/src/settings/read.rs
@@ -171,14 +171,7 @@
 
     fn log_format(&mut self) -> LogFormat {
         let value = self.optional_value("log_format");
-        let format = value.and_then(|value| {
-            text_value(self.document, value, "\"text\" or \"json\"", |text| match text {
-                "text" => Some(LogFormat::Text),
-                "json" => Some(LogFormat::Json),
-                _ => None,
-            })
-        });
-        format.unwrap_or_default()
+        value.and_then(|value| log_format_value(self.document, value)).unwrap_or_default()
     }
 
     fn limits(&mut self) -> ProcessLimits {
@@ -298,3 +291,15 @@
     document.add(value.range(), "not true or false", "write true or false");
     false
 }
+
+/// The form of the log.
+pub(super) fn log_format_value<'a>(
+    document: &mut Document<'a>,
+    value: &Value<'a>,
+) -> Option<LogFormat> {
+    text_value(document, value, "\"text\" or \"json\"", |text| match text {
+        "text" => Some(LogFormat::Text),
+        "json" => Some(LogFormat::Json),
+        _ => None,
+    })
+}
--- /dev/null
+++ b/crates/tarragon-fleet/src/digest.rs
@@ -0,0 +1,80 @@
+//! What entry VMs tell each other several times a second, in one datagram.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use tarragon_protocol::peer::SuspectEntry;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{prelude::*, published::StoreRevision};
+
+/// Short form of a name in digests. Two names with the same key only mix two estimates.
+pub type NameKey = u32;
+
+/// Key of a name.
+pub fn name_key(name: &str) -> NameKey {
+    xxh3_64(name.as_bytes()) as NameKey
+}
+
+/// A process's use of one target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetUse {
+    /// Target.
+    pub target: NameKey,
+    /// The sender's requests in flight there.
+    pub in_flight: u16,
+    /// Load that the target last told the sender.
+    pub told: Option<ToldLoad>,
+}
+
+/// Load as a target told it with an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldLoad {
+    /// Requests that ran.
+    pub running: u16,
+    /// Requests that waited inside the target.
+    pub waiting: u16,
+    /// Milliseconds since then.
+    pub age_ms: u32,
+}
+
+/// A process's digest.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PeerDigest {
+    /// Sender's VM.
+    pub vm: VmName,
+    /// Sender's start.
+    pub incarnation: Incarnation,
+    /// Rises with each digest of this start.
+    pub sequence: u64,
+    /// Whether the sender shuts down.
+    pub draining: bool,
+    /// Revision of the operators' state that the sender holds.
+    pub operator_revision: StoreRevision,
+    /// Milliseconds since the listing of targets was read that the sender uses; `None` if it has none.
+    pub listing_age_ms: Option<u32>,
+    /// Use of targets.
+    pub uses: Vec<TargetUse>,
+    /// Units used by workspaces in the quota window.
+    pub usage: Vec<(NameKey, u64)>,
+    /// Thousandths of the sender's part of each quota that may have been used before its start.
+    pub presumed_permille: u16,
+    /// Waiting requests by tier.
+    pub waiting: [u32; Tier::COUNT],
+    /// Requests that may crash targets.
+    pub suspects: Vec<SuspectEntry>,
+    /// Addresses of processes that the sender has heard of recently.
+    pub members: Vec<SocketAddr>,
+}
+
+impl PeerDigest {
+    /// The datagram.
+    pub fn to_bytes(&self) -> Result<Vec<u8>, postcard::Error> {
+        postcard::to_stdvec(self)
+    }
+
+    /// Reads a datagram.
+    pub fn from_bytes(bytes: &[u8]) -> Result<PeerDigest, postcard::Error> {
+        postcard::from_bytes(bytes)
+    }
+}
--- /dev/null
+++ b/crates/tarragon-fleet/src/directory.rs
@@ -0,0 +1,265 @@
+//! The targets that are registered: which instance stands at which address, and since when it is cold,
+//! leaving or missing.
+
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::{
+    prelude::*,
+    published::{InstanceName, StoreRevision},
+};
+
+/// Without a listing for this long, entries may have lapsed though their targets live: targets renew them in
+/// the store, which may have been away.
+const OUTAGE: Duration = Duration::from_millis(2_500);
+/// Lapsed entries are back this long after the store, from the platform's description.
+const RETURN_TIME: Duration = Duration::from_millis(2_200);
+
+/// One target.
+#[derive(Debug, Clone)]
+pub struct DirectoryEntry {
+    /// Its entry.
+    pub listed: ListedTarget,
+    /// Identifies the start of its process.
+    pub restart: u64,
+    /// Until when it counts as cold.
+    pub cold_until: Option<Instant>,
+    /// Since when its entry is missing.
+    missing: Option<Instant>,
+    /// Whether its data centre has been taken out of service.
+    evacuated: bool,
+}
+
+impl DirectoryEntry {
+    /// Whether it may get new work.
+    pub fn in_service(&self) -> bool {
+        !self.listed.leaving && !self.evacuated
+    }
+
+    /// Whether it counts as cold.
+    pub fn is_cold(&self, now: Instant) -> bool {
+        self.cold_until.is_some_and(|until| now < until)
+    }
+}
+
+/// What a new listing changes.
+#[derive(Debug, Clone, PartialEq)]
+pub enum DirectoryChange {
+    /// A target is new, or its entry has changed.
+    Changed(TargetName),
+    /// Another process runs at the target's address.
+    Restarted(TargetName),
+    /// A target is gone.
+    Removed(TargetName),
+}
+
+/// All targets by address.
+#[derive(Debug, Default)]
+pub struct TargetDirectory {
+    entries: IndexMap<TargetName, DirectoryEntry>,
+    /// When the listing in use was read.
+    read: Option<Instant>,
+    /// When the store came back after an outage.
+    returned: Option<Instant>,
+    revision: StoreRevision,
+}
+
+impl TargetDirectory {
+    /// The target at an address.
+    pub fn get(&self, target: &str) -> Option<&DirectoryEntry> {
+        self.entries.get(target)
+    }
+
+    /// All targets.
+    pub fn iter(&self) -> impl Iterator<Item = (&TargetName, &DirectoryEntry)> {
+        self.entries.iter()
+    }
+
+    /// All entries, for a peer that can't read them itself.
+    pub fn listing(&self) -> TargetListing {
+        let targets = self.entries.values().map(|entry| entry.listed.clone()).collect();
+        TargetListing { revision: self.revision, targets }
+    }
+
+    /// Time since the listing in use was read.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        self.read.map(|read| now.saturating_duration_since(read))
+    }
+
+    /// Takes a listing that was read at `read`. `cold_time` tells for how long targets of a service are cold
+    /// after a start.
+    pub fn take<C>(
+        &mut self,
+        listing: &TargetListing,
+        read: Instant,
+        cold_time: C,
+    ) -> Vec<DirectoryChange>
+    where
+        C: Fn(&str) -> Duration,
+    {
+        if self.read.is_some_and(|known| known >= read) || listing.revision < self.revision {
+            return Vec::new();
+        }
+        let first = self.read.is_none();
+        if self.read.is_some_and(|known| read.saturating_duration_since(known) > OUTAGE) {
+            self.returned = Some(read);
+        }
+        self.read = Some(read);
+        self.revision = listing.revision;
+        let mut changes = Vec::new();
+        let newest = newest_by_address(&listing.targets);
+        for (target, listed) in &newest {
+            let cold = cold_time(&listed.service);
+            changes.extend(self.take_entry(target, listed, read, cold, first));
+        }
+        self.remove_missing(&newest, read, &mut changes);
+        changes
+    }
+
+    fn take_entry(
+        &mut self,
+        target: &TargetName,
+        listed: &ListedTarget,
+        now: Instant,
+        cold_time: Duration,
+        first: bool,
+    ) -> Option<DirectoryChange> {
+        let restart = restart_id(&listed.instance, listed.started_ms);
+        let told_cold = (listed.cold_left > Duration::ZERO).then(|| now + listed.cold_left);
+        let Some(entry) = self.entries.get_mut(target) else {
+            // Targets that are listed at the start of this process may have been running for long.
+            let fresh = (!first).then(|| now + cold_time);
+            let cold_until = told_cold.max(fresh);
+            let listed = listed.clone();
+            tracing::info!(
+                target_address = &**target, instance = &*listed.instance, service = &*listed.service,
+                data_centre = &*listed.data_centre, revision = listed.revision, leaving = listed.leaving,
+                cold_ms = listed.cold_left.as_millis() as u64, "target is listed"
+            );
+            let entry = DirectoryEntry {
+                listed,
+                restart,
+                cold_until,
+                missing: None,
+                evacuated: false,
+            };
+            self.entries.insert(target.clone(), entry);
+            return Some(DirectoryChange::Changed(target.clone()));
+        };
+        entry.missing = None;
+        let restarted = entry.restart != restart;
+        let unchanged = !restarted
+            && entry.listed.leaving == listed.leaving
+            && entry.listed.slots == listed.slots
+            && entry.listed.service == listed.service
+            && told_cold.is_none_or(|until| entry.cold_until.is_some_and(|known| known >= until));
+        if unchanged {
+            return None;
+        }
+        tracing::info!(
+            target_address = &**target, instance = &*listed.instance, service = &*listed.service,
+            revision = listed.revision, leaving = listed.leaving, restarted,
+            cold_ms = listed.cold_left.as_millis() as u64, "target has changed"
+        );
+        entry.listed = listed.clone();
+        entry.cold_until = entry.cold_until.max(told_cold);
+        if !restarted {
+            return Some(DirectoryChange::Changed(target.clone()));
+        }
+        entry.restart = restart;
+        entry.cold_until = told_cold.max(Some(now + cold_time));
+        Some(DirectoryChange::Restarted(target.clone()))
+    }
+
+    /// Removes targets without an entry. After an outage of the store they are given time to come back.
+    fn remove_missing(
+        &mut self,
+        newest: &IndexMap<TargetName, ListedTarget>,
+        now: Instant,
+        changes: &mut Vec<DirectoryChange>,
+    ) {
+        let recent = |since: Instant| now.saturating_duration_since(since) < RETURN_TIME;
+        let returning = self.returned.is_some_and(recent);
+        self.entries.retain(|target, entry| {
+            if newest.contains_key(target) {
+                return true;
+            }
+            let missing = *entry.missing.get_or_insert(now);
+            if returning && !entry.listed.leaving && recent(missing) {
+                return true;
+            }
+            tracing::info!(
+                target_address = &**target, instance = &*entry.listed.instance,
+                was_leaving = entry.listed.leaving, "target is gone"
+            );
+            changes.push(DirectoryChange::Removed(target.clone()));
+            false
+        });
+    }
+
+    /// Marks the targets of data centres that are out of service. Returns the targets that have changed. A
+    /// target that is taken back counts as cold for `cold_time`, since it may have been restarted meanwhile.
+    pub fn evacuate<E, C>(&mut self, is_out: E, cold_time: C, now: Instant) -> Vec<TargetName>
+    where
+        E: Fn(&str) -> bool,
+        C: Fn(&str) -> Duration,
+    {
+        let mut changed = Vec::new();
+        for (target, entry) in &mut self.entries {
+            let evacuated = is_out(&entry.listed.data_centre);
+            if evacuated == entry.evacuated {
+                continue;
+            }
+            entry.evacuated = evacuated;
+            if !evacuated {
+                entry.cold_until = entry.cold_until.max(Some(now + cold_time(&entry.listed.service)));
+            }
+            changed.push(target.clone());
+        }
+        changed
+    }
+
+    /// Notes that a target may have been restarted.
+    pub fn suspect(&mut self, target: &str, cold_time: Duration, now: Instant) {
+        if let Some(entry) = self.entries.get_mut(target) {
+            entry.cold_until = entry.cold_until.max(Some(now + cold_time));
+        }
+    }
+
+    /// Notes that another instance answered at a target's address. It gets no work until its own entry is
+    /// read.
+    pub fn replaced(&mut self, target: &str, instance: &str) -> bool {
+        let Some(entry) = self.entries.get_mut(target) else { return false };
+        if &*entry.listed.instance != instance || entry.listed.leaving {
+            return false;
+        }
+        tracing::info!(target_address = target, instance, "another instance has the target's address");
+        entry.listed.leaving = true;
+        true
+    }
+}
+
+/// One entry for each address: that of the process which started last.
+fn newest_by_address(targets: &[ListedTarget]) -> IndexMap<TargetName, ListedTarget> {
+    let mut newest: IndexMap<TargetName, ListedTarget> = IndexMap::new();
+    for listed in targets {
+        let order = |one: &ListedTarget| (one.started_ms, !one.leaving, one.revision);
+        match newest.get_mut(&listed.address) {
+            Some(known) if order(known) >= order(listed) => {}
+            Some(known) => *known = listed.clone(),
+            None => {
+                newest.insert(listed.address.clone(), listed.clone());
+            }
+        }
+    }
+    newest
+}
+
+fn restart_id(instance: &InstanceName, started_ms: u64) -> u64 {
+    let mut hasher = Xxh3::new();
+    hasher.update(instance.as_bytes());
+    hasher.update(&started_ms.to_le_bytes());
+    hasher.digest()
+}
--- /dev/null
+++ b/crates/tarragon-fleet/src/lib.rs
@@ -0,0 +1,16 @@
+//! Decisions of an entry VM in a fleet without a VM list: it finds its peers by seeds, reads routes and
+//! targets from a store that it can only read, and shares limits with its peers by digests. The request
+//! queue, the choice of targets and retries are those of `tarragon_scheduler`. Nothing here does I/O.
+
+pub mod call;
+pub mod digest;
+pub mod directory;
+pub mod health;
+pub mod member;
+pub mod node;
+pub mod prelude;
+pub mod published;
+pub mod quota;
+pub mod route;
+
+pub use node::FleetNode;
--- /dev/null
+++ b/crates/tarragon-fleet/src/node.rs
@@ -0,0 +1,197 @@
+//! One process of the fleet: composes the scheduler with what is published, the peers and the quotas.
+
+mod admit;
+mod limits;
+mod news;
+
+pub use admit::{CallOrder, wait_limit};
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use indexmap::IndexMap;
+
+use crate::{
+    directory::TargetDirectory,
+    health::TargetHealth,
+    member::MemberTable,
+    prelude::*,
+    published::{InstanceName, StoreRevision},
+    quota::QuotaLedger,
+};
+
+/// Bounds that the deployment sets for the fleet as a whole.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct FleetBounds {
+    /// Repeats at a service, as a part of the requests for it.
+    pub retry_ratio: f64,
+    /// Repeats at a service beyond that part, within the retry window.
+    pub retry_slack: f64,
+    /// Window of quotas.
+    pub quota_window: Duration,
+}
+
+/// What a process knows at its start.
+#[derive(Debug, Clone)]
+pub struct FleetSettings {
+    /// VM.
+    pub vm: VmName,
+    /// Data centre of the VM.
+    pub data_centre: DataCentreName,
+    /// This start of the process.
+    pub incarnation: Incarnation,
+    /// Address at which peers reach the process.
+    pub peer_address: SocketAddr,
+    /// Addresses of peers to ask first.
+    pub seeds: Vec<SocketAddr>,
+    /// Whether the whole fleet starts for the first time.
+    pub first_start: bool,
+    /// Bounds of the fleet.
+    pub bounds: FleetBounds,
+    /// Bounds of the queue.
+    pub limits: SchedulerLimits,
+}
+
+/// What an attempt needs to be sent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SendGrant {
+    /// Instance that is expected at the target's address.
+    pub instance: InstanceName,
+}
+
+/// A request that was admitted and has not ended.
+#[derive(Debug)]
+struct OpenCall {
+    /// Workspace and units that its quota was charged with.
+    charged: Option<(WorkspaceName, u64)>,
+}
+
+/// What was last told to the scheduler of a target.
+#[derive(Debug, Default)]
+struct TargetTerms {
+    slots: Option<TargetSlots>,
+    starts: Option<u32>,
+    told: Option<(TargetUse, Instant)>,
+    health: TargetHealth,
+}
+
+/// One process's decisions.
+pub struct FleetNode {
+    settings: FleetSettings,
+    scheduler: Scheduler,
+    operator: OperatorState,
+    directory: TargetDirectory,
+    members: MemberTable,
+    quotas: QuotaLedger,
+    terms: IndexMap<TargetName, TargetTerms>,
+    calls: IndexMap<RequestId, OpenCall>,
+    started: Instant,
+    sequence: u64,
+    draining: bool,
+}
+
+impl FleetNode {
+    /// A process that knows nothing yet. `seed` determines all random choices.
+    pub fn new(settings: FleetSettings, seed: u64, now: Instant) -> FleetNode {
+        let started = (!settings.first_start).then_some(now);
+        FleetNode {
+            scheduler: Scheduler::new(settings.limits.clone(), seed).without_preemption(),
+            operator: OperatorState::default(),
+            directory: TargetDirectory::default(),
+            members: MemberTable::new(settings.peer_address, &settings.seeds),
+            quotas: QuotaLedger::new(settings.bounds.quota_window, started),
+            terms: IndexMap::new(),
+            calls: IndexMap::new(),
+            started: now,
+            sequence: 0,
+            draining: false,
+            settings,
+        }
+    }
+
+    /// Whether the load balancer shall send work here.
+    pub fn is_ready(&self) -> bool {
+        !self.draining
+            && self.operator.configuration.is_some()
+            && self.directory.iter().next().is_some()
+    }
+
+    /// What operators publish, as far as it is known here.
+    pub fn operator(&self) -> &OperatorState {
+        &self.operator
+    }
+
+    /// The targets that are known.
+    pub fn directory(&self) -> &TargetDirectory {
+        &self.directory
+    }
+
+    /// The peers.
+    pub fn members(&self) -> &MemberTable {
+        &self.members
+    }
+
+    /// The scheduler, for dumps and metrics.
+    pub fn scheduler(&self) -> &Scheduler {
+        &self.scheduler
+    }
+
+    /// Requests that were admitted and have not ended.
+    pub fn open_calls(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Revision of the operators' state that is held here.
+    pub fn operator_revision(&self) -> StoreRevision {
+        self.operator.revision
+    }
+
+    /// Replaces the seeds.
+    pub fn set_seeds(&mut self, seeds: &[SocketAddr]) {
+        self.members.set_seeds(seeds);
+    }
+
+    /// The process starts to shut down. Requests that have arrived are still served.
+    pub fn start_drain(&mut self) {
+        self.draining = true;
+    }
+
+    /// The machine was suspended: what peers told before is old, though the clock doesn't show it.
+    pub fn forget_figures(&mut self, now: Instant) {
+        self.members.silence(now);
+    }
+
+    /// Time has passed. Expected every 100 ms.
+    pub fn tick(&mut self, now: Instant, actions: &mut Vec<SchedulerAction>) {
+        if self.members.expire(now) {
+            self.update_retries();
+        }
+        self.wake_targets(now, actions);
+        self.update_targets(now, actions);
+        self.schedule(now, SchedulerEvent::Tick, actions);
+    }
+
+    /// Passes an event to the scheduler and settles the requests that it refuses.
+    fn schedule(
+        &mut self,
+        now: Instant,
+        event: SchedulerEvent,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        let known = actions.len();
+        self.scheduler.handle(now, event, actions);
+        for action in &actions[known..] {
+            if let SchedulerAction::Refuse { request, refusal } = action {
+                let call = self.calls.swap_remove(request);
+                let charged = call.and_then(|call| call.charged);
+                if let Some((workspace, units)) = charged
+                    && refusal.outcome == CallOutcome::NotRun
+                {
+                    self.quotas.refund(&workspace, units);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/tarragon-fleet/src/node/limits.rs
@@ -0,0 +1,192 @@
+//! What this process may do at each target: slots that peers leave free, starts at cold targets, rests of
+//! failing targets, and retries.
+
+use std::time::{Duration, Instant};
+
+use tarragon_scheduler::retry::RetryTerms;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{digest::name_key, node::FleetNode, prelude::*};
+
+/// Part of the fleet's retry ratio that is used: sums of all processes lag behind.
+const RATIO_PART: f64 = 0.85;
+/// Part of the fleet's retry slack that all processes together may save up.
+const SLACK_PART: f64 = 0.5;
+/// Processes that share the retry slack at least. A process that has just started doesn't know its peers.
+const LEAST_SHARING: usize = 8;
+/// In this time after its start a process may not know its peers yet, and takes the least part of a limit.
+const UNSETTLED: Duration = Duration::from_secs(2);
+
+impl FleetNode {
+    /// Tells the scheduler what has changed of slots and starts at all targets.
+    pub(super) fn update_targets(&mut self, now: Instant, actions: &mut Vec<SchedulerAction>) {
+        let targets: Vec<TargetName> =
+            self.directory.iter().map(|(target, _)| target.clone()).collect();
+        for target in &targets {
+            self.update_slots(target, now, actions);
+            self.update_starts(target, now, actions);
+        }
+    }
+
+    /// Slots that peers' requests leave free. Digests lag, so that processes may use a slot twice for a
+    /// moment; the target's own queue takes that up.
+    fn update_slots(
+        &mut self,
+        target: &TargetName,
+        now: Instant,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        let Some(entry) = self.directory.get(target) else { return };
+        let key = name_key(target);
+        let foreign: u32 = self
+            .members
+            .present(now)
+            .filter_map(|(_, member)| member.digest.uses.iter().find(|one| one.target == key))
+            .map(|one| u32::from(one.in_flight))
+            .sum();
+        let bears = entry.listed.slots;
+        let cold = entry.is_cold(now);
+        let slots = bears.saturating_sub(foreign);
+        let slots = TargetSlots { target: target.clone(), slots, bears, cold };
+        let Some(terms) = self.terms.get_mut(target) else { return };
+        if terms.slots.as_ref() != Some(&slots) {
+            terms.slots = Some(slots.clone());
+            self.schedule(now, SchedulerEvent::SlotsChanged(slots), actions);
+        }
+    }
+
+    /// Divides what a cold target bears among all processes, the silent ones included.
+    fn update_starts(
+        &mut self,
+        target: &TargetName,
+        now: Instant,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        let Some(entry) = self.directory.get(target) else { return };
+        let starts = self.cold_starts(&entry.listed.service).filter(|_| entry.is_cold(now));
+        let limit = starts.map(|starts| self.share_of(starts, xxh3_64(target.as_bytes()), now));
+        let Some(terms) = self.terms.get_mut(target) else { return };
+        if terms.starts != limit {
+            terms.starts = limit;
+            let event = SchedulerEvent::StartsLimited(target.clone(), limit);
+            self.schedule(now, event, actions);
+        }
+    }
+
+    /// This process's part of a number that all processes share.
+    fn share_of(&self, total: u32, key: u64, now: Instant) -> u32 {
+        let sharing = self.members.sharing();
+        let unsettled = now.saturating_duration_since(self.started) < UNSETTLED;
+        if unsettled && sharing < LEAST_SHARING {
+            return 1;
+        }
+        let sharing = u32::try_from(sharing).unwrap_or(u32::MAX);
+        let rank = u32::try_from(self.members.rank(key)).unwrap_or(u32::MAX);
+        total / sharing + u32::from(rank < total % sharing)
+    }
+
+    /// Requests that a cold target of a service bears in a second; `None` if it bears any number.
+    fn cold_starts(&self, service: &str) -> Option<u32> {
+        let terms = self.service_terms(service)?;
+        (terms.cold_starts > 0.0).then(|| (terms.cold_starts as u32).max(1))
+    }
+
+    pub(super) fn service_terms(&self, service: &str) -> Option<&ServiceTerms> {
+        self.operator.configuration.as_ref()?.services.get(service)
+    }
+
+    /// Time for which targets of a service are cold after a start.
+    pub(super) fn cold_time(&self, service: &str) -> Duration {
+        self.service_terms(service).map_or(Duration::ZERO, |terms| terms.cold_time)
+    }
+
+    /// Retries that this process may make, as its part of what the fleet may make.
+    pub(super) fn update_retries(&mut self) {
+        let bounds = self.settings.bounds;
+        let sharing = self.members.sharing().max(LEAST_SHARING) as f64;
+        let saved = bounds.retry_slack * SLACK_PART / sharing;
+        self.scheduler.set_retry_terms(RetryTerms {
+            per_success: bounds.retry_ratio * RATIO_PART,
+            max_saved: saved,
+            floor_rate: 0.0,
+            floor_saved: saved,
+        });
+    }
+
+    /// Notes how an attempt at a target ended, and leaves the target alone if it fails too often.
+    pub(super) fn judge_target(
+        &mut self,
+        target: &TargetName,
+        end: AttemptEnd,
+        now: Instant,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        let Some(entry) = self.directory.get(target) else { return };
+        let service = entry.listed.service.clone();
+        if end == AttemptEnd::NotSent {
+            let cold_time = self.cold_time(&service);
+            self.directory.suspect(target, cold_time, now);
+        }
+        let (common, last) = self.service_health(&service, target);
+        let Some(terms) = self.terms.get_mut(target) else { return };
+        // The last target of a service gets work however it fails: there is no better one.
+        if terms.health.take(end, common, now) {
+            if last {
+                terms.health.resting = None;
+                return;
+            }
+            tracing::warn!(
+                target_address = &**target, ?end, failures = terms.health.failures, common,
+                "target fails; it gets no work for a while"
+            );
+            self.list_target(target, now, actions);
+        }
+    }
+
+    /// Mean rate of failures at the other targets of a service, and whether none of them is in use.
+    fn service_health(&self, service: &str, target: &TargetName) -> (f64, bool) {
+        let others = self.directory.iter().filter(|(name, entry)| {
+            *name != target && &*entry.listed.service == service && entry.in_service()
+        });
+        let (mut sum, mut count, mut awake) = (0.0, 0, 0);
+        for (name, _) in others {
+            let Some(terms) = self.terms.get(name) else { continue };
+            sum += terms.health.failures;
+            count += 1;
+            awake += usize::from(terms.health.resting.is_none());
+        }
+        (sum / f64::from(count.max(1)), awake == 0)
+    }
+
+    /// Gives targets work again whose rest is over.
+    pub(super) fn wake_targets(&mut self, now: Instant, actions: &mut Vec<SchedulerAction>) {
+        let mut awake = Vec::new();
+        for (target, terms) in &mut self.terms {
+            if terms.health.wake(now) {
+                awake.push(target.clone());
+            }
+        }
+        for target in awake {
+            tracing::info!(target_address = &*target, "target is tried again");
+            self.list_target(&target, now, actions);
+        }
+    }
+
+    /// Tells the scheduler whether a target may get work.
+    pub(super) fn list_target(
+        &mut self,
+        target: &TargetName,
+        now: Instant,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        let Some(entry) = self.directory.get(target) else { return };
+        let terms = self.terms.entry(target.clone()).or_default();
+        let event = SchedulerEvent::TargetListed(TargetEntry {
+            target: target.clone(),
+            service: entry.listed.service.clone(),
+            in_service: entry.in_service() && terms.health.resting.is_none(),
+            distant: entry.listed.data_centre != self.settings.data_centre,
+        });
+        self.schedule(now, event, actions);
+    }
+}
--- /dev/null
+++ b/crates/tarragon-fleet/src/node/news.rs
@@ -0,0 +1,241 @@
+//! News from the store, from peers and from targets.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    digest::{ToldLoad, name_key},
+    directory::DirectoryChange,
+    node::FleetNode,
+    prelude::*,
+};
+
+/// Workspaces whose use one digest tells.
+const TOLD_WORKSPACES: usize = 64;
+/// A load that was told longer ago than this is not passed on.
+const TOLD_LIFETIME: Duration = Duration::from_secs(2);
+/// Suspected requests that one digest tells.
+const TOLD_SUSPECTS: usize = 8;
+
+impl FleetNode {
+    /// Takes what operators publish, from the store or from a peer. An older state changes nothing. Returns
+    /// whether it is in force now.
+    pub fn take_operator(
+        &mut self,
+        now: Instant,
+        state: OperatorState,
+        source: &str,
+        actions: &mut Vec<SchedulerAction>,
+    ) -> bool {
+        let version =
+            |state: &OperatorState| state.configuration.as_ref().map_or(0, |known| known.version);
+        let (known, new) = (version(&self.operator), version(&state));
+        if state.revision <= self.operator.revision || new < known {
+            return false;
+        }
+        tracing::info!(
+            source, version = new, known_version = known, revision = state.revision,
+            evacuated = ?state.evacuated, "operator state is in force"
+        );
+        self.operator = state;
+        self.update_retries();
+        self.update_evacuations(now, actions);
+        self.update_targets(now, actions);
+        true
+    }
+
+    fn update_evacuations(&mut self, now: Instant, actions: &mut Vec<SchedulerAction>) {
+        let evacuated = self.operator.evacuated.clone();
+        let configuration = self.operator.configuration.clone();
+        let cold_time = |service: &str| {
+            let terms = configuration.as_ref().and_then(|known| known.services.get(service));
+            terms.map_or(Duration::ZERO, |terms| terms.cold_time)
+        };
+        let changed = self.directory.evacuate(|name| evacuated.contains(name), cold_time, now);
+        for target in changed {
+            self.list_target(&target, now, actions);
+        }
+    }
+
+    /// Takes a listing of targets that was read `age` ago.
+    pub fn take_listing(
+        &mut self,
+        now: Instant,
+        listing: &TargetListing,
+        age: Duration,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        let Some(read) = now.checked_sub(age) else { return };
+        let configuration = self.operator.configuration.clone();
+        let cold_time = |service: &str| {
+            let terms = configuration.as_ref().and_then(|known| known.services.get(service));
+            terms.map_or(Duration::ZERO, |terms| terms.cold_time)
+        };
+        let changes = self.directory.take(listing, read, cold_time);
+        for change in changes {
+            match change {
+                DirectoryChange::Changed(target) => self.list_target(&target, now, actions),
+                DirectoryChange::Restarted(target) => {
+                    if let Some(terms) = self.terms.get_mut(&target) {
+                        terms.health.restart();
+                        terms.told = None;
+                    }
+                    self.list_target(&target, now, actions);
+                    self.report_load(now, &target, 0, 0, Duration::ZERO, actions);
+                }
+                DirectoryChange::Removed(target) => {
+                    self.terms.swap_remove(&target);
+                    self.schedule(now, SchedulerEvent::TargetRemoved(target), actions);
+                }
+            }
+        }
+        self.update_evacuations(now, actions);
+        self.update_targets(now, actions);
+    }
+
+    /// Takes the load that a target told with an answer.
+    pub fn take_load(
+        &mut self,
+        now: Instant,
+        target: &TargetName,
+        running: u16,
+        waiting: u16,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        let Some(terms) = self.terms.get_mut(target) else { return };
+        let told = Some(ToldLoad { running, waiting, age_ms: 0 });
+        terms.told = Some((TargetUse { target: name_key(target), in_flight: 0, told }, now));
+        self.report_load(now, target, running, waiting, Duration::ZERO, actions);
+    }
+
+    /// Another instance answered at a target's address.
+    pub fn target_replaced(
+        &mut self,
+        now: Instant,
+        target: &TargetName,
+        instance: &str,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        if self.directory.replaced(target, instance) {
+            self.list_target(target, now, actions);
+        }
+    }
+
+    /// Takes a peer's digest. Returns whether the peer knows a newer operator state.
+    pub fn take_digest(
+        &mut self,
+        now: Instant,
+        from: SocketAddr,
+        digest: PeerDigest,
+        actions: &mut Vec<SchedulerAction>,
+    ) -> bool {
+        let newer = digest.operator_revision > self.operator.revision;
+        let sharing = self.members.sharing();
+        let uses = digest.uses.clone();
+        let suspects = digest.suspects.clone();
+        if !self.members.take(from, digest, now) {
+            return false;
+        }
+        if self.members.sharing() != sharing {
+            self.update_retries();
+        }
+        for suspect in suspects {
+            self.schedule(now, SchedulerEvent::SuspectReported(suspect), actions);
+        }
+        self.take_told_loads(now, &uses, actions);
+        self.update_targets(now, actions);
+        newer
+    }
+
+    fn take_told_loads(
+        &mut self,
+        now: Instant,
+        uses: &[TargetUse],
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        for one in uses {
+            let Some(told) = one.told else { continue };
+            let age = Duration::from_millis(u64::from(told.age_ms));
+            let Some(taken) = now.checked_sub(age) else { continue };
+            let found = self.terms.iter_mut().find(|(target, _)| name_key(target) == one.target);
+            let Some((target, terms)) = found else { continue };
+            if terms.told.as_ref().is_some_and(|(_, known)| *known >= taken) {
+                continue;
+            }
+            terms.told = Some((*one, taken));
+            let target = target.clone();
+            self.report_load(now, &target, told.running, told.waiting, age, actions);
+        }
+    }
+
+    fn report_load(
+        &mut self,
+        now: Instant,
+        target: &TargetName,
+        running: u16,
+        waiting: u16,
+        age: Duration,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        let Some(entry) = self.directory.get(target) else { return };
+        let report = LoadReport {
+            restart: entry.restart,
+            state: match (entry.listed.leaving, entry.is_cold(now)) {
+                (true, _) => TargetState::Leaving,
+                (false, true) => TargetState::Cold,
+                (false, false) => TargetState::Warm,
+            },
+            bears: entry.listed.slots,
+            running: u32::from(running),
+            waiting: u32::from(waiting),
+            free_cache_tokens: 0,
+            models: Vec::new(),
+            fencing: 0,
+            last_order_age_ms: None,
+            lag_ms: 0,
+        };
+        let event = SchedulerEvent::LoadReported { target: target.clone(), report, age };
+        self.schedule(now, event, actions);
+    }
+
+    /// The digest for peers.
+    pub fn digest(&mut self, now: Instant) -> PeerDigest {
+        self.sequence += 1;
+        let age = |since: Instant| {
+            u32::try_from(now.saturating_duration_since(since).as_millis()).unwrap_or(u32::MAX)
+        };
+        let mut uses = Vec::new();
+        for (target, terms) in &self.terms {
+            let in_flight = self.scheduler.slot_use(target).map_or(0, |used| used.in_flight);
+            let told = terms.told.as_ref().and_then(|(one, taken)| {
+                let recent = now.saturating_duration_since(*taken) < TOLD_LIFETIME;
+                one.told.filter(|_| recent).map(|told| ToldLoad { age_ms: age(*taken), ..told })
+            });
+            if in_flight > 0 || told.is_some() {
+                let in_flight = u16::try_from(in_flight).unwrap_or(u16::MAX);
+                uses.push(TargetUse { target: name_key(target), in_flight, told });
+            }
+        }
+        let mut usage = self.quotas.sums(now);
+        usage.sort_unstable_by_key(|(_, units)| std::cmp::Reverse(*units));
+        usage.truncate(TOLD_WORKSPACES);
+        let mut suspects = self.scheduler.suspects(now);
+        suspects.truncate(TOLD_SUSPECTS);
+        PeerDigest {
+            vm: self.settings.vm.clone(),
+            incarnation: self.settings.incarnation,
+            sequence: self.sequence,
+            draining: self.draining,
+            operator_revision: self.operator.revision,
+            listing_age_ms: self.directory.age(now).and_then(|age| age.as_millis().try_into().ok()),
+            uses,
+            usage,
+            presumed_permille: (self.quotas.presumed(now) * 1_000.0) as u16,
+            waiting: self.scheduler.waiting_by_tier(),
+            suspects,
+            members: self.members.named(now),
+        }
+    }
+}
--- /dev/null
+++ b/crates/tarragon-fleet/src/prelude.rs
@@ -0,0 +1,13 @@
+//! Types that users of the crate need.
+
+pub use tarragon_scheduler::prelude::*;
+
+pub use crate::{
+    call::{CallFault, CallHead, GenerationHead, RoutedCall},
+    digest::{PeerDigest, TargetUse},
+    node::{FleetBounds, FleetNode, FleetSettings, SendGrant},
+    published::{
+        CallRoute, CallerLimits, FleetConfiguration, ListedTarget, OperatorState, RepeatRule,
+        ServiceTerms, TargetListing, WorkspaceTerms,
+    },
+};
--- /dev/null
+++ b/crates/tarragon-gateway/src/caller.rs
@@ -0,0 +1,341 @@
+//! Calls of callers, from their arrival to their answer.
+
+use std::{convert::Infallible, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response, StatusCode, header};
+use hyper::body::Incoming;
+use tarragon_fleet::{
+    node::{CallOrder, wait_limit},
+    prelude::*,
+};
+use tarragon_server::{
+    caller::{
+        answer::{AnswerBody, CallerAnswer, ErrorBody},
+        body::{BodyFault, BodyLimits, read_body},
+    },
+    process::Deadline,
+    request::{RequestDriver, RequestEnd},
+};
+use tokio::{sync::oneshot, time::Instant};
+use tokio_util::sync::{CancellationToken, DropGuard};
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::{
+    context::GatewayContext,
+    desk::DeskLink,
+    dialect::CallDialect,
+    forward::{ForwardAnswer, ForwardCall, ForwardRunner, whole_response},
+};
+
+/// Longest pause between two parts of a caller's body.
+const BODY_PART_TIME: Duration = Duration::from_secs(5);
+
+/// Answers a caller's request.
+pub async fn handle<D>(
+    context: Arc<GatewayContext<D>>,
+    message: Request<Incoming>,
+) -> Result<CallerAnswer, Infallible>
+where
+    D: CallDialect,
+{
+    let arrived = Instant::now();
+    let (head, body) = message.into_parts();
+    let (call_head, routed) = match route(&context, &head) {
+        Ok(routed) => routed,
+        Err(answer) => return Ok(*answer),
+    };
+    let wait = wait_limit(&routed.route, call_head.time_left);
+    let deadline = Deadline::after(&context.clock, wait);
+    let limits = body_limits(context.caller_limits(), wait);
+    let body = match read_body(body, limits).await {
+        Ok(body) => body,
+        Err(fault) => return Ok(body_fault_answer(&context, &call_head.tag, fault)),
+    };
+    let event_tokens = context.desk.view(|node| {
+        let configuration = node.operator().configuration.as_ref();
+        let terms = configuration.and_then(|known| known.services.get(&routed.service));
+        terms.map_or(1, |terms| terms.event_tokens.max(1))
+    });
+    let call = ForwardCall {
+        request: context.ids.next(),
+        tag: call_head.tag.clone(),
+        routed,
+        method: head.method,
+        path: head.uri,
+        headers: head.headers,
+        body,
+        arrived,
+        deadline,
+        resume_after: call_head.resume_after,
+        event_tokens,
+    };
+    Ok(serve(context, call, call_head.generation).await)
+}
+
+/// Reads the head of a request and finds where it goes.
+fn route<D>(
+    context: &GatewayContext<D>,
+    head: &http::request::Parts,
+) -> Result<(CallHead, RoutedCall), Box<CallerAnswer>>
+where
+    D: CallDialect,
+{
+    let call_head = context.dialect.read_head(head).map_err(|fault| {
+        tracing::info!(cause = fault.message, "refused: head can't be read");
+        context.metrics.answered("not_run", "invalid_head");
+        Box::new(text_answer(StatusCode::BAD_REQUEST, HeaderMap::new(), &fault.message))
+    })?;
+    let host = head.headers.get(header::HOST).and_then(|value| value.to_str().ok()).unwrap_or("");
+    let path = head.uri.path();
+    let routed = context.desk.view(|node| {
+        let version = node.operator().configuration.as_ref().map_or(0, |known| known.version);
+        node.route(host, path, &call_head).map_err(|fault| (fault, version))
+    });
+    match routed {
+        Ok(routed) => Ok((call_head, routed)),
+        Err((fault, version)) => {
+            tracing::info!(request = call_head.tag, host, path, ?fault, version, "refused: no route");
+            context.metrics.answered("not_run", fault_name(fault));
+            let (status, headers) = context.dialect.fault_head(fault);
+            Err(Box::new(text_answer(status, headers, fault_name(fault))))
+        }
+    }
+}
+
+fn fault_name(fault: CallFault) -> &'static str {
+    match fault {
+        CallFault::NotConfigured => "not_configured",
+        CallFault::UnknownRoute => "unknown_route",
+        CallFault::UnknownKey => "unknown_key",
+    }
+}
+
+fn body_limits(limits: CallerLimits, wait: Duration) -> BodyLimits {
+    BodyLimits { bytes: limits.body_bytes, part: BODY_PART_TIME, whole: wait }
+}
+
+fn body_fault_answer<D>(context: &GatewayContext<D>, tag: &str, fault: BodyFault) -> CallerAnswer {
+    tracing::info!(request = tag, ?fault, "refused: body can't be read");
+    context.metrics.answered("not_run", "invalid_body");
+    text_answer(fault.status(), HeaderMap::new(), fault.message())
+}
+
+/// Serves a call in a task of its own. The returned future, or the answer's body, holds the guard that
+/// tells the task when the caller has gone.
+async fn serve<D>(
+    context: Arc<GatewayContext<D>>,
+    call: ForwardCall,
+    generation: Option<GenerationHead>,
+) -> CallerAnswer
+where
+    D: CallDialect,
+{
+    let abandoned = CancellationToken::new();
+    let guard = CallerGuard {
+        link: DeskLink(context.desk.clone()),
+        request: call.request,
+        // A plain call that must not be repeated runs to its end once it has been sent.
+        runs_on: call.routed.route.repeat == RepeatRule::AtMostOnce && !call.routed.route.streamed,
+        token: Some(abandoned.clone().drop_guard()),
+    };
+    let (sender, head) = oneshot::channel();
+    let task = run_call(context.clone(), call, generation, abandoned, sender);
+    context.spawn(task);
+    match head.await {
+        Ok(answer) => answer.map(|body| match body {
+            AnswerBody::Stream { parts, .. } => {
+                AnswerBody::Stream { parts, guard: guard.into_token() }
+            }
+            whole => whole,
+        }),
+        Err(_) => {
+            let message = "the process ended before the answer";
+            let refusal = Refusal::unknown(RefusalCode::ShuttingDown, message);
+            refusal_answer(&context, &refusal)
+        }
+    }
+}
+
+/// Tells by its drop that the caller has gone.
+struct CallerGuard {
+    link: DeskLink,
+    request: RequestId,
+    runs_on: bool,
+    token: Option<DropGuard>,
+}
+
+impl CallerGuard {
+    fn into_token(mut self) -> Option<DropGuard> {
+        self.token.take()
+    }
+}
+
+impl Drop for CallerGuard {
+    fn drop(&mut self) {
+        if self.runs_on
+            && self.link.0.has_started(self.request)
+            && let Some(token) = self.token.take()
+        {
+            token.disarm();
+        }
+    }
+}
+
+async fn run_call<D>(
+    context: Arc<GatewayContext<D>>,
+    call: ForwardCall,
+    generation: Option<GenerationHead>,
+    abandoned: CancellationToken,
+    head: oneshot::Sender<CallerAnswer>,
+) where
+    D: CallDialect,
+{
+    context.metrics.open_requests.inc();
+    let order = call_order(&call, generation);
+    let decisions = context.desk.admit(order);
+    let link = DeskLink(context.desk.clone());
+    let driver = RequestDriver::of(&link, call.request, call.deadline, abandoned, decisions);
+    let mut runner = ForwardRunner::new(&context, &call, head);
+    let end = driver.run(&mut runner).await;
+    conclude(&context, &call, end, runner);
+    context.metrics.open_requests.dec();
+}
+
+fn call_order(call: &ForwardCall, generation: Option<GenerationHead>) -> CallOrder {
+    CallOrder {
+        request: call.request,
+        routed: call.routed.clone(),
+        arrived: call.arrived.into_std(),
+        deadline: call.deadline.instant.into_std(),
+        fingerprint: fingerprint(call),
+        generation,
+    }
+}
+
+/// The same for each sending of one request: it depends on caller, path and body alone.
+fn fingerprint(call: &ForwardCall) -> Fingerprint {
+    let mut hasher = Xxh3::new();
+    let path = call.path.path_and_query().map_or("", |path| path.as_str());
+    let workspace = call.routed.workspace.as_deref().unwrap_or("");
+    for field in [workspace.as_bytes(), call.method.as_str().as_bytes(), path.as_bytes()] {
+        hasher.update(&(field.len() as u64).to_le_bytes());
+        hasher.update(field);
+    }
+    hasher.update(&call.body);
+    hasher.digest()
+}
+
+/// Gives the final answer, unless a stream has brought it.
+fn conclude<D>(
+    context: &GatewayContext<D>,
+    call: &ForwardCall,
+    end: RequestEnd<ForwardAnswer>,
+    mut runner: ForwardRunner<'_, D>,
+) where
+    D: CallDialect,
+{
+    let fallback = runner.fallback.take();
+    let sink = runner.into_sink();
+    let streamed = call.routed.route.streamed;
+    let spent = call.arrived.elapsed();
+    let spent_ms = spent.as_millis() as u64;
+    let (request, position) = (call.tag.as_str(), sink.position());
+    let answer = match end {
+        RequestEnd::Answered(ForwardAnswer::Streamed) => {
+            tracing::info!(request, spent_ms, position, "stream is complete");
+            context.metrics.answered("done", "streamed");
+            context.metrics.whole_answer(streamed, spent);
+            return;
+        }
+        RequestEnd::Answered(ForwardAnswer::Whole(answer)) => {
+            tracing::info!(request, spent_ms, status = answer.status.as_u16(), "answered");
+            context.metrics.answered("done", status_class(answer.status));
+            context.metrics.whole_answer(streamed, spent);
+            whole_response(answer)
+        }
+        RequestEnd::Abandoned => {
+            tracing::info!(request, spent_ms, position, "caller has gone");
+            context.metrics.answered("abandoned", "caller_gone");
+            return;
+        }
+        RequestEnd::Refused(refusal) if sink.has_begun() => {
+            tracing::warn!(
+                request, spent_ms, position, code = ?refusal.code, message = refusal.message,
+                "stream is broken off"
+            );
+            context.metrics.answered("unknown", "stream_broken_off");
+            return;
+        }
+        RequestEnd::Refused(refusal) => match fallback {
+            Some(answer) => {
+                let status = answer.status.as_u16();
+                tracing::info!(request, spent_ms, status, "answered with the target's failure");
+                context.metrics.answered("done", status_class(answer.status));
+                whole_response(answer)
+            }
+            None => {
+                tracing::warn!(
+                    request, spent_ms, outcome = refusal.outcome.name(), code = ?refusal.code,
+                    message = refusal.message,
+                    retry_ms = refusal.retry_after.map(|delay| delay.as_millis() as u64),
+                    "refused"
+                );
+                context.metrics.answered(refusal.outcome.name(), refusal_cause(refusal.code));
+                refusal_answer(context, &refusal)
+            }
+        },
+        // No process of this fleet passes requests on to another one.
+        RequestEnd::Relay(_) => {
+            let message = "the process can't serve this request";
+            refusal_answer(context, &Refusal::not_run(RefusalCode::NoTarget, message))
+        }
+    };
+    // The caller has gone if this fails, and needs no answer.
+    if let Some(head) = sink.into_head() {
+        let _ = head.send(answer);
+    }
+}
+
+fn status_class(status: StatusCode) -> &'static str {
+    match status.as_u16() {
+        200..=299 => "success",
+        400..=499 => "caller_error",
+        500..=599 => "target_error",
+        _ => "other",
+    }
+}
+
+fn refusal_cause(code: RefusalCode) -> &'static str {
+    match code {
+        RefusalCode::LimitReached => "limit_reached",
+        RefusalCode::DeadlineExceeded => "deadline_exceeded",
+        RefusalCode::NoTarget => "no_target",
+        RefusalCode::Shed => "shed",
+        RefusalCode::CrashesTargets => "crashes_targets",
+        RefusalCode::TargetFailed => "target_failed",
+        RefusalCode::ShuttingDown => "shutting_down",
+        _ => "other",
+    }
+}
+
+fn refusal_answer<D>(context: &GatewayContext<D>, refusal: &Refusal) -> CallerAnswer
+where
+    D: CallDialect,
+{
+    let (status, mut headers) = context.dialect.refusal_head(refusal);
+    headers.insert(header::CONTENT_TYPE, header::HeaderValue::from_static("application/json"));
+    let mut answer =
+        Response::new(AnswerBody::Whole(Some(ErrorBody::new(refusal, None).to_bytes())));
+    *answer.status_mut() = status;
+    *answer.headers_mut() = headers;
+    answer
+}
+
+fn text_answer(status: StatusCode, headers: HeaderMap, text: &str) -> CallerAnswer {
+    let body = AnswerBody::Whole(Some(Bytes::copy_from_slice(text.as_bytes())));
+    let mut answer = Response::new(body);
+    *answer.status_mut() = status;
+    *answer.headers_mut() = headers;
+    answer
+}
--- /dev/null
+++ b/crates/tarragon-gateway/src/context.rs
@@ -0,0 +1,89 @@
+//! What all tasks of one process share.
+
+use std::{future::Future, sync::Arc, time::Duration};
+
+use tarragon_config::settings::GatewaySettings;
+use tarragon_fleet::prelude::*;
+use tarragon_server::{
+    clock::ProcessClock,
+    process::RequestIds,
+    target::pool::ConnectionPool,
+};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+use crate::{desk::FleetDesk, metrics::GatewayMetrics};
+
+/// Time limits of calls to targets and of answers to callers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ForwardLimits {
+    /// For a connection to a target. Data centres are milliseconds apart, so that a connection which takes
+    /// longer meets a target or a link that is down.
+    pub connect: Duration,
+    /// Longest silence of a target before another one gets a stream that may go on elsewhere.
+    pub stream_silence: Duration,
+    /// Longest wait for a caller to take a part of its answer.
+    pub caller_stall: Duration,
+    /// Largest answer that is not streamed, in bytes.
+    pub answer_bytes: usize,
+}
+
+impl Default for ForwardLimits {
+    fn default() -> ForwardLimits {
+        ForwardLimits {
+            connect: Duration::from_millis(300),
+            stream_silence: Duration::from_millis(1_500),
+            caller_stall: Duration::from_secs(5),
+            answer_bytes: 16 << 20,
+        }
+    }
+}
+
+/// What all tasks of one process share.
+pub struct GatewayContext<D> {
+    /// Settings.
+    pub settings: GatewaySettings,
+    /// What callers and targets speak.
+    pub dialect: D,
+    /// Decisions.
+    pub desk: Arc<FleetDesk>,
+    /// Connections to targets.
+    pub pool: ConnectionPool,
+    /// Metrics.
+    pub metrics: GatewayMetrics,
+    /// Clocks.
+    pub clock: ProcessClock,
+    /// Time limits.
+    pub limits: ForwardLimits,
+    /// Ids of requests.
+    pub ids: RequestIds,
+    /// Tasks that shutdown waits for.
+    pub tasks: TaskTracker,
+    /// Cancelled when shutdown is asked for.
+    pub drain: CancellationToken,
+    /// Cancelled when the process ends.
+    pub abort: CancellationToken,
+}
+
+impl<D> GatewayContext<D> {
+    /// Bounds for what callers send.
+    pub fn caller_limits(&self) -> CallerLimits {
+        self.desk.view(|node| {
+            let configuration = node.operator().configuration.as_ref();
+            configuration.map_or_else(CallerLimits::default, |known| known.limits)
+        })
+    }
+
+    /// Starts a task that shutdown waits for and that ends at once with the process.
+    pub fn spawn<F>(&self, work: F)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let abort = self.abort.clone();
+        self.tasks.spawn(async move {
+            tokio::select! {
+                () = abort.cancelled() => {}
+                () = work => {}
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/tarragon-gateway/src/forward.rs
@@ -0,0 +1,423 @@
+//! One attempt of a call at a target: sends it, judges the answer and passes it on.
+
+mod stream;
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
+use hyper::body::Incoming;
+use tarragon_fleet::prelude::*;
+use tarragon_server::{
+    caller::answer::CallerAnswer,
+    process::Deadline,
+    request::{AttemptReport, AttemptRunner, DispatchOrder},
+    target::{
+        body::collect_body,
+        pool::{CallBody, CallFault, TargetConnection},
+    },
+};
+use tokio::{sync::oneshot, time::Instant};
+
+pub use stream::StreamSink;
+
+use crate::{
+    context::GatewayContext,
+    dialect::{AnswerVerdict, CallDialect, SendTerms},
+};
+
+/// Part of the time left that a target gets for an answer while the call may still go to another one.
+const FIRST_TRY_PART: f64 = 0.35;
+/// Nothing is sent with less time left: no answer could come back.
+const LEAST_TIME: Duration = Duration::from_millis(3);
+/// Time for which a connection is kept whose target names no limit: it may be below a second.
+const SHORT_IDLE: Duration = Duration::from_millis(400);
+/// Part of the idle limit that a target names for which its connection is used again.
+const IDLE_PART: f64 = 0.7;
+
+/// A caller's call, whole.
+#[derive(Debug)]
+pub struct ForwardCall {
+    /// Id here.
+    pub request: RequestId,
+    /// Id that the caller gave.
+    pub tag: String,
+    /// Where it goes.
+    pub routed: RoutedCall,
+    /// Method.
+    pub method: Method,
+    /// Path with query, as the caller sent it.
+    pub path: Uri,
+    /// Headers as the caller sent them.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// When it arrived.
+    pub arrived: Instant,
+    /// When nobody waits for its answer any more.
+    pub deadline: Deadline,
+    /// Number of the last event that the caller has from an earlier connection.
+    pub resume_after: Option<u64>,
+    /// Tokens that one event of a stream holds.
+    pub event_tokens: u32,
+}
+
+/// An answer that is not streamed.
+#[derive(Debug, Clone)]
+pub struct WholeAnswer {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers for the caller.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// How a call was answered.
+#[derive(Debug)]
+pub enum ForwardAnswer {
+    /// In one piece.
+    Whole(WholeAnswer),
+    /// By a stream that is complete.
+    Streamed,
+}
+
+/// Runs the attempts of one call.
+pub struct ForwardRunner<'a, D> {
+    context: &'a Arc<GatewayContext<D>>,
+    call: &'a ForwardCall,
+    sink: StreamSink,
+    /// Failure that a target answered. It goes to the caller if no further attempt does better.
+    pub fallback: Option<WholeAnswer>,
+    sent: u32,
+}
+
+/// An answer's head with the connection that brings its body.
+struct OpenAnswer {
+    connection: TargetConnection,
+    head: http::response::Parts,
+    body: Incoming,
+    sent: Instant,
+}
+
+impl<D> AttemptRunner for ForwardRunner<'_, D>
+where
+    D: CallDialect,
+{
+    type Answer = ForwardAnswer;
+
+    async fn run(&mut self, order: &DispatchOrder) -> AttemptReport<ForwardAnswer> {
+        let started = Instant::now();
+        if self.sent == 0 {
+            self.context.metrics.queue_time.observe(self.call.arrived.elapsed().as_secs_f64());
+        }
+        let report = self.attempt(order).await;
+        let end = match &report {
+            AttemptReport::Answered(_) => AttemptEnd::Finished,
+            AttemptReport::Ended(end) | AttemptReport::Refused(end, _) => *end,
+        };
+        self.context.metrics.attempts.with_label_values(&[end_name(end)]).inc();
+        if end != AttemptEnd::Finished {
+            tracing::warn!(
+                request = self.call.tag, attempt = order.attempt, target_address = &*order.target,
+                end = end_name(end), spent_ms = started.elapsed().as_millis() as u64,
+                delivered = self.sink.position(), "attempt failed"
+            );
+        }
+        report
+    }
+
+    fn dropped(&mut self, order: &DispatchOrder) {
+        self.context.metrics.attempts.with_label_values(&["dropped"]).inc();
+        tracing::info!(
+            request = self.call.tag, attempt = order.attempt, target_address = &*order.target,
+            delivered = self.sink.position(), "attempt was dropped"
+        );
+    }
+}
+
+impl<'a, D> ForwardRunner<'a, D>
+where
+    D: CallDialect,
+{
+    /// A runner whose streamed answer goes to `head`.
+    pub fn new(
+        context: &'a Arc<GatewayContext<D>>,
+        call: &'a ForwardCall,
+        head: oneshot::Sender<CallerAnswer>,
+    ) -> ForwardRunner<'a, D> {
+        let sink = StreamSink::new(head, call.resume_after, call.arrived);
+        ForwardRunner { context, call, sink, fallback: None, sent: 0 }
+    }
+
+    /// Gives the way to the caller back.
+    pub fn into_sink(self) -> StreamSink {
+        self.sink
+    }
+
+    async fn attempt(&mut self, order: &DispatchOrder) -> AttemptReport<ForwardAnswer> {
+        let ended = AttemptReport::Ended;
+        let connection = match self.connect(order).await {
+            Ok(connection) => connection,
+            Err(end) => return ended(end),
+        };
+        // Connecting takes time, in which the target may have been taken out of service.
+        let Some(grant) = self.context.desk.view(|node| node.may_send(&order.target)) else {
+            self.context.pool.give_back_for(&order.address, connection, SHORT_IDLE);
+            return ended(AttemptEnd::NotSent);
+        };
+        let remaining = self.call.deadline.remaining(&self.context.clock);
+        if remaining < LEAST_TIME {
+            return ended(AttemptEnd::Withheld);
+        }
+        let Some(request) = self.build_request(order, &grant, remaining) else {
+            return ended(AttemptEnd::Withheld);
+        };
+        self.context.desk.start_attempt(order);
+        tracing::info!(
+            request = self.call.tag, id = self.call.request, attempt = order.attempt,
+            target_address = &*order.target, instance = &*grant.instance,
+            service = &*self.call.routed.service, tier = self.call.routed.tier.name(),
+            version = self.call.routed.version, resume_after = self.sink.position(),
+            remaining_ms = remaining.as_millis() as u64,
+            waited_ms = self.call.arrived.elapsed().as_millis() as u64, "sent"
+        );
+        match self.exchange(order, connection, request, remaining).await {
+            Ok(answer) => self.take_answer(order, &grant, answer).await,
+            Err(end) => ended(end),
+        }
+    }
+
+    /// A connection of its own for a call that must not be repeated: one that the target has just closed
+    /// would make its outcome uncertain.
+    async fn connect(&self, order: &DispatchOrder) -> Result<TargetConnection, AttemptEnd> {
+        let limit = self.context.limits.connect;
+        let connection = if self.is_repeatable() {
+            self.context.pool.checkout(&order.address, limit).await
+        } else {
+            TargetConnection::open(&order.address, limit).await
+        };
+        let connection = connection.map_err(|error| {
+            tracing::info!(
+                request = self.call.tag, target_address = &*order.target, %error, "no connection"
+            );
+            AttemptEnd::NotSent
+        })?;
+        if !connection.is_reused() {
+            self.context.metrics.target_connections.inc();
+        }
+        Ok(connection)
+    }
+
+    fn is_repeatable(&self) -> bool {
+        self.call.routed.route.repeat != RepeatRule::AtMostOnce
+    }
+
+    /// Whether the call may be sent to another target if this attempt fails.
+    fn may_go_on(&self) -> bool {
+        self.is_repeatable() && self.sent < self.call.routed.route.max_attempts
+    }
+
+    fn build_request(
+        &self,
+        order: &DispatchOrder,
+        grant: &SendGrant,
+        remaining: Duration,
+    ) -> Option<Request<CallBody>> {
+        let call = self.call;
+        let terms = SendTerms {
+            tag: &call.tag,
+            instance: &grant.instance,
+            workspace: call.routed.workspace.as_deref(),
+            remaining,
+            resume_after: self.sink.position(),
+        };
+        let mut request = Request::builder()
+            .method(call.method.clone())
+            .uri(call.path.clone())
+            .body(CallBody::new(call.body.clone()))
+            .inspect_err(|error| tracing::error!(request = call.tag, %error, "call can't be built"))
+            .ok()?;
+        *request.headers_mut() = self.context.dialect.call_headers(&call.headers, &terms);
+        if !request.headers().contains_key(header::HOST) {
+            let host = call.headers.get(header::HOST).cloned();
+            let host = host.or_else(|| order.address.parse().ok())?;
+            request.headers_mut().insert(header::HOST, host);
+        }
+        Some(request)
+    }
+
+    /// Sends the call and waits for the head of its answer.
+    async fn exchange(
+        &mut self,
+        order: &DispatchOrder,
+        mut connection: TargetConnection,
+        request: Request<CallBody>,
+        remaining: Duration,
+    ) -> Result<OpenAnswer, AttemptEnd> {
+        self.sent += 1;
+        let patience = self.patience(remaining);
+        let sent = Instant::now();
+        let answer = if self.is_repeatable() {
+            let limit = self.context.limits.connect;
+            connection.send_repeatable(&order.address, limit, request, patience).await
+        } else {
+            connection.send(request, patience).await
+        };
+        let response = answer.map_err(|fault| {
+            tracing::info!(
+                request = self.call.tag, target_address = &*order.target, %fault, "no answer"
+            );
+            match fault {
+                CallFault::NotSent(_) => AttemptEnd::NotSent,
+                CallFault::Broken(_) | CallFault::TimedOut => AttemptEnd::Broken,
+            }
+        })?;
+        let (head, body) = response.into_parts();
+        Ok(OpenAnswer { connection, head, body, sent })
+    }
+
+    /// Longest wait for a sign of life of the target.
+    fn patience(&self, remaining: Duration) -> Duration {
+        if !self.may_go_on() {
+            remaining
+        } else if self.call.routed.route.streamed {
+            self.context.limits.stream_silence.max(remaining.mul_f64(FIRST_TRY_PART)).min(remaining)
+        } else {
+            remaining.mul_f64(FIRST_TRY_PART)
+        }
+    }
+
+    async fn take_answer(
+        &mut self,
+        order: &DispatchOrder,
+        grant: &SendGrant,
+        answer: OpenAnswer,
+    ) -> AttemptReport<ForwardAnswer> {
+        let facts = self.context.dialect.read_answer(&self.call.tag, &answer.head);
+        if let Some(load) = facts.load {
+            self.context.desk.run(|node, now, actions| {
+                node.take_load(now, &order.target, load.running, load.waiting, actions);
+            });
+        }
+        match facts.verdict {
+            AnswerVerdict::Answered => {}
+            AnswerVerdict::NotRun => {
+                self.finish_rejection(order, answer).await;
+                return AttemptReport::Ended(AttemptEnd::Rejected);
+            }
+            AnswerVerdict::OtherInstance => {
+                self.context.desk.run(|node, now, actions| {
+                    node.target_replaced(now, &order.target, &grant.instance, actions);
+                });
+                return AttemptReport::Ended(AttemptEnd::Rejected);
+            }
+            AnswerVerdict::Foreign => {
+                tracing::warn!(
+                    request = self.call.tag, target_address = &*order.target,
+                    "answer belongs to another request"
+                );
+                return AttemptReport::Ended(AttemptEnd::Garbled);
+            }
+            AnswerVerdict::Unusable(cause) => {
+                tracing::warn!(
+                    request = self.call.tag, target_address = &*order.target, cause,
+                    "answer can't be passed on"
+                );
+                return AttemptReport::Ended(AttemptEnd::Garbled);
+            }
+        }
+        if self.call.routed.route.streamed && answer.head.status.is_success() {
+            return self.relay_stream(order, answer).await;
+        }
+        self.take_whole(order, answer).await
+    }
+
+    /// Reads the short body of a rejection, so that the connection can be used again.
+    async fn finish_rejection(&self, order: &DispatchOrder, answer: OpenAnswer) {
+        let idle = idle_limit(&answer.head.headers);
+        let OpenAnswer { connection, body, .. } = answer;
+        let limits = self.context.limits;
+        if collect_body(body, limits.answer_bytes, limits.connect).await.is_ok() {
+            self.context.pool.give_back_for(&order.address, connection, idle);
+        }
+    }
+
+    async fn take_whole(
+        &mut self,
+        order: &DispatchOrder,
+        answer: OpenAnswer,
+    ) -> AttemptReport<ForwardAnswer> {
+        let OpenAnswer { connection, head, body, .. } = answer;
+        let remaining = self.call.deadline.remaining(&self.context.clock);
+        let patience = self.patience(remaining);
+        let body = match collect_body(body, self.context.limits.answer_bytes, patience).await {
+            Ok(body) => body,
+            Err(fault) => {
+                tracing::warn!(
+                    request = self.call.tag, target_address = &*order.target, ?fault,
+                    status = head.status.as_u16(), "answer is not whole"
+                );
+                return AttemptReport::Ended(AttemptEnd::Broken);
+            }
+        };
+        self.context.pool.give_back_for(&order.address, connection, idle_limit(&head.headers));
+        let headers = self.context.dialect.answer_headers(&head.headers);
+        let whole = WholeAnswer { status: head.status, headers, body };
+        if head.status.is_server_error() && self.may_go_on() {
+            self.fallback = Some(whole);
+            return AttemptReport::Ended(AttemptEnd::Failed);
+        }
+        if promises_no_run(head.status) {
+            // The target doesn't say that it ran nothing, so that its status must not be passed on.
+            let message = "the target failed and may have run the request";
+            let refusal = Refusal::unknown(RefusalCode::TargetFailed, message);
+            return AttemptReport::Refused(AttemptEnd::Failed, refusal);
+        }
+        AttemptReport::Answered(ForwardAnswer::Whole(whole))
+    }
+}
+
+/// Whether callers take a status as the promise that the request has not run.
+fn promises_no_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+    )
+}
+
+/// Time for which a connection may be used again, by the target's `Keep-Alive`.
+fn idle_limit(headers: &HeaderMap) -> Duration {
+    let text = headers.get("keep-alive").and_then(|value| value.to_str().ok()).unwrap_or("");
+    let seconds = text.split(',').find_map(|part| {
+        let value = part.trim().strip_prefix("timeout=")?;
+        value.trim().parse::<u64>().ok()
+    });
+    seconds.map_or(SHORT_IDLE, |seconds| Duration::from_secs(seconds).mul_f64(IDLE_PART))
+}
+
+/// Name of an end in logs and metrics.
+pub fn end_name(end: AttemptEnd) -> &'static str {
+    match end {
+        AttemptEnd::Finished => "finished",
+        AttemptEnd::NotSent => "not_sent",
+        AttemptEnd::Withheld => "withheld",
+        AttemptEnd::Rejected => "rejected",
+        AttemptEnd::Broken => "broken",
+        AttemptEnd::Failed => "failed",
+        AttemptEnd::Garbled => "garbled",
+        AttemptEnd::Cancelled => "cancelled",
+    }
+}
+
+/// The answer for a caller, in one piece.
+pub fn whole_response(answer: WholeAnswer) -> CallerAnswer {
+    let body = tarragon_server::caller::answer::AnswerBody::Whole(Some(answer.body));
+    let mut response = Response::new(body);
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = answer.headers;
+    response
+}
--- /dev/null
+++ b/crates/tarragon-gateway/src/forward/stream.rs
@@ -0,0 +1,226 @@
+//! Streams of events: passed on as they arrive, each whole, in order and once.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tarragon_fleet::prelude::*;
+use tarragon_server::{
+    caller::answer::{AnswerBody, BodyPart, CallerAnswer},
+    request::{AttemptReport, DispatchOrder},
+};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::{Instant, timeout},
+};
+
+use super::{ForwardAnswer, ForwardRunner, OpenAnswer, idle_limit};
+use crate::{
+    dialect::CallDialect,
+    events::{EventSplitter, RawEvent},
+};
+
+/// Events that wait for a slow caller.
+const STREAM_PARTS: usize = 32;
+/// Shortest time between two reports of one stream's progress.
+const PROGRESS_INTERVAL: Duration = Duration::from_millis(200);
+
+/// The caller has gone or takes nothing.
+struct CallerStalled;
+
+/// The way of a stream to its caller.
+pub struct StreamSink {
+    head: Option<oneshot::Sender<CallerAnswer>>,
+    sender: mpsc::Sender<BodyPart>,
+    receiver: Option<mpsc::Receiver<BodyPart>>,
+    /// Number of the last event that the caller has.
+    position: Option<u64>,
+    arrived: Instant,
+    last: Option<Instant>,
+}
+
+impl StreamSink {
+    /// A sink whose answer goes to `head`, after the events up to `position`.
+    pub fn new(
+        head: oneshot::Sender<CallerAnswer>,
+        position: Option<u64>,
+        arrived: Instant,
+    ) -> StreamSink {
+        let (sender, receiver) = mpsc::channel(STREAM_PARTS);
+        StreamSink {
+            head: Some(head),
+            sender,
+            receiver: Some(receiver),
+            position,
+            arrived,
+            last: None,
+        }
+    }
+
+    /// Number of the last event that the caller has.
+    pub fn position(&self) -> Option<u64> {
+        self.position
+    }
+
+    /// The way to answer the caller, if nothing has been sent.
+    pub fn into_head(self) -> Option<oneshot::Sender<CallerAnswer>> {
+        self.head
+    }
+
+    /// Whether the answer has begun.
+    pub fn has_begun(&self) -> bool {
+        self.head.is_none()
+    }
+
+    /// Begins the answer. Only the first call has an effect: a stream that goes on at another target keeps
+    /// the head of its first one.
+    fn begin(&mut self, status: StatusCode, headers: HeaderMap) {
+        let (Some(head), Some(parts)) = (self.head.take(), self.receiver.take()) else { return };
+        let mut answer = Response::new(AnswerBody::Stream { parts, guard: None });
+        *answer.status_mut() = status;
+        *answer.headers_mut() = headers;
+        // The caller has gone if this fails; its cancellation ends the request.
+        let _ = head.send(answer);
+    }
+
+    async fn send(&mut self, part: BodyPart, limit: Duration) -> Result<(), CallerStalled> {
+        match timeout(limit, self.sender.send(part)).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) | Err(_) => Err(CallerStalled),
+        }
+    }
+}
+
+/// Progress of one attempt's stream.
+struct StreamMeter {
+    events: u32,
+    first_event: Option<Duration>,
+    reported: Option<Instant>,
+}
+
+impl<D> ForwardRunner<'_, D>
+where
+    D: CallDialect,
+{
+    /// Passes a stream on up to its end.
+    pub(super) async fn relay_stream(
+        &mut self,
+        order: &DispatchOrder,
+        answer: OpenAnswer,
+    ) -> AttemptReport<ForwardAnswer> {
+        let OpenAnswer { connection, head, mut body, sent } = answer;
+        let headers = self.context.dialect.answer_headers(&head.headers);
+        let mut splitter = EventSplitter::default();
+        let mut meter = StreamMeter { events: 0, first_event: None, reported: None };
+        loop {
+            let data = match self.next_data(&mut body).await {
+                Ok(Some(data)) => data,
+                Ok(None) => break,
+                Err(end) => return self.end_stream(order, &mut meter, end),
+            };
+            if splitter.push(&data).is_err() {
+                return self.end_stream(order, &mut meter, AttemptEnd::Garbled);
+            }
+            while let Some(event) = splitter.next_event() {
+                self.sink.begin(head.status, headers.clone());
+                if self.pass_event(event).await.is_err() {
+                    return caller_stalled();
+                }
+                meter.events += 1;
+                meter.first_event.get_or_insert_with(|| sent.elapsed());
+            }
+            self.report(order, &mut meter, false);
+        }
+        self.report(order, &mut meter, true);
+        if splitter.has_rest() {
+            return self.end_stream(order, &mut meter, AttemptEnd::Broken);
+        }
+        self.sink.begin(head.status, headers);
+        if self.sink.send(BodyPart::End, self.context.limits.caller_stall).await.is_err() {
+            return caller_stalled();
+        }
+        let idle = idle_limit(&head.headers);
+        self.context.pool.give_back_for(&order.address, connection, idle);
+        AttemptReport::Answered(ForwardAnswer::Streamed)
+    }
+
+    /// The next bytes of a target's answer; `None` at its end.
+    async fn next_data(&self, body: &mut Incoming) -> Result<Option<Bytes>, AttemptEnd> {
+        let remaining = self.call.deadline.remaining(&self.context.clock);
+        let patience = if self.may_go_on() {
+            self.context.limits.stream_silence.min(remaining)
+        } else {
+            remaining
+        };
+        loop {
+            match timeout(patience, body.frame()).await {
+                Err(_) | Ok(Some(Err(_))) => return Err(AttemptEnd::Broken),
+                Ok(None) => return Ok(None),
+                Ok(Some(Ok(frame))) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Ok(Some(data));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Passes an event on, unless the caller has it from an earlier attempt.
+    async fn pass_event(&mut self, event: RawEvent) -> Result<(), CallerStalled> {
+        if let (Some(number), Some(position)) = (event.number, self.sink.position)
+            && number <= position
+        {
+            return Ok(());
+        }
+        let now = Instant::now();
+        let metrics = &self.context.metrics;
+        match self.sink.last.replace(now) {
+            None => metrics.first_part(true, now - self.sink.arrived),
+            Some(last) => metrics.event_gap.observe((now - last).as_secs_f64()),
+        }
+        let limit = self.context.limits.caller_stall;
+        self.sink.send(BodyPart::Data(event.bytes), limit).await?;
+        self.sink.position = event.number.or(self.sink.position);
+        Ok(())
+    }
+
+    fn end_stream(
+        &self,
+        order: &DispatchOrder,
+        meter: &mut StreamMeter,
+        end: AttemptEnd,
+    ) -> AttemptReport<ForwardAnswer> {
+        self.report(order, meter, true);
+        AttemptReport::Ended(end)
+    }
+
+    /// Reports progress: the first event at once, later ones from time to time.
+    fn report(&self, order: &DispatchOrder, meter: &mut StreamMeter, last: bool) {
+        let Some(first_token) = meter.first_event else { return };
+        let due = meter.reported.is_none_or(|time| last || time.elapsed() >= PROGRESS_INTERVAL);
+        if !due {
+            return;
+        }
+        meter.reported = Some(Instant::now());
+        let progress = AttemptProgress {
+            request: order.request,
+            attempt: order.attempt,
+            tokens: meter.events.saturating_mul(self.call.event_tokens),
+            prefill_tokens: None,
+            cached_tokens: None,
+            first_token,
+        };
+        self.context.desk.run(|node, now, actions| {
+            node.handle(now, SchedulerEvent::AttemptProgress(progress), actions);
+        });
+    }
+}
+
+/// A caller that takes nothing holds a place at a target that others wait for.
+fn caller_stalled() -> AttemptReport<ForwardAnswer> {
+    let message = "the caller did not take its answer in time";
+    let refusal = Refusal::unknown(RefusalCode::DeadlineExceeded, message);
+    AttemptReport::Refused(AttemptEnd::Cancelled, refusal)
+}
--- /dev/null
+++ b/crates/tarragon-gateway/src/lib.rs
@@ -0,0 +1,14 @@
+//! Forwards raw HTTP calls between callers and targets. The fleet's node decides where a call goes; this
+//! crate does the I/O and is generic over what the deployment speaks.
+
+pub mod caller;
+pub mod context;
+pub mod desk;
+pub mod dialect;
+pub mod events;
+pub mod forward;
+pub mod listener;
+pub mod metrics;
+pub mod peers;
+pub mod reader;
+pub mod serve;
--- /dev/null
+++ b/crates/tarragon-gateway/src/listener.rs
@@ -0,0 +1,159 @@
+//! Accepts connections of callers and serves HTTP/1.1 on them, and small pages for the load balancer and for
+//! metrics.
+
+use std::{convert::Infallible, future::Future, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tarragon_server::caller::write_limit::WriteLimit;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::Semaphore,
+};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+use crate::{caller, context::GatewayContext, dialect::CallDialect};
+
+/// Connections of callers at once, below the descriptors that a small VM offers.
+const MAX_CONNECTIONS: usize = 3_000;
+/// Connections for pages at once.
+const MAX_PAGE_CONNECTIONS: usize = 32;
+/// Headers that a request may have.
+const MAX_HEADERS: usize = 128;
+/// Least buffer for headers that the HTTP library accepts.
+const LEAST_HEADER_BYTES: usize = 8 << 10;
+/// Wait after a failed accept, as when the process has no free descriptor.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Time for the head of a request for a page.
+const PAGE_TIME: Duration = Duration::from_secs(5);
+
+/// Signals that end a listener.
+#[derive(Debug, Clone, Default)]
+pub struct ListenerSignals {
+    /// Idle connections close, and busy ones after their answers. Connections are still accepted.
+    pub retire: CancellationToken,
+    /// Accepts no more.
+    pub close: CancellationToken,
+    /// The connections' tasks.
+    pub connections: TaskTracker,
+}
+
+/// Accepts connections of callers until the listener is closed.
+pub async fn listen<D>(
+    listener: TcpListener,
+    context: Arc<GatewayContext<D>>,
+    signals: ListenerSignals,
+) where
+    D: CallDialect,
+{
+    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    while let Some((stream, permit)) = accept(&listener, &permits, &signals.close).await {
+        let (context, signals) = (context.clone(), signals.clone());
+        let tracker = signals.connections.clone();
+        tracker.spawn(async move {
+            context.metrics.connections.inc();
+            serve_connection(stream, &context, &signals).await;
+            context.metrics.connections.dec();
+            drop(permit);
+        });
+    }
+}
+
+async fn accept(
+    listener: &TcpListener,
+    permits: &Arc<Semaphore>,
+    close: &CancellationToken,
+) -> Option<(TcpStream, tokio::sync::OwnedSemaphorePermit)> {
+    loop {
+        let accepted = tokio::select! {
+            biased;
+            () = close.cancelled() => return None,
+            accepted = async {
+                let permit = permits.clone().acquire_owned().await.ok()?;
+                Some((listener.accept().await, permit))
+            } => accepted?,
+        };
+        match accepted {
+            (Ok((stream, _)), permit) => return Some((stream, permit)),
+            (Err(error), _) => {
+                tracing::warn!(%error, "a connection could not be accepted");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection<D>(
+    stream: TcpStream,
+    context: &Arc<GatewayContext<D>>,
+    signals: &ListenerSignals,
+) where
+    D: CallDialect,
+{
+    if let Err(error) = stream.set_nodelay(true) {
+        tracing::debug!(%error, "a connection closed at once");
+        return;
+    }
+    let limits = context.caller_limits();
+    let mut builder = http1::Builder::new();
+    // The limit for headers also runs while a connection is idle.
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_time)
+        .max_headers(MAX_HEADERS)
+        .max_buf_size(limits.header_bytes.max(LEAST_HEADER_BYTES));
+    let service = service_fn(|message: Request<Incoming>| caller::handle(context.clone(), message));
+    let stream = TokioIo::new(WriteLimit::new(stream, context.limits.caller_stall));
+    let connection = builder.serve_connection(stream, service);
+    tokio::pin!(connection);
+    let mut retired = false;
+    let ended = loop {
+        tokio::select! {
+            ended = connection.as_mut() => break ended,
+            () = context.abort.cancelled() => return,
+            () = signals.retire.cancelled(), if !retired => {
+                retired = true;
+                connection.as_mut().graceful_shutdown();
+            }
+        }
+    };
+    if let Err(error) = ended {
+        tracing::debug!(%error, "a connection ended early");
+    }
+}
+
+/// A page with a body of bytes.
+pub type PageAnswer = Response<Full<Bytes>>;
+
+/// Answers every request on a listener with one page, until it is aborted.
+pub async fn serve_page<P, F>(listener: TcpListener, page: P, abort: CancellationToken)
+where
+    P: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = PageAnswer> + Send + 'static,
+{
+    let permits = Arc::new(Semaphore::new(MAX_PAGE_CONNECTIONS));
+    while let Some((stream, permit)) = accept(&listener, &permits, &abort).await {
+        let (page, abort) = (page.clone(), abort.clone());
+        tokio::spawn(async move {
+            let service = service_fn(move |message| {
+                let answer = page(message);
+                async move { Ok::<PageAnswer, Infallible>(answer.await) }
+            });
+            let mut builder = http1::Builder::new();
+            builder.timer(TokioTimer::new()).header_read_timeout(PAGE_TIME);
+            let connection = builder.serve_connection(TokioIo::new(stream), service);
+            tokio::select! {
+                ended = connection => {
+                    if let Err(error) = ended {
+                        tracing::debug!(%error, "a connection for a page ended early");
+                    }
+                }
+                () = abort.cancelled() => {}
+            }
+            drop(permit);
+        });
+    }
+}
--- /dev/null
+++ b/crates/tarragon-gateway/src/metrics.rs
@@ -0,0 +1,137 @@
+//! Metrics of a process that forwards calls, in the prometheus format. Labels take values from fixed sets
+//! only, whatever callers send.
+
+use std::time::Duration;
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
+};
+
+/// Bounds of the buckets for times of requests, in seconds.
+const TIME_BUCKETS: [f64; 12] =
+    [0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0, 30.0];
+
+/// All metrics of one process.
+#[derive(Clone)]
+pub struct GatewayMetrics {
+    registry: Registry,
+    /// Answers by outcome and cause.
+    pub answers: IntCounterVec,
+    /// Ends of attempts.
+    pub attempts: IntCounterVec,
+    /// Time from the arrival to the dispatch of the first attempt.
+    pub queue_time: Histogram,
+    /// Time from the arrival to the first part of an answer.
+    pub first_part: HistogramVec,
+    /// Time between two events of a stream.
+    pub event_gap: Histogram,
+    /// Time from the arrival to the end of the answer.
+    pub whole_time: HistogramVec,
+    /// Calls to the store by call and result.
+    pub store_calls: IntCounterVec,
+    /// Bytes of digests and pulls by direction.
+    pub peer_bytes: IntCounterVec,
+    /// Version of the configuration in force.
+    pub configuration_version: IntGauge,
+    /// Open connections of callers.
+    pub connections: IntGauge,
+    /// Requests that have arrived and not ended.
+    pub open_requests: IntGauge,
+    /// Peers that are present.
+    pub peers: IntGauge,
+    /// Connections made to targets.
+    pub target_connections: IntCounter,
+}
+
+impl GatewayMetrics {
+    /// Metrics that start at zero.
+    pub fn new() -> anyhow::Result<GatewayMetrics> {
+        let registry = Registry::new();
+        let metrics = GatewayMetrics {
+            answers: counters("answers_total", "Answers to callers", &["outcome", "cause"])?,
+            attempts: counters("attempts_total", "Ends of attempts at targets", &["end"])?,
+            queue_time: histogram("queue_seconds", "Time from the arrival to the first dispatch")?,
+            first_part: histograms("first_part_seconds", "Time to the first part of an answer")?,
+            event_gap: histogram("event_gap_seconds", "Time between two events of a stream")?,
+            whole_time: histograms("whole_answer_seconds", "Time to the end of an answer")?,
+            store_calls: counters("store_calls_total", "Calls to the store", &["call", "result"])?,
+            peer_bytes: counters("peer_bytes_total", "Bytes between peers", &["direction"])?,
+            configuration_version: gauge("configuration_version", "Configuration in force")?,
+            connections: gauge("connections", "Open connections of callers")?,
+            open_requests: gauge("open_requests", "Requests that have not ended")?,
+            peers: gauge("peers", "Peers that are present")?,
+            target_connections: IntCounter::new(
+                name("target_connections_total"),
+                "Connections made to targets",
+            )?,
+            registry,
+        };
+        metrics.register()?;
+        Ok(metrics)
+    }
+
+    fn register(&self) -> prometheus::Result<()> {
+        let registry = &self.registry;
+        registry.register(Box::new(self.answers.clone()))?;
+        registry.register(Box::new(self.attempts.clone()))?;
+        registry.register(Box::new(self.queue_time.clone()))?;
+        registry.register(Box::new(self.first_part.clone()))?;
+        registry.register(Box::new(self.event_gap.clone()))?;
+        registry.register(Box::new(self.whole_time.clone()))?;
+        registry.register(Box::new(self.store_calls.clone()))?;
+        registry.register(Box::new(self.peer_bytes.clone()))?;
+        registry.register(Box::new(self.configuration_version.clone()))?;
+        registry.register(Box::new(self.connections.clone()))?;
+        registry.register(Box::new(self.open_requests.clone()))?;
+        registry.register(Box::new(self.peers.clone()))?;
+        registry.register(Box::new(self.target_connections.clone()))
+    }
+
+    /// The text that prometheus reads.
+    pub fn encode(&self) -> anyhow::Result<Vec<u8>> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(text)
+    }
+
+    /// Counts an answer to a caller.
+    pub fn answered(&self, outcome: &str, cause: &str) {
+        self.answers.with_label_values(&[outcome, cause]).inc();
+    }
+
+    /// Notes the time of the first part of an answer.
+    pub fn first_part(&self, streamed: bool, time: Duration) {
+        self.first_part.with_label_values(&[kind(streamed)]).observe(time.as_secs_f64());
+    }
+
+    /// Notes the time of a whole answer.
+    pub fn whole_answer(&self, streamed: bool, time: Duration) {
+        self.whole_time.with_label_values(&[kind(streamed)]).observe(time.as_secs_f64());
+    }
+}
+
+fn kind(streamed: bool) -> &'static str {
+    if streamed { "stream" } else { "plain" }
+}
+
+fn name(suffix: &str) -> String {
+    format!("tarragon_gateway_{suffix}")
+}
+
+fn gauge(suffix: &str, help: &str) -> prometheus::Result<IntGauge> {
+    IntGauge::new(name(suffix), help)
+}
+
+fn counters(suffix: &str, help: &str, labels: &[&str]) -> prometheus::Result<IntCounterVec> {
+    IntCounterVec::new(Opts::new(name(suffix), help), labels)
+}
+
+fn histogram(suffix: &str, help: &str) -> prometheus::Result<Histogram> {
+    Histogram::with_opts(HistogramOpts::new(name(suffix), help).buckets(TIME_BUCKETS.to_vec()))
+}
+
+fn histograms(suffix: &str, help: &str) -> prometheus::Result<HistogramVec> {
+    let options = HistogramOpts::new(name(suffix), help).buckets(TIME_BUCKETS.to_vec());
+    HistogramVec::new(options, &["kind"])
+}
--- /dev/null
+++ b/crates/tarragon-gateway/src/serve.rs
@@ -0,0 +1,246 @@
+//! Starts a process that forwards calls, and ends it.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use anyhow::Context;
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use jsonrpsee::server::ServerHandle;
+use tarragon_config::settings::GatewaySettings;
+use tarragon_fleet::prelude::*;
+use tarragon_server::{
+    clock::{ProcessClock, SystemClock, now},
+    process::RequestIds,
+    target::pool::ConnectionPool,
+};
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    time::{Instant, sleep, timeout_at},
+};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+use crate::{
+    context::{ForwardLimits, GatewayContext},
+    desk::FleetDesk,
+    dialect::{CallDialect, PublishedStore},
+    listener::{ListenerSignals, PageAnswer, listen, serve_page},
+    metrics::GatewayMetrics,
+    peers, reader,
+};
+
+/// Time after the signal in which connections are still accepted: the load balancer asks each second and takes
+/// the process out after two refusals.
+const OPEN_TIME: Duration = Duration::from_millis(2_600);
+/// Time that is kept for the end of the process before it would be killed.
+const END_RESERVE: Duration = Duration::from_millis(400);
+/// Queue bounds. Requests beyond what targets serve within some seconds are refused long before.
+const QUEUE: SchedulerLimits = SchedulerLimits { waiting: 2_048, waiting_tokens: 32_000_000 };
+
+/// What tests replace.
+#[derive(Debug, Clone)]
+pub struct GatewayOptions {
+    /// Clocks.
+    pub clock: ProcessClock,
+    /// Time limits of calls.
+    pub limits: ForwardLimits,
+    /// Seed of all random choices; drawn at random if absent.
+    pub seed: Option<u64>,
+}
+
+impl Default for GatewayOptions {
+    fn default() -> GatewayOptions {
+        GatewayOptions {
+            clock: ProcessClock::System(SystemClock),
+            limits: ForwardLimits::default(),
+            seed: None,
+        }
+    }
+}
+
+/// A running process.
+pub struct GatewayHandle<D> {
+    /// Address for callers.
+    pub caller_address: SocketAddr,
+    context: Arc<GatewayContext<D>>,
+    signals: ListenerSignals,
+    pulls: ServerHandle,
+}
+
+/// How a shutdown went.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EndReport {
+    /// Requests that were cut off.
+    pub interrupted: usize,
+}
+
+/// Starts a process.
+pub async fn start<D, S>(
+    settings: GatewaySettings,
+    dialect: D,
+    store: S,
+    options: GatewayOptions,
+) -> anyhow::Result<GatewayHandle<D>>
+where
+    D: CallDialect,
+    S: PublishedStore,
+{
+    let callers = bind(settings.caller_address, "caller_address").await?;
+    let ready = bind(settings.ready_address, "ready_address").await?;
+    let metrics_page = bind(settings.metrics_address(), "peer_ports").await?;
+    let peer_address = settings.peer_address();
+    let socket = UdpSocket::bind(peer_address)
+        .await
+        .with_context(|| format!("peer_ports: {peer_address} can't be bound"))?;
+    let caller_address = callers.local_addr()?;
+    let node = FleetNode::new(
+        node_settings(&settings),
+        options.seed.unwrap_or_else(rand::random),
+        now(),
+    );
+    let context = Arc::new(GatewayContext {
+        dialect,
+        desk: Arc::new(FleetDesk::new(node)),
+        pool: ConnectionPool::default(),
+        metrics: GatewayMetrics::new()?,
+        clock: options.clock,
+        limits: options.limits,
+        ids: RequestIds::new(rand::random()),
+        tasks: TaskTracker::new(),
+        drain: CancellationToken::new(),
+        abort: CancellationToken::new(),
+        settings,
+    });
+    let pulls = peers::serve_pulls(context.clone()).await.context("pulls can't be served")?;
+    let signals = ListenerSignals::default();
+    let (socket, store) = (Arc::new(socket), Arc::new(store));
+    background(&context, peers::keep_time(context.clone(), socket.clone()));
+    background(&context, peers::take_digests(context.clone(), socket));
+    background(&context, peers::follow_peer_listings(context.clone()));
+    background(&context, reader::follow_operator(context.clone(), store.clone()));
+    background(&context, reader::follow_targets(context.clone(), store));
+    tokio::spawn(listen(callers, context.clone(), signals.clone()));
+    let (pages, abort) = (context.clone(), context.abort.clone());
+    tokio::spawn(serve_page(ready, move |_| ready_page(pages.clone()), abort.clone()));
+    let pages = context.clone();
+    tokio::spawn(serve_page(metrics_page, move |message| metrics_answer(pages.clone(), message), abort));
+    tracing::info!(
+        vm = &*context.settings.vm, data_centre = &*context.settings.data_centre,
+        callers = %caller_address, store = %context.settings.store_address,
+        seeds = context.settings.seeds.len(), first_start = context.settings.first_start,
+        "process has started"
+    );
+    Ok(GatewayHandle { caller_address, context, signals, pulls })
+}
+
+fn node_settings(settings: &GatewaySettings) -> FleetSettings {
+    FleetSettings {
+        vm: settings.vm.clone(),
+        data_centre: settings.data_centre.clone(),
+        incarnation: rand::random(),
+        peer_address: settings.peer_address(),
+        seeds: settings.seed_addresses(),
+        first_start: settings.first_start,
+        bounds: FleetBounds {
+            retry_ratio: settings.bounds.retry_ratio,
+            retry_slack: settings.bounds.retry_slack,
+            quota_window: settings.bounds.quota_window,
+        },
+        limits: QUEUE,
+    }
+}
+
+async fn bind(address: SocketAddr, name: &str) -> anyhow::Result<TcpListener> {
+    TcpListener::bind(address).await.with_context(|| format!("{name} {address} can't be bound"))
+}
+
+/// Starts a task that ends at once with the process.
+fn background<D, F>(context: &GatewayContext<D>, work: F)
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let abort = context.abort.clone();
+    tokio::spawn(async move {
+        tokio::select! {
+            () = abort.cancelled() => {}
+            () = work => {}
+        }
+    });
+}
+
+async fn ready_page<D>(context: Arc<GatewayContext<D>>) -> PageAnswer {
+    let ready = context.desk.view(FleetNode::is_ready);
+    let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+    page(status, Bytes::new())
+}
+
+async fn metrics_answer<D>(
+    context: Arc<GatewayContext<D>>,
+    _message: Request<Incoming>,
+) -> PageAnswer {
+    match context.metrics.encode() {
+        Ok(text) => page(StatusCode::OK, text.into()),
+        Err(error) => {
+            tracing::error!(%error, "metrics can't be written");
+            page(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
+        }
+    }
+}
+
+fn page(status: StatusCode, body: Bytes) -> PageAnswer {
+    let mut answer = Response::new(Full::new(body));
+    *answer.status_mut() = status;
+    let text = header::HeaderValue::from_static("text/plain; version=0.0.4");
+    answer.headers_mut().insert(header::CONTENT_TYPE, text);
+    answer
+}
+
+impl<D> GatewayHandle<D>
+where
+    D: CallDialect,
+{
+    /// What the process's tasks share.
+    pub fn context(&self) -> &Arc<GatewayContext<D>> {
+        &self.context
+    }
+
+    /// Takes other seeds.
+    pub fn set_seeds(&self, seeds: &[SocketAddr]) {
+        self.context.desk.run(|node, _, _| node.set_seeds(seeds));
+    }
+
+    /// Ends all work at once, as a crash would.
+    pub fn abort(self) {
+        self.context.abort.cancel();
+        // The service has ended before if this fails.
+        let _ = self.pulls.stop();
+    }
+
+    /// Shuts down gracefully: not ready at once, requests in hand end.
+    pub async fn shutdown(self) -> EndReport {
+        let context = self.context.clone();
+        let end = Instant::now() + context.settings.grace.saturating_sub(END_RESERVE);
+        let open = context.desk.open_requests();
+        tracing::info!(open, "graceful shutdown has started");
+        context.desk.run(|node, _, _| node.start_drain());
+        context.drain.cancel();
+        self.signals.retire.cancel();
+        sleep(OPEN_TIME.min(context.settings.grace / 3)).await;
+        self.signals.close.cancel();
+        context.tasks.close();
+        self.signals.connections.close();
+        let ended = async {
+            context.tasks.wait().await;
+            self.signals.connections.wait().await;
+        };
+        let whole = timeout_at(end, ended).await.is_ok();
+        let interrupted = if whole { 0 } else { context.desk.open_requests() };
+        if interrupted > 0 {
+            tracing::error!(interrupted, "graceful shutdown cuts requests off");
+        }
+        tracing::info!(interrupted, "process ends");
+        self.abort();
+        EndReport { interrupted }
+    }
+}
--- a/crates/tarragon-lab/src/soak/world/request.rs
+++ b/crates/tarragon-lab/src/soak/world/request.rs
@@ -139,6 +139,7 @@
             idempotent: !call.ticketed,
             fingerprint,
             kind,
+            terms: CallTerms::default(),
         }
     }
 
--- a/crates/tarragon-node/src/node.rs
+++ b/crates/tarragon-node/src/node.rs
@@ -251,6 +251,7 @@
                     target: target.target.clone(),
                     service: target.service.clone(),
                     in_service: *in_service,
+                    distant: false,
                 });
                 self.list_targets(now, entries.collect(), actions);
             }
--- a/crates/tarragon-protocol/src/request.rs
+++ b/crates/tarragon-protocol/src/request.rs
@@ -23,6 +23,34 @@
     pub fingerprint: Fingerprint,
     /// Model call or plain call.
     pub kind: CallKind,
+    /// What its route allows.
+    pub terms: CallTerms,
+}
+
+/// Attempts of one request, unless its route names another number.
+pub const DEFAULT_ATTEMPTS: u32 = 4;
+
+/// What the route of a request allows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallTerms {
+    /// Targets to which the request may be sent, one after another.
+    pub max_attempts: u32,
+    /// Until this time the first part of an answer has its full value. A request that waits longer goes
+    /// behind those of its tier that can still be answered in time.
+    pub objective: Option<Instant>,
+    /// Whether a target's rejection proves that nothing was run, so that also a request that must not be
+    /// run twice may be sent to another target.
+    pub rejection_is_proof: bool,
+}
+
+impl Default for CallTerms {
+    fn default() -> CallTerms {
+        CallTerms {
+            max_attempts: DEFAULT_ATTEMPTS,
+            objective: None,
+            rejection_is_proof: false,
+        }
+    }
 }
 
 /// The two kinds of calls.
--- a/crates/tarragon-scheduler/benches/decision.rs
+++ b/crates/tarragon-scheduler/benches/decision.rs
@@ -48,7 +48,7 @@
         };
         for target in bench.targets.clone() {
             let service = "pool".into();
-            let entry = TargetEntry { target: target.clone(), service, in_service: true };
+            let entry = TargetEntry { target: target.clone(), service, in_service: true, distant: false };
             bench.handle(SchedulerEvent::TargetListed(entry));
             let slots = TargetSlots { target, slots: SLOTS, bears: SLOTS * 8, cold: false };
             bench.handle(SchedulerEvent::SlotsChanged(slots));
@@ -113,6 +113,7 @@
                 max_tokens: 512,
                 blocks,
             }),
+            terms: CallTerms::default(),
         };
         self.handle(SchedulerEvent::Arrived(Box::new(profile)))
     }
--- a/crates/tarragon-scheduler/src/event.rs
+++ b/crates/tarragon-scheduler/src/event.rs
@@ -29,6 +29,8 @@
     TargetRemoved(TargetName),
     /// The number of slots that this process may use at a target has changed.
     SlotsChanged(TargetSlots),
+    /// The number of requests that this process may start at a target in any second; `None` for no bound.
+    StartsLimited(TargetName, Option<u32>),
     /// A report of a target's load, from the target or from a peer.
     LoadReported {
         /// Target.
@@ -102,6 +104,8 @@
     pub service: ServiceName,
     /// Whether it may get new work: false if it, its VM or its data centre is leaving or out.
     pub in_service: bool,
+    /// Whether it stands in another data centre, to which traffic is dearer.
+    pub distant: bool,
 }
 
 /// This process's part of what a target bears.
--- a/crates/tarragon-scheduler/src/job.rs
+++ b/crates/tarragon-scheduler/src/job.rs
@@ -48,6 +48,10 @@
     pub tags: (u64, u64),
     /// Attempts dispatched so far.
     pub attempts: u32,
+    /// Attempts that reached a target, whether it ran them or not.
+    pub sent: u32,
+    /// Whether it waits longer than its objective allows.
+    pub late: bool,
     /// Whether an earlier attempt may have run at a target.
     pub may_have_run: bool,
     /// Targets that failed this request.
@@ -79,6 +83,8 @@
             cost: prediction.cost,
             tags: (0, 0),
             attempts: 0,
+            sent: 0,
+            late: false,
             may_have_run: false,
             avoid: Vec::new(),
             delivered: 0,
--- a/crates/tarragon-scheduler/src/lib.rs
+++ b/crates/tarragon-scheduler/src/lib.rs
@@ -15,7 +15,7 @@
 pub mod prelude;
 mod pressure;
 mod queue;
-mod retry;
+pub mod retry;
 pub mod scheduler;
 mod share;
 pub mod statistics;
--- a/crates/tarragon-scheduler/src/queue.rs
+++ b/crates/tarragon-scheduler/src/queue.rs
@@ -215,6 +215,23 @@
         self.entries[position].state = state;
     }
 
+    /// Moves requests whose objective has passed behind those that can still be answered in time.
+    pub fn mark_late(&mut self, now: Instant) {
+        let passed = |job: &Job| {
+            !job.late && job.profile.terms.objective.is_some_and(|objective| objective <= now)
+        };
+        let late: Vec<RequestId> =
+            self.iter().filter(|job| passed(job)).map(Job::request).collect();
+        for request in late {
+            let Some(position) = self.entries.get_index_of(&request) else { continue };
+            let state = self.entries[position].state;
+            let entry = &mut self.entries[position];
+            detach_from(&mut self.lanes, &mut self.deferred, &entry.job, state);
+            entry.job.late = true;
+            attach_to(&mut self.lanes, &mut self.deferred, &entry.job, state);
+        }
+    }
+
     /// Makes deferred requests ready whose time has come.
     pub fn release_due(&mut self, now: Instant) {
         while let Some((due, request)) = self.deferred.first().copied() {
--- a/crates/tarragon-scheduler/src/queue/lane.rs
+++ b/crates/tarragon-scheduler/src/queue/lane.rs
@@ -9,12 +9,15 @@
 /// Resolution of tags: one token at weight 1.
 const TAG_UNIT: u64 = 1 << 10;
 
+/// Set in the order of late requests, so that they go behind those that can still be answered in time.
+const LATE: u64 = 1 << 63;
+
 /// Shares are looked through for ended ones only above this number.
 const SWEEP_ABOVE: usize = 64;
 
 #[derive(Debug, Default)]
 struct TierLane {
-    /// Ready requests by start tag, then by arrival.
+    /// Ready requests: those in time before late ones, then by start tag, then by arrival.
     ready: BTreeSet<(u64, u64, RequestId)>,
     /// Finish tag of the last request of each workspace, if above the virtual time.
     finish: IndexMap<u64, u64, NumberHash>,
@@ -74,13 +77,13 @@
 
     /// Adds a ready request.
     pub fn insert(&mut self, job: &Job) {
-        let key = (job.tags.0, job.sequence, job.request());
+        let key = (order(job), job.sequence, job.request());
         self.tiers[job.tier().index()].ready.insert(key);
     }
 
     /// Removes a ready request.
     pub fn remove(&mut self, job: &Job) {
-        let key = (job.tags.0, job.sequence, job.request());
+        let key = (order(job), job.sequence, job.request());
         self.tiers[job.tier().index()].ready.remove(&key);
     }
 
@@ -114,3 +117,7 @@
         }
     }
 }
+
+fn order(job: &Job) -> u64 {
+    if job.late { job.tags.0 | LATE } else { job.tags.0 }
+}
--- a/crates/tarragon-scheduler/src/retry.rs
+++ b/crates/tarragon-scheduler/src/retry.rs
@@ -6,18 +6,24 @@
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
 
-/// Retries allowed per success.
-const PER_SUCCESS: f64 = 0.1;
-
-/// Retries that may be saved up.
-const MAX_SAVED: f64 = 100.0;
-
-/// The floor: with few successes, this many retries a second are allowed, up to [`FLOOR_SAVED`].
-const FLOOR_RATE: f64 = 1.0;
-const FLOOR_SAVED: f64 = 5.0;
+/// How many retries a process may make.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub struct RetryTerms {
+    /// Retries allowed per success.
+    pub per_success: f64,
+    /// Retries that may be saved up.
+    pub max_saved: f64,
+    /// With few successes, this many retries a second are allowed, up to `floor_saved`.
+    pub floor_rate: f64,
+    /// Retries that are available at the start, and that the floor rate fills up to.
+    pub floor_saved: f64,
+}
 
-/// Attempts of one request, whatever the budget holds.
-pub const MAX_ATTEMPTS: u32 = 4;
+impl Default for RetryTerms {
+    fn default() -> RetryTerms {
+        RetryTerms { per_success: 0.1, max_saved: 100.0, floor_rate: 1.0, floor_saved: 5.0 }
+    }
+}
 
 /// Mean delay before the second attempt. It doubles with each further attempt.
 const BASE_DELAY: Duration = Duration::from_millis(25);
@@ -25,6 +31,7 @@
 /// Retries that may be made, tied to successes so that a failing service is not flooded with them.
 #[derive(Debug, Clone, Serialize)]
 pub struct RetryBudget {
+    terms: RetryTerms,
     saved: f64,
     #[serde(skip)]
     filled: Option<Instant>,
@@ -33,22 +40,31 @@
 impl Default for RetryBudget {
     /// The floor is available from the start.
     fn default() -> RetryBudget {
-        RetryBudget { saved: FLOOR_SAVED, filled: None }
+        let terms = RetryTerms::default();
+        RetryBudget { terms, saved: terms.floor_saved, filled: None }
     }
 }
-
 impl RetryBudget {
+    /// Takes other terms. What is saved above the new bound is lost.
+    pub fn set_terms(&mut self, terms: RetryTerms) {
+        if self.terms != terms {
+            self.terms = terms;
+            self.saved = self.saved.min(terms.max_saved);
+        }
+    }
+
     /// A request finished.
     pub fn succeed(&mut self) {
-        self.saved = (self.saved + PER_SUCCESS).min(MAX_SAVED);
+        self.saved = (self.saved + self.terms.per_success).min(self.terms.max_saved);
     }
 
     /// Takes one retry out of the budget, if there is one.
     pub fn take(&mut self, now: Instant) -> bool {
         let filled = self.filled.replace(now).unwrap_or(now);
         let elapsed = now.saturating_duration_since(filled).as_secs_f64();
-        if self.saved < FLOOR_SAVED {
-            self.saved = (self.saved + elapsed * FLOOR_RATE).min(FLOOR_SAVED);
+        let RetryTerms { floor_rate, floor_saved, .. } = self.terms;
+        if self.saved < floor_saved {
+            self.saved = (self.saved + elapsed * floor_rate).min(floor_saved);
         }
         if self.saved < 1.0 {
             return false;
--- a/crates/tarragon-scheduler/src/scheduler.rs
+++ b/crates/tarragon-scheduler/src/scheduler.rs
@@ -36,7 +36,7 @@
     prelude::*,
     pressure::PressureTable,
     queue::{Queue, WaitState},
-    retry::RetryBudget,
+    retry::{RetryBudget, RetryTerms},
     scheduler::candidate::CandidateList,
     share::ShareTable,
     suspect::SuspectTable,
@@ -77,7 +77,11 @@
     costs: CostTable,
     pressure: PressureTable,
     suspects: SuspectTable,
-    budget: RetryBudget,
+    /// Retry budgets by position of the service's pool.
+    budgets: Vec<RetryBudget>,
+    retry_terms: RetryTerms,
+    /// Whether routine streams give way to urgent work.
+    preempts: bool,
     candidates: CandidateList,
     statistics: SchedulerStatistics,
     invariants: InvariantCounters,
@@ -118,7 +122,9 @@
             costs: CostTable::default(),
             pressure: PressureTable::default(),
             suspects: SuspectTable::default(),
-            budget: RetryBudget::default(),
+            budgets: Vec::new(),
+            retry_terms: RetryTerms::default(),
+            preempts: true,
             candidates: CandidateList::default(),
             statistics: SchedulerStatistics::default(),
             invariants: InvariantCounters::default(),
@@ -132,6 +138,18 @@
         }
     }
 
+    /// Lets running streams end where they are, whatever waits.
+    pub fn without_preemption(mut self) -> Scheduler {
+        self.preempts = false;
+        self
+    }
+
+    /// Sets how many retries this process may make for each service.
+    pub fn set_retry_terms(&mut self, terms: RetryTerms) {
+        self.retry_terms = terms;
+        self.budgets.iter_mut().for_each(|budget| budget.set_terms(terms));
+    }
+
     /// Takes an event and appends what has to be done.
     pub fn handle(
         &mut self,
@@ -160,6 +178,7 @@
             }
             SchedulerEvent::TargetRemoved(target) => self.remove_target(&target, now),
             SchedulerEvent::SlotsChanged(slots) => self.change_slots(&slots, now),
+            SchedulerEvent::StartsLimited(target, limit) => self.limit_starts(&target, limit, now),
             SchedulerEvent::LoadReported { target, report, age } => {
                 self.take_report(&target, &report, age, now, actions)
             }
@@ -281,6 +300,16 @@
         }
     }
 
+    /// Retry budget of a pool.
+    fn budget(&mut self, pool: usize) -> &mut RetryBudget {
+        while self.budgets.len() <= pool {
+            let mut budget = RetryBudget::default();
+            budget.set_terms(self.retry_terms);
+            self.budgets.push(budget);
+        }
+        &mut self.budgets[pool]
+    }
+
     /// Plug-ins for a pool.
     fn policy(&mut self, pool: usize) -> PolicyChoice {
         while self.policies.len() <= pool {
--- a/crates/tarragon-scheduler/src/scheduler/attempt.rs
+++ b/crates/tarragon-scheduler/src/scheduler/attempt.rs
@@ -2,13 +2,15 @@
 
 use std::time::{Duration, Instant};
 
+use tarragon_protocol::request::DEFAULT_ATTEMPTS;
+
 use crate::{
     inflight::{CancelCause, RunningAttempt},
     invariant::SchedulerInvariant,
     job::Job,
     prelude::*,
     queue::WaitState,
-    retry::{MAX_ATTEMPTS, back_off},
+    retry::back_off,
     scheduler::{RETRY_AFTER, Scheduler},
     targets::window::FOREIGN_PREFILL,
 };
@@ -156,6 +158,7 @@
         self.targets.drop_if_done(running.target);
         let job = &mut running.job;
         job.delivered = job.delivered.saturating_add(running.tokens);
+        job.sent += u32::from(!matches!(end, AttemptEnd::NotSent | AttemptEnd::Withheld));
         // A target that sent tokens has run the request, whatever the sender says of the end.
         job.may_have_run |= running.first_token.is_some();
         job.may_have_run |= match end {
@@ -300,7 +303,7 @@
         }
         match end {
             AttemptEnd::Finished => {
-                self.budget.succeed();
+                self.budget(job.pool).succeed();
                 self.statistics.finished[tier] += 1;
             }
             AttemptEnd::Cancelled if may_go_on(&job, now) => {
@@ -333,15 +336,19 @@
         actions: &mut Vec<SchedulerAction>,
     ) {
         let unsent = end == AttemptEnd::NotSent;
-        let allowed = job.profile.idempotent || (unsent && !job.may_have_run);
+        let terms = job.profile.terms;
+        let proven = unsent || (end == AttemptEnd::Rejected && terms.rejection_is_proof);
+        let allowed = job.profile.idempotent || (proven && !job.may_have_run);
+        let dispatches = terms.max_attempts.max(DEFAULT_ATTEMPTS);
+        let exhausted = job.sent >= terms.max_attempts || job.attempts >= dispatches;
         let delay = back_off(job.attempts, &mut self.rng);
         self.set_latest_start(&mut job, now);
         let in_time = now + delay < job.latest_start;
-        if !allowed || !in_time || job.attempts >= MAX_ATTEMPTS {
+        if !allowed || !in_time || exhausted {
             return self.refuse_failed(job, end, actions);
         }
         // A request that was not sent has put no load on a target, so it needs no budget.
-        if !unsent && !self.budget.take(now) {
+        if !unsent && !self.budget(job.pool).take(now) {
             self.statistics.retries_denied += 1;
             return self.refuse_failed(job, end, actions);
         }
--- a/crates/tarragon-scheduler/src/scheduler/dispatch.rs
+++ b/crates/tarragon-scheduler/src/scheduler/dispatch.rs
@@ -90,7 +90,7 @@
                 }
                 PlacementStep::Convicted => self.refuse_convicted(request, actions),
                 PlacementStep::Closed => {
-                    if tier == Tier::Urgent && self.targets.pool(pool).open == 0 {
+                    if self.preempts && tier == Tier::Urgent && self.targets.pool(pool).open == 0 {
                         self.preempt(lane, now, actions);
                     }
                     return;
@@ -198,6 +198,7 @@
         let row = self.targets.row_mut(candidate.target)?;
         let ahead = row.pending_prefill;
         row.in_flight += 1;
+        row.starts.note(now);
         row.by_tier[tier] += 1;
         row.suspects[tier] += u32::from(suspect);
         row.pending_prefill += u64::from(uncached);
--- a/crates/tarragon-scheduler/src/scheduler/dump.rs
+++ b/crates/tarragon-scheduler/src/scheduler/dump.rs
@@ -34,8 +34,8 @@
     pub limit_share: f64,
     /// Whether the process shuts down.
     pub draining: bool,
-    /// Retry budget.
-    pub retry_budget: RetryBudget,
+    /// Retry budgets by service, in the order of their first use.
+    pub retry_budgets: Vec<RetryBudget>,
     /// Targets.
     pub targets: Vec<TargetDump>,
     /// Number of workspaces with state.
@@ -108,7 +108,7 @@
             peers: self.pressure.peer_count(),
             limit_share: self.share,
             draining: self.draining,
-            retry_budget: self.budget.clone(),
+            retry_budgets: self.budgets.clone(),
             targets: self.targets.iter().map(|(_, row)| self.dump_target(row, now)).collect(),
             workspace_count: self.shares.len(),
             workspaces: self.dump_workspaces(),
--- a/crates/tarragon-scheduler/src/scheduler/report.rs
+++ b/crates/tarragon-scheduler/src/scheduler/report.rs
@@ -27,6 +27,14 @@
         self.targets.refresh(index, now);
     }
 
+    pub(super) fn limit_starts(&mut self, target: &TargetName, limit: Option<u32>, now: Instant) {
+        let Some(index) = self.targets.find(target) else { return };
+        if let Some(row) = self.targets.row_mut(index) {
+            row.starts.set_limit(limit);
+        }
+        self.targets.refresh(index, now);
+    }
+
     pub(super) fn take_report(
         &mut self,
         target: &TargetName,
--- a/crates/tarragon-scheduler/src/scheduler/tick.rs
+++ b/crates/tarragon-scheduler/src/scheduler/tick.rs
@@ -25,6 +25,7 @@
         self.clocks.targets = Some(now);
         self.assume_models(now);
         self.targets.refresh_all(now);
+        self.queue.mark_late(now);
         self.refuse_overtaken(now, actions);
         self.stop_attempts(now, actions);
         self.refuse_without_target(now, actions);
--- a/crates/tarragon-scheduler/src/targets.rs
+++ b/crates/tarragon-scheduler/src/targets.rs
@@ -4,6 +4,7 @@
 pub mod models;
 pub mod prefix;
 pub mod rate;
+pub mod starts;
 pub mod trust;
 pub mod window;
 
@@ -20,6 +21,7 @@
         models::{ModelBits, OTHER_MODEL},
         prefix::PrefixIndex,
         rate::RateEstimate,
+        starts::StartLimit,
         trust::CacheTrust,
         window::TargetWindow,
     },
@@ -81,6 +83,10 @@
     pub pending_prefill: u64,
     /// Learned speed.
     pub rates: RateEstimate,
+    /// Whether it stands in another data centre.
+    pub distant: bool,
+    /// Bound on the requests started in a second.
+    pub starts: StartLimit,
     /// Window.
     pub window: TargetWindow,
     /// Last report.
@@ -114,6 +120,8 @@
             suspects: [0; Tier::COUNT],
             pending_prefill: 0,
             rates,
+            distant: entry.distant,
+            starts: StartLimit::default(),
             window: TargetWindow::new(now),
             report: None,
             models: Vec::new(),
@@ -311,6 +319,7 @@
         self.move_pool(index, pool);
         if let Some(row) = self.row_mut(index) {
             row.in_service = entry.in_service;
+            row.distant = entry.distant;
             row.listed = true;
         }
         self.refresh(index, now);
--- a/crates/tarragon-scheduler/src/targets/estimate.rs
+++ b/crates/tarragon-scheduler/src/targets/estimate.rs
@@ -54,6 +54,10 @@
 /// reported since. It is idle for that reason, and would attract work that fails again.
 const SUSPICIOUS_FACTOR: f32 = 8.0;
 
+/// Multiple of the cost at a target of another data centre. Traffic between data centres is dear, so a target
+/// nearby is preferred unless it takes noticeably longer.
+const DISTANT_FACTOR: f32 = 1.15;
+
 /// A cache hit attracts work only up to this much above the mean share of used slots, so that a common
 /// prefix does not pile all work on one target.
 pub const AFFINITY_EXCESS: f32 = 0.25;
@@ -115,7 +119,7 @@
         let RateEstimate { base, prefill, decode, call, .. } = row.rates;
         TargetOutlook {
             in_flight: row.in_flight,
-            window: if row.may_work() { row.safe_window(now) } else { 0 },
+            window: if row.may_start(now) { row.safe_window(now) } else { 0 },
             models: row.model_set,
             first: (base + ahead * prefill) as f32,
             backlog: if row.rates.is_trusted() { (ahead * prefill) as f32 } else { 0.0 },
@@ -123,11 +127,7 @@
             decode: (decode * (1.0 + LOAD_SLOPE * occupancy)) as f32,
             call: (call * (1.0 + occupancy)) as f32,
             trust: row.trust.value(now),
-            factor: match (row.window.is_suspicious(), row.window.is_cold()) {
-                (true, _) => SUSPICIOUS_FACTOR,
-                (false, true) => COLD_FACTOR,
-                (false, false) => 1.0,
-            },
+            factor: row.caution() * if row.distant { DISTANT_FACTOR } else { 1.0 },
         }
     }
 
@@ -179,6 +179,20 @@
         }
     }
 
+    /// Whether one more request may be sent there now, as far as the window allows.
+    fn may_start(&self, now: Instant) -> bool {
+        self.may_work() && self.starts.allows(now)
+    }
+
+    /// Multiple of the cost that keeps work away from a target that may fail.
+    fn caution(&self) -> f32 {
+        match (self.window.is_suspicious(), self.window.is_cold()) {
+            (true, _) => SUSPICIOUS_FACTOR,
+            (false, true) => COLD_FACTOR,
+            (false, false) => 1.0,
+        }
+    }
+
     /// Requests of other processes that run and wait at the target, by the last report, weighted down
     /// by its age.
     fn foreign(&self, now: Instant) -> (f64, f64) {
--- a/crates/tarragon-scheduler/tests/random/world.rs
+++ b/crates/tarragon-scheduler/tests/random/world.rs
@@ -168,6 +168,7 @@
             idempotent: *idempotent,
             fingerprint: u64::from(*fingerprint),
             kind,
+            terms: CallTerms::default(),
         };
         let call = Call {
             idempotent: *idempotent,
@@ -264,6 +265,7 @@
             target: target_name(*target),
             service: format!("s{}", target % 3).into(),
             in_service: *in_service || target % 2 == 0,
+            distant: false,
         }),
         Step::Remove(target) => SchedulerEvent::TargetRemoved(target_name(*target)),
         Step::Slots(target, slots, cold) => SchedulerEvent::SlotsChanged(TargetSlots {
--- a/crates/tarragon-scheduler/tests/rules/driver.rs
+++ b/crates/tarragon-scheduler/tests/rules/driver.rs
@@ -84,7 +84,12 @@
     }
 
     pub fn list(&mut self, service: &str, name: &str, in_service: bool) {
-        let entry = TargetEntry { target: name.into(), service: service.into(), in_service };
+        let entry = TargetEntry {
+            target: name.into(),
+            service: service.into(),
+            in_service,
+            distant: false,
+        };
         self.handle(SchedulerEvent::TargetListed(entry));
     }
 
@@ -156,6 +161,7 @@
             idempotent: ask.idempotent,
             fingerprint: ask.fingerprint.unwrap_or(request),
             kind,
+            terms: CallTerms::default(),
         };
         self.handle(SchedulerEvent::Arrived(Box::new(profile)));
         request
--- a/crates/tarragon-server/src/caller/header.rs
+++ b/crates/tarragon-server/src/caller/header.rs
@@ -174,28 +174,38 @@
     "upgrade",
 ];
 
-/// The headers that are passed on from a caller to a target or back, as pairs of text. A value that is
-/// not text is dropped.
-pub fn forwarded_headers(headers: &HeaderMap) -> Vec<(String, String)> {
+/// The headers that don't concern one connection alone: neither framing nor named by `Connection`.
+pub fn end_to_end_headers(headers: &HeaderMap) -> impl Iterator<Item = (&HeaderName, &HeaderValue)> {
     let named: Vec<String> = headers
         .get_all(http::header::CONNECTION)
         .iter()
         .filter_map(|value| value.to_str().ok())
         .flat_map(|text| text.split(',').map(|name| name.trim().to_ascii_lowercase()))
         .collect();
-    headers
-        .iter()
-        .filter(|(name, _)| is_forwarded(name) && !named.iter().any(|other| other == name.as_str()))
+    headers.iter().filter(move |(name, _)| {
+        is_end_to_end(name) && !named.iter().any(|other| other == name.as_str())
+    })
+}
+
+/// The headers that are passed on from a caller to a target or back, as pairs of text. A value that is
+/// not text is dropped.
+pub fn forwarded_headers(headers: &HeaderMap) -> Vec<(String, String)> {
+    end_to_end_headers(headers)
+        .filter(|(name, _)| is_forwarded(name))
         .filter_map(|(name, value)| {
             Some((name.as_str().to_owned(), value.to_str().ok()?.to_owned()))
         })
         .collect()
 }
 
-fn is_forwarded(name: &HeaderName) -> bool {
+fn is_end_to_end(name: &HeaderName) -> bool {
     let name = name.as_str();
     let framing = matches!(name, "host" | "content-length" | "expect");
-    !framing && !CONNECTION_HEADERS.contains(&name) && !name.starts_with(PRIVATE_PREFIX)
+    !framing && !CONNECTION_HEADERS.contains(&name)
+}
+
+fn is_forwarded(name: &HeaderName) -> bool {
+    is_end_to_end(name) && !name.as_str().starts_with(PRIVATE_PREFIX)
 }
 
 /// Adds forwarded headers to a message. Pairs that are not valid headers are dropped.
--- a/crates/tarragon-server/src/node_task/run/tests.rs
+++ b/crates/tarragon-server/src/node_task/run/tests.rs
@@ -77,6 +77,7 @@
             idempotent: false,
             fingerprint: 1,
             kind: CallKind::Plain,
+            terms: CallTerms::default(),
         },
         answer_limit: 1024,
         forwarded: false,
--- a/crates/tarragon-server/src/request.rs
+++ b/crates/tarragon-server/src/request.rs
@@ -75,6 +75,25 @@
     Abandoned,
 }
 
+/// The way from a request's task to where its decisions are taken.
+pub trait DecisionLink: Clone + Send + Sync + 'static {
+    /// Gives news of the request.
+    fn send(&self, event: SchedulerEvent) -> impl Future<Output = ()> + Send;
+
+    /// Ends the flow of decisions on the request.
+    fn release(&self, request: RequestId) -> impl Future<Output = ()> + Send;
+}
+
+impl DecisionLink for NodeLink {
+    async fn send(&self, event: SchedulerEvent) {
+        NodeLink::send(self, event).await;
+    }
+
+    async fn release(&self, request: RequestId) {
+        NodeLink::release(self, request).await;
+    }
+}
+
 /// A kind of call that can be attempted at a target.
 pub trait AttemptRunner {
     /// What a target answers.
@@ -91,9 +110,9 @@
 }
 
 /// One request on its way through the node.
-pub struct RequestDriver {
+pub struct RequestDriver<L = NodeLink> {
     /// Connection to the node.
-    pub link: NodeLink,
+    pub link: L,
     /// Request.
     pub request: RequestId,
     /// After this time the caller has no use for the answer.
@@ -118,15 +137,29 @@
     NodeGone,
 }
 
-impl RequestDriver {
+impl<L> RequestDriver<L>
+where
+    L: DecisionLink,
+{
     /// A driver of a request that the node has just taken. Its attempts are not waited for beyond the deadline.
     pub fn new(
-        link: &NodeLink,
+        link: &L,
         arrival: &Arrival,
         abandoned: CancellationToken,
         decisions: mpsc::Receiver<Decision>,
-    ) -> RequestDriver {
+    ) -> RequestDriver<L> {
         let Arrival { request, deadline, .. } = *arrival;
+        RequestDriver::of(link, request, deadline, abandoned, decisions)
+    }
+
+    /// A driver of a request with this id and deadline.
+    pub fn of(
+        link: &L,
+        request: RequestId,
+        deadline: Deadline,
+        abandoned: CancellationToken,
+        decisions: mpsc::Receiver<Decision>,
+    ) -> RequestDriver<L> {
         RequestDriver {
             link: link.clone(),
             request,
--- a/crates/tarragon-server/src/target/body.rs
+++ b/crates/tarragon-server/src/target/body.rs
@@ -29,7 +29,16 @@
     if !tells_its_end(method, response.status(), response.headers()) {
         return Err(AnswerFault::CutShort);
     }
-    let mut body = response.into_body();
+    collect_body(response.into_body(), limit, idle).await
+}
+
+/// Reads a body up to its end, which may also be that of the connection if nothing else tells it. A
+/// connection that is reset has not ended the body.
+pub async fn collect_body(
+    mut body: Incoming,
+    limit: usize,
+    idle: Duration,
+) -> Result<Bytes, AnswerFault> {
     let mut whole = BytesMut::new();
     loop {
         let frame = timeout(idle, body.frame()).await.map_err(|_| AnswerFault::TooSlow)?;
--- a/crates/tarragon-server/src/target/pool.rs
+++ b/crates/tarragon-server/src/target/pool.rs
@@ -53,8 +53,8 @@
 pub struct TargetConnection {
     sender: http1::SendRequest<CallBody>,
     reused: bool,
-    /// When its last answer had been read.
-    idle_since: Instant,
+    /// When it must not be used again without another answer.
+    idle_until: Instant,
 }
 
 impl TargetConnection {
@@ -71,7 +71,12 @@
                 tracing::debug!(%error, "connection to a target ended");
             }
         });
-        Ok(TargetConnection { sender, reused: false, idle_since: Instant::now() })
+        Ok(TargetConnection { sender, reused: false, idle_until: Instant::now() })
+    }
+
+    /// Whether it has carried a call before.
+    pub fn is_reused(&self) -> bool {
+        self.reused
     }
 
     /// Sends a call that may be repeated. A pooled connection that proves closed before a byte was written
@@ -122,7 +127,7 @@
     /// An idle connection that is still open, or a new one.
     pub async fn checkout(&self, address: &str, limit: Duration) -> io::Result<TargetConnection> {
         while let Some(mut connection) = self.pop(address) {
-            if connection.idle_since.elapsed() >= MAX_IDLE_TIME {
+            if Instant::now() >= connection.idle_until {
                 continue;
             }
             let ready = timeout(READY_WAIT, connection.sender.ready()).await;
@@ -135,11 +140,16 @@
     }
 
     /// Keeps a connection whose answer has been read to its end.
-    pub fn give_back(&self, address: &str, mut connection: TargetConnection) {
+    pub fn give_back(&self, address: &str, connection: TargetConnection) {
+        self.give_back_for(address, connection, MAX_IDLE_TIME);
+    }
+
+    /// Keeps a connection for a time that its target allows.
+    pub fn give_back_for(&self, address: &str, mut connection: TargetConnection, idle: Duration) {
         if connection.sender.is_closed() {
             return;
         }
-        connection.idle_since = Instant::now();
+        connection.idle_until = Instant::now() + idle;
         self.idle.with(|idle| {
             let connections = match idle.get_mut(address) {
                 Some(connections) => connections,
