Let a connection made during a shutdown bring its first request

Cause: the connection's graceful end was asked for as soon as it was accepted, before its first request had arrived, so that the request crossed the close; the order of the two depended on a random choice. Seen as a test of the shutdown that failed in one of two runs. A connection now gets a second for its first request.

--- a/crates/tarragon-gateway/src/listener.rs
+++ b/crates/tarragon-gateway/src/listener.rs
@@ -12,6 +12,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::Semaphore,
+    time::timeout,
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
@@ -25,6 +26,8 @@
 const MAX_HEADERS: usize = 128;
 /// Least buffer for headers that the HTTP library accepts.
 const LEAST_HEADER_BYTES: usize = 8 << 10;
+/// Time in which a connection that was made during a shutdown may bring its first request.
+const FIRST_REQUEST_TIME: Duration = Duration::from_secs(1);
 /// Wait after a failed accept, as when the process has no free descriptor.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Time for the head of a request for a page.
@@ -105,16 +108,26 @@
         .header_read_timeout(limits.idle_time)
         .max_headers(MAX_HEADERS)
         .max_buf_size(limits.header_bytes.max(LEAST_HEADER_BYTES));
-    let service = service_fn(|message: Request<Incoming>| caller::handle(context.clone(), message));
+    let called = CancellationToken::new();
+    let service = service_fn(|message: Request<Incoming>| {
+        called.cancel();
+        caller::handle(context.clone(), message)
+    });
     let stream = TokioIo::new(WriteLimit::new(stream, context.limits.caller_stall));
     let connection = builder.serve_connection(stream, service);
     tokio::pin!(connection);
+    // A new connection is about to bring a request, which its close would cross.
+    let retire = async {
+        signals.retire.cancelled().await;
+        let _ = timeout(FIRST_REQUEST_TIME, called.cancelled()).await;
+    };
+    tokio::pin!(retire);
     let mut retired = false;
     let ended = loop {
         tokio::select! {
             ended = connection.as_mut() => break ended,
             () = context.abort.cancelled() => return,
-            () = signals.retire.cancelled(), if !retired => {
+            () = &mut retire, if !retired => {
                 retired = true;
                 connection.as_mut().graceful_shutdown();
             }
--- a/crates/tarragon-standin/src/lib.rs
+++ b/crates/tarragon-standin/src/lib.rs
@@ -6,5 +6,7 @@
 pub mod engine;
 mod listener;
 mod respond;
+pub mod scripted_target;
 pub mod service;
+pub mod shared_store;
 pub mod vm_list;
--- /dev/null
+++ b/crates/tarragon-standin/src/shared_store.rs
@@ -0,0 +1,196 @@
+//! Stand-in for a store that processes can only read: ranges and watches over keys with revisions.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use base64::{Engine, engine::general_purpose::STANDARD};
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use indexmap::IndexMap;
+use serde_json::{Value, json};
+use tokio::{sync::watch, time::timeout};
+
+use crate::listener::{
+    CloseConnection, ListenerControl, StandinBody, StandinService, start_listener,
+};
+
+/// Items of one page.
+const PAGE: usize = 50;
+
+/// How the store treats calls.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum StoreMode {
+    /// It answers.
+    #[default]
+    Answering,
+    /// It refuses each call.
+    Busy,
+    /// It gives no answer.
+    Silent,
+}
+
+#[derive(Debug, Clone, Default)]
+struct StoreState {
+    mode: StoreMode,
+    revision: u64,
+    items: IndexMap<String, (Vec<u8>, u64)>,
+    /// Changes by revision: key, and value unless the key was deleted.
+    history: Vec<(u64, String, Option<Vec<u8>>)>,
+    /// Watches from before this revision are refused.
+    compacted: u64,
+}
+
+/// A store on a loopback port. Dropping it stops it.
+pub struct SharedStore {
+    control: ListenerControl,
+    state: Arc<watch::Sender<StoreState>>,
+}
+
+struct StoreService {
+    state: Arc<watch::Sender<StoreState>>,
+}
+
+impl SharedStore {
+    /// Starts an empty store.
+    pub async fn start() -> anyhow::Result<SharedStore> {
+        let (control, listener) = start_listener(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+        let state = Arc::new(watch::Sender::new(StoreState { revision: 1, ..StoreState::default() }));
+        listener.serve(Arc::new(StoreService { state: state.clone() }));
+        Ok(SharedStore { control, state })
+    }
+
+    /// Address.
+    pub fn address(&self) -> SocketAddr {
+        self.control.address()
+    }
+
+    /// Writes a value.
+    pub fn put(&self, key: &str, value: &[u8]) {
+        self.state.send_modify(|state| {
+            state.revision += 1;
+            let revision = state.revision;
+            state.items.insert(key.to_owned(), (value.to_vec(), revision));
+            state.history.push((revision, key.to_owned(), Some(value.to_vec())));
+        });
+    }
+
+    /// Writes a JSON value.
+    pub fn put_json(&self, key: &str, value: &Value) {
+        self.put(key, value.to_string().as_bytes());
+    }
+
+    /// Deletes a key.
+    pub fn delete(&self, key: &str) {
+        self.state.send_modify(|state| {
+            state.revision += 1;
+            state.items.shift_remove(key);
+            state.history.push((state.revision, key.to_owned(), None));
+        });
+    }
+
+    /// Changes how calls are treated.
+    pub fn set_mode(&self, mode: StoreMode) {
+        self.state.send_modify(|state| state.mode = mode);
+        self.control.reset_connections();
+    }
+
+    /// Drops the history: watches have to start anew.
+    pub fn compact(&self) {
+        self.state.send_modify(|state| {
+            state.history.clear();
+            state.compacted = state.revision + 1;
+        });
+        self.control.reset_connections();
+    }
+}
+
+impl StandinService for StoreService {
+    async fn answer(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> Result<Response<StandinBody>, CloseConnection> {
+        let mode = self.state.borrow().mode;
+        match mode {
+            StoreMode::Answering => {}
+            StoreMode::Busy => return Ok(empty(StatusCode::SERVICE_UNAVAILABLE)),
+            StoreMode::Silent => std::future::pending().await,
+        }
+        let query = request.uri().query().unwrap_or("");
+        let field = |name: &str| {
+            let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+            pairs.filter(|(key, _)| *key == name).map(|(_, value)| value.to_owned()).next()
+        };
+        let prefix = field("path-prefix").unwrap_or_default();
+        match request.uri().path() {
+            "/-/kv-range" => Ok(self.range(&prefix, field("after").as_deref())),
+            "/-/kv-watch" => {
+                let number = |name| field(name).and_then(|value| value.parse().ok()).unwrap_or(0);
+                let wait = Duration::from_millis(number("max-wait-ms"));
+                Ok(self.watch(&prefix, number("after"), wait).await)
+            }
+            _ => Ok(empty(StatusCode::NOT_FOUND)),
+        }
+    }
+}
+
+impl StoreService {
+    fn range(&self, prefix: &str, after: Option<&str>) -> Response<StandinBody> {
+        let state = self.state.borrow();
+        let mut keys: Vec<&String> = state
+            .items
+            .keys()
+            .filter(|key| key.starts_with(prefix) && after.is_none_or(|after| key.as_str() > after))
+            .collect();
+        keys.sort();
+        let more = keys.len() > PAGE;
+        keys.truncate(PAGE);
+        let items: Vec<Value> = keys
+            .into_iter()
+            .map(|key| item(key, Some(&state.items[key].0), state.items[key].1))
+            .collect();
+        answer(&json!({"items": items, "has-more": more, "at": state.revision}))
+    }
+
+    async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Response<StandinBody> {
+        if after < self.state.borrow().compacted.saturating_sub(1) {
+            return empty(StatusCode::GONE);
+        }
+        let mut changes = self.state.subscribe();
+        let events_in = |state: &StoreState| -> Vec<Value> {
+            let matching = state
+                .history
+                .iter()
+                .filter(|(revision, key, _)| *revision > after && key.starts_with(prefix));
+            matching.map(|(revision, key, value)| item(key, value.as_ref(), *revision)).collect()
+        };
+        let changed = changes.wait_for(|state| !events_in(state).is_empty());
+        // The time is over without a change if this fails.
+        let _ = timeout(wait, changed).await;
+        let state = self.state.borrow();
+        answer(&json!({"events": events_in(&state), "at": state.revision}))
+    }
+}
+
+fn item(key: &str, value: Option<&Vec<u8>>, revision: u64) -> Value {
+    match value {
+        Some(value) => json!({
+            "key": key,
+            "value": STANDARD.encode(value),
+            "revision": revision,
+            "created-at": revision,
+            "lease": 0,
+        }),
+        None => json!({"key": key, "revision": revision, "deleted": true}),
+    }
+}
+
+fn answer(body: &Value) -> Response<StandinBody> {
+    Response::new(Full::new(Bytes::from(body.to_string())).boxed_unsync())
+}
+
+fn empty(status: StatusCode) -> Response<StandinBody> {
+    let mut response = Response::new(Full::new(Bytes::new()).boxed_unsync());
+    *response.status_mut() = status;
+    response
+}
