Order requests within a tier by their route, and size answers by the callers' hints

The order within a tier is now in time before late, then the route's own urgency, then fair share, and the wait that a new request is judged by counts only what goes before it. The length of an answer comes from the caller's hint.

--- a/crates/tarragon-fleet/src/call.rs
+++ b/crates/tarragon-fleet/src/call.rs
@@ -28,6 +28,8 @@
     pub prompt_tokens: u32,
     /// Most tokens of the answer.
     pub max_tokens: u32,
+    /// The caller's estimate of the tokens of the answer.
+    pub expected_tokens: Option<u32>,
     /// Shared parts of the prompt with their tokens, in order.
     pub parts: Vec<(u64, u32)>,
 }
--- a/crates/tarragon-fleet/src/node/admit.rs
+++ b/crates/tarragon-fleet/src/node/admit.rs
@@ -150,6 +150,14 @@
         deadline,
         idempotent: route.repeat != RepeatRule::AtMostOnce,
         fingerprint,
+        terms: CallTerms {
+            max_attempts: route.max_attempts.max(1),
+            objective: route.objective.map(|objective| arrived + objective),
+            // The workspace's urgency goes first; among its requests, that of the route decides.
+            rank: (Tier::COUNT - 1 - route.tier.index()) as u8,
+            expected_output: generation.as_ref().and_then(|size| size.expected_tokens),
+            rejection_is_proof: true,
+        },
         kind: generation.map_or(CallKind::Plain, |generation| {
             CallKind::Model(ModelCall {
                 blocks: part_blocks(&generation.parts),
@@ -158,11 +166,6 @@
                 max_tokens: generation.max_tokens,
             })
         }),
-        terms: CallTerms {
-            max_attempts: route.max_attempts.max(1),
-            objective: route.objective.map(|objective| arrived + objective),
-            rejection_is_proof: true,
-        },
     }
 }
 
--- a/crates/tarragon-gateway/src/caller.rs
+++ b/crates/tarragon-gateway/src/caller.rs
@@ -69,8 +69,9 @@
         deadline,
         resume_after: call_head.resume_after,
         event_tokens,
+        generation: call_head.generation,
     };
-    Ok(serve(context, call, call_head.generation).await)
+    Ok(serve(context, call).await)
 }
 
 /// Reads the head of a request and finds where it goes.
@@ -126,7 +127,6 @@
 async fn serve<D>(
     context: Arc<GatewayContext<D>>,
     call: ForwardCall,
-    generation: Option<GenerationHead>,
 ) -> CallerAnswer
 where
     D: CallDialect,
@@ -140,7 +140,7 @@
         token: Some(abandoned.clone().drop_guard()),
     };
     let (sender, head) = oneshot::channel();
-    let task = run_call(context.clone(), call, generation, abandoned, sender);
+    let task = run_call(context.clone(), call, abandoned, sender);
     context.spawn(task);
     match head.await {
         Ok(answer) => answer.map(|body| match body {
@@ -185,14 +185,13 @@
 async fn run_call<D>(
     context: Arc<GatewayContext<D>>,
     call: ForwardCall,
-    generation: Option<GenerationHead>,
     abandoned: CancellationToken,
     head: oneshot::Sender<CallerAnswer>,
 ) where
     D: CallDialect,
 {
     context.metrics.open_requests.inc();
-    let order = call_order(&call, generation);
+    let order = call_order(&call);
     let decisions = context.desk.admit(order);
     let link = DeskLink(context.desk.clone());
     let driver = RequestDriver::of(&link, call.request, call.deadline, abandoned, decisions);
@@ -202,14 +201,14 @@
     context.metrics.open_requests.dec();
 }
 
-fn call_order(call: &ForwardCall, generation: Option<GenerationHead>) -> CallOrder {
+fn call_order(call: &ForwardCall) -> CallOrder {
     CallOrder {
         request: call.request,
         routed: call.routed.clone(),
         arrived: call.arrived.into_std(),
         deadline: call.deadline.instant.into_std(),
         fingerprint: fingerprint(call),
-        generation,
+        generation: call.generation.clone(),
     }
 }
 
--- a/crates/tarragon-gateway/src/forward.rs
+++ b/crates/tarragon-gateway/src/forward.rs
@@ -60,6 +60,8 @@
     pub resume_after: Option<u64>,
     /// Tokens that one event of a stream holds.
     pub event_tokens: u32,
+    /// Size, for a generation.
+    pub generation: Option<GenerationHead>,
 }
 
 /// An answer that is not streamed.
@@ -178,6 +180,9 @@
             request = self.call.tag, id = self.call.request, attempt = order.attempt,
             target_address = &*order.target, instance = &*grant.instance,
             service = &*self.call.routed.service, tier = self.call.routed.tier.name(),
+            prompt_tokens = self.call.generation.as_ref().map(|size| size.prompt_tokens),
+            max_tokens = self.call.generation.as_ref().map(|size| size.max_tokens),
+            expected_tokens = self.call.generation.as_ref().and_then(|size| size.expected_tokens),
             version = self.call.routed.version, resume_after = self.sink.position(),
             remaining_ms = remaining.as_millis() as u64,
             waited_ms = self.call.arrived.elapsed().as_millis() as u64, "sent"
--- a/crates/tarragon-protocol/src/request.rs
+++ b/crates/tarragon-protocol/src/request.rs
@@ -30,6 +30,9 @@
 /// Attempts of one request, unless its route names another number.
 pub const DEFAULT_ATTEMPTS: u32 = 4;
 
+/// Ranks within a tier; greater ones count as the last.
+pub const RANKS: usize = 4;
+
 /// What the route of a request allows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CallTerms {
@@ -38,6 +41,10 @@
     /// Until this time the first part of an answer has its full value. A request that waits longer goes
     /// behind those of its tier that can still be answered in time.
     pub objective: Option<Instant>,
+    /// Order within the tier: requests of a lower rank go first.
+    pub rank: u8,
+    /// Tokens of the answer that the caller expects; for a generation.
+    pub expected_output: Option<u32>,
     /// Whether a target's rejection proves that nothing was run, so that also a request that must not be
     /// run twice may be sent to another target.
     pub rejection_is_proof: bool,
@@ -48,6 +55,8 @@
         CallTerms {
             max_attempts: DEFAULT_ATTEMPTS,
             objective: None,
+            rank: 0,
+            expected_output: None,
             rejection_is_proof: false,
         }
     }
--- a/crates/tarragon-scheduler/src/job.rs
+++ b/crates/tarragon-scheduler/src/job.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use tarragon_protocol::identity::BLOCK_TOKENS;
+use tarragon_protocol::{identity::BLOCK_TOKENS, request::RANKS};
 
 use crate::{cost::CostPrediction, prelude::*, targets::estimate::RequestSize};
 
@@ -103,6 +103,11 @@
         self.profile.tier
     }
 
+    /// Order within its tier.
+    pub fn rank(&self) -> usize {
+        usize::from(self.profile.terms.rank).min(RANKS - 1)
+    }
+
     /// Tokens that count against bounds of the queue: prompt and expected answer; for a plain call its
     /// cost in the fair share.
     pub fn tokens(&self) -> u64 {
--- a/crates/tarragon-scheduler/src/queue.rs
+++ b/crates/tarragon-scheduler/src/queue.rs
@@ -5,6 +5,7 @@
 use std::{collections::BTreeSet, time::Instant};
 
 use indexmap::IndexMap;
+use tarragon_protocol::request::RANKS;
 
 use crate::{hash::NumberHash, job::Job, prelude::*, queue::lane::Lane};
 
@@ -100,6 +101,17 @@
         let mut tokens = [0; Tier::COUNT];
         for lane in self.lanes.iter().filter(|lane| lane.pool == pool) {
             for (sum, tokens) in tokens.iter_mut().zip(lane.tokens) {
+                *sum += tokens.iter().sum::<u64>();
+            }
+        }
+        tokens
+    }
+
+    /// Tokens of waiting requests of a pool and tier, by rank.
+    pub fn ranked_tokens(&self, pool: usize, tier: Tier) -> [u64; RANKS] {
+        let mut tokens = [0; RANKS];
+        for lane in self.lanes.iter().filter(|lane| lane.pool == pool) {
+            for (sum, tokens) in tokens.iter_mut().zip(lane.tokens[tier.index()]) {
                 *sum += tokens;
             }
         }
@@ -134,7 +146,7 @@
         self.arrivals[tier].insert((job.sequence, request));
         self.starts[tier].insert((job.latest_start, request));
         self.tokens[tier] += tokens;
-        self.lanes[job.lane].tokens[tier] += tokens;
+        self.lanes[job.lane].tokens[tier][job.rank()] += tokens;
         self.attach(&job, state);
         self.entries.insert(request, Entry { job, state, tokens });
     }
@@ -146,7 +158,7 @@
         self.arrivals[tier].remove(&(job.sequence, request));
         self.starts[tier].remove(&(job.latest_start, request));
         self.tokens[tier] -= tokens;
-        self.lanes[job.lane].tokens[tier] -= tokens;
+        self.lanes[job.lane].tokens[tier][job.rank()] -= tokens;
         self.detach(&job, state);
         Some(job)
     }
--- a/crates/tarragon-scheduler/src/queue/lane.rs
+++ b/crates/tarragon-scheduler/src/queue/lane.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use indexmap::IndexMap;
+use tarragon_protocol::request::RANKS;
 
 use crate::{hash::NumberHash, job::Job, prelude::*};
 
@@ -11,13 +12,15 @@
 
 /// Set in the order of late requests, so that they go behind those that can still be answered in time.
 const LATE: u64 = 1 << 63;
+/// Position of the rank in the order, above any start tag.
+const RANK_SHIFT: u32 = 60;
 
 /// Shares are looked through for ended ones only above this number.
 const SWEEP_ABOVE: usize = 64;
 
 #[derive(Debug, Default)]
 struct TierLane {
-    /// Ready requests: those in time before late ones, then by start tag, then by arrival.
+    /// Ready requests by order, then by arrival.
     ready: BTreeSet<(u64, u64, RequestId)>,
     /// Finish tag of the last request of each workspace, if above the virtual time.
     finish: IndexMap<u64, u64, NumberHash>,
@@ -29,15 +32,15 @@
 pub struct Lane {
     /// Position of the service's pool.
     pub pool: usize,
-    /// Tokens of waiting requests by tier, ready or not.
-    pub tokens: [u64; Tier::COUNT],
+    /// Tokens of waiting requests by tier and rank, ready or not.
+    pub tokens: [[u64; RANKS]; Tier::COUNT],
     tiers: [TierLane; Tier::COUNT],
 }
 
 impl Lane {
     /// An empty lane.
     pub fn new(pool: usize) -> Lane {
-        Lane { pool, tokens: [0; Tier::COUNT], tiers: Default::default() }
+        Lane { pool, tokens: [[0; RANKS]; Tier::COUNT], tiers: Default::default() }
     }
 
     /// Start and finish tag of a new request.
@@ -118,6 +121,8 @@
     }
 }
 
+/// Requests in time come before late ones, then those of a lower rank, then by start tag.
 fn order(job: &Job) -> u64 {
-    if job.late { job.tags.0 | LATE } else { job.tags.0 }
+    let late = if job.late { LATE } else { 0 };
+    late | (job.rank() as u64) << RANK_SHIFT | job.tags.0
 }
--- a/crates/tarragon-scheduler/src/scheduler/arrival.rs
+++ b/crates/tarragon-scheduler/src/scheduler/arrival.rs
@@ -174,8 +174,8 @@
             .with_retry_after(wait.clamp(RETRY_AFTER, MAX_RETRY_AFTER)))
     }
 
-    /// Expected wait of a new job: all work of higher tiers, and in its own tier at most its
-    /// workspace's queue times the number of workspaces, as fair queueing promises. New work of higher
+    /// Expected wait of a new job: all work of higher tiers and of lower ranks in its own tier, and of its own
+    /// rank at most its workspace's queue times the number of workspaces, as fair queueing promises. New work of higher
     /// tiers goes before it meanwhile.
     fn expected_wait(&self, job: &Job) -> Duration {
         let pool = self.targets.pool(job.pool);
@@ -188,9 +188,11 @@
         let tokens = self.queue.pool_tokens(job.pool);
         let tier = job.tier().index();
         let higher: u64 = tokens[tier + 1..].iter().sum();
+        let ranked = self.queue.ranked_tokens(job.pool, job.tier());
+        let before: u64 = ranked[..job.rank()].iter().sum();
         let own = self.shares.row(job.workspace).map_or(0, |usage| usage.queued_tokens);
         let flows = self.queue.lane_flows(job.lane, job.tier()) as u64;
-        let ahead = higher + tokens[tier].min(own.saturating_mul(flows.max(1)));
+        let ahead = higher + before + ranked[job.rank()].min(own.saturating_mul(flows.max(1)));
         Duration::from_secs_f64((ahead as f64 / rate).min(3_600.0))
     }
 }
