Bound a workspace's use in each quarter of its quota window

Cause: a restarted fleet presumed that all of a limit had been used right before it was killed, and refused ordinary use from five seconds after its start on. With at most 0.45 of the limit in each quarter of the window, the part that may still lie in the window falls in steps.

The new test of ordinary use after a restart fails without the change.

--- a/crates/tarragon-fleet/src/digest.rs
+++ b/crates/tarragon-fleet/src/digest.rs
@@ -38,6 +38,17 @@
     pub age_ms: u32,
 }
 
+/// A process's use of one workspace's quota.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UsageSum {
+    /// Workspace.
+    pub workspace: NameKey,
+    /// Units in the quota's window.
+    pub units: u64,
+    /// Units in the last span of the window.
+    pub recent: u64,
+}
+
 /// A process's digest.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PeerDigest {
@@ -56,15 +67,15 @@
     /// Use of targets.
     pub uses: Vec<TargetUse>,
     /// Units used by workspaces in the quota window.
-    pub usage: Vec<(NameKey, u64)>,
-    /// Whether the sender may have admitted requests in the quota window before it was started.
-    pub restarted: bool,
+    pub usage: Vec<UsageSum>,
+    /// Thousandths of the sender's part of each quota that it may have used before it was started.
+    pub presumed_permille: u16,
     /// Waiting requests by tier.
     pub waiting: [u32; Tier::COUNT],
     /// Requests that may crash targets.
     pub suspects: Vec<SuspectEntry>,
     /// Units that peers which were restarted a short time ago had used before, by address.
-    pub former: Vec<(SocketAddr, Vec<(NameKey, u64)>)>,
+    pub former: Vec<(SocketAddr, Vec<UsageSum>)>,
     /// Addresses of processes that the sender has heard of recently.
     pub members: Vec<SocketAddr>,
 }
--- a/crates/tarragon-fleet/src/member.rs
+++ b/crates/tarragon-fleet/src/member.rs
@@ -7,10 +7,10 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-use crate::{digest::NameKey, prelude::*};
+use crate::{digest::UsageSum, prelude::*};
 
 /// Units used by workspaces.
-pub type FormerUsage = Vec<(NameKey, u64)>;
+pub type FormerUsage = Vec<UsageSum>;
 
 /// A peer that sends nothing for this long doesn't count as present. Digests come several times a second, so
 /// that only a dead or separated peer is silent for so long.
@@ -98,7 +98,7 @@
     fn note_restart(&mut self, from: SocketAddr, digest: &PeerDigest, now: Instant) {
         let Some(known) = self.members.get(&from) else { return };
         let recent = now.saturating_duration_since(known.heard) < FORMER;
-        if known.digest.incarnation != digest.incarnation && !known.digest.restarted && recent {
+        if known.digest.incarnation != digest.incarnation && known.digest.presumed_permille == 0 && recent {
             self.former.insert(from, (now, known.digest.usage.clone()));
         }
     }
--- a/crates/tarragon-fleet/src/node/admit.rs
+++ b/crates/tarragon-fleet/src/node/admit.rs
@@ -124,9 +124,13 @@
                 continue;
             }
             foreign.present += 1;
-            let told = member.digest.usage.iter().find(|(other, _)| *other == key);
-            foreign.told += told.map_or(0, |(_, units)| *units);
-            foreign.restarted += usize::from(member.digest.restarted);
+            let digest = &member.digest;
+            if let Some(sum) = digest.usage.iter().find(|sum| sum.workspace == key) {
+                foreign.told += sum.units;
+                foreign.told_recent += sum.recent;
+            }
+            foreign.restarted += usize::from(digest.presumed_permille > 0);
+            foreign.presumed += f64::from(digest.presumed_permille) / 1_000.0;
         }
         foreign
     }
--- a/crates/tarragon-fleet/src/node/news.rs
+++ b/crates/tarragon-fleet/src/node/news.rs
@@ -222,7 +222,7 @@
             }
         }
         let mut usage = self.quotas.sums(now);
-        usage.sort_unstable_by_key(|(_, units)| std::cmp::Reverse(*units));
+        usage.sort_unstable_by_key(|sum| std::cmp::Reverse(sum.units));
         usage.truncate(TOLD_WORKSPACES);
         let mut suspects = self.scheduler.suspects(now);
         suspects.truncate(TOLD_SUSPECTS);
@@ -235,7 +235,7 @@
             listing_age_ms: self.directory.age(now).and_then(|age| age.as_millis().try_into().ok()),
             uses,
             usage,
-            restarted: self.quotas.is_restarted(now),
+            presumed_permille: (self.quotas.presumed(now) * 1_000.0) as u16,
             waiting: self.scheduler.waiting_by_tier(),
             suspects,
             former: self.members.former(now),
--- a/crates/tarragon-fleet/src/quota.rs
+++ b/crates/tarragon-fleet/src/quota.rs
@@ -9,7 +9,7 @@
 use indexmap::IndexMap;
 
 use crate::{
-    digest::{NameKey, name_key},
+    digest::{NameKey, UsageSum, name_key},
     prelude::*,
 };
 
@@ -18,6 +18,10 @@
 /// Part of a quota's tolerance that processes may use which don't know what they admitted before they were
 /// restarted. The rest is left for sums that lag behind.
 const RESTART_PART: f64 = 0.85;
+/// Parts of the window. In each of them a workspace gets at most [`SPAN_PART`] of its limit, so that a process
+/// which was restarted knows the most that may have been admitted in the rest of the window.
+const SPANS: u32 = 4;
+const SPAN_PART: f64 = 0.45;
 /// Bounds of the time after which a refused caller is asked to come back.
 const LEAST_WAIT: Duration = Duration::from_millis(250);
 const LONGEST_WAIT: Duration = Duration::from_secs(2);
@@ -38,10 +42,11 @@
         self.sum += units;
     }
 
-    /// Units of the present step.
-    fn recent(&self, now: Instant) -> u64 {
-        let recent = |start: Instant| now.saturating_duration_since(start) < STEP;
-        self.steps.back().filter(|(start, _)| recent(*start)).map_or(0, |(_, units)| *units)
+    /// Units of the last steps, as long as they began less than `span` ago.
+    fn recent(&self, span: Duration, now: Instant) -> u64 {
+        let recent = |start: &Instant| now.saturating_duration_since(*start) < span;
+        let steps = self.steps.iter().rev().take_while(|(start, _)| recent(start));
+        steps.map(|(_, units)| units).sum()
     }
 
     fn expire(&mut self, window: Duration, now: Instant) {
@@ -71,12 +76,16 @@
 pub struct ForeignUse {
     /// Units in the window, as told by the processes that are present.
     pub told: u64,
+    /// Units in the last span of the window, as told by them.
+    pub told_recent: u64,
     /// Processes that have told.
     pub present: usize,
     /// Processes that share the quota and are silent: each may use an equal part.
     pub silent: usize,
     /// Processes that are present and may have used their parts before they were started.
     pub restarted: usize,
+    /// Sum of the parts of their parts that they may have used.
+    pub presumed: f64,
     /// All processes that share the quota, this one included.
     pub sharing: usize,
 }
@@ -106,19 +115,23 @@
         now: Instant,
     ) -> Result<(), Duration> {
         let QuotaBounds { window, overage, slack } = self.bounds;
-        let restarted = foreign.restarted + usize::from(self.is_restarted(now));
+        let own_presumed = self.presumed(now);
+        let restarted = foreign.restarted + usize::from(own_presumed > 0.0);
+        let presumed = foreign.presumed + own_presumed;
         let usage = self.own.entry(name_key(workspace)).or_default();
         usage.expire(window, now);
         if terms.rate > 0.0 {
             let limit = terms.rate * window.as_secs_f64() + terms.burst;
             let sharing = foreign.sharing.max(1) as f64;
             // A silent process may use its part, and a restarted one may have used it in this window.
-            let unknown = limit / sharing * (foreign.silent + restarted) as f64;
+            let unknown = limit / sharing * (foreign.silent as f64 + presumed);
             let tolerance = (limit * overage + slack) * RESTART_PART * restarted as f64 / sharing;
             // What others told is as old as a step; meanwhile they have admitted about as much as this process.
-            let untold = usage.recent(now) * foreign.present as u64;
+            let untold = usage.recent(STEP, now) * foreign.present as u64 + units;
             let used = (usage.sum + foreign.told + untold) as f64 + unknown;
-            let excess = used + units as f64 - limit - tolerance;
+            let recent = usage.recent(window / SPANS, now) + foreign.told_recent + untold;
+            let excess =
+                (used - limit - tolerance).max(recent as f64 - (limit * SPAN_PART).max(units as f64));
             if excess > 0.0 {
                 let wait = Duration::from_secs_f64((excess / terms.rate).min(60.0));
                 return Err(wait.clamp(LEAST_WAIT, LONGEST_WAIT));
@@ -141,29 +154,38 @@
     }
 
     /// Sums of all workspaces with use in the window, for the next digest.
-    pub fn sums(&mut self, now: Instant) -> Vec<(NameKey, u64)> {
+    pub fn sums(&mut self, now: Instant) -> Vec<UsageSum> {
         let window = self.bounds.window;
         self.own.retain(|_, usage| {
             usage.expire(window, now);
             usage.sum > 0
         });
-        self.own.iter().map(|(key, usage)| (*key, usage.sum)).collect()
+        let span = window / SPANS;
+        let sum = |(key, usage): (&NameKey, &UsageWindow)| UsageSum {
+            workspace: *key,
+            units: usage.sum,
+            recent: usage.recent(span, now),
+        };
+        self.own.iter().map(sum).collect()
     }
 
     /// Takes over what this process had used before its restart, as a peer remembers it.
-    pub fn adopt(&mut self, usage: &[(NameKey, u64)], now: Instant) {
-        if !self.is_restarted(now) {
+    pub fn adopt(&mut self, usage: &[UsageSum], now: Instant) {
+        if self.presumed(now) == 0.0 {
             return;
         }
-        for (key, units) in usage {
-            self.own.entry(*key).or_default().add(*units, now);
+        for sum in usage {
+            self.own.entry(sum.workspace).or_default().add(sum.units, now);
         }
         self.started = None;
     }
 
-    /// Whether this process may have admitted requests in the window before it was started.
-    pub fn is_restarted(&self, now: Instant) -> bool {
-        let window = self.bounds.window;
-        self.started.is_some_and(|started| now.saturating_duration_since(started) < window)
+    /// Part of this process's share that it may have used in the present window before it was started.
+    pub fn presumed(&self, now: Instant) -> f64 {
+        let Some(started) = self.started else { return 0.0 };
+        let span = self.bounds.window / SPANS;
+        let left = self.bounds.window.saturating_sub(now.saturating_duration_since(started));
+        let spans = (left.as_secs_f64() / span.as_secs_f64()).ceil();
+        (SPAN_PART * spans).min(1.0)
     }
 }
--- a/crates/tarragon-fleet/tests/fleet/member.rs
+++ b/crates/tarragon-fleet/tests/fleet/member.rs
@@ -16,7 +16,7 @@
         listing_age_ms: None,
         uses: Vec::new(),
         usage: Vec::new(),
-        restarted: false,
+        presumed_permille: 0,
         waiting: [0; Tier::COUNT],
         suspects: Vec::new(),
         former: Vec::new(),
--- a/crates/tarragon-fleet/tests/fleet/quota.rs
+++ b/crates/tarragon-fleet/tests/fleet/quota.rs
@@ -68,6 +68,26 @@
     }
 }
 
+/// Guards against a restarted fleet that refuses workspaces which use half of their limits.
+#[test]
+fn a_restarted_fleet_serves_ordinary_use() {
+    let now = std::time::Instant::now() + Duration::from_secs(100);
+    let mut fleet = Fleet::start(8, 12);
+    fleet.now = now;
+    fleet.nodes = (1..=8).map(|index| node(index, false, now)).collect();
+    fleet.publish(1, 1, (1..=12).map(listed).collect());
+    fleet.gossip();
+    // 27,500 tokens a second, 0.55 of the rate.
+    for step in 0..100 {
+        let actions = fleet.ask(step % 8, 2_750);
+        assert!(!over_quota(&actions), "refused after {step} steps of 100 ms");
+        for action in &actions {
+            fleet.finish(step % 8, action, AttemptEnd::Finished);
+        }
+        fleet.advance(STEP);
+    }
+}
+
 /// Guards against a restart of one process after another in which each forgets what it has admitted, and
 /// against one that gives out little because it knows nothing.
 #[test]
