Bound starts at a cold target before its slots are used, and let a few processes read the store

The bound now goes first. An entry that is read again no longer prolongs the cold spell that it tells, which had kept targets cold for a second longer with each reading.

In a data centre with more than three processes, three read the store; the others compare hashes of the listing in digests and ask a peer only when it differs. Digests go to peers in turns, those of the own data centre first, and the time after which a peer counts as silent follows from the number of turns.

Both new tests fail without their change.

--- a/crates/tarragon-fleet/src/digest.rs
+++ b/crates/tarragon-fleet/src/digest.rs
@@ -58,12 +58,18 @@
     pub incarnation: Incarnation,
     /// Rises with each digest of this start.
     pub sequence: u64,
+    /// Sender's data centre.
+    pub data_centre: NameKey,
     /// Whether the sender shuts down.
     pub draining: bool,
     /// Revision of the operators' state that the sender holds.
     pub operator_revision: StoreRevision,
+    /// Milliseconds since the sender knew that state to be the last one; `None` if it has none.
+    pub operator_age_ms: Option<u32>,
     /// Milliseconds since the listing of targets was read that the sender uses; `None` if it has none.
     pub listing_age_ms: Option<u32>,
+    /// Hash of what that listing says.
+    pub listing_hash: u64,
     /// Use of targets.
     pub uses: Vec<TargetUse>,
     /// Units used by workspaces in the quota window.
--- a/crates/tarragon-fleet/src/directory.rs
+++ b/crates/tarragon-fleet/src/directory.rs
@@ -64,6 +64,10 @@
     /// When the store came back after an outage.
     returned: Option<Instant>,
     revision: StoreRevision,
+    /// The targets of that listing, for peers.
+    listed: Vec<ListedTarget>,
+    /// Hash of what the listing says.
+    hash: u64,
 }
 
 impl TargetDirectory {
@@ -77,10 +81,19 @@
         self.entries.iter()
     }
 
+    /// Hash of what the listing in use says.
+    pub fn hash(&self) -> u64 {
+        self.hash
+    }
+
+    /// Notes that a peer has read the same listing at a later time.
+    pub fn confirm(&mut self, read: Instant) {
+        self.read = self.read.map(|known| known.max(read));
+    }
+
     /// All entries, for a peer that can't read them itself.
     pub fn listing(&self) -> TargetListing {
-        let targets = self.entries.values().map(|entry| entry.listed.clone()).collect();
-        TargetListing { revision: self.revision, targets }
+        TargetListing { revision: self.revision, targets: self.listed.clone() }
     }
 
     /// Time since the listing in use was read.
@@ -108,6 +121,8 @@
         }
         self.read = Some(read);
         self.revision = listing.revision;
+        self.hash = listing_hash(&listing.targets);
+        self.listed.clone_from(&listing.targets);
         let mut changes = Vec::new();
         let newest = newest_by_address(&listing.targets);
         for (target, listed) in &newest {
@@ -149,6 +164,10 @@
             return Some(DirectoryChange::Changed(target.clone()));
         };
         entry.missing = None;
+        // The time that is left counts from the heartbeat that told it.
+        let news = listed.revision != entry.listed.revision;
+        let told_cold = told_cold.filter(|_| news);
+        entry.listed.revision = listed.revision;
         let restarted = entry.restart != restart;
         let unchanged = !restarted
             && entry.listed.leaving == listed.leaving
@@ -257,6 +276,28 @@
     newest
 }
 
+/// Hash of the parts of a listing that decisions depend on. The time for which a target stays cold falls with
+/// each heartbeat, and counts only as being cold.
+fn listing_hash(targets: &[ListedTarget]) -> u64 {
+    let mut hashes: Vec<u64> = targets.iter().map(target_hash).collect();
+    hashes.sort_unstable();
+    let mut hasher = Xxh3::new();
+    hashes.iter().for_each(|hash| hasher.update(&hash.to_le_bytes()));
+    hasher.digest()
+}
+
+fn target_hash(target: &ListedTarget) -> u64 {
+    let mut hasher = Xxh3::new();
+    for text in [&target.instance, &target.service, &target.address, &target.data_centre] {
+        hasher.update(&(text.len() as u64).to_le_bytes());
+        hasher.update(text.as_bytes());
+    }
+    hasher.update(&target.slots.to_le_bytes());
+    hasher.update(&target.started_ms.to_le_bytes());
+    hasher.update(&[u8::from(target.leaving), u8::from(!target.cold_left.is_zero())]);
+    hasher.digest()
+}
+
 fn restart_id(instance: &InstanceName, started_ms: u64) -> u64 {
     let mut hasher = Xxh3::new();
     hasher.update(instance.as_bytes());
--- a/crates/tarragon-fleet/src/member.rs
+++ b/crates/tarragon-fleet/src/member.rs
@@ -7,14 +7,26 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-use crate::{digest::UsageSum, prelude::*};
+use crate::{
+    digest::{NameKey, UsageSum, name_key},
+    prelude::*,
+};
 
 /// Units used by workspaces.
 pub type FormerUsage = Vec<UsageSum>;
 
 /// A peer that sends nothing for this long doesn't count as present. Digests come several times a second, so
-/// that only a dead or separated peer is silent for so long.
+/// that only a dead or separated peer is silent for so long. In large fleets, which write to each other in
+/// turns, it is this many turns.
 pub const SILENT: Duration = Duration::from_millis(1_500);
+const SILENT_TURNS: u32 = 3;
+/// Time between two digests.
+pub const DIGEST_INTERVAL: Duration = Duration::from_millis(200);
+/// Peers of the own data centre, and of others, that one digest goes to.
+const NEAR_FANOUT: usize = 12;
+const FAR_FANOUT: usize = 6;
+/// Peers of the own data centre that urgent news go to at once.
+const URGENT_FANOUT: usize = 40;
 /// A silent peer is still written to for this long, and counts when limits are divided: it may be on the other
 /// side of a partition and use its part.
 const FORGOTTEN: Duration = Duration::from_secs(30);
@@ -38,6 +50,11 @@
 #[derive(Debug)]
 pub struct MemberTable {
     own: SocketAddr,
+    /// Data centre of this process.
+    data_centre: NameKey,
+    /// Positions of the first peers that the next digest goes to.
+    near_turn: usize,
+    far_turn: usize,
     seeds: Vec<SocketAddr>,
     members: IndexMap<SocketAddr, Member>,
     /// Addresses that peers have named, with the time at which they were last written down.
@@ -52,9 +69,12 @@
 
 impl MemberTable {
     /// A table that knows only the seeds.
-    pub fn new(own: SocketAddr, seeds: &[SocketAddr]) -> MemberTable {
+    pub fn new(own: SocketAddr, data_centre: &str, seeds: &[SocketAddr]) -> MemberTable {
         MemberTable {
             own,
+            data_centre: name_key(data_centre),
+            near_turn: 0,
+            far_turn: 0,
             seeds: seeds.iter().copied().filter(|seed| *seed != own).collect(),
             members: IndexMap::new(),
             rumours: IndexMap::new(),
@@ -122,11 +142,12 @@
         self.members.retain(|_, member| now.saturating_duration_since(member.heard) < FORGOTTEN);
         self.rumours.retain(|_, heard| now.saturating_duration_since(*heard) < RUMOUR);
         let before = self.present.len();
+        let limit = self.silence_limit();
         let members = &self.members;
         self.present.retain(|address| {
-            let present = members.get(address).is_some_and(|member| member.is_present(now));
+            let present = members.get(address).is_some_and(|member| member.is_present(limit, now));
             if !present {
-                tracing::info!(peer = %address, silent_ms = SILENT.as_millis() as u64, "peer is silent");
+                tracing::info!(peer = %address, silent_ms = limit.as_millis() as u64, "peer is silent");
             }
             present
         });
@@ -135,7 +156,7 @@
 
     /// Counts all peers as silent until they are heard again.
     pub fn silence(&mut self, now: Instant) {
-        let Some(silent) = now.checked_sub(SILENT) else { return };
+        let Some(silent) = now.checked_sub(self.silence_limit()) else { return };
         for member in self.members.values_mut() {
             member.heard = member.heard.min(silent);
         }
@@ -143,7 +164,29 @@
 
     /// Peers that are present.
     pub fn present(&self, now: Instant) -> impl Iterator<Item = (&SocketAddr, &Member)> {
-        self.members.iter().filter(move |(_, member)| member.is_present(now))
+        let limit = self.silence_limit();
+        self.members.iter().filter(move |(_, member)| member.is_present(limit, now))
+    }
+
+    /// Whether a peer was heard a short time ago.
+    pub fn is_present(&self, member: &Member, now: Instant) -> bool {
+        member.is_present(self.silence_limit(), now)
+    }
+
+    /// Position of this process among the present ones of its data centre.
+    pub fn near_rank(&self, now: Instant) -> usize {
+        let near = self.present(now).filter(|(_, member)| self.is_near(member));
+        near.filter(|(address, _)| **address < self.own).count()
+    }
+
+    fn is_near(&self, member: &Member) -> bool {
+        member.digest.data_centre == self.data_centre
+    }
+
+    /// Time after which a peer that says nothing counts as silent.
+    fn silence_limit(&self) -> Duration {
+        let turns = self.members.len().div_ceil(FAR_FANOUT).max(1);
+        SILENT.max(DIGEST_INTERVAL * SILENT_TURNS * u32::try_from(turns).unwrap_or(u32::MAX))
     }
 
     /// All peers that are remembered, present or not.
@@ -166,13 +209,24 @@
         self.members.keys().filter(|address| weight(address) < own).count()
     }
 
-    /// Addresses to which a digest goes: members, rumoured addresses, and seeds.
-    pub fn recipients(&self) -> Vec<SocketAddr> {
-        let mut addresses: IndexSet<SocketAddr> = self.members.keys().copied().collect();
-        addresses.extend(self.rumours.keys().copied());
-        addresses.extend(self.seeds.iter().copied());
-        addresses.swap_remove(&self.own);
-        addresses.into_iter().collect()
+    /// Addresses to which the next digest goes: peers in turns, those of the own data centre more often, and
+    /// addresses that were only heard of.
+    pub fn recipients(&mut self, urgent: bool) -> Vec<SocketAddr> {
+        let (mut near, mut far) = (Vec::new(), Vec::new());
+        for (address, member) in &self.members {
+            if self.is_near(member) { near.push(*address) } else { far.push(*address) }
+        }
+        let known = &self.members;
+        let heard_of = self.rumours.keys().chain(&self.seeds);
+        let unknown: IndexSet<SocketAddr> = heard_of
+            .copied()
+            .filter(|address| *address != self.own && !known.contains_key(address))
+            .collect();
+        far.extend(unknown);
+        let near_count = if urgent { URGENT_FANOUT } else { NEAR_FANOUT };
+        let mut recipients = in_turn(&near, near_count, &mut self.near_turn);
+        recipients.extend(in_turn(&far, FAR_FANOUT, &mut self.far_turn));
+        recipients
     }
 
     /// Addresses to name in the next digest, in turns.
@@ -185,8 +239,15 @@
 }
 
 impl Member {
-    /// Whether it was heard a short time ago.
-    pub fn is_present(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.heard) < SILENT
+    fn is_present(&self, limit: Duration, now: Instant) -> bool {
+        now.saturating_duration_since(self.heard) < limit
     }
 }
+
+/// The next few of a list, going round at its end.
+fn in_turn(addresses: &[SocketAddr], count: usize, turn: &mut usize) -> Vec<SocketAddr> {
+    let count = count.min(addresses.len());
+    let start = *turn;
+    *turn = start.wrapping_add(count);
+    (0..count).map(|offset| addresses[start.wrapping_add(offset) % addresses.len()]).collect()
+}
--- a/crates/tarragon-fleet/src/node.rs
+++ b/crates/tarragon-fleet/src/node.rs
@@ -5,10 +5,11 @@
 mod news;
 
 pub use admit::{CallOrder, wait_limit};
+pub use news::PeerNews;
 
 use std::{
     net::SocketAddr,
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use indexmap::IndexMap;
@@ -22,6 +23,14 @@
     quota::{QuotaBounds, QuotaLedger},
 };
 
+/// Processes of a data centre that read the store for all of it. With three, two may be down or cut off from
+/// the store before others have to find out.
+const READERS: usize = 3;
+/// Age of a listing above which a process reads for itself. Readers renew theirs each second.
+const OLD_LISTING: Duration = Duration::from_millis(1_500);
+/// Age of the operators' state above which a process watches for itself. Watches of readers end after 2.5 s.
+const OLD_OPERATOR_STATE: Duration = Duration::from_millis(3_500);
+
 /// Bounds that the deployment sets for the fleet as a whole.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct FleetBounds {
@@ -82,6 +91,8 @@
     settings: FleetSettings,
     scheduler: Scheduler,
     operator: OperatorState,
+    /// When the operators' state was last known to be the newest.
+    operator_confirmed: Option<Instant>,
     directory: TargetDirectory,
     members: MemberTable,
     quotas: QuotaLedger,
@@ -99,8 +110,13 @@
         FleetNode {
             scheduler: Scheduler::new(settings.limits.clone(), seed).without_preemption(),
             operator: OperatorState::default(),
+            operator_confirmed: None,
             directory: TargetDirectory::default(),
-            members: MemberTable::new(settings.peer_address, &settings.seeds),
+            members: MemberTable::new(
+                settings.peer_address,
+                &settings.data_centre,
+                &settings.seeds,
+            ),
             quotas: QuotaLedger::new(settings.bounds.quota, started),
             terms: IndexMap::new(),
             calls: IndexMap::new(),
@@ -133,6 +149,11 @@
         &self.members
     }
 
+    /// Addresses to which the next digest goes.
+    pub fn recipients(&mut self, urgent: bool) -> Vec<SocketAddr> {
+        self.members.recipients(urgent)
+    }
+
     /// The scheduler, for dumps and metrics.
     pub fn scheduler(&self) -> &Scheduler {
         &self.scheduler
@@ -148,6 +169,25 @@
         self.operator.revision
     }
 
+    /// Whether this process reads targets from the store. A few processes of each data centre do, and the
+    /// others when they hear nothing new from them.
+    pub fn reads_targets(&self, now: Instant) -> bool {
+        let old = self.directory.age(now).is_none_or(|age| age > OLD_LISTING);
+        old || self.members.near_rank(now) < READERS
+    }
+
+    /// Whether this process watches what operators write, for the same reasons.
+    pub fn reads_operator(&self, now: Instant) -> bool {
+        let age = self.operator_confirmed.map(|time| now.saturating_duration_since(time));
+        let old = age.is_none_or(|age| age > OLD_OPERATOR_STATE);
+        old || self.members.near_rank(now) < READERS
+    }
+
+    /// The store has just told that nothing newer than the known state exists.
+    pub fn confirm_operator(&mut self, now: Instant) {
+        self.operator_confirmed = Some(now);
+    }
+
     /// Replaces the seeds.
     pub fn set_seeds(&mut self, seeds: &[SocketAddr]) {
         self.members.set_seeds(seeds);
--- a/crates/tarragon-fleet/src/node/admit.rs
+++ b/crates/tarragon-fleet/src/node/admit.rs
@@ -119,7 +119,7 @@
         let key = crate::digest::name_key(workspace);
         let mut foreign = ForeignUse { sharing: self.members.sharing(), ..ForeignUse::default() };
         for (_, member) in self.members.iter() {
-            if !member.is_present(now) {
+            if !self.members.is_present(member, now) {
                 foreign.silent += 1;
                 continue;
             }
--- a/crates/tarragon-fleet/src/node/limits.rs
+++ b/crates/tarragon-fleet/src/node/limits.rs
@@ -23,8 +23,9 @@
         let targets: Vec<TargetName> =
             self.directory.iter().map(|(target, _)| target.clone()).collect();
         for target in &targets {
-            self.update_slots(target, now, actions);
+            // New slots are used at once, so that the bound on starts has to be known before.
             self.update_starts(target, now, actions);
+            self.update_slots(target, now, actions);
         }
     }
 
@@ -56,7 +57,7 @@
     }
 
     /// Divides what a cold target bears among all processes, the silent ones included.
-    fn update_starts(
+    pub(super) fn update_starts(
         &mut self,
         target: &TargetName,
         now: Instant,
--- a/crates/tarragon-fleet/src/node/news.rs
+++ b/crates/tarragon-fleet/src/node/news.rs
@@ -19,6 +19,18 @@
 /// Suspected requests that one digest tells.
 const TOLD_SUSPECTS: usize = 8;
 
+/// A peer's listing that is newer by less than this is not worth a call.
+const LISTING_STEP: Duration = Duration::from_millis(150);
+
+/// What a peer knows that this process does not.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct PeerNews {
+    /// A newer state of operators.
+    pub operator: bool,
+    /// A newer listing of targets that differs.
+    pub listing: bool,
+}
+
 impl FleetNode {
     /// Takes what operators publish, from the store or from a peer. An older state changes nothing. Returns
     /// whether it is in force now.
@@ -55,6 +67,7 @@
         };
         let changed = self.directory.evacuate(|name| evacuated.contains(name), cold_time, now);
         for target in changed {
+            self.update_starts(&target, now, actions);
             self.list_target(&target, now, actions);
         }
     }
@@ -76,8 +89,12 @@
         let changes = self.directory.take(listing, read, cold_time);
         for change in changes {
             match change {
-                DirectoryChange::Changed(target) => self.list_target(&target, now, actions),
+                DirectoryChange::Changed(target) => {
+                    self.update_starts(&target, now, actions);
+                    self.list_target(&target, now, actions);
+                }
                 DirectoryChange::Restarted(target) => {
+                    self.update_starts(&target, now, actions);
                     if let Some(terms) = self.terms.get_mut(&target) {
                         terms.health.restart();
                         terms.told = None;
@@ -123,15 +140,15 @@
         }
     }
 
-    /// Takes a peer's digest. Returns whether the peer knows a newer operator state.
+    /// Takes a peer's digest. Returns what is to be asked of the peer.
     pub fn take_digest(
         &mut self,
         now: Instant,
         from: SocketAddr,
         digest: PeerDigest,
         actions: &mut Vec<SchedulerAction>,
-    ) -> bool {
-        let newer = digest.operator_revision > self.operator.revision;
+    ) -> PeerNews {
+        let news = self.compare(&digest, now);
         let sharing = self.members.sharing();
         let uses = digest.uses.clone();
         let suspects = digest.suspects.clone();
@@ -139,7 +156,7 @@
             self.quotas.adopt(usage, now);
         }
         if !self.members.take(from, digest, now) {
-            return false;
+            return PeerNews::default();
         }
         if self.members.sharing() != sharing {
             self.update_retries();
@@ -149,7 +166,32 @@
         }
         self.take_told_loads(now, &uses, actions);
         self.update_targets(now, actions);
-        newer
+        news
+    }
+
+    /// Compares what a peer knows of the store with what is known here.
+    fn compare(&mut self, digest: &PeerDigest, now: Instant) -> PeerNews {
+        let before = |age_ms: Option<u32>| {
+            age_ms.and_then(|age| now.checked_sub(Duration::from_millis(u64::from(age))))
+        };
+        if digest.operator_revision == self.operator.revision {
+            self.operator_confirmed = self.operator_confirmed.max(before(digest.operator_age_ms));
+        }
+        let mut news = PeerNews {
+            operator: digest.operator_revision > self.operator.revision,
+            listing: false,
+        };
+        let Some(read) = before(digest.listing_age_ms) else { return news };
+        let own = self.directory.age(now).and_then(|age| now.checked_sub(age));
+        if own.is_some_and(|own| own + LISTING_STEP >= read) {
+            return news;
+        }
+        if own.is_some() && digest.listing_hash == self.directory.hash() {
+            self.directory.confirm(read);
+        } else {
+            news.listing = !self.reads_targets(now) || own.is_none();
+        }
+        news
     }
 
     fn take_told_loads(
@@ -228,11 +270,14 @@
         suspects.truncate(TOLD_SUSPECTS);
         PeerDigest {
             vm: self.settings.vm.clone(),
+            data_centre: name_key(&self.settings.data_centre),
             incarnation: self.settings.incarnation,
             sequence: self.sequence,
             draining: self.draining,
             operator_revision: self.operator.revision,
+            operator_age_ms: self.operator_confirmed.map(age),
             listing_age_ms: self.directory.age(now).and_then(|age| age.as_millis().try_into().ok()),
+            listing_hash: self.directory.hash(),
             uses,
             usage,
             presumed_permille: (self.quotas.presumed(now) * 1_000.0) as u16,
--- a/crates/tarragon-fleet/tests/fleet/member.rs
+++ b/crates/tarragon-fleet/tests/fleet/member.rs
@@ -9,11 +9,14 @@
 fn digest(index: u8, sequence: u64, members: &[u8]) -> PeerDigest {
     PeerDigest {
         vm: format!("vm-{index}").into(),
+        data_centre: tarragon_fleet::digest::name_key("north"),
         incarnation: 1,
         sequence,
         draining: false,
         operator_revision: 0,
+        operator_age_ms: None,
         listing_age_ms: None,
+        listing_hash: 0,
         uses: Vec::new(),
         usage: Vec::new(),
         presumed_permille: 0,
@@ -28,10 +31,10 @@
 #[test]
 fn peers_are_found_by_rumour() {
     let now = Instant::now();
-    let mut members = MemberTable::new(address(1), &[address(2)]);
-    assert_eq!(members.recipients(), [address(2)]);
+    let mut members = MemberTable::new(address(1), "north", &[address(2)]);
+    assert_eq!(members.recipients(false), [address(2)]);
     members.take(address(3), digest(3, 1, &[1, 4, 5]), now);
-    let mut recipients = members.recipients();
+    let mut recipients = members.recipients(false);
     recipients.sort();
     assert_eq!(recipients, [2, 3, 4, 5].map(address));
 }
@@ -40,7 +43,7 @@
 #[test]
 fn older_digests_are_dropped() {
     let now = Instant::now();
-    let mut members = MemberTable::new(address(1), &[]);
+    let mut members = MemberTable::new(address(1), "north", &[]);
     assert!(members.take(address(2), digest(2, 5, &[]), now));
     assert!(!members.take(address(2), digest(2, 4, &[]), now));
     let restarted = PeerDigest { incarnation: 2, ..digest(2, 1, &[]) };
@@ -51,7 +54,7 @@
 #[test]
 fn silent_peers_still_share_limits() {
     let now = Instant::now();
-    let mut members = MemberTable::new(address(1), &[]);
+    let mut members = MemberTable::new(address(1), "north", &[]);
     members.take(address(2), digest(2, 1, &[]), now);
     let later = now + SILENT;
     members.expire(later);
@@ -68,7 +71,7 @@
     let now = Instant::now();
     let mut ranks: Vec<usize> = (1..=8)
         .map(|own| {
-            let mut members = MemberTable::new(address(own), &[]);
+            let mut members = MemberTable::new(address(own), "north", &[]);
             for peer in (1..=8).filter(|peer| *peer != own) {
                 members.take(address(peer), digest(peer, 1, &[]), now);
             }
--- a/crates/tarragon-fleet/tests/fleet/node.rs
+++ b/crates/tarragon-fleet/tests/fleet/node.rs
@@ -46,6 +46,44 @@
     }
 }
 
+/// Guards against waiting requests that all go to a new target in the moment in which its slots become known
+/// (grown fleet, scale-2: 21 starts in a second at a target that bears 8).
+#[test]
+fn waiting_requests_dont_rush_to_a_new_target() {
+    let mut fleet = Fleet::start(8, 1);
+    for node in 0..8 {
+        for _ in 0..6 {
+            fleet.ask(node, 100);
+        }
+    }
+    let fresh = ListedTarget { started_ms: 2_000, ..listed(2) };
+    fleet.now += Duration::from_millis(100);
+    let new = fresh.address.clone();
+    let published = listing(2, vec![listed(1), fresh]);
+    let mut started = 0;
+    for node in &mut fleet.nodes {
+        let mut actions = Vec::new();
+        node.take_listing(fleet.now, &published, Duration::ZERO, &mut actions);
+        started += dispatched(&actions).iter().filter(|target| **target == new).count();
+    }
+    let later = fleet.advance(Duration::from_millis(800));
+    let later: Vec<_> = later.into_iter().map(|(_, action)| action).collect();
+    started += dispatched(&later).iter().filter(|target| **target == new).count();
+    assert!((1..=8).contains(&started), "{started} starts at a target that bears 8 in a second");
+}
+
+/// Guards against a cold spell that seems to begin anew with each reading of the same entry.
+#[test]
+fn an_old_entry_does_not_prolong_a_cold_spell() {
+    let mut fleet = Fleet::start(1, 1);
+    let cold = ListedTarget { cold_left: Duration::from_millis(900), revision: 9, ..listed(1) };
+    for revision in 2..5 {
+        fleet.publish(revision, 1, vec![cold.clone()]);
+        fleet.advance(Duration::from_millis(500));
+    }
+    assert!(!fleet.nodes[0].directory().get(&cold.address).unwrap().is_cold(fleet.now));
+}
+
 /// Guards against work for a target that leaves, and for one whose data centre is out.
 #[test]
 fn targets_out_of_service_get_nothing() {
--- a/crates/tarragon-gateway/src/peers.rs
+++ b/crates/tarragon-gateway/src/peers.rs
@@ -31,8 +31,6 @@
 const TICK: Duration = Duration::from_millis(100);
 /// Ticks between two digests.
 const DIGEST_TICKS: u32 = 2;
-/// Digests that are sent at a time. Larger fleets are written to in turns.
-const DIGEST_FANOUT: usize = 10;
 /// Shortest time between two digests for urgent news.
 const URGENT_PAUSE: Duration = Duration::from_millis(10);
 /// Largest datagram that is read.
@@ -70,7 +68,6 @@
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut count = 0_u32;
-    let mut turn = 0;
     let mut clocks = ClockPair::read(&context);
     loop {
         let urgent = tokio::select! {
@@ -94,7 +91,7 @@
             });
         }
         if urgent || count.is_multiple_of(DIGEST_TICKS) {
-            turn = send_digests(&context, &socket, turn).await;
+            send_digests(&context, &socket, urgent).await;
         }
     }
 }
@@ -117,28 +114,24 @@
     }
 }
 
-async fn send_digests<D>(context: &GatewayContext<D>, socket: &UdpSocket, turn: usize) -> usize {
+async fn send_digests<D>(context: &GatewayContext<D>, socket: &UdpSocket, urgent: bool) {
     let (digest, recipients, present) = context.desk.run(|node, now, _| {
-        let present = node.members().present(now).count();
-        (node.digest(now), node.members().recipients(), present)
+        (node.digest(now), node.recipients(urgent), node.members().present(now).count())
     });
     context.metrics.peers.set(i64::try_from(present).unwrap_or(i64::MAX));
     let bytes = match digest.to_bytes() {
         Ok(bytes) => bytes,
         Err(error) => {
             tracing::error!(%error, "a digest can't be written");
-            return turn;
+            return;
         }
     };
-    let count = recipients.len().min(DIGEST_FANOUT);
-    for offset in 0..count {
-        let address = recipients[(turn + offset) % recipients.len()];
+    for address in recipients {
         context.metrics.peer_bytes.with_label_values(&["sent"]).inc_by(bytes.len() as u64);
         if let Err(error) = socket.send_to(&bytes, address).await {
             tracing::debug!(peer = %address, %error, "a digest was not sent");
         }
     }
-    turn.wrapping_add(count)
 }
 
 /// Takes digests of peers, until the process ends.
@@ -165,11 +158,17 @@
                 continue;
             }
         };
-        let newer = context.desk.run(|node, now, actions| node.take_digest(now, from, digest, actions));
-        if newer && !pulling.swap(true, Ordering::Relaxed) {
+        let news =
+            context.desk.run(|node, now, actions| node.take_digest(now, from, digest, actions));
+        if (news.operator || news.listing) && !pulling.swap(true, Ordering::Relaxed) {
             let (context, pulling) = (context.clone(), pulling.clone());
             tokio::spawn(async move {
-                pull_operator(&context, from).await;
+                if news.operator {
+                    pull_operator(&context, from).await;
+                }
+                if news.listing {
+                    pull_listing(&context, from).await;
+                }
                 pulling.store(false, Ordering::Relaxed);
             });
         }
@@ -178,7 +177,9 @@
 
 /// Asks a peer for what operators publish, unless the own watch brings it meanwhile.
 async fn pull_operator<D>(context: &GatewayContext<D>, peer: SocketAddr) {
-    sleep(PULL_DELAY).await;
+    if context.desk.run(|node, now, _| node.reads_operator(now)) {
+        sleep(PULL_DELAY).await;
+    }
     let (own, theirs) = context.desk.view(|node| {
         let member = node.members().iter().find(|(address, _)| **address == peer);
         let theirs = member.map_or(0, |(_, member)| member.digest.operator_revision);
@@ -200,16 +201,22 @@
 {
     loop {
         sleep(LISTING_CHECK).await;
-        let Some(peer) = freshest_peer(&context) else { continue };
-        match pull::<D, AgedListing>(&context, peer, PULL_TARGETS).await {
-            Ok(AgedListing { listing, age_ms }) => {
-                let age = Duration::from_millis(age_ms);
-                context.desk.run(|node, now, actions| {
-                    node.take_listing(now, &listing, age, actions);
-                });
-            }
-            Err(error) => tracing::info!(%peer, %error, "a peer did not give its listing"),
+        if let Some(peer) = freshest_peer(&context) {
+            pull_listing(&context, peer).await;
+        }
+    }
+}
+
+/// Asks a peer for its listing of targets.
+async fn pull_listing<D>(context: &GatewayContext<D>, peer: SocketAddr) {
+    match pull::<D, AgedListing>(context, peer, PULL_TARGETS).await {
+        Ok(AgedListing { listing, age_ms }) => {
+            let age = Duration::from_millis(age_ms);
+            context.desk.run(|node, now, actions| {
+                node.take_listing(now, &listing, age, actions);
+            });
         }
+        Err(error) => tracing::info!(%peer, %error, "a peer did not give its listing"),
     }
 }
 
--- a/crates/tarragon-gateway/src/reader.rs
+++ b/crates/tarragon-gateway/src/reader.rs
@@ -19,6 +19,8 @@
 const ANSWER_TIME: Duration = Duration::from_millis(800);
 /// Interval of listings. A target that leaves must get nothing new within two seconds of its word.
 const LISTING_INTERVAL: Duration = Duration::from_millis(900);
+/// Interval at which a process that reads nothing looks whether it has to.
+const IDLE_CHECK: Duration = Duration::from_millis(150);
 /// Delay before a failed call is repeated; it doubles up to the longest.
 const LEAST_DELAY: Duration = Duration::from_millis(100);
 const LONGEST_DELAY: Duration = Duration::from_millis(800);
@@ -108,6 +110,12 @@
     let mut view = OperatorView::default();
     let mut health = StoreHealth::new("operator");
     loop {
+        if !context.desk.run(|node, now, _| node.reads_operator(now)) {
+            // What changes meanwhile comes from peers; the next watch starts with a whole reading.
+            view.after = 0;
+            sleep(IDLE_CHECK).await;
+            continue;
+        }
         let fault = match next_state(&mut view, &*store).await {
             Ok(state) => {
                 context.metrics.store_calls.with_label_values(&["operator", "answered"]).inc();
@@ -115,6 +123,7 @@
                 if let Some(state) = state {
                     take_state(&context, state, "store");
                 }
+                context.desk.run(|node, now, _| node.confirm_operator(now));
                 continue;
             }
             Err(fault) => fault,
@@ -147,10 +156,13 @@
 
 /// Takes operators' state into force.
 pub fn take_state<D>(context: &GatewayContext<D>, state: OperatorState, source: &str) {
-    let version = context.desk.run(|node, now, actions| {
-        node.take_operator(now, state, source, actions);
-        node.operator().configuration.as_ref().map_or(0, |known| known.version)
+    let (new, version) = context.desk.run(|node, now, actions| {
+        let new = node.take_operator(now, state, source, actions);
+        (new, node.operator().configuration.as_ref().map_or(0, |known| known.version))
     });
+    if new {
+        context.desk.urgent.notify_one();
+    }
     context.metrics.configuration_version.set(i64::try_from(version).unwrap_or(i64::MAX));
 }
 
@@ -161,6 +173,10 @@
 {
     let mut health = StoreHealth::new("targets");
     loop {
+        if !context.desk.run(|node, now, _| node.reads_targets(now)) {
+            sleep(IDLE_CHECK).await;
+            continue;
+        }
         let started = Instant::now();
         let pause = match limited(ANSWER_TIME, store.read_targets()).await {
             Ok(listing) => {
