--- a/crates/tarragon-command/src/command.rs
+++ b/crates/tarragon-command/src/command.rs
@@ -14,6 +14,7 @@
 mod rules;
 mod serve;
 mod standin;
+mod trace;
 
 use check::{CheckArguments, check_arguments};
 use demo::{DemoArguments, demo_arguments};
@@ -24,6 +25,7 @@
 use rules::{RulesArguments, rules_arguments};
 use serve::{ServeArguments, serve_arguments};
 use standin::{StandinArguments, standin_arguments};
+use trace::{TraceArguments, trace_arguments};
 
 /// Request scheduler for model engines and plain services
 #[derive(Debug, Clone, Bpaf)]
@@ -45,6 +47,8 @@
     Explain(#[bpaf(external(explain_arguments))] ExplainArguments),
     /// Prints the rules in force.
     Rules(#[bpaf(external(rules_arguments))] RulesArguments),
+    /// Tells a request's story from logs.
+    Trace(#[bpaf(external(trace_arguments))] TraceArguments),
     /// Shuts a process down.
     Drain(#[bpaf(external(drain_arguments))] DrainArguments),
 }
@@ -61,6 +65,7 @@
             Command::Dump(arguments) => block_on(dump::execute(arguments)),
             Command::Explain(arguments) => block_on(explain::execute(arguments)),
             Command::Rules(arguments) => block_on(rules::execute(arguments)),
+            Command::Trace(arguments) => trace::execute(&arguments),
             Command::Drain(arguments) => block_on(drain::execute(arguments)),
         }
     }
--- a/crates/tarragon-command/src/logging.rs
+++ b/crates/tarragon-command/src/logging.rs
@@ -20,8 +20,7 @@
 
 /// Starts the log of this process.
 pub(crate) fn start(format: LogFormat) -> anyhow::Result<()> {
-    let builder =
-        tracing_subscriber::fmt().with_env_filter(read_filter()?).with_writer(io::stderr);
+    let builder = tracing_subscriber::fmt().with_env_filter(read_filter()?).with_writer(io::stderr);
     let started = match format {
         LogFormat::Text => builder.with_ansi(false).try_init(),
         LogFormat::Json => builder.json().flatten_event(true).try_init(),
--- a/crates/tarragon-command/src/logging/budget.rs
+++ b/crates/tarragon-command/src/logging/budget.rs
@@ -45,7 +45,10 @@
         if now.saturating_duration_since(state.since) >= INTERVAL {
             // Standard error, since a line about lost lines must not be lost with them.
             if state.dropped > 0 {
-                eprintln!("{{\"level\":\"WARN\",\"message\":\"log lines were left out\",\"lines\":{}}}", state.dropped);
+                eprintln!(
+                    "{{\"level\":\"WARN\",\"message\":\"log lines were left out\",\"lines\":{}}}",
+                    state.dropped
+                );
             }
             *state = BudgetState { since: now, plain: 0, failures: 0, dropped: 0 };
         }
--- a/crates/tarragon-config/src/settings.rs
+++ b/crates/tarragon-config/src/settings.rs
@@ -9,9 +9,7 @@
 mod gateway;
 mod read;
 
-pub use gateway::{
-    GatewayBounds, GatewaySettings, is_gateway_settings, parse_gateway_settings,
-};
+pub use gateway::{GatewayBounds, GatewaySettings, is_gateway_settings, parse_gateway_settings};
 pub use read::parse_settings;
 
 /// A key. It is not shown by `Debug`, so that logs and dumps do not contain it.
--- a/crates/tarragon-config/src/settings/gateway.rs
+++ b/crates/tarragon-config/src/settings/gateway.rs
@@ -8,8 +8,8 @@
 use super::{
     LogFormat,
     document::{
-        Document, ObjectReader, address_value, fraction_value, list_value,
-        name_value, number_value, object_value,
+        Document, ObjectReader, address_value, fraction_value, list_value, name_value,
+        number_value, object_value,
     },
     read::log_format_value,
 };
@@ -191,7 +191,9 @@
             .filter_map(|port| u16::try_from(port).ok())
             .collect();
         match ports[..] {
-            [first, last] if last >= first && last - first + 1 >= LEAST_PORTS => Some((first, last)),
+            [first, last] if last >= first && last - first + 1 >= LEAST_PORTS => {
+                Some((first, last))
+            }
             _ => {
                 let message = "not a first and a last port";
                 let help = format!("write {EXPECTED}, with {LEAST_PORTS} ports or more");
@@ -219,9 +221,7 @@
 
     fn log_format(&mut self) -> LogFormat {
         let value = self.optional("log_format");
-        value
-            .and_then(|value| log_format_value(self.document, value))
-            .unwrap_or(LogFormat::Json)
+        value.and_then(|value| log_format_value(self.document, value)).unwrap_or(LogFormat::Json)
     }
 
     fn bounds(&mut self) -> GatewayBounds {
--- a/crates/tarragon-config/tests/settings.rs
+++ b/crates/tarragon-config/tests/settings.rs
@@ -4,7 +4,7 @@
 
 use tarragon_config::{
     check::check_files,
-    settings::{ServeSettings, parse_settings},
+    settings::{ServeSettings, is_gateway_settings, parse_gateway_settings, parse_settings},
 };
 use tarragon_protocol::prelude::*;
 
@@ -109,3 +109,68 @@
         assert!(settings.is_none() && !findings.is_empty(), "cut at {cut}");
     }
 }
+
+const GATEWAY: &str = r#"{
+  "vm": "edge-1", "data_centre": "north",
+  "caller_address": "10.1.0.7:8221", "ready_address": "10.1.0.7:8224",
+  "peer_ports": [7600, 7615],
+  "seeds": ["10.1.0.25:8229",],
+  "store_address": "10.200.1.7:8225",
+  "first_start": true,
+  "grace_s": 8.5,
+  "bounds": { "retry_ratio": 0.2, "retry_slack": 56, "quota_window_s": 8, },
+}"#;
+
+/// Guards against peers that look for each other at the seeds' own ports, and against settings of one kind of
+/// process that are read as those of the other.
+#[test]
+fn settings_of_a_process_at_a_shared_store_are_read() {
+    assert!(is_gateway_settings(GATEWAY));
+    let (settings, findings) = parse_gateway_settings("settings", GATEWAY);
+    assert_eq!(findings, FindingList::default());
+    let settings = settings.unwrap();
+    assert_eq!(settings.seed_addresses(), ["10.1.0.25:7600".parse().unwrap()]);
+    assert_eq!(settings.metrics_address(), "10.1.0.7:7602".parse().unwrap());
+    assert_eq!(settings.grace, Duration::from_millis(8_500));
+    assert_eq!(settings.bounds.retry_slack, 56.0);
+    let example = std::fs::read_to_string(Path::new(EXAMPLES).join("settings.jsonc")).unwrap();
+    assert!(!is_gateway_settings(&example));
+}
+
+struct GatewayFault {
+    old: &'static str,
+    new: &'static str,
+    finding: &'static str,
+}
+
+/// Guards against a process that starts with settings which it can't use, and against one run of the check for
+/// each fault.
+#[test]
+fn faults_in_settings_of_a_process_at_a_shared_store_are_findings() {
+    let faults = [
+        GatewayFault {
+            old: "[7600, 7615]",
+            new: "[7600, 7601]",
+            finding: "not a first and a last port",
+        },
+        GatewayFault { old: "\"10.1.0.7:8221\"", new: "\"here:80\"", finding: "not a valid value" },
+        GatewayFault { old: "true", new: "\"yes\"", finding: "not a truth value" },
+        GatewayFault {
+            old: "\"retry_ratio\": 0.2",
+            new: "\"retry_ratio\": -1",
+            finding: "not a valid number",
+        },
+        GatewayFault { old: "\"grace_s\"", new: "\"grace\"", finding: "unknown key `grace`" },
+    ];
+    let mut all = GATEWAY.to_owned();
+    for GatewayFault { old, new, finding } in &faults {
+        let text = GATEWAY.replace(old, new);
+        let (settings, findings) = parse_gateway_settings("settings", &text);
+        assert!(settings.is_none());
+        assert_eq!(findings.findings.len(), 1, "{findings}");
+        assert!(findings.to_string().contains(finding), "{findings}");
+        all = all.replace(old, new);
+    }
+    let (_, findings) = parse_gateway_settings("settings", &all);
+    assert_eq!(findings.findings.len(), faults.len(), "{findings}");
+}
--- a/crates/tarragon-fleet/src/directory.rs
+++ b/crates/tarragon-fleet/src/directory.rs
@@ -149,17 +149,17 @@
             let cold_until = told_cold.max(fresh);
             let listed = listed.clone();
             tracing::info!(
-                target_address = &**target, instance = &*listed.instance, service = &*listed.service,
-                data_centre = &*listed.data_centre, revision = listed.revision, leaving = listed.leaving,
-                cold_ms = listed.cold_left.as_millis() as u64, "target is listed"
+                target_address = &**target,
+                instance = &*listed.instance,
+                service = &*listed.service,
+                data_centre = &*listed.data_centre,
+                revision = listed.revision,
+                leaving = listed.leaving,
+                cold_ms = listed.cold_left.as_millis() as u64,
+                "target is listed"
             );
-            let entry = DirectoryEntry {
-                listed,
-                restart,
-                cold_until,
-                missing: None,
-                evacuated: false,
-            };
+            let entry =
+                DirectoryEntry { listed, restart, cold_until, missing: None, evacuated: false };
             self.entries.insert(target.clone(), entry);
             return Some(DirectoryChange::Changed(target.clone()));
         };
@@ -178,9 +178,14 @@
             return None;
         }
         tracing::info!(
-            target_address = &**target, instance = &*listed.instance, service = &*listed.service,
-            revision = listed.revision, leaving = listed.leaving, restarted,
-            cold_ms = listed.cold_left.as_millis() as u64, "target has changed"
+            target_address = &**target,
+            instance = &*listed.instance,
+            service = &*listed.service,
+            revision = listed.revision,
+            leaving = listed.leaving,
+            restarted,
+            cold_ms = listed.cold_left.as_millis() as u64,
+            "target has changed"
         );
         entry.listed = listed.clone();
         entry.cold_until = entry.cold_until.max(told_cold);
@@ -210,8 +215,10 @@
                 return true;
             }
             tracing::info!(
-                target_address = &**target, instance = &*entry.listed.instance,
-                was_leaving = entry.listed.leaving, "target is gone"
+                target_address = &**target,
+                instance = &*entry.listed.instance,
+                was_leaving = entry.listed.leaving,
+                "target is gone"
             );
             changes.push(DirectoryChange::Removed(target.clone()));
             false
@@ -233,7 +240,8 @@
             }
             entry.evacuated = evacuated;
             if !evacuated {
-                entry.cold_until = entry.cold_until.max(Some(now + cold_time(&entry.listed.service)));
+                entry.cold_until =
+                    entry.cold_until.max(Some(now + cold_time(&entry.listed.service)));
             }
             changed.push(target.clone());
         }
@@ -254,7 +262,11 @@
         if &*entry.listed.instance != instance || entry.listed.leaving {
             return false;
         }
-        tracing::info!(target_address = target, instance, "another instance has the target's address");
+        tracing::info!(
+            target_address = target,
+            instance,
+            "another instance has the target's address"
+        );
         entry.listed.leaving = true;
         true
     }
--- a/crates/tarragon-fleet/src/health.rs
+++ b/crates/tarragon-fleet/src/health.rs
@@ -45,10 +45,8 @@
                 self.rests = 0;
                 return false;
             }
-            AttemptEnd::NotSent
-            | AttemptEnd::Broken
-            | AttemptEnd::Failed
-            | AttemptEnd::Garbled => {}
+            AttemptEnd::NotSent | AttemptEnd::Broken | AttemptEnd::Failed | AttemptEnd::Garbled => {
+            }
             AttemptEnd::Rejected | AttemptEnd::Withheld | AttemptEnd::Cancelled => return false,
         }
         self.failures += GAIN * (1.0 - self.failures);
--- a/crates/tarragon-fleet/src/node/admit.rs
+++ b/crates/tarragon-fleet/src/node/admit.rs
@@ -95,9 +95,11 @@
         now: Instant,
     ) -> Result<Option<(WorkspaceName, u64)>, Refusal> {
         let Some(workspace) = &order.routed.workspace else { return Ok(None) };
-        let terms = self.operator.configuration.as_ref().and_then(|configuration| {
-            configuration.workspaces.get(workspace)
-        });
+        let terms = self
+            .operator
+            .configuration
+            .as_ref()
+            .and_then(|configuration| configuration.workspaces.get(workspace));
         let Some(terms) = terms else { return Ok(None) };
         let units = units_of(terms, order.generation.as_ref());
         let foreign = self.foreign_use(workspace, now);
@@ -105,9 +107,15 @@
             Ok(()) => Ok(Some((workspace.clone(), units))),
             Err(wait) => {
                 tracing::info!(
-                    request = order.request, workspace = &**workspace, units, told = foreign.told,
-                    silent = foreign.silent, restarted = foreign.restarted, sharing = foreign.sharing,
-                    wait_ms = wait.as_millis() as u64, "refused: over the quota"
+                    request = order.request,
+                    workspace = &**workspace,
+                    units,
+                    told = foreign.told,
+                    silent = foreign.silent,
+                    restarted = foreign.restarted,
+                    sharing = foreign.sharing,
+                    wait_ms = wait.as_millis() as u64,
+                    "refused: over the quota"
                 );
                 let message = "the workspace is over its quota";
                 Err(Refusal::not_run(RefusalCode::LimitReached, message).with_retry_after(wait))
--- a/crates/tarragon-fleet/src/node/limits.rs
+++ b/crates/tarragon-fleet/src/node/limits.rs
@@ -137,7 +137,10 @@
                 return;
             }
             tracing::warn!(
-                target_address = &**target, ?end, failures = terms.health.failures, common,
+                target_address = &**target,
+                ?end,
+                failures = terms.health.failures,
+                common,
                 "target fails; it gets no work for a while"
             );
             self.list_target(target, now, actions);
--- a/crates/tarragon-fleet/src/quota.rs
+++ b/crates/tarragon-fleet/src/quota.rs
@@ -130,8 +130,8 @@
             let untold = usage.recent(STEP, now) * foreign.present as u64 + units;
             let used = (usage.sum + foreign.told + untold) as f64 + unknown;
             let recent = usage.recent(window / SPANS, now) + foreign.told_recent + untold;
-            let excess =
-                (used - limit - tolerance).max(recent as f64 - (limit * SPAN_PART).max(units as f64));
+            let excess = (used - limit - tolerance)
+                .max(recent as f64 - (limit * SPAN_PART).max(units as f64));
             if excess > 0.0 {
                 let wait = Duration::from_secs_f64((excess / terms.rate).min(60.0));
                 return Err(wait.clamp(LEAST_WAIT, LONGEST_WAIT));
--- a/crates/tarragon-fleet/tests/fleet/directory.rs
+++ b/crates/tarragon-fleet/tests/fleet/directory.rs
@@ -16,7 +16,12 @@
     listed(index).address
 }
 
-fn read(directory: &mut TargetDirectory, at: Instant, revision: u64, targets: &[ListedTarget]) -> Vec<DirectoryChange> {
+fn read(
+    directory: &mut TargetDirectory,
+    at: Instant,
+    revision: u64,
+    targets: &[ListedTarget],
+) -> Vec<DirectoryChange> {
     directory.take(&listing(revision, targets.to_vec()), at, cold)
 }
 
--- a/crates/tarragon-fleet/tests/fleet/route.rs
+++ b/crates/tarragon-fleet/tests/fleet/route.rs
@@ -13,14 +13,62 @@
 }
 
 const CASES: &[RouteCase] = &[
-    RouteCase { name: "prefix", host: "calls.example", path: "/a/1", key: Some("key"), expected: Ok("/a/") },
-    RouteCase { name: "longest prefix", host: "calls.example", path: "/a/b/1", key: Some("key"), expected: Ok("/a/b/") },
-    RouteCase { name: "host with a port in capitals", host: "Calls.Example:80", path: "/a/1", key: Some("key"), expected: Ok("/a/") },
-    RouteCase { name: "part of a name", host: "calls.example", path: "/ab/1", key: Some("key"), expected: Err(CallFault::UnknownRoute) },
-    RouteCase { name: "other host", host: "other.example", path: "/a/1", key: Some("key"), expected: Err(CallFault::UnknownRoute) },
-    RouteCase { name: "unknown key", host: "calls.example", path: "/a/1", key: Some("old"), expected: Err(CallFault::UnknownKey) },
-    RouteCase { name: "no key", host: "calls.example", path: "/a/1", key: None, expected: Err(CallFault::UnknownKey) },
-    RouteCase { name: "public without a key", host: "calls.example", path: "/p/1", key: None, expected: Ok("/p/") },
+    RouteCase {
+        name: "prefix",
+        host: "calls.example",
+        path: "/a/1",
+        key: Some("key"),
+        expected: Ok("/a/"),
+    },
+    RouteCase {
+        name: "longest prefix",
+        host: "calls.example",
+        path: "/a/b/1",
+        key: Some("key"),
+        expected: Ok("/a/b/"),
+    },
+    RouteCase {
+        name: "host with a port in capitals",
+        host: "Calls.Example:80",
+        path: "/a/1",
+        key: Some("key"),
+        expected: Ok("/a/"),
+    },
+    RouteCase {
+        name: "part of a name",
+        host: "calls.example",
+        path: "/ab/1",
+        key: Some("key"),
+        expected: Err(CallFault::UnknownRoute),
+    },
+    RouteCase {
+        name: "other host",
+        host: "other.example",
+        path: "/a/1",
+        key: Some("key"),
+        expected: Err(CallFault::UnknownRoute),
+    },
+    RouteCase {
+        name: "unknown key",
+        host: "calls.example",
+        path: "/a/1",
+        key: Some("old"),
+        expected: Err(CallFault::UnknownKey),
+    },
+    RouteCase {
+        name: "no key",
+        host: "calls.example",
+        path: "/a/1",
+        key: None,
+        expected: Err(CallFault::UnknownKey),
+    },
+    RouteCase {
+        name: "public without a key",
+        host: "calls.example",
+        path: "/p/1",
+        key: None,
+        expected: Ok("/p/"),
+    },
 ];
 
 /// Guards against requests that go to another route's service, or that no key covers.
--- a/crates/tarragon-fleet/tests/fleet/support.rs
+++ b/crates/tarragon-fleet/tests/fleet/support.rs
@@ -135,8 +135,7 @@
     /// Sends each node's digest to all others.
     pub fn gossip(&mut self) {
         let now = self.now;
-        let digests: Vec<PeerDigest> =
-            self.nodes.iter_mut().map(|node| node.digest(now)).collect();
+        let digests: Vec<PeerDigest> = self.nodes.iter_mut().map(|node| node.digest(now)).collect();
         for (receiver, node) in self.nodes.iter_mut().enumerate() {
             for (sender, digest) in digests.iter().enumerate().filter(|(one, _)| *one != receiver) {
                 node.take_digest(now, address(sender as u8 + 1), digest.clone(), &mut Vec::new());
--- a/crates/tarragon-gateway/src/caller.rs
+++ b/crates/tarragon-gateway/src/caller.rs
@@ -96,7 +96,14 @@
     match routed {
         Ok(routed) => Ok((call_head, routed)),
         Err((fault, version)) => {
-            tracing::info!(request = call_head.tag, host, path, ?fault, version, "refused: no route");
+            tracing::info!(
+                request = call_head.tag,
+                host,
+                path,
+                ?fault,
+                version,
+                "refused: no route"
+            );
             context.metrics.answered("not_run", fault_name(fault));
             let (status, headers) = context.dialect.fault_head(fault);
             Err(Box::new(text_answer(status, headers, fault_name(fault))))
@@ -124,10 +131,7 @@
 
 /// Serves a call in a task of its own. The returned future, or the answer's body, holds the guard that
 /// tells the task when the caller has gone.
-async fn serve<D>(
-    context: Arc<GatewayContext<D>>,
-    call: ForwardCall,
-) -> CallerAnswer
+async fn serve<D>(context: Arc<GatewayContext<D>>, call: ForwardCall) -> CallerAnswer
 where
     D: CallDialect,
 {
--- a/crates/tarragon-gateway/src/context.rs
+++ b/crates/tarragon-gateway/src/context.rs
@@ -4,11 +4,7 @@
 
 use tarragon_config::settings::GatewaySettings;
 use tarragon_fleet::prelude::*;
-use tarragon_server::{
-    clock::ProcessClock,
-    process::RequestIds,
-    target::pool::ConnectionPool,
-};
+use tarragon_server::{clock::ProcessClock, process::RequestIds, target::pool::ConnectionPool};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{desk::FleetDesk, metrics::GatewayMetrics};
--- a/crates/tarragon-gateway/src/desk.rs
+++ b/crates/tarragon-gateway/src/desk.rs
@@ -103,7 +103,8 @@
         match action {
             SchedulerAction::Dispatch { request, attempt, target } => {
                 let address = target.to_string();
-                let started = OpenAttempt { number: attempt, target: target.clone(), started: false };
+                let started =
+                    OpenAttempt { number: attempt, target: target.clone(), started: false };
                 let order = DispatchOrder { request, attempt, target, address };
                 self.tell(request, Decision::Dispatch(order), Some(started));
             }
@@ -115,8 +116,10 @@
             }
             SchedulerAction::AnnounceSuspect(entry) => {
                 tracing::warn!(
-                    fingerprint = entry.fingerprint, crashes = entry.crashes.len(),
-                    convicted = entry.convicted, "request is suspected of crashing targets"
+                    fingerprint = entry.fingerprint,
+                    crashes = entry.crashes.len(),
+                    convicted = entry.convicted,
+                    "request is suspected of crashing targets"
                 );
                 self.urgent.notify_one();
             }
@@ -140,8 +143,7 @@
             }
         });
         if let Some(attempt) = lost {
-            let event =
-                SchedulerEvent::AttemptEnded(request, attempt.number, AttemptEnd::Withheld);
+            let event = SchedulerEvent::AttemptEnded(request, attempt.number, AttemptEnd::Withheld);
             self.run(|node, now, actions| node.handle(now, event, actions));
         }
     }
--- a/crates/tarragon-gateway/src/forward.rs
+++ b/crates/tarragon-gateway/src/forward.rs
@@ -121,9 +121,13 @@
         self.context.metrics.attempts.with_label_values(&[end_name(end)]).inc();
         if end != AttemptEnd::Finished {
             tracing::warn!(
-                request = self.call.tag, attempt = order.attempt, target_address = &*order.target,
-                end = end_name(end), spent_ms = started.elapsed().as_millis() as u64,
-                delivered = self.sink.position(), "attempt failed"
+                request = self.call.tag,
+                attempt = order.attempt,
+                target_address = &*order.target,
+                end = end_name(end),
+                spent_ms = started.elapsed().as_millis() as u64,
+                delivered = self.sink.position(),
+                "attempt failed"
             );
         }
         report
@@ -132,8 +136,11 @@
     fn dropped(&mut self, order: &DispatchOrder) {
         self.context.metrics.attempts.with_label_values(&["dropped"]).inc();
         tracing::info!(
-            request = self.call.tag, attempt = order.attempt, target_address = &*order.target,
-            delivered = self.sink.position(), "attempt was dropped"
+            request = self.call.tag,
+            attempt = order.attempt,
+            target_address = &*order.target,
+            delivered = self.sink.position(),
+            "attempt was dropped"
         );
     }
 }
@@ -177,15 +184,21 @@
         };
         self.context.desk.start_attempt(order);
         tracing::info!(
-            request = self.call.tag, id = self.call.request, attempt = order.attempt,
-            target_address = &*order.target, instance = &*grant.instance,
-            service = &*self.call.routed.service, tier = self.call.routed.tier.name(),
+            request = self.call.tag,
+            id = self.call.request,
+            attempt = order.attempt,
+            target_address = &*order.target,
+            instance = &*grant.instance,
+            service = &*self.call.routed.service,
+            tier = self.call.routed.tier.name(),
             prompt_tokens = self.call.generation.as_ref().map(|size| size.prompt_tokens),
             max_tokens = self.call.generation.as_ref().map(|size| size.max_tokens),
             expected_tokens = self.call.generation.as_ref().and_then(|size| size.expected_tokens),
-            version = self.call.routed.version, resume_after = self.sink.position(),
+            version = self.call.routed.version,
+            resume_after = self.sink.position(),
             remaining_ms = remaining.as_millis() as u64,
-            waited_ms = self.call.arrived.elapsed().as_millis() as u64, "sent"
+            waited_ms = self.call.arrived.elapsed().as_millis() as u64,
+            "sent"
         );
         match self.exchange(order, connection, request, remaining).await {
             Ok(answer) => self.take_answer(order, &grant, answer).await,
@@ -319,14 +332,17 @@
             }
             AnswerVerdict::Foreign => {
                 tracing::warn!(
-                    request = self.call.tag, target_address = &*order.target,
+                    request = self.call.tag,
+                    target_address = &*order.target,
                     "answer belongs to another request"
                 );
                 return AttemptReport::Ended(AttemptEnd::Garbled);
             }
             AnswerVerdict::Unusable(cause) => {
                 tracing::warn!(
-                    request = self.call.tag, target_address = &*order.target, cause,
+                    request = self.call.tag,
+                    target_address = &*order.target,
+                    cause,
                     "answer can't be passed on"
                 );
                 return AttemptReport::Ended(AttemptEnd::Garbled);
@@ -360,8 +376,11 @@
             Ok(body) => body,
             Err(fault) => {
                 tracing::warn!(
-                    request = self.call.tag, target_address = &*order.target, ?fault,
-                    status = head.status.as_u16(), "answer is not whole"
+                    request = self.call.tag,
+                    target_address = &*order.target,
+                    ?fault,
+                    status = head.status.as_u16(),
+                    "answer is not whole"
                 );
                 return AttemptReport::Ended(AttemptEnd::Broken);
             }
--- a/crates/tarragon-gateway/src/metrics.rs
+++ b/crates/tarragon-gateway/src/metrics.rs
@@ -9,8 +9,7 @@
 };
 
 /// Bounds of the buckets for times of requests, in seconds.
-const TIME_BUCKETS: [f64; 12] =
-    [0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0, 30.0];
+const TIME_BUCKETS: [f64; 12] = [0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0, 30.0];
 
 /// All metrics of one process.
 #[derive(Clone)]
--- a/crates/tarragon-gateway/src/peers.rs
+++ b/crates/tarragon-gateway/src/peers.rs
@@ -84,7 +84,10 @@
             context.desk.run(|node, now, actions| {
                 if suspended > SUSPENDED {
                     let suspended_ms = suspended.as_millis() as u64;
-                    tracing::warn!(suspended_ms, "the machine was suspended; peers' figures are dropped");
+                    tracing::warn!(
+                        suspended_ms,
+                        "the machine was suspended; peers' figures are dropped"
+                    );
                     node.forget_figures(now);
                 }
                 node.tick(now, actions);
--- a/crates/tarragon-gateway/src/serve.rs
+++ b/crates/tarragon-gateway/src/serve.rs
@@ -94,11 +94,8 @@
         .await
         .with_context(|| format!("peer_ports: {peer_address} can't be bound"))?;
     let caller_address = callers.local_addr()?;
-    let node = FleetNode::new(
-        node_settings(&settings),
-        options.seed.unwrap_or_else(rand::random),
-        now(),
-    );
+    let node =
+        FleetNode::new(node_settings(&settings), options.seed.unwrap_or_else(rand::random), now());
     let context = Arc::new(GatewayContext {
         dialect,
         desk: Arc::new(FleetDesk::new(node)),
@@ -124,7 +121,11 @@
     let (pages, abort) = (context.clone(), context.abort.clone());
     tokio::spawn(serve_page(ready, move |_| ready_page(pages.clone()), abort.clone()));
     let pages = context.clone();
-    tokio::spawn(serve_page(metrics_page, move |message| metrics_answer(pages.clone(), message), abort));
+    tokio::spawn(serve_page(
+        metrics_page,
+        move |message| metrics_answer(pages.clone(), message),
+        abort,
+    ));
     tracing::info!(
         vm = &*context.settings.vm, data_centre = &*context.settings.data_centre,
         callers = %caller_address, store = %context.settings.store_address,
--- a/crates/tarragon-scheduler/tests/rules/driver.rs
+++ b/crates/tarragon-scheduler/tests/rules/driver.rs
@@ -25,6 +25,7 @@
     pub prompt: u32,
     pub model: &'static str,
     pub blocks: Vec<BlockHash>,
+    pub terms: CallTerms,
 }
 
 impl Default for Ask {
@@ -39,6 +40,7 @@
             prompt: 100,
             model: "assess",
             blocks: Vec::new(),
+            terms: CallTerms::default(),
         }
     }
 }
@@ -161,7 +163,7 @@
             idempotent: ask.idempotent,
             fingerprint: ask.fingerprint.unwrap_or(request),
             kind,
-            terms: CallTerms::default(),
+            terms: ask.terms,
         };
         self.handle(SchedulerEvent::Arrived(Box::new(profile)));
         request
--- a/crates/tarragon-scheduler/tests/rules/main.rs
+++ b/crates/tarragon-scheduler/tests/rules/main.rs
@@ -7,6 +7,7 @@
 mod share;
 mod shed;
 mod suspect;
+mod terms;
 mod window;
 
 use driver::*;
--- /dev/null
+++ b/crates/tarragon-scheduler/tests/rules/terms.rs
@@ -0,0 +1,177 @@
+//! What the route of a request allows: attempts, an objective, an order within the tier; and bounds on the
+//! starts at a target and on retries.
+
+use std::time::Duration;
+
+use tarragon_scheduler::retry::RetryTerms;
+
+use super::*;
+
+struct AttemptCase {
+    name: &'static str,
+    terms: CallTerms,
+    idempotent: bool,
+    ends: &'static [AttemptEnd],
+    /// Attempts that are made in all.
+    attempts: usize,
+}
+
+fn attempts(max_attempts: u32) -> CallTerms {
+    CallTerms { max_attempts, ..CallTerms::default() }
+}
+
+/// Guards against more targets than a route allows, and against a request that is given up though nothing was
+/// sent.
+#[test]
+fn routes_bound_the_targets_that_get_a_request() {
+    let proof = CallTerms { rejection_is_proof: true, ..attempts(2) };
+    let cases = [
+        AttemptCase {
+            name: "one target",
+            terms: attempts(1),
+            idempotent: true,
+            ends: &[AttemptEnd::Broken],
+            attempts: 1,
+        },
+        AttemptCase {
+            name: "two targets",
+            terms: attempts(2),
+            idempotent: true,
+            ends: &[AttemptEnd::Broken, AttemptEnd::Failed],
+            attempts: 2,
+        },
+        AttemptCase {
+            name: "a refused connection reaches no target",
+            terms: attempts(1),
+            idempotent: false,
+            ends: &[AttemptEnd::NotSent, AttemptEnd::Broken],
+            attempts: 2,
+        },
+        AttemptCase {
+            name: "a rejection that proves nothing",
+            terms: attempts(2),
+            idempotent: false,
+            ends: &[AttemptEnd::Rejected],
+            attempts: 1,
+        },
+        AttemptCase {
+            name: "a rejection that proves that nothing was run",
+            terms: proof,
+            idempotent: false,
+            ends: &[AttemptEnd::Rejected, AttemptEnd::Broken],
+            attempts: 2,
+        },
+    ];
+    for case in cases {
+        let mut driver = Driver::with_targets(4, 4);
+        let AttemptCase { terms, idempotent, .. } = case;
+        let request = driver.ask(Ask { terms, idempotent, ..Ask::default() });
+        let mut made = driver.dispatched().len();
+        for (index, end) in case.ends.iter().enumerate() {
+            driver.end(request, index as u32 + 1, *end);
+            driver.advance(Duration::from_millis(300));
+            made += driver.dispatched().len();
+        }
+        assert_eq!(made, case.attempts, "{}", case.name);
+    }
+}
+
+/// Guards against requests that can still be answered in time behind one that can't, and against a route whose
+/// urgency is lost within its workspace's tier.
+#[test]
+fn requests_in_time_go_first_then_those_of_a_lower_rank() {
+    let mut driver = Driver::with_targets(1, 1);
+    let first = driver.ask(Ask::default());
+    assert_eq!(driver.dispatched().len(), 1);
+    let late = driver.now + Duration::from_millis(50);
+    let later = driver.now + Duration::from_secs(60);
+    let terms =
+        |rank, objective| CallTerms { rank, objective: Some(objective), ..CallTerms::default() };
+    let mut ask =
+        |rank, objective| driver.ask(Ask { terms: terms(rank, objective), ..Ask::default() });
+    let too_late = ask(0, late);
+    let low = ask(2, later);
+    let high = ask(1, later);
+    driver.advance(Duration::from_millis(200));
+    let mut order = Vec::new();
+    let mut running = first;
+    for _ in 0..3 {
+        driver.end(running, 1, AttemptEnd::Finished);
+        let next: Vec<RequestId> =
+            driver.dispatched().into_iter().map(|(request, ..)| request).collect();
+        assert_eq!(next.len(), 1);
+        running = next[0];
+        order.push(running);
+    }
+    assert_eq!(order, [high, low, too_late]);
+}
+
+/// Guards against a cold target that gets more starts in a second than it bears because each of them ends at
+/// once.
+#[test]
+fn starts_in_any_second_are_bounded() {
+    let mut driver = Driver::with_targets(1, 8);
+    driver.handle(SchedulerEvent::StartsLimited("t0".into(), Some(2)));
+    let mut started = 0;
+    for _ in 0..9 {
+        let request = driver.ask(Ask::default());
+        for (request, attempt, _) in driver.dispatched() {
+            started += 1;
+            driver.end(request, attempt, AttemptEnd::Finished);
+        }
+        assert!(request > 0);
+        driver.advance(Duration::from_millis(100));
+        for (request, attempt, _) in driver.dispatched() {
+            started += 1;
+            driver.end(request, attempt, AttemptEnd::Finished);
+        }
+    }
+    assert_eq!(started, 2);
+    driver.advance(Duration::from_millis(200));
+    assert!(!driver.dispatched().is_empty(), "the next second has room again");
+}
+
+/// Guards against one service whose retries use up what the deployment allows for another one.
+#[test]
+fn services_with_terms_have_budgets_of_their_own() {
+    let mut driver = Driver::with_targets(4, 4);
+    driver.add_target("ledger", "l0", 4);
+    driver.add_target("ledger", "l1", 4);
+    driver.scheduler.set_retry_terms(RetryTerms {
+        per_success: 0.0,
+        max_saved: 1.0,
+        floor_rate: 0.0,
+        floor_saved: 1.0,
+    });
+    let mut retried = Vec::new();
+    for service in ["pool", "pool", "ledger"] {
+        let request = driver.ask(Ask { service, ..Ask::default() });
+        driver.end(request, 1, AttemptEnd::Failed);
+        driver.advance(Duration::from_millis(200));
+        let again = driver.dispatched();
+        retried.push(!again.is_empty());
+        for (request, attempt, _) in again {
+            driver.end(request, attempt, AttemptEnd::Finished);
+        }
+    }
+    assert_eq!(retried, [true, false, true]);
+}
+
+/// Guards against a target of another data centre that gets work which one nearby could take as soon.
+#[test]
+fn targets_nearby_are_preferred() {
+    let mut driver = Driver::with_targets(2, 4);
+    driver.handle(SchedulerEvent::TargetListed(TargetEntry {
+        target: "t0".into(),
+        service: "pool".into(),
+        in_service: true,
+        distant: true,
+    }));
+    for _ in 0..6 {
+        let request = driver.ask(Ask::default());
+        let targets: Vec<String> =
+            driver.dispatched().into_iter().map(|(_, _, target)| target.to_string()).collect();
+        assert_eq!(targets, ["t1"]);
+        driver.end(request, 1, AttemptEnd::Finished);
+    }
+}
--- a/crates/tarragon-server/src/caller/header.rs
+++ b/crates/tarragon-server/src/caller/header.rs
@@ -175,7 +175,9 @@
 ];
 
 /// The headers that don't concern one connection alone: neither framing nor named by `Connection`.
-pub fn end_to_end_headers(headers: &HeaderMap) -> impl Iterator<Item = (&HeaderName, &HeaderValue)> {
+pub fn end_to_end_headers(
+    headers: &HeaderMap,
+) -> impl Iterator<Item = (&HeaderName, &HeaderValue)> {
     let named: Vec<String> = headers
         .get_all(http::header::CONNECTION)
         .iter()
--- a/crates/tarragon-standin/src/scripted_target.rs
+++ b/crates/tarragon-standin/src/scripted_target.rs
@@ -66,11 +66,8 @@
     pub async fn start(scripts: Vec<Vec<TargetStep>>) -> anyhow::Result<ScriptedTarget> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
-        let target = ScriptedTarget {
-            address,
-            log: Arc::default(),
-            stop: CancellationToken::new(),
-        };
+        let target =
+            ScriptedTarget { address, log: Arc::default(), stop: CancellationToken::new() };
         let (log, stop) = (target.log.clone(), target.stop.clone());
         tokio::spawn(async move {
             let scripts = Arc::new(scripts);
--- a/crates/tarragon-standin/src/shared_store.rs
+++ b/crates/tarragon-standin/src/shared_store.rs
@@ -55,7 +55,8 @@
     /// Starts an empty store.
     pub async fn start() -> anyhow::Result<SharedStore> {
         let (control, listener) = start_listener(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
-        let state = Arc::new(watch::Sender::new(StoreState { revision: 1, ..StoreState::default() }));
+        let state =
+            Arc::new(watch::Sender::new(StoreState { revision: 1, ..StoreState::default() }));
         listener.serve(Arc::new(StoreService { state: state.clone() }));
         Ok(SharedStore { control, state })
     }
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -70,3 +70,31 @@
     drop(child.stdout.take());
     assert_eq!(child.wait().unwrap().code(), Some(0));
 }
+
+/// Guards against an on-call engineer who can't find which decisions led to a failed request.
+#[test]
+fn trace_tells_a_requests_story_in_order() {
+    let folder = std::env::temp_dir().join(format!("tarragon-trace-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let log = folder.join("vm-1.log");
+    let lines = [
+        r#"{"timestamp":"2026-01-01T00:00:03Z","message":"refused","request":"abc","code":"TargetFailed"}"#,
+        r#"{"timestamp":"2026-01-01T00:00:01Z","message":"target has changed","target_address":"10.0.0.1:80","leaving":false}"#,
+        r#"{"timestamp":"2026-01-01T00:00:02Z","message":"sent","request":"abc","id":17,"target_address":"10.0.0.1:80"}"#,
+        r#"{"timestamp":"2026-01-01T00:00:02Z","message":"refused: over the quota","request":17}"#,
+        r#"{"timestamp":"2026-01-01T00:00:02Z","message":"sent","request":"other","target_address":"10.0.0.2:80"}"#,
+        "a line of another program",
+    ];
+    std::fs::write(&log, lines.join("\n")).unwrap();
+    let path = log.to_str().unwrap();
+    let result = tarragonfront(&["trace", "--request", "abc", path]);
+    let text = String::from_utf8(result.stdout).unwrap();
+    let messages: Vec<&str> = text
+        .lines()
+        .filter_map(|line| line.split(" vm-1.log ").nth(1)?.split(": ").next())
+        .collect();
+    assert_eq!(messages, ["target has changed", "sent", "refused", "refused"], "{text}");
+    let unknown = tarragonfront(&["trace", "--request", "none", path]);
+    assert_eq!(unknown.status.code(), Some(1));
+    std::fs::remove_dir_all(&folder).unwrap();
+}
