--- a/crates/tarragon-gateway/src/caller.rs
+++ b/crates/tarragon-gateway/src/caller.rs
@@ -264,7 +264,7 @@
         }
         RequestEnd::Refused(refusal) if sink.has_begun() => {
             tracing::warn!(
-                request, spent_ms, position, code = ?refusal.code, message = refusal.message,
+                request, spent_ms, position, code = ?refusal.code, cause = refusal.message,
                 "stream is broken off"
             );
             context.metrics.answered("unknown", "stream_broken_off");
@@ -280,7 +280,7 @@
             None => {
                 tracing::warn!(
                     request, spent_ms, outcome = refusal.outcome.name(), code = ?refusal.code,
-                    message = refusal.message,
+                    cause = refusal.message,
                     retry_ms = refusal.retry_after.map(|delay| delay.as_millis() as u64),
                     "refused"
                 );
