Leave distant targets to few processes where digests take turns

In fleets whose digests of other data centres take turns, two processes use each distant target, with one request each, unless the own data centre has no target of the service. Peers' use is summed once a tick in fleets of more than 12, and ranks are hashed without text.

--- a/crates/tarragon-fleet/src/member.rs
+++ b/crates/tarragon-fleet/src/member.rs
@@ -1,11 +1,12 @@
 //! Peers of this process: found by seeds and by rumour, known by their digests.
 
 use std::{
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     time::{Duration, Instant},
 };
 
 use indexmap::{IndexMap, IndexSet};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
     digest::{NameKey, UsageSum, name_key},
@@ -205,11 +206,22 @@
     /// Position of this process among those that share limits, the same for all of them if they know each
     /// other. `key` shuffles the order, so that different limits favour different processes.
     pub fn rank(&self, key: u64) -> usize {
-        let weight = |address: &SocketAddr| {
-            xxhash_rust::xxh3::xxh3_64_with_seed(address.to_string().as_bytes(), key)
-        };
-        let own = weight(&self.own);
-        self.members.keys().filter(|address| weight(address) < own).count()
+        let own = weight(self.own, key);
+        self.members.keys().filter(|address| weight(**address, key) < own).count()
+    }
+
+    /// Position of this process among those outside of a data centre, in an order that `key` shuffles.
+    pub fn rank_outside(&self, data_centre: NameKey, key: u64) -> usize {
+        let own = weight(self.own, key);
+        let outside =
+            self.members.iter().filter(|(_, member)| member.digest.data_centre != data_centre);
+        outside.filter(|(address, _)| weight(**address, key) < own).count()
+    }
+
+    /// Whether peers of other data centres are so many that digests reach them in turns, so that what they
+    /// tell is older than most requests take.
+    pub fn far_in_turns(&self) -> bool {
+        self.members.values().filter(|member| !self.is_near(member)).count() > FAR_FANOUT
     }
 
     /// Addresses to which the next digest goes: peers in turns, those of the own data centre more often, and
@@ -247,6 +259,16 @@
     }
 }
 
+fn weight(address: SocketAddr, key: u64) -> u64 {
+    let mut bytes = [0; 18];
+    match address.ip() {
+        IpAddr::V4(ip) => bytes[..4].copy_from_slice(&ip.octets()),
+        IpAddr::V6(ip) => bytes[..16].copy_from_slice(&ip.octets()),
+    }
+    bytes[16..].copy_from_slice(&address.port().to_le_bytes());
+    xxh3_64_with_seed(&bytes, key)
+}
+
 /// The next few of a list, going round at its end.
 fn in_turn(addresses: &[SocketAddr], count: usize, turn: &mut usize) -> Vec<SocketAddr> {
     let count = count.min(addresses.len());
--- a/crates/tarragon-fleet/src/node/limits.rs
+++ b/crates/tarragon-fleet/src/node/limits.rs
@@ -3,15 +3,25 @@
 
 use std::time::{Duration, Instant};
 
+use indexmap::{IndexMap, IndexSet};
 use tarragon_scheduler::retry::RetryTerms;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{digest::name_key, node::FleetNode, prelude::*};
+use crate::{
+    digest::{NameKey, name_key},
+    node::FleetNode,
+    prelude::*,
+};
 
 /// Part of the fleet's retry ratio that is used: sums of all processes lag behind.
 const RATIO_PART: f64 = 0.85;
 /// Part of the fleet's retry slack that all processes together may save up.
 const SLACK_PART: f64 = 0.5;
+/// Processes of other data centres that use a target, and requests of each, in fleets whose digests take turns.
+const DISTANT_USERS: usize = 2;
+const DISTANT_SLOTS: u32 = 1;
+/// Fleet up to which slots are brought up to date with each digest; in larger ones with each tick.
+pub(super) const SMALL_FLEET: usize = 12;
 /// Processes that share the retry slack at least. A process that has just started doesn't know its peers.
 const LEAST_SHARING: usize = 8;
 /// In this time after its start a process may not know its peers yet, and takes the least part of a limit.
@@ -20,34 +30,62 @@
 impl FleetNode {
     /// Tells the scheduler what has changed of slots and starts at all targets.
     pub(super) fn update_targets(&mut self, now: Instant, actions: &mut Vec<SchedulerAction>) {
+        let foreign = self.foreign_uses(now);
+        let nearby = self.nearby_services();
         let targets: Vec<TargetName> =
             self.directory.iter().map(|(target, _)| target.clone()).collect();
         for target in &targets {
             // New slots are used at once, so that the bound on starts has to be known before.
             self.update_starts(target, now, actions);
-            self.update_slots(target, now, actions);
+            let used = foreign.get(&name_key(target)).copied().unwrap_or(0);
+            self.update_slots(target, used, &nearby, now, actions);
         }
     }
 
+    /// Requests of all peers in flight, by target.
+    fn foreign_uses(&self, now: Instant) -> IndexMap<NameKey, u32> {
+        let mut uses = IndexMap::new();
+        for (_, member) in self.members.present(now) {
+            for one in &member.digest.uses {
+                *uses.entry(one.target).or_default() += u32::from(one.in_flight);
+            }
+        }
+        uses
+    }
+
+    /// Services with a target in service in the own data centre.
+    fn nearby_services(&self) -> IndexSet<ServiceName> {
+        let entries = self.directory.iter().map(|(_, entry)| entry);
+        entries
+            .filter(|entry| {
+                entry.in_service() && entry.listed.data_centre == self.settings.data_centre
+            })
+            .map(|entry| entry.listed.service.clone())
+            .collect()
+    }
+
     /// Slots that peers' requests leave free. Digests lag, so that processes may use a slot twice for a
-    /// moment; the target's own queue takes that up.
+    /// moment; the target's own queue takes that up. Where digests of other data centres lag by more than
+    /// most requests take, only a few processes use each distant target, with one request each.
     fn update_slots(
         &mut self,
         target: &TargetName,
+        used: u32,
+        nearby: &IndexSet<ServiceName>,
         now: Instant,
         actions: &mut Vec<SchedulerAction>,
     ) {
         let Some(entry) = self.directory.get(target) else { return };
-        let key = name_key(target);
-        let foreign: u32 = self
-            .members
-            .present(now)
-            .filter_map(|(_, member)| member.digest.uses.iter().find(|one| one.target == key))
-            .map(|one| u32::from(one.in_flight))
-            .sum();
-        let bears = entry.listed.slots;
+        let listed = &entry.listed;
+        let bears = listed.slots;
         let cold = entry.is_cold(now);
-        let slots = bears.saturating_sub(foreign);
+        let mut slots = bears.saturating_sub(used);
+        let distant = listed.data_centre != self.settings.data_centre;
+        if distant && nearby.contains(&listed.service) && self.members.far_in_turns() {
+            let key = xxh3_64(target.as_bytes());
+            let rank = self.members.rank_outside(name_key(&listed.data_centre), key);
+            slots = if rank < DISTANT_USERS { slots.min(DISTANT_SLOTS) } else { 0 };
+        }
         let slots = TargetSlots { target: target.clone(), slots, bears, cold };
         let Some(terms) = self.terms.get_mut(target) else { return };
         if terms.slots.as_ref() != Some(&slots) {
--- a/crates/tarragon-fleet/src/node/news.rs
+++ b/crates/tarragon-fleet/src/node/news.rs
@@ -8,7 +8,7 @@
 use crate::{
     digest::{ToldLoad, name_key},
     directory::DirectoryChange,
-    node::FleetNode,
+    node::{FleetNode, limits::SMALL_FLEET},
     prelude::*,
 };
 
@@ -165,7 +165,9 @@
             self.schedule(now, SchedulerEvent::SuspectReported(suspect), actions);
         }
         self.take_told_loads(now, &uses, actions);
-        self.update_targets(now, actions);
+        if self.members.sharing() <= SMALL_FLEET {
+            self.update_targets(now, actions);
+        }
         news
     }
 
