Keep one way to start a background task and to take a listing

Background tasks of the gateway and of the server crate end through run_until_cancelled_owned instead of a select of their own each. A listing is taken in one function for the store reader and for peers, so that both also drop idle connections to targets that are gone. The budget of log lines uses the runtime's clock, which tests can pause.

--- a/crates/tarragon-command/src/logging/budget.rs
+++ b/crates/tarragon-command/src/logging/budget.rs
@@ -3,9 +3,10 @@
 
 use std::{
     sync::{Mutex, PoisonError},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
+use tokio::time::Instant;
 use tracing::{Event, Level, Metadata, Subscriber};
 use tracing_subscriber::layer::{Context, Filter};
 
--- a/crates/tarragon-gateway/src/context.rs
+++ b/crates/tarragon-gateway/src/context.rs
@@ -54,8 +54,6 @@
     pub ids: RequestIds,
     /// Tasks that shutdown waits for.
     pub tasks: TaskTracker,
-    /// Cancelled when shutdown is asked for.
-    pub drain: CancellationToken,
     /// Cancelled when the process ends.
     pub abort: CancellationToken,
 }
@@ -74,12 +72,14 @@
     where
         F: Future<Output = ()> + Send + 'static,
     {
-        let abort = self.abort.clone();
-        self.tasks.spawn(async move {
-            tokio::select! {
-                () = abort.cancelled() => {}
-                () = work => {}
-            }
-        });
+        self.tasks.spawn(self.abort.clone().run_until_cancelled_owned(work));
+    }
+
+    /// Starts a task that shutdown doesn't wait for and that ends at once with the process.
+    pub fn spawn_background<F>(&self, work: F)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        tokio::spawn(self.abort.clone().run_until_cancelled_owned(work));
     }
 }
--- a/crates/tarragon-gateway/src/peers.rs
+++ b/crates/tarragon-gateway/src/peers.rs
@@ -25,7 +25,10 @@
     time::{Instant, MissedTickBehavior, interval, sleep},
 };
 
-use crate::{context::GatewayContext, reader::take_state};
+use crate::{
+    context::GatewayContext,
+    reader::{take_listing, take_state},
+};
 
 /// Interval of the node's clock.
 const TICK: Duration = Duration::from_millis(100);
@@ -214,10 +217,7 @@
 async fn pull_listing<D>(context: &GatewayContext<D>, peer: SocketAddr) {
     match pull::<D, AgedListing>(context, peer, PULL_TARGETS).await {
         Ok(AgedListing { listing, age_ms }) => {
-            let age = Duration::from_millis(age_ms);
-            context.desk.run(|node, now, actions| {
-                node.take_listing(now, &listing, age, actions);
-            });
+            take_listing(context, &listing, Duration::from_millis(age_ms));
         }
         Err(error) => tracing::info!(%peer, %error, "a peer did not give its listing"),
     }
--- a/crates/tarragon-gateway/src/reader.rs
+++ b/crates/tarragon-gateway/src/reader.rs
@@ -183,10 +183,7 @@
                 context.metrics.store_calls.with_label_values(&["targets", "answered"]).inc();
                 health.succeed();
                 // The listing is as old as the call that asked for it.
-                let age = started.elapsed();
-                context.desk.run(|node, now, actions| {
-                    node.take_listing(now, &listing, age, actions);
-                });
+                take_listing(&context, &listing, started.elapsed());
                 LISTING_INTERVAL.mul_f64(rand::rng().random_range(0.9..1.1))
             }
             Err(fault) => {
@@ -198,6 +195,14 @@
     }
 }
 
+/// Takes a listing that was read `age` ago, and closes idle connections to targets that are gone.
+pub fn take_listing<D>(context: &GatewayContext<D>, listing: &TargetListing, age: Duration) {
+    context.desk.run(|node, now, actions| node.take_listing(now, listing, age, actions));
+    context.desk.view(|node| {
+        context.pool.retain(|address| node.directory().get(address).is_some());
+    });
+}
+
 async fn limited<T, F>(limit: Duration, call: F) -> Result<T, StoreFault>
 where
     F: Future<Output = Result<T, StoreFault>>,
--- a/crates/tarragon-gateway/src/serve.rs
+++ b/crates/tarragon-gateway/src/serve.rs
@@ -105,18 +105,17 @@
         limits: options.limits,
         ids: RequestIds::new(rand::random()),
         tasks: TaskTracker::new(),
-        drain: CancellationToken::new(),
         abort: CancellationToken::new(),
         settings,
     });
     let pulls = peers::serve_pulls(context.clone()).await.context("pulls can't be served")?;
     let signals = ListenerSignals::default();
     let (socket, store) = (Arc::new(socket), Arc::new(store));
-    background(&context, peers::keep_time(context.clone(), socket.clone()));
-    background(&context, peers::take_digests(context.clone(), socket));
-    background(&context, peers::follow_peer_listings(context.clone()));
-    background(&context, reader::follow_operator(context.clone(), store.clone()));
-    background(&context, reader::follow_targets(context.clone(), store));
+    context.spawn_background(peers::keep_time(context.clone(), socket.clone()));
+    context.spawn_background(peers::take_digests(context.clone(), socket));
+    context.spawn_background(peers::follow_peer_listings(context.clone()));
+    context.spawn_background(reader::follow_operator(context.clone(), store.clone()));
+    context.spawn_background(reader::follow_targets(context.clone(), store));
     tokio::spawn(listen(callers, context.clone(), signals.clone()));
     let (pages, abort) = (context.clone(), context.abort.clone());
     tokio::spawn(serve_page(ready, move |_| ready_page(pages.clone()), abort.clone()));
@@ -160,20 +159,6 @@
     TcpListener::bind(address).await.with_context(|| format!("{name} {address} can't be bound"))
 }
 
-/// Starts a task that ends at once with the process.
-fn background<D, F>(context: &GatewayContext<D>, work: F)
-where
-    F: Future<Output = ()> + Send + 'static,
-{
-    let abort = context.abort.clone();
-    tokio::spawn(async move {
-        tokio::select! {
-            () = abort.cancelled() => {}
-            () = work => {}
-        }
-    });
-}
-
 async fn ready_page<D>(context: Arc<GatewayContext<D>>) -> PageAnswer {
     let ready = context.desk.view(FleetNode::is_ready);
     let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
@@ -229,7 +214,6 @@
         let open = context.desk.open_requests();
         tracing::info!(open, "graceful shutdown has started");
         context.desk.run(|node, _, _| node.start_drain());
-        context.drain.cancel();
         self.signals.retire.cancel();
         sleep(OPEN_TIME.min(context.settings.grace / 3)).await;
         self.signals.close.cancel();
--- a/crates/tarragon-server/src/process.rs
+++ b/crates/tarragon-server/src/process.rs
@@ -150,13 +150,7 @@
     where
         F: Future<Output = ()> + Send + 'static,
     {
-        let abort = self.abort.clone();
-        self.tasks.spawn(async move {
-            tokio::select! {
-                () = abort.cancelled() => {}
-                () = work => {}
-            }
-        });
+        self.tasks.spawn(self.abort.clone().run_until_cancelled_owned(work));
     }
 
     /// The rules in force.
