Withhold a send when the target's address has a new service

The log shows for 10.4.64.43 "target has changed ... service xano55b" at 10.262 s, and requests that were dispatched for the former service 3 to 30 ms earlier. Before the first byte the node looks the target up again, by address, and grants the name of whatever instance stands there now, so the new service accepts the request and runs it.

The grant now also needs the service of the request. A target whose address another process has taken stays out until its successor is listed; the outdated entry no longer brings it back with each reading.

Ruled out: the target that came back at the same moment (10.4.64.44) with its former instance; its runs end properly. Two fleet tests failed before the change.

--- a/crates/tarragon-fleet/src/directory.rs
+++ b/crates/tarragon-fleet/src/directory.rs
@@ -30,12 +30,14 @@
     missing: Option<Instant>,
     /// Whether its data centre has been taken out of service.
     evacuated: bool,
+    /// Whether another process has answered at the address since the entry was written.
+    replaced: bool,
 }
 
 impl DirectoryEntry {
     /// Whether it may get new work.
     pub fn in_service(&self) -> bool {
-        !self.listed.leaving && !self.evacuated
+        !self.listed.leaving && !self.evacuated && !self.replaced
     }
 
     /// Whether it counts as cold.
@@ -158,8 +160,14 @@
                 cold_ms = listed.cold_left.as_millis() as u64,
                 "target is listed"
             );
-            let entry =
-                DirectoryEntry { listed, restart, cold_until, missing: None, evacuated: false };
+            let entry = DirectoryEntry {
+                listed,
+                restart,
+                cold_until,
+                missing: None,
+                evacuated: false,
+                replaced: false,
+            };
             self.entries.insert(target.clone(), entry);
             return Some(DirectoryChange::Changed(target.clone()));
         };
@@ -193,6 +201,7 @@
             return Some(DirectoryChange::Changed(target.clone()));
         }
         entry.restart = restart;
+        entry.replaced = false;
         entry.cold_until = told_cold.max(Some(now + cold_time));
         Some(DirectoryChange::Restarted(target.clone()))
     }
@@ -259,7 +268,7 @@
     /// read.
     pub fn replaced(&mut self, target: &str, instance: &str) -> bool {
         let Some(entry) = self.entries.get_mut(target) else { return false };
-        if &*entry.listed.instance != instance || entry.listed.leaving {
+        if &*entry.listed.instance != instance || entry.replaced {
             return false;
         }
         tracing::info!(
@@ -267,7 +276,7 @@
             instance,
             "another instance has the target's address"
         );
-        entry.listed.leaving = true;
+        entry.replaced = true;
         true
     }
 }
--- a/crates/tarragon-fleet/src/node/admit.rs
+++ b/crates/tarragon-fleet/src/node/admit.rs
@@ -82,10 +82,12 @@
         self.calls.swap_remove(&request);
     }
 
-    /// Asks right before the first byte of an attempt whether its target may still get it.
-    pub fn may_send(&self, target: &str) -> Option<SendGrant> {
+    /// Asks right before the first byte of an attempt whether its target may still get it. The address may
+    /// belong to another service by then.
+    pub fn may_send(&self, target: &str, service: &str) -> Option<SendGrant> {
         let entry = self.directory.get(target)?;
-        entry.in_service().then(|| SendGrant { instance: entry.listed.instance.clone() })
+        let granted = entry.in_service() && &*entry.listed.service == service;
+        granted.then(|| SendGrant { instance: entry.listed.instance.clone() })
     }
 
     /// Takes a request into its workspace's quota.
--- a/crates/tarragon-fleet/tests/fleet/node.rs
+++ b/crates/tarragon-fleet/tests/fleet/node.rs
@@ -93,14 +93,51 @@
     for node in 0..2 {
         let targets = dispatched(&fleet.ask(node, 100));
         assert_eq!(targets, [listed(2).address]);
-        assert_eq!(fleet.nodes[node].may_send(&listed(1).address), None);
+        assert_eq!(fleet.nodes[node].may_send(&listed(1).address, SERVICE), None);
     }
     let now = fleet.now;
     let mut state = operator(3, 1);
     state.evacuated.insert("north".into());
     fleet.nodes[0].take_operator(now, state, "store", &mut Vec::new());
     assert_eq!(dispatched(&fleet.ask(0, 100)), []);
-    assert_eq!(fleet.nodes[0].may_send(&listed(2).address), None);
+    assert_eq!(fleet.nodes[0].may_send(&listed(2).address, SERVICE), None);
+}
+
+/// Guards against a request that reaches another service, which has got the address of its target between
+/// the dispatch and the first byte.
+#[test]
+fn a_reused_address_gets_no_request_of_its_former_service() {
+    let mut fleet = Fleet::start(1, 1);
+    let address = listed(1).address;
+    assert_eq!(dispatched(&fleet.ask(0, 100)), [address.clone()]);
+    assert!(fleet.nodes[0].may_send(&address, SERVICE).is_some());
+    let other = ListedTarget {
+        instance: "i-other".into(),
+        service: "ledger".into(),
+        started_ms: 2_000,
+        ..listed(1)
+    };
+    fleet.publish(2, 1, vec![other]);
+    assert_eq!(fleet.nodes[0].may_send(&address, SERVICE), None);
+    assert!(fleet.nodes[0].may_send(&address, "ledger").is_some());
+}
+
+/// Guards against a target whose address another process has, and which the outdated entry brings back.
+#[test]
+fn a_replaced_target_stays_out_until_its_successor_is_listed() {
+    let mut fleet = Fleet::start(1, 1);
+    let address = listed(1).address;
+    let now = fleet.now;
+    fleet.nodes[0].target_replaced(now, &address, &listed(1).instance, &mut Vec::new());
+    for revision in 2..4 {
+        fleet.now += Duration::from_millis(100);
+        fleet.publish(revision, 1, vec![listed(1)]);
+        assert_eq!(fleet.nodes[0].may_send(&address, SERVICE), None);
+    }
+    fleet.now += Duration::from_millis(100);
+    let successor = ListedTarget { instance: "i-9".into(), started_ms: 2_000, ..listed(1) };
+    fleet.publish(4, 1, vec![successor]);
+    assert!(fleet.nodes[0].may_send(&address, SERVICE).is_some());
 }
 
 /// Guards against processes that each fill all slots of a target.
--- a/crates/tarragon-gateway/src/forward.rs
+++ b/crates/tarragon-gateway/src/forward.rs
@@ -171,7 +171,9 @@
             Err(end) => return ended(end),
         };
         // Connecting takes time, in which the target may have been taken out of service.
-        let Some(grant) = self.context.desk.view(|node| node.may_send(&order.target)) else {
+        let service = &self.call.routed.service;
+        let grant = self.context.desk.view(|node| node.may_send(&order.target, service));
+        let Some(grant) = grant else {
             self.context.pool.give_back_for(&order.address, connection, SHORT_IDLE);
             return ended(AttemptEnd::NotSent);
         };
