--- a/crates/tarragon-fleet/src/quota.rs
+++ b/crates/tarragon-fleet/src/quota.rs
@@ -139,7 +139,7 @@
     /// Sum over the processes that don't know what they used before their start: the parts of their share of
     /// the tolerance that they may use by now.
     pub accrued: f64,
-    /// Sum of the parts of their parts that they may have used.
+    /// Sum over the same processes: the part of its share of the quota that each may have used before.
     pub presumed: f64,
     /// All processes that share the quota, this one included.
     pub sharing: usize,
@@ -177,19 +177,19 @@
         let bounds = self.bounds;
         let QuotaBounds { window, overage, slack } = bounds;
         let unknown = self.unknown(now);
-        let accrued = foreign.accrued + self.bounds.accrued(unknown);
-        let presumed = foreign.presumed + self.bounds.presumed(terms, unknown);
+        let accrued = foreign.accrued + bounds.accrued(unknown);
+        let presumed = foreign.presumed + bounds.presumed(terms, unknown);
         let usage = self.own.entry(name_key(workspace)).or_default();
         usage.expire(window, now);
         if terms.rate > 0.0 {
             let limit = bounds.allowed(terms, SPANS);
             let sharing = foreign.sharing.max(1) as f64;
             // A silent process may use its part, and a restarted one may have used it in this window.
-            let unknown = limit / sharing * (foreign.silent as f64 + presumed);
+            let kept = limit / sharing * (foreign.silent as f64 + presumed);
             let tolerance = (limit * overage + slack) * RESTART_PART * accrued / sharing;
             // What others told is as old as a step; meanwhile they have admitted about as much as this process.
             let untold = usage.recent(STEP, now) * foreign.present as u64 + units;
-            let used = (usage.sum + foreign.told + untold) as f64 + unknown;
+            let used = (usage.sum + foreign.told + untold) as f64 + kept;
             let own_recent = usage.span_sums(window, now);
             let mut excess = used - limit - tolerance;
             for (spans, (own, told)) in (1..).zip(own_recent.iter().zip(foreign.told_recent)) {
