--- a/crates/tarragon-fleet/tests/fleet/node.rs
+++ b/crates/tarragon-fleet/tests/fleet/node.rs
@@ -109,7 +109,7 @@
 fn a_reused_address_gets_no_request_of_its_former_service() {
     let mut fleet = Fleet::start(1, 1);
     let address = listed(1).address;
-    assert_eq!(dispatched(&fleet.ask(0, 100)), [address.clone()]);
+    assert_eq!(dispatched(&fleet.ask(0, 100)), std::slice::from_ref(&address));
     assert!(fleet.nodes[0].may_send(&address, SERVICE).is_some());
     let other = ListedTarget {
         instance: "i-other".into(),
--- a/crates/tarragon-gateway/tests/log_page.rs
+++ b/crates/tarragon-gateway/tests/log_page.rs
@@ -2,8 +2,12 @@
 
 use std::{fs, path::Path};
 
-const SOURCES: [&str; 3] =
-    ["crates/tarragon-fleet/src", "crates/tarragon-gateway/src", "platform/src"];
+const SOURCES: [&str; 4] = [
+    "crates/tarragon-command/src/command/serve",
+    "crates/tarragon-fleet/src",
+    "crates/tarragon-gateway/src",
+    "platform/src",
+];
 const PAGE: &str = "docs/OPERATIONS.md";
 
 fn root() -> &'static Path {
