--- a/crates/tarragon-fleet/tests/fleet/quota.rs
+++ b/crates/tarragon-fleet/tests/fleet/quota.rs
@@ -89,6 +89,22 @@
     }
 }
 
+/// Guards against processes of a large fleet that have just been restarted, have met few peers yet, and each
+/// take themselves for one of few that share the tolerance.
+#[test]
+fn restarted_processes_that_have_not_met_do_not_each_use_the_tolerance() {
+    let mut fleet = Fleet::start(62, 12);
+    let mut admitted = press(&mut fleet, 80);
+    let now = fleet.now + Duration::from_millis(500);
+    fleet.now = now;
+    fleet.nodes = (1..=62).map(|index| node(index, false, now)).collect();
+    fleet.publish(1, 1, (1..=12).map(listed).collect());
+    admitted.extend([0.0; 5]);
+    admitted.extend(press(&mut fleet, 40));
+    let most = largest_window(&admitted);
+    assert!(most <= ALLOWED, "{most} of {ALLOWED}");
+}
+
 /// Guards against a restarted fleet that refuses workspaces which use half of their limits.
 #[test]
 fn a_restarted_fleet_serves_ordinary_use() {
