Bind in one function, tell no unread fields, and look targets up once

Found on reading the change again; behaviour stays as it is.

The gateway had a copy of the server's bind; it calls that one now. Digests carried whether the sender shuts down and its waiting requests, which no peer reads; both are gone, with the count made for each digest. Told loads searched all targets, hashing each name, for each use of each digest; names are now hashed once a digest.

--- a/crates/tarragon-fleet/src/digest.rs
+++ b/crates/tarragon-fleet/src/digest.rs
@@ -63,8 +63,6 @@
     pub sequence: u64,
     /// Sender's data centre.
     pub data_centre: NameKey,
-    /// Whether the sender shuts down.
-    pub draining: bool,
     /// Revision of the operators' state that the sender holds.
     pub operator_revision: StoreRevision,
     /// Milliseconds since the sender knew that state to be the last one; `None` if it has none.
@@ -79,8 +77,6 @@
     pub usage: Vec<UsageSum>,
     /// Part of the quotas' window before the sender's start, of whose use it knows nothing, in milliseconds.
     pub unknown_ms: u32,
-    /// Waiting requests by tier.
-    pub waiting: [u32; Tier::COUNT],
     /// Requests that may crash targets.
     pub suspects: Vec<SuspectEntry>,
     /// Units that peers which were restarted a short time ago had used before, by address.
--- a/crates/tarragon-fleet/src/node/news.rs
+++ b/crates/tarragon-fleet/src/node/news.rs
@@ -5,8 +5,10 @@
     time::{Duration, Instant},
 };
 
+use indexmap::IndexMap;
+
 use crate::{
-    digest::{ToldLoad, name_key},
+    digest::{NameKey, ToldLoad, name_key},
     directory::DirectoryChange,
     node::{FleetNode, limits::SMALL_FLEET},
     prelude::*,
@@ -202,18 +204,21 @@
         uses: &[TargetUse],
         actions: &mut Vec<SchedulerAction>,
     ) {
+        let mut names: IndexMap<NameKey, TargetName> = IndexMap::new();
+        for target in self.terms.keys() {
+            names.entry(name_key(target)).or_insert_with(|| target.clone());
+        }
         for one in uses {
             let Some(told) = one.told else { continue };
             let age = Duration::from_millis(u64::from(told.age_ms));
             let Some(taken) = now.checked_sub(age) else { continue };
-            let found = self.terms.iter_mut().find(|(target, _)| name_key(target) == one.target);
-            let Some((target, terms)) = found else { continue };
+            let Some(target) = names.get(&one.target) else { continue };
+            let Some(terms) = self.terms.get_mut(target) else { continue };
             if terms.told.as_ref().is_some_and(|(_, known)| *known >= taken) {
                 continue;
             }
             terms.told = Some((*one, taken));
-            let target = target.clone();
-            self.report_load(now, &target, told.running, told.waiting, age, actions);
+            self.report_load(now, target, told.running, told.waiting, age, actions);
         }
     }
 
@@ -275,7 +280,6 @@
             data_centre: name_key(&self.settings.data_centre),
             incarnation: self.settings.incarnation,
             sequence: self.sequence,
-            draining: self.draining,
             operator_revision: self.operator.revision,
             operator_age_ms: self.operator_confirmed.map(age),
             listing_age_ms: self.directory.age(now).and_then(|age| age.as_millis().try_into().ok()),
@@ -283,7 +287,6 @@
             uses,
             usage,
             unknown_ms: self.quotas.unknown(now).as_millis() as u32,
-            waiting: self.scheduler.waiting_by_tier(),
             suspects,
             former: self.members.former(now),
             members: self.members.named(now),
--- a/crates/tarragon-gateway/src/serve.rs
+++ b/crates/tarragon-gateway/src/serve.rs
@@ -13,10 +13,11 @@
 use tarragon_server::{
     clock::{ProcessClock, SystemClock, now},
     process::RequestIds,
+    serve::bind,
     target::pool::ConnectionPool,
 };
 use tokio::{
-    net::{TcpListener, UdpSocket},
+    net::UdpSocket,
     time::{Instant, sleep, timeout_at},
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
@@ -155,10 +156,6 @@
     }
 }
 
-async fn bind(address: SocketAddr, name: &str) -> anyhow::Result<TcpListener> {
-    TcpListener::bind(address).await.with_context(|| format!("{name} {address} can't be bound"))
-}
-
 async fn ready_page<D>(context: Arc<GatewayContext<D>>) -> PageAnswer {
     let ready = context.desk.view(FleetNode::is_ready);
     let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
--- a/crates/tarragon-server/src/serve.rs
+++ b/crates/tarragon-server/src/serve.rs
@@ -330,7 +330,8 @@
     }
 }
 
-async fn bind(address: SocketAddr, name: &str) -> anyhow::Result<TcpListener> {
+/// Listens on the address of a setting.
+pub async fn bind(address: SocketAddr, name: &str) -> anyhow::Result<TcpListener> {
     TcpListener::bind(address).await.with_context(|| format!("{name} {address} can't be bound"))
 }
 
