Estimate the size of the fleet from peers' counts

Digests tell how many processes the sender has met; the largest number told by a member is the size that limits are divided by. Peers that are not met count as silent, and while there are any, a restarted process uses only its own part of the tolerance, none before it has met the first peer. The first digest of a process that has met fewer is answered at once.

Ruled out earlier: no tolerance until nobody new was met for 0.5 s, which refuses ordinary use of small fleets.

--- a/crates/tarragon-fleet/src/digest.rs
+++ b/crates/tarragon-fleet/src/digest.rs
@@ -81,6 +81,8 @@
     pub suspects: Vec<SuspectEntry>,
     /// Units that peers which were restarted a short time ago had used before, by address.
     pub former: Vec<(SocketAddr, Vec<UsageSum>)>,
+    /// Processes that the sender has met, itself included.
+    pub met: u32,
     /// Addresses of processes that the sender has heard of recently.
     pub members: Vec<SocketAddr>,
 }
--- a/crates/tarragon-fleet/src/member.rs
+++ b/crates/tarragon-fleet/src/member.rs
@@ -64,6 +64,8 @@
     former: IndexMap<SocketAddr, (Instant, FormerUsage)>,
     /// Peers that are present, to tell changes.
     present: IndexSet<SocketAddr>,
+    /// Most processes that one of the members has met.
+    most_met: usize,
     /// Position of the first member that the next digest names.
     cursor: usize,
 }
@@ -81,6 +83,7 @@
             rumours: IndexMap::new(),
             former: IndexMap::new(),
             present: IndexSet::new(),
+            most_met: 0,
             cursor: 0,
         }
     }
@@ -111,6 +114,7 @@
         if self.present.insert(from) {
             tracing::info!(peer = %from, vm = &*digest.vm, incarnation = digest.incarnation, "peer is present");
         }
+        self.most_met = self.most_met.max(digest.met as usize);
         self.members.insert(from, Member { heard: now, digest });
         true
     }
@@ -153,6 +157,8 @@
             }
             present
         });
+        let met = members.values().map(|member| member.digest.met as usize);
+        self.most_met = met.max().unwrap_or(0);
         self.present.len() != before
     }
 
@@ -196,11 +202,29 @@
         self.members.iter()
     }
 
-    /// Processes that share limits with this one, itself included.
-    pub fn sharing(&self) -> usize {
+    /// Processes that this one has met, itself included.
+    pub fn met(&self) -> usize {
         self.members.len() + 1
     }
 
+    /// Processes that share limits with this one, itself included. Peers may have met some that this one has
+    /// not met yet.
+    pub fn sharing(&self) -> usize {
+        self.met().max(self.most_met)
+    }
+
+    /// Whether this process has met nobody, though it knows addresses of others.
+    pub fn is_alone(&self) -> bool {
+        self.members.is_empty() && !self.seeds.is_empty()
+    }
+
+    /// Whether a peer that sent a digest is new and has met fewer processes than this one.
+    pub fn is_newcomer(&self, from: SocketAddr, digest: &PeerDigest) -> bool {
+        let known = self.members.get(&from);
+        let is_known = known.is_some_and(|known| known.digest.incarnation == digest.incarnation);
+        !is_known && (digest.met as usize) < self.met()
+    }
+
     /// Position of this process among those that share limits, the same for all of them if they know each
     /// other. `key` shuffles the order, so that different limits favour different processes.
     pub fn rank(&self, key: u64) -> usize {
--- a/crates/tarragon-fleet/src/node/admit.rs
+++ b/crates/tarragon-fleet/src/node/admit.rs
@@ -114,6 +114,8 @@
                     units,
                     told = foreign.told,
                     silent = foreign.silent,
+                    unmet = foreign.unmet,
+                    alone = foreign.alone,
                     presumed = foreign.presumed,
                     sharing = foreign.sharing,
                     wait_ms = wait.as_millis() as u64,
@@ -128,7 +130,10 @@
     fn foreign_use(&self, workspace: &str, terms: &WorkspaceTerms, now: Instant) -> ForeignUse {
         let bounds = self.quotas.bounds();
         let key = crate::digest::name_key(workspace);
-        let mut foreign = ForeignUse { sharing: self.members.sharing(), ..ForeignUse::default() };
+        let sharing = self.members.sharing();
+        let unmet = sharing - self.members.met();
+        let alone = self.members.is_alone() && self.is_unsettled(now);
+        let mut foreign = ForeignUse { sharing, unmet, alone, ..ForeignUse::default() };
         for (_, member) in self.members.iter() {
             if !self.members.is_present(member, now) {
                 foreign.silent += 1;
--- a/crates/tarragon-fleet/src/node/limits.rs
+++ b/crates/tarragon-fleet/src/node/limits.rs
@@ -112,11 +112,15 @@
         }
     }
 
+    /// Whether this process started so short a time ago that it may not know its peers yet.
+    pub(super) fn is_unsettled(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.started) < UNSETTLED
+    }
+
     /// This process's part of a number that all processes share.
     fn share_of(&self, total: u32, key: u64, now: Instant) -> u32 {
         let sharing = self.members.sharing();
-        let unsettled = now.saturating_duration_since(self.started) < UNSETTLED;
-        if unsettled && sharing < LEAST_SHARING {
+        if self.is_unsettled(now) && sharing < LEAST_SHARING {
             return 1;
         }
         let sharing = u32::try_from(sharing).unwrap_or(u32::MAX);
--- a/crates/tarragon-fleet/src/node/news.rs
+++ b/crates/tarragon-fleet/src/node/news.rs
@@ -31,6 +31,9 @@
     pub operator: bool,
     /// A newer listing of targets that differs.
     pub listing: bool,
+    /// The peer has just started and needs this process's digest at once: until it has met others it can't
+    /// use its part of what they share.
+    pub newcomer: bool,
 }
 
 impl FleetNode {
@@ -150,7 +153,8 @@
         digest: PeerDigest,
         actions: &mut Vec<SchedulerAction>,
     ) -> PeerNews {
-        let news = self.compare(&digest, now);
+        let newcomer = self.members.is_newcomer(from, &digest);
+        let news = PeerNews { newcomer, ..self.compare(&digest, now) };
         let sharing = self.members.sharing();
         let uses = digest.uses.clone();
         let suspects = digest.suspects.clone();
@@ -183,7 +187,7 @@
         }
         let mut news = PeerNews {
             operator: digest.operator_revision > self.operator.revision,
-            listing: false,
+            ..PeerNews::default()
         };
         let Some(read) = before(digest.listing_age_ms) else { return news };
         let own = self.directory.age(now).and_then(|age| now.checked_sub(age));
@@ -289,6 +293,7 @@
             unknown_ms: self.quotas.unknown(now).as_millis() as u32,
             suspects,
             former: self.members.former(now),
+            met: u32::try_from(self.members.met()).unwrap_or(u32::MAX),
             members: self.members.named(now),
         }
     }
--- a/crates/tarragon-fleet/src/quota.rs
+++ b/crates/tarragon-fleet/src/quota.rs
@@ -136,6 +136,10 @@
     pub present: usize,
     /// Processes that share the quota and are silent: each may use an equal part.
     pub silent: usize,
+    /// Processes that share the quota and that this one has not met: each may use an equal part, too.
+    pub unmet: usize,
+    /// This process has just started and has met nobody. It can't tell how many share the quota.
+    pub alone: bool,
     /// Sum over the processes that don't know what they used before their start: the parts of their share of
     /// the tolerance that they may use by now.
     pub accrued: f64,
@@ -177,7 +181,8 @@
         let bounds = self.bounds;
         let QuotaBounds { window, overage, slack } = bounds;
         let unknown = self.unknown(now);
-        let accrued = foreign.accrued + bounds.accrued(unknown);
+        let own_accrued = if foreign.alone { 0.0 } else { bounds.accrued(unknown) };
+        let accrued = foreign.accrued + own_accrued;
         let presumed = foreign.presumed + bounds.presumed(terms, unknown);
         let usage = self.own.entry(name_key(workspace)).or_default();
         usage.expire(window, now);
@@ -185,13 +190,20 @@
             let limit = bounds.allowed(terms, SPANS);
             let sharing = foreign.sharing.max(1) as f64;
             // A silent process may use its part, and a restarted one may have used it in this window.
-            let kept = limit / sharing * (foreign.silent as f64 + presumed);
-            let tolerance = (limit * overage + slack) * RESTART_PART * accrued / sharing;
+            let kept = limit / sharing * ((foreign.silent + foreign.unmet) as f64 + presumed);
+            let tolerance_part = (limit * overage + slack) * RESTART_PART / sharing;
+            let tolerance = tolerance_part * accrued;
             // What others told is as old as a step; meanwhile they have admitted about as much as this process.
             let untold = usage.recent(STEP, now) * foreign.present as u64 + units;
             let used = (usage.sum + foreign.told + untold) as f64 + kept;
             let own_recent = usage.span_sums(window, now);
             let mut excess = used - limit - tolerance;
+            if foreign.unmet > 0 && !unknown.is_zero() {
+                // Others that know these peers as well may use the peers' parts of the tolerance.
+                let own_part = tolerance_part * own_accrued
+                    + limit / sharing * (1.0 - bounds.presumed(terms, unknown));
+                excess = excess.max((usage.sum + units) as f64 - own_part);
+            }
             for (spans, (own, told)) in (1..).zip(own_recent.iter().zip(foreign.told_recent)) {
                 let recent = (own + told + untold) as f64;
                 excess = excess.max(recent - bounds.allowed(terms, spans).max(units as f64));
--- a/crates/tarragon-fleet/tests/fleet/member.rs
+++ b/crates/tarragon-fleet/tests/fleet/member.rs
@@ -21,6 +21,7 @@
         unknown_ms: 0,
         suspects: Vec::new(),
         former: Vec::new(),
+        met: 1,
         members: members.iter().map(|index| address(*index)).collect(),
     }
 }
@@ -63,6 +64,25 @@
     assert_eq!(members.sharing(), 1);
 }
 
+/// Guards against a process that has just started, knows one of many peers, and takes half of each limit.
+#[test]
+fn peers_that_others_have_met_share_limits() {
+    let now = Instant::now();
+    let mut members = MemberTable::new(address(1), "north", &[address(2)]);
+    assert!(members.is_alone());
+    let seasoned = PeerDigest { met: 40, ..digest(2, 1, &[]) };
+    assert!(!members.is_newcomer(address(2), &seasoned));
+    members.take(address(2), seasoned, now);
+    assert!(!members.is_alone());
+    assert_eq!((members.met(), members.sharing()), (2, 40));
+    assert!(members.is_newcomer(address(3), &digest(3, 1, &[])));
+    let silent = now + SILENT;
+    members.expire(silent);
+    assert_eq!(members.sharing(), 40, "the others are still there when the peer is silent");
+    members.expire(now + Duration::from_secs(31));
+    assert_eq!(members.sharing(), 1);
+}
+
 /// Guards against a divided limit of which two processes take the same part.
 #[test]
 fn ranks_differ_between_processes() {
--- a/crates/tarragon-fleet/tests/fleet/quota.rs
+++ b/crates/tarragon-fleet/tests/fleet/quota.rs
@@ -15,24 +15,29 @@
 fn press(fleet: &mut Fleet, steps: usize) -> Vec<f64> {
     let mut admitted = Vec::new();
     for _ in 0..steps {
-        let mut tokens = 0.0;
-        for node in 0..fleet.nodes.len() {
-            for _ in 0..5 {
-                let actions = fleet.ask(node, TOKENS);
-                if !over_quota(&actions) {
-                    tokens += f64::from(TOKENS);
-                }
-                for action in &actions {
-                    fleet.finish(node, action, AttemptEnd::Finished);
-                }
-            }
-        }
-        admitted.push(tokens);
+        admitted.push(press_once(fleet));
         fleet.advance(STEP);
     }
     admitted
 }
 
+/// Asks each node at one moment. Returns the tokens that were admitted.
+fn press_once(fleet: &mut Fleet) -> f64 {
+    let mut tokens = 0.0;
+    for node in 0..fleet.nodes.len() {
+        for _ in 0..5 {
+            let actions = fleet.ask(node, TOKENS);
+            if !over_quota(&actions) {
+                tokens += f64::from(TOKENS);
+            }
+            for action in &actions {
+                fleet.finish(node, action, AttemptEnd::Finished);
+            }
+        }
+    }
+    tokens
+}
+
 fn largest_window(admitted: &[f64]) -> f64 {
     let steps = 80;
     let sums = admitted.windows(steps.min(admitted.len())).map(|window| window.iter().sum());
@@ -105,6 +110,31 @@
     assert!(most <= ALLOWED, "{most} of {ALLOWED}");
 }
 
+/// Guards against processes of a large fleet that meet each other by and by after a restart, and each take
+/// those that they have met for the whole fleet.
+#[test]
+fn restarted_processes_that_meet_in_turns_share_the_tolerance() {
+    let mut fleet = Fleet::start(62, 12);
+    let mut admitted = press(&mut fleet, 80);
+    let now = fleet.now + Duration::from_millis(500);
+    fleet.now = now;
+    fleet.nodes = (1..=62).map(|index| node(index, false, now)).collect();
+    fleet.publish(1, 1, (1..=12).map(listed).collect());
+    admitted.extend([0.0; 5]);
+    for step in 0..60 {
+        if step % 2 == 0 {
+            fleet.gossip_in_turns();
+        }
+        admitted.push(press_once(&mut fleet));
+        fleet.now += STEP;
+        for node in &mut fleet.nodes {
+            node.tick(fleet.now, &mut Vec::new());
+        }
+    }
+    let most = largest_window(&admitted);
+    assert!(most <= ALLOWED, "{most} of {ALLOWED}");
+}
+
 /// Guards against a restarted fleet that refuses workspaces which use half of their limits.
 #[test]
 fn a_restarted_fleet_serves_ordinary_use() {
--- a/crates/tarragon-fleet/tests/fleet/support.rs
+++ b/crates/tarragon-fleet/tests/fleet/support.rs
@@ -7,7 +7,10 @@
 };
 
 pub use tarragon_fleet::prelude::*;
-use tarragon_fleet::{node::CallOrder, published::StoreRevision};
+use tarragon_fleet::{
+    node::{CallOrder, PeerNews},
+    published::StoreRevision,
+};
 
 pub const SERVICE: &str = "pool";
 pub const WORKSPACE: &str = "depot";
@@ -143,6 +146,33 @@
         }
     }
 
+    /// Sends each node's digest to the peers whose turn it is, and those of nodes that a newcomer has reached
+    /// to the newcomer.
+    pub fn gossip_in_turns(&mut self) {
+        let now = self.now;
+        for sender in 0..self.nodes.len() {
+            let digest = self.nodes[sender].digest(now);
+            for recipient in self.nodes[sender].recipients(false) {
+                if self.hand_over(sender, recipient, digest.clone()).newcomer {
+                    let receiver = self.index_of(recipient).unwrap();
+                    let answer = self.nodes[receiver].digest(now);
+                    self.hand_over(receiver, address(sender as u8 + 1), answer);
+                }
+            }
+        }
+    }
+
+    fn hand_over(&mut self, sender: usize, recipient: SocketAddr, digest: PeerDigest) -> PeerNews {
+        let now = self.now;
+        let Some(receiver) = self.index_of(recipient) else { return PeerNews::default() };
+        let from = address(sender as u8 + 1);
+        self.nodes[receiver].take_digest(now, from, digest, &mut Vec::new())
+    }
+
+    fn index_of(&self, peer: SocketAddr) -> Option<usize> {
+        (0..self.nodes.len()).find(|index| address(*index as u8 + 1) == peer)
+    }
+
     /// Lets time pass in steps, each with a digest and a tick. Returns what the nodes decided meanwhile.
     pub fn advance(&mut self, time: Duration) -> Vec<(usize, SchedulerAction)> {
         const STEP: Duration = Duration::from_millis(100);
--- a/crates/tarragon-gateway/src/peers.rs
+++ b/crates/tarragon-gateway/src/peers.rs
@@ -125,6 +125,15 @@
         (node.digest(now), node.recipients(urgent), node.members().present(now).count())
     });
     context.metrics.peers.set(i64::try_from(present).unwrap_or(i64::MAX));
+    send_digest(context, socket, &digest, &recipients).await;
+}
+
+async fn send_digest<D>(
+    context: &GatewayContext<D>,
+    socket: &UdpSocket,
+    digest: &PeerDigest,
+    recipients: &[SocketAddr],
+) {
     let bytes = match digest.to_bytes() {
         Ok(bytes) => bytes,
         Err(error) => {
@@ -166,6 +175,10 @@
         };
         let news =
             context.desk.run(|node, now, actions| node.take_digest(now, from, digest, actions));
+        if news.newcomer {
+            let digest = context.desk.run(|node, now, _| node.digest(now));
+            send_digest(&context, &socket, &digest, &[from]).await;
+        }
         if (news.operator || news.listing) && !pulling.swap(true, Ordering::Relaxed) {
             let (context, pulling) = (context.clone(), pulling.clone());
             tokio::spawn(async move {
