Let processes that start together meet at once

Until then they refuse requests as over the quota, since they may use only their own part of the tolerance, which is smaller than one request.

The first digest goes out with the first tick. A process that has met nobody asks callers back after 250 ms.

What remains of the refusals is the tolerance that accrues over the window; it bounds what repeated restarts of the whole fleet can admit.

--- a/crates/tarragon-fleet/src/digest.rs
+++ b/crates/tarragon-fleet/src/digest.rs
@@ -81,6 +81,8 @@
     pub suspects: Vec<SuspectEntry>,
     /// Units that peers which were restarted a short time ago had used before, by address.
     pub former: Vec<(SocketAddr, Vec<UsageSum>)>,
+    /// Whether this answers the receiver's first digest. An answer is not answered.
+    pub answers: bool,
     /// Processes that the sender has met, itself included.
     pub met: u32,
     /// Addresses of processes that the sender has heard of recently.
--- a/crates/tarragon-fleet/src/member.rs
+++ b/crates/tarragon-fleet/src/member.rs
@@ -35,8 +35,11 @@
 const RUMOUR: Duration = Duration::from_secs(5);
 /// Use of quotas that was told longer ago than this says nothing of the quotas' present windows.
 const FORMER: Duration = Duration::from_secs(8);
-/// Addresses that one digest names.
-const NAMED_MEMBERS: usize = 16;
+/// Addresses of processes not met yet that one digest goes to. In a fleet of 73 all meet within a second.
+const UNMET_FANOUT: usize = 24;
+/// Addresses that one digest names, and one that answers a process which has just been met.
+pub const NAMED_MEMBERS: usize = 16;
+pub const ANSWER_NAMES: usize = 64;
 
 /// One peer.
 #[derive(Debug)]
@@ -47,6 +50,15 @@
     pub digest: PeerDigest,
 }
 
+/// What is known of a process that was only heard of.
+#[derive(Debug, Clone, Copy)]
+struct PeerRumour {
+    /// When a peer last named it.
+    heard: Instant,
+    /// Whether a digest went to it.
+    written: bool,
+}
+
 /// All peers.
 #[derive(Debug)]
 pub struct MemberTable {
@@ -56,10 +68,11 @@
     /// Positions of the first peers that the next digest goes to.
     near_turn: usize,
     far_turn: usize,
+    unmet_turn: usize,
     seeds: Vec<SocketAddr>,
     members: IndexMap<SocketAddr, Member>,
-    /// Addresses that peers have named, with the time at which they were last written down.
-    rumours: IndexMap<SocketAddr, Instant>,
+    /// Addresses that peers have named and that were not met.
+    rumours: IndexMap<SocketAddr, PeerRumour>,
     /// What peers that were restarted a short time ago had last told of their use of quotas.
     former: IndexMap<SocketAddr, (Instant, FormerUsage)>,
     /// Peers that are present, to tell changes.
@@ -78,6 +91,7 @@
             data_centre: name_key(data_centre),
             near_turn: 0,
             far_turn: 0,
+            unmet_turn: 0,
             seeds: seeds.iter().copied().filter(|seed| *seed != own).collect(),
             members: IndexMap::new(),
             rumours: IndexMap::new(),
@@ -106,7 +120,8 @@
         }
         for address in digest.members.iter().filter(|address| **address != self.own) {
             if !self.members.contains_key(address) {
-                self.rumours.insert(*address, now);
+                let rumour = PeerRumour { heard: now, written: false };
+                self.rumours.entry(*address).or_insert(rumour).heard = now;
             }
         }
         self.note_restart(from, &digest, now);
@@ -146,7 +161,7 @@
     /// the peers that are present have changed.
     pub fn expire(&mut self, now: Instant) -> bool {
         self.members.retain(|_, member| now.saturating_duration_since(member.heard) < FORGOTTEN);
-        self.rumours.retain(|_, heard| now.saturating_duration_since(*heard) < RUMOUR);
+        self.rumours.retain(|_, rumour| now.saturating_duration_since(rumour.heard) < RUMOUR);
         let before = self.present.len();
         let limit = self.silence_limit();
         let members = &self.members;
@@ -218,11 +233,10 @@
         self.members.is_empty() && !self.seeds.is_empty()
     }
 
-    /// Whether a peer that sent a digest is new and has met fewer processes than this one.
+    /// Whether a peer that sent a digest has not been met since its start.
     pub fn is_newcomer(&self, from: SocketAddr, digest: &PeerDigest) -> bool {
         let known = self.members.get(&from);
-        let is_known = known.is_some_and(|known| known.digest.incarnation == digest.incarnation);
-        !is_known && (digest.met as usize) < self.met()
+        known.is_none_or(|known| known.digest.incarnation != digest.incarnation)
     }
 
     /// Position of this process among those that share limits, the same for all of them if they know each
@@ -255,21 +269,32 @@
         }
         let known = &self.members;
         let heard_of = self.rumours.keys().chain(&self.seeds);
-        let unknown: IndexSet<SocketAddr> = heard_of
+        let unmet: IndexSet<SocketAddr> = heard_of
             .copied()
             .filter(|address| *address != self.own && !known.contains_key(address))
             .collect();
-        far.extend(unknown);
+        let unmet = Vec::from_iter(unmet);
         let near_count = if urgent { URGENT_FANOUT } else { NEAR_FANOUT };
         let mut recipients = in_turn(&near, near_count, &mut self.near_turn);
         recipients.extend(in_turn(&far, FAR_FANOUT, &mut self.far_turn));
+        recipients.extend(in_turn(&unmet, UNMET_FANOUT, &mut self.unmet_turn));
         recipients
     }
 
+    /// Processes that were heard of and not written to, for a digest at once.
+    pub fn introduce(&mut self) -> Vec<SocketAddr> {
+        let unwritten = self.rumours.iter_mut().filter(|(_, rumour)| !rumour.written);
+        let note = |(address, rumour): (&SocketAddr, &mut PeerRumour)| {
+            rumour.written = true;
+            *address
+        };
+        unwritten.take(UNMET_FANOUT).map(note).collect()
+    }
+
     /// Addresses to name in the next digest, in turns.
-    pub fn named(&mut self, now: Instant) -> Vec<SocketAddr> {
+    pub fn named(&mut self, most: usize, now: Instant) -> Vec<SocketAddr> {
         let present: Vec<SocketAddr> = self.present(now).map(|(address, _)| *address).collect();
-        let count = present.len().min(NAMED_MEMBERS);
+        let count = present.len().min(most);
         self.cursor = if present.is_empty() { 0 } else { (self.cursor + count) % present.len() };
         (0..count).map(|offset| present[(self.cursor + offset) % present.len()]).collect()
     }
--- a/crates/tarragon-fleet/src/node.rs
+++ b/crates/tarragon-fleet/src/node.rs
@@ -154,6 +154,11 @@
         self.members.recipients(urgent)
     }
 
+    /// Processes that an answer has named, for a digest at once.
+    pub fn introduce(&mut self) -> Vec<SocketAddr> {
+        self.members.introduce()
+    }
+
     /// The scheduler, for dumps and metrics.
     pub fn scheduler(&self) -> &Scheduler {
         &self.scheduler
--- a/crates/tarragon-fleet/src/node/news.rs
+++ b/crates/tarragon-fleet/src/node/news.rs
@@ -10,6 +10,7 @@
 use crate::{
     digest::{NameKey, ToldLoad, name_key},
     directory::DirectoryChange,
+    member::{ANSWER_NAMES, NAMED_MEMBERS},
     node::{FleetNode, limits::SMALL_FLEET},
     prelude::*,
 };
@@ -31,9 +32,11 @@
     pub operator: bool,
     /// A newer listing of targets that differs.
     pub listing: bool,
-    /// The peer has just started and needs this process's digest at once: until it has met others it can't
-    /// use its part of what they share.
+    /// The peer has just been met and needs an answer at once: until it has met the others, it can't use all
+    /// of its part of what they share.
     pub newcomer: bool,
+    /// The peer has answered a first digest. Processes that it names need a digest at once, too.
+    pub introduced: bool,
 }
 
 impl FleetNode {
@@ -153,8 +156,9 @@
         digest: PeerDigest,
         actions: &mut Vec<SchedulerAction>,
     ) -> PeerNews {
-        let newcomer = self.members.is_newcomer(from, &digest);
-        let news = PeerNews { newcomer, ..self.compare(&digest, now) };
+        let newcomer = !digest.answers && self.members.is_newcomer(from, &digest);
+        let introduced = digest.answers;
+        let news = PeerNews { newcomer, introduced, ..self.compare(&digest, now) };
         let sharing = self.members.sharing();
         let uses = digest.uses.clone();
         let suspects = digest.suspects.clone();
@@ -256,6 +260,12 @@
         self.schedule(now, event, actions);
     }
 
+    /// The digest for a peer that has just been met.
+    pub fn answer(&mut self, now: Instant) -> PeerDigest {
+        let members = self.members.named(ANSWER_NAMES, now);
+        PeerDigest { answers: true, members, ..self.digest(now) }
+    }
+
     /// The digest for peers.
     pub fn digest(&mut self, now: Instant) -> PeerDigest {
         self.sequence += 1;
@@ -293,8 +303,9 @@
             unknown_ms: self.quotas.unknown(now).as_millis() as u32,
             suspects,
             former: self.members.former(now),
+            answers: false,
             met: u32::try_from(self.members.met()).unwrap_or(u32::MAX),
-            members: self.members.named(now),
+            members: self.members.named(NAMED_MEMBERS, now),
         }
     }
 }
--- a/crates/tarragon-fleet/src/quota.rs
+++ b/crates/tarragon-fleet/src/quota.rs
@@ -209,6 +209,10 @@
                 excess = excess.max(recent - bounds.allowed(terms, spans).max(units as f64));
             }
             if excess > 0.0 {
+                if foreign.alone {
+                    // Peers answer the first digest at once.
+                    return Err(LEAST_WAIT);
+                }
                 let wait = Duration::from_secs_f64((excess / terms.rate).min(60.0));
                 return Err(wait.clamp(LEAST_WAIT, LONGEST_WAIT));
             }
--- a/crates/tarragon-fleet/tests/fleet/member.rs
+++ b/crates/tarragon-fleet/tests/fleet/member.rs
@@ -21,6 +21,7 @@
         unknown_ms: 0,
         suspects: Vec::new(),
         former: Vec::new(),
+        answers: false,
         met: 1,
         members: members.iter().map(|index| address(*index)).collect(),
     }
@@ -71,11 +72,9 @@
     let mut members = MemberTable::new(address(1), "north", &[address(2)]);
     assert!(members.is_alone());
     let seasoned = PeerDigest { met: 40, ..digest(2, 1, &[]) };
-    assert!(!members.is_newcomer(address(2), &seasoned));
     members.take(address(2), seasoned, now);
     assert!(!members.is_alone());
     assert_eq!((members.met(), members.sharing()), (2, 40));
-    assert!(members.is_newcomer(address(3), &digest(3, 1, &[])));
     let silent = now + SILENT;
     members.expire(silent);
     assert_eq!(members.sharing(), 40, "the others are still there when the peer is silent");
@@ -83,6 +82,20 @@
     assert_eq!(members.sharing(), 1);
 }
 
+/// Guards against processes of a large fleet that know few peers for seconds after they have started together
+/// (trouble-1 of oswa-drainline-grown: all 72 met after 5 s).
+#[test]
+fn processes_that_start_together_meet_within_a_second() {
+    let mut fleet = Fleet::start(0, 0);
+    fleet.nodes = (1..=73).map(|index| node(index, false, fleet.now)).collect();
+    for _ in 0..5 {
+        fleet.gossip_in_turns();
+        fleet.now += tarragon_fleet::member::DIGEST_INTERVAL;
+    }
+    let met: Vec<usize> = fleet.nodes.iter().map(|node| node.members().met()).collect();
+    assert_eq!(met, vec![73; 73]);
+}
+
 /// Guards against a divided limit of which two processes take the same part.
 #[test]
 fn ranks_differ_between_processes() {
--- a/crates/tarragon-fleet/tests/fleet/quota.rs
+++ b/crates/tarragon-fleet/tests/fleet/quota.rs
@@ -135,6 +135,17 @@
     assert!(most <= ALLOWED, "{most} of {ALLOWED}");
 }
 
+/// Guards against callers that are asked to stay away for as long as a quota needs to recover, though the
+/// process only waits for the first answer of a peer.
+#[test]
+fn a_process_that_has_met_nobody_asks_callers_back_soon() {
+    let mut fleet = Fleet::start(0, 0);
+    fleet.nodes = vec![node(2, false, fleet.now)];
+    fleet.publish(1, 1, vec![listed(1)]);
+    let waits = Vec::from_iter(quota_waits(&fleet.ask(0, TOKENS)));
+    assert_eq!(waits, [Some(Duration::from_millis(250))]);
+}
+
 /// Guards against a restarted fleet that refuses workspaces which use half of their limits.
 #[test]
 fn a_restarted_fleet_serves_ordinary_use() {
--- a/crates/tarragon-fleet/tests/fleet/support.rs
+++ b/crates/tarragon-fleet/tests/fleet/support.rs
@@ -152,12 +152,23 @@
         let now = self.now;
         for sender in 0..self.nodes.len() {
             let digest = self.nodes[sender].digest(now);
-            for recipient in self.nodes[sender].recipients(false) {
-                if self.hand_over(sender, recipient, digest.clone()).newcomer {
-                    let receiver = self.index_of(recipient).unwrap();
-                    let answer = self.nodes[receiver].digest(now);
-                    self.hand_over(receiver, address(sender as u8 + 1), answer);
-                }
+            let recipients = self.nodes[sender].recipients(false);
+            self.send_digest(sender, &digest, recipients);
+        }
+    }
+
+    fn send_digest(&mut self, sender: usize, digest: &PeerDigest, recipients: Vec<SocketAddr>) {
+        let now = self.now;
+        for recipient in recipients {
+            if !self.hand_over(sender, recipient, digest.clone()).newcomer {
+                continue;
+            }
+            let receiver = self.index_of(recipient).unwrap();
+            let answer = self.nodes[receiver].answer(now);
+            if self.hand_over(receiver, address(sender as u8 + 1), answer).introduced {
+                let digest = self.nodes[sender].digest(now);
+                let named = self.nodes[sender].introduce();
+                self.send_digest(sender, &digest, named);
             }
         }
     }
@@ -225,9 +236,16 @@
 
 /// Whether a request was refused because of its quota.
 pub fn over_quota(actions: &[SchedulerAction]) -> bool {
-    actions.iter().any(|action| {
-        matches!(action, SchedulerAction::Refuse { refusal, .. }
-            if refusal.code == RefusalCode::LimitReached)
+    quota_waits(actions).next().is_some()
+}
+
+/// Times after which callers who were refused because of a quota are asked to come back.
+pub fn quota_waits(actions: &[SchedulerAction]) -> impl Iterator<Item = Option<Duration>> {
+    actions.iter().filter_map(|action| match action {
+        SchedulerAction::Refuse { refusal, .. } if refusal.code == RefusalCode::LimitReached => {
+            Some(refusal.retry_after)
+        }
+        _ => None,
     })
 }
 
--- a/crates/tarragon-gateway/src/peers.rs
+++ b/crates/tarragon-gateway/src/peers.rs
@@ -70,7 +70,8 @@
 {
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut count = 0_u32;
+    // The first tick sends the first digest.
+    let mut count = DIGEST_TICKS - 1;
     let mut clocks = ClockPair::read(&context);
     loop {
         let urgent = tokio::select! {
@@ -176,8 +177,13 @@
         let news =
             context.desk.run(|node, now, actions| node.take_digest(now, from, digest, actions));
         if news.newcomer {
-            let digest = context.desk.run(|node, now, _| node.digest(now));
-            send_digest(&context, &socket, &digest, &[from]).await;
+            let answer = context.desk.run(|node, now, _| node.answer(now));
+            send_digest(&context, &socket, &answer, &[from]).await;
+        }
+        if news.introduced {
+            let (digest, named) =
+                context.desk.run(|node, now, _| (node.digest(now), node.introduce()));
+            send_digest(&context, &socket, &digest, &named).await;
         }
         if (news.operator || news.listing) && !pulling.swap(true, Ordering::Relaxed) {
             let (context, pulling) = (context.clone(), pulling.clone());
