--- a/crates/tarragon-fleet/src/member.rs
+++ b/crates/tarragon-fleet/src/member.rs
@@ -37,8 +37,9 @@
 const FORMER: Duration = Duration::from_secs(8);
 /// Addresses of processes not met yet that one digest goes to. In a fleet of 73 all meet within a second.
 const UNMET_FANOUT: usize = 24;
-/// Addresses that one digest names, and one that answers a process which has just been met.
+/// Addresses that one digest names.
 pub const NAMED_MEMBERS: usize = 16;
+/// The same for an answer to a first digest.
 pub const ANSWER_NAMES: usize = 64;
 
 /// One peer.
