Log route, rank and prompt tokens of refused requests

To tell which requests of an overloaded fleet are refused late, the line lacked what the order depends on.

--- a/crates/tarragon-gateway/src/caller.rs
+++ b/crates/tarragon-gateway/src/caller.rs
@@ -282,6 +282,8 @@
                     request, spent_ms, outcome = refusal.outcome.name(), code = ?refusal.code,
                     cause = refusal.message,
                     retry_ms = refusal.retry_after.map(|delay| delay.as_millis() as u64),
+                    route = call.routed.route.name, rank = call.routed.route.tier.name(),
+                    prompt_tokens = call.generation.as_ref().map(|size| size.prompt_tokens),
                     "refused"
                 );
                 context.metrics.answered(refusal.outcome.name(), refusal_cause(refusal.code));
