Log each arrival, and name the requests that a shutdown cuts off

A request that waits and is then refused left one line, without its id in the process; the line of a quota's refusal has only that id, so that trace could not join the two. The line of the arrival has both, with the inputs of the decision (workspace, route, rank, size, time allowed).

A shutdown logged the number of requests that it cuts off. It now writes one line for each, with whether a target may have run it.

--- a/crates/tarragon-command/src/command/serve/gateway.rs
+++ b/crates/tarragon-command/src/command/serve/gateway.rs
@@ -54,7 +54,7 @@
             return Ok(ExitCode::FAILURE);
         }
     };
-    Ok(if report.interrupted == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+    Ok(if report.interrupted.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
 /// Takes changed settings. Only seeds can change while the process runs; addresses need a new start. Settings
--- a/crates/tarragon-fleet/src/member.rs
+++ b/crates/tarragon-fleet/src/member.rs
@@ -39,7 +39,7 @@
 const UNMET_FANOUT: usize = 24;
 /// Addresses that one digest names.
 pub const NAMED_MEMBERS: usize = 16;
-/// The same for an answer to a first digest.
+/// Addresses that the answer to a first digest names: its receiver knows few.
 pub const ANSWER_NAMES: usize = 64;
 
 /// One peer.
--- a/crates/tarragon-fleet/tests/fleet/quota.rs
+++ b/crates/tarragon-fleet/tests/fleet/quota.rs
@@ -61,10 +61,7 @@
     for pressed in [10, 20, 36, 60] {
         let mut fleet = Fleet::start(8, 12);
         let mut admitted = press(&mut fleet, pressed);
-        let now = fleet.now + Duration::from_secs(1);
-        fleet.now = now;
-        fleet.nodes = (1..=8).map(|index| node(index, false, now)).collect();
-        fleet.publish(1, 1, (1..=12).map(listed).collect());
+        fleet.restart(Duration::from_secs(1));
         fleet.gossip();
         admitted.extend([0.0; 10]);
         admitted.extend(press(&mut fleet, 150));
@@ -81,10 +78,7 @@
         let mut fleet = Fleet::start(8, 12);
         let mut admitted = press(&mut fleet, 40);
         for _ in 0..8 {
-            let now = fleet.now + Duration::from_millis(500);
-            fleet.now = now;
-            fleet.nodes = (1..=8).map(|index| node(index, false, now)).collect();
-            fleet.publish(1, 1, (1..=12).map(listed).collect());
+            fleet.restart(Duration::from_millis(500));
             fleet.gossip();
             admitted.extend([0.0; 5]);
             admitted.extend(press(&mut fleet, between));
@@ -100,10 +94,7 @@
 fn restarted_processes_that_have_not_met_do_not_each_use_the_tolerance() {
     let mut fleet = Fleet::start(62, 12);
     let mut admitted = press(&mut fleet, 80);
-    let now = fleet.now + Duration::from_millis(500);
-    fleet.now = now;
-    fleet.nodes = (1..=62).map(|index| node(index, false, now)).collect();
-    fleet.publish(1, 1, (1..=12).map(listed).collect());
+    fleet.restart(Duration::from_millis(500));
     admitted.extend([0.0; 5]);
     admitted.extend(press(&mut fleet, 40));
     let most = largest_window(&admitted);
@@ -116,10 +107,7 @@
 fn restarted_processes_that_meet_in_turns_share_the_tolerance() {
     let mut fleet = Fleet::start(62, 12);
     let mut admitted = press(&mut fleet, 80);
-    let now = fleet.now + Duration::from_millis(500);
-    fleet.now = now;
-    fleet.nodes = (1..=62).map(|index| node(index, false, now)).collect();
-    fleet.publish(1, 1, (1..=12).map(listed).collect());
+    fleet.restart(Duration::from_millis(500));
     admitted.extend([0.0; 5]);
     for step in 0..60 {
         if step % 2 == 0 {
@@ -149,11 +137,8 @@
 /// Guards against a restarted fleet that refuses workspaces which use half of their limits.
 #[test]
 fn a_restarted_fleet_serves_ordinary_use() {
-    let now = std::time::Instant::now() + Duration::from_secs(100);
     let mut fleet = Fleet::start(8, 12);
-    fleet.now = now;
-    fleet.nodes = (1..=8).map(|index| node(index, false, now)).collect();
-    fleet.publish(1, 1, (1..=12).map(listed).collect());
+    fleet.restart(Duration::ZERO);
     fleet.gossip();
     // 27,500 tokens a second, 0.55 of the rate.
     for step in 0..100 {
--- a/crates/tarragon-fleet/tests/fleet/support.rs
+++ b/crates/tarragon-fleet/tests/fleet/support.rs
@@ -106,6 +106,8 @@
 pub struct Fleet {
     pub nodes: Vec<FleetNode>,
     pub now: Instant,
+    /// Targets that were last published.
+    listing: Vec<ListedTarget>,
     next: RequestId,
 }
 
@@ -113,13 +115,23 @@
     pub fn start(size: u8, targets: u8) -> Fleet {
         let now = Instant::now() + Duration::from_secs(100);
         let nodes = (1..=size).map(|index| node(index, true, now)).collect();
-        let mut fleet = Fleet { nodes, now, next: 0 };
+        let mut fleet = Fleet { nodes, now, listing: Vec::new(), next: 0 };
         fleet.publish(1, 1, (1..=targets).map(listed).collect());
         fleet.gossip();
         fleet.advance(Duration::from_secs(3));
         fleet
     }
 
+    /// Replaces all nodes by ones that have started after a time and have not met.
+    pub fn restart(&mut self, down: Duration) {
+        self.now += down;
+        let now = self.now;
+        let size = self.nodes.len() as u8;
+        self.nodes = (1..=size).map(|index| node(index, false, now)).collect();
+        let targets = self.listing.clone();
+        self.publish(1, 1, targets);
+    }
+
     pub fn publish(
         &mut self,
         revision: StoreRevision,
@@ -127,6 +139,7 @@
         targets: Vec<ListedTarget>,
     ) {
         let now = self.now;
+        self.listing = targets.clone();
         let listing = listing(revision, targets);
         for node in &mut self.nodes {
             let mut actions = Vec::new();
--- a/crates/tarragon-gateway/src/caller.rs
+++ b/crates/tarragon-gateway/src/caller.rs
@@ -196,7 +196,20 @@
 {
     context.metrics.open_requests.inc();
     let order = call_order(&call);
-    let decisions = context.desk.admit(order);
+    let route = &call.routed.route;
+    tracing::info!(
+        request = call.tag,
+        id = call.request,
+        workspace = call.routed.workspace.as_deref(),
+        route = route.name,
+        service = &*call.routed.service,
+        rank = route.tier.name(),
+        prompt_tokens = call.generation.as_ref().map(|size| size.prompt_tokens),
+        allowed_ms = call.deadline.remaining(&context.clock).as_millis() as u64,
+        open = context.metrics.open_requests.get(),
+        "request has arrived"
+    );
+    let decisions = context.desk.admit(order, &call.tag);
     let link = DeskLink(context.desk.clone());
     let driver = RequestDriver::of(&link, call.request, call.deadline, abandoned, decisions);
     let mut runner = ForwardRunner::new(&context, &call, head);
--- a/crates/tarragon-gateway/src/desk.rs
+++ b/crates/tarragon-gateway/src/desk.rs
@@ -14,7 +14,18 @@
 /// Decisions on one request that may wait for its task.
 const DECISIONS: usize = 8;
 
+/// A request that the end of the process cuts off.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CutRequest {
+    /// Id that the caller gave.
+    pub tag: String,
+    /// Whether a target may have run it.
+    pub started: bool,
+}
+
 struct OpenRequest {
+    /// Id that the caller gave.
+    tag: String,
     decisions: mpsc::Sender<Decision>,
     attempt: Option<OpenAttempt>,
 }
@@ -66,10 +77,11 @@
     }
 
     /// Takes a request. Its decisions arrive at the receiver.
-    pub fn admit(&self, order: CallOrder) -> mpsc::Receiver<Decision> {
+    pub fn admit(&self, order: CallOrder, tag: &str) -> mpsc::Receiver<Decision> {
         let (decisions, receiver) = mpsc::channel(DECISIONS);
         let request = order.request;
-        self.open.with(|open| open.insert(request, OpenRequest { decisions, attempt: None }));
+        let opened = OpenRequest { tag: tag.to_owned(), decisions, attempt: None };
+        self.open.with(|open| open.insert(request, opened));
         self.run(|node, now, actions| node.admit(now, order, actions));
         receiver
     }
@@ -99,6 +111,15 @@
         self.open.with(|open| open.len())
     }
 
+    /// The requests whose tasks take decisions.
+    pub fn cut_requests(&self) -> Vec<CutRequest> {
+        let cut = |open: &OpenRequest| CutRequest {
+            tag: open.tag.clone(),
+            started: open.attempt.as_ref().is_some_and(|attempt| attempt.started),
+        };
+        self.open.with(|open| open.values().map(cut).collect())
+    }
+
     fn deliver(&self, action: SchedulerAction) {
         match action {
             SchedulerAction::Dispatch { request, attempt, target } => {
--- a/crates/tarragon-gateway/src/serve.rs
+++ b/crates/tarragon-gateway/src/serve.rs
@@ -24,7 +24,7 @@
 
 use crate::{
     context::{ForwardLimits, GatewayContext},
-    desk::FleetDesk,
+    desk::{CutRequest, FleetDesk},
     dialect::{CallDialect, PublishedStore},
     listener::{ListenerSignals, PageAnswer, listen, serve_page},
     metrics::GatewayMetrics,
@@ -70,10 +70,10 @@
 }
 
 /// How a shutdown went.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EndReport {
     /// Requests that were cut off.
-    pub interrupted: usize,
+    pub interrupted: Vec<CutRequest>,
 }
 
 /// Starts a process.
@@ -221,11 +221,15 @@
             self.signals.connections.wait().await;
         };
         let whole = timeout_at(end, ended).await.is_ok();
-        let interrupted = if whole { 0 } else { context.desk.open_requests() };
-        if interrupted > 0 {
-            tracing::error!(interrupted, "graceful shutdown cuts requests off");
+        let interrupted = if whole { Vec::new() } else { context.desk.cut_requests() };
+        for cut in &interrupted {
+            tracing::error!(
+                request = cut.tag,
+                started = cut.started,
+                "graceful shutdown cuts the request off"
+            );
         }
-        tracing::info!(interrupted, "process ends");
+        tracing::info!(interrupted = interrupted.len(), "process ends");
         self.abort();
         EndReport { interrupted }
     }
