Prove on a real process that logs explain failed requests

The binary is started on settings as the deployment writes them, with a store and targets of the project's own. One request of each kind of failure in OPERATIONS.md fails (over its quota with free targets; answer cut short by a target that ran it; late first event), and the page's command has to print the causes in order.

--- /dev/null
+++ b/tests/failed_requests.rs
@@ -0,0 +1,214 @@
+//! Failed requests of real processes, explained by the commands of `docs/OPERATIONS.md`.
+
+#[path = "../platform/tests/calls/wire.rs"]
+mod wire;
+
+use std::{
+    fs::File,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    time::Duration,
+};
+
+use serde_json::json;
+use tarragon_standin::{
+    scripted_target::{ScriptedTarget, TargetStep},
+    shared_store::SharedStore,
+};
+use tokio::time::{Instant, sleep};
+use wire::*;
+
+/// A process of the binary, with its log in a file. It ends with the test.
+struct ServedProcess {
+    child: Child,
+    folder: PathBuf,
+    caller: SocketAddr,
+    _store: SharedStore,
+}
+
+impl ServedProcess {
+    async fn start(name: &str, ledger: &ScriptedTarget, engine: &ScriptedTarget) -> ServedProcess {
+        let store = SharedStore::start().await.unwrap();
+        store.put_json("op/config", &configuration(1));
+        register(&store, "ledger", ledger, "ready");
+        register(&store, "pool", engine, "ready");
+        let folder = std::env::temp_dir().join(format!("tarragon-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let ip = own_ip();
+        let address = |port: u16| SocketAddr::from((ip, port));
+        let settings = json!({
+            "vm": "vm-1", "data_centre": "north",
+            "caller_address": address(7_598), "ready_address": address(7_599),
+            "peer_ports": [7_600, 7_615], "seeds": [], "store_address": store.address(),
+            "first_start": true, "log_format": "json", "grace_s": 4.0,
+            "bounds": {
+                "retry_ratio": 0.2, "retry_slack": 50.0, "quota_window_s": 8.0,
+                "quota_overage": 0.25, "quota_slack": 100.0,
+            },
+        });
+        let settings_file = folder.join("settings.jsonc");
+        std::fs::write(&settings_file, settings.to_string()).unwrap();
+        let log = File::create(folder.join("vm-1.log")).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_tarragonfront"))
+            .arg("serve")
+            .arg(&settings_file)
+            .stdout(log)
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        let process = ServedProcess { child, folder, caller: address(7_598), _store: store };
+        process.await_ready(address(7_599)).await;
+        process
+    }
+
+    async fn await_ready(&self, address: SocketAddr) {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            if tokio::net::TcpStream::connect(address).await.is_ok() {
+                let page = "GET /-/readyz HTTP/1.1\nhost: x\nconnection: close\n\n";
+                if status(&send(address, page).await) == 200 {
+                    return;
+                }
+            }
+            assert!(Instant::now() < end, "the process is not ready in time");
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// What `trace` prints of a request, once a line with the last message is there.
+    async fn trace(&self, request: &str, last: &str) -> String {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            let story = trace(&self.folder.join("vm-1.log"), request);
+            if story.contains(last) || Instant::now() >= end {
+                return story;
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
+
+impl Drop for ServedProcess {
+    fn drop(&mut self) {
+        // Nothing can be done about a failure: the process has ended then, or the folder has gone.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn trace(log: &Path, request: &str) -> String {
+    let output = Command::new(env!("CARGO_BIN_EXE_tarragonfront"))
+        .args(["trace", "--request", request])
+        .arg(log)
+        .output()
+        .unwrap();
+    String::from_utf8(output.stdout).unwrap()
+}
+
+fn request_of(id: &str, path: &str, tokens: &str) -> String {
+    let text = request("POST", path, &format!("Token-Count: {tokens}\n"), "prompt");
+    text.replace("9c41d07be2a35f68", id)
+}
+
+fn number_after(story: &str, field: &str) -> Option<u64> {
+    let rest = &story[story.find(field)? + field.len()..];
+    rest.split_whitespace().next()?.parse().ok()
+}
+
+struct FailureCase {
+    /// Kind of failure, as the page names it.
+    kind: &'static str,
+    id: &'static str,
+    path: &'static str,
+    tokens: &'static str,
+    status: u16,
+    /// Message of the last line of the story.
+    last: &'static str,
+    /// What the story has to tell, in this order.
+    told: &'static [&'static str],
+}
+
+const LATE_BY: Duration = Duration::from_millis(1_200);
+
+const CASES: &[FailureCase] = &[
+    FailureCase {
+        kind: "refused though targets seemed free",
+        id: "a100000000000001",
+        path: "/stream/1",
+        tokens: "900000,100000",
+        status: 429,
+        last: " refused: ",
+        told: &[
+            "request has arrived: ",
+            "workspace=\"depot\"",
+            "prompt_tokens=900000",
+            "refused: over the quota: ",
+            "units=1000000",
+            " refused: ",
+            "code=\"LimitReached\"",
+        ],
+    },
+    FailureCase {
+        kind: "502 though a target ran it",
+        id: "a100000000000002",
+        path: "/once/1",
+        tokens: "10,10",
+        status: 502,
+        last: " refused: ",
+        told: &[
+            "request has arrived: ",
+            "believed ",
+            "target is listed: ",
+            "sent: ",
+            "answer is not whole: ",
+            "attempt failed: ",
+            "end=\"broken\"",
+            " refused: ",
+            "outcome=\"unknown\"",
+            "code=\"TargetFailed\"",
+        ],
+    },
+    FailureCase {
+        kind: "late stream",
+        id: "a100000000000003",
+        path: "/stream/1",
+        tokens: "100,50",
+        status: 200,
+        last: "stream is complete",
+        told: &[
+            "request has arrived: ",
+            "sent: ",
+            "waited_ms=",
+            "stream is complete: ",
+            "spent_ms=1",
+        ],
+    },
+];
+
+/// Guards against a failed request whose cause on-call can't find from the logs alone.
+#[tokio::test]
+async fn logs_tell_why_requests_failed() {
+    let head = format!("HTTP/1.1 200 OK\nrequest-id: {{id}}\ncontent-length: 9\n{SIGNATURE}\n\n");
+    let cut_short = vec![write(&format!("{head}part")), TargetStep::Close];
+    let ledger = ScriptedTarget::start(vec![cut_short]).await.unwrap();
+    let late = vec![TargetStep::Pause(LATE_BY), stream_head(), event(1), stream_end()];
+    let engine = ScriptedTarget::start(vec![late]).await.unwrap();
+    let process = ServedProcess::start("failures", &ledger, &engine).await;
+    for case in CASES {
+        let FailureCase { kind, id, path, tokens, last, told, .. } = case;
+        let answer = send(process.caller, &request_of(id, path, tokens)).await;
+        assert_eq!(status(&answer), case.status, "{kind}: {answer}");
+        let story = process.trace(id, last).await;
+        let mut rest = story.as_str();
+        for text in *told {
+            let found = rest.find(text);
+            assert!(found.is_some(), "{kind}: `{text}` is missing or too early in\n{story}");
+            rest = &rest[found.unwrap_or(0)..];
+        }
+        // The objective is 800 ms: what is late here was not kept waiting by the process.
+        let waited = number_after(&story, "waited_ms=");
+        assert!(waited.is_none_or(|waited| waited < 800), "{kind}: {story}");
+    }
+}
