Allow two bursts in each part of a quota's window

The limits for parts of the window, by which a restarted process knows the most that was admitted before, are those of a bucket with one burst, and refuse it though the window has room.

--- a/crates/tarragon-fleet/src/quota.rs
+++ b/crates/tarragon-fleet/src/quota.rs
@@ -25,9 +25,12 @@
 /// before they admit much.
 const LEAST_SPACING: Duration = Duration::from_secs(1);
 /// Equal parts of the window. In any one, two or three of them together, a workspace gets at most its rate and
-/// its burst, so that a process which was restarted knows the most that may have been admitted in the rest of
+/// some bursts, so that a process which was restarted knows the most that may have been admitted in the rest of
 /// the window.
 const SPANS: u32 = 4;
+/// Bursts in a part of the window. With one, callers who stay within the window's limit are refused on calm
+/// days; with more, less is certain after a restart.
+const SPAN_BURSTS: f64 = 2.0;
 /// Bounds of the time after which a refused caller is asked to come back.
 const LEAST_WAIT: Duration = Duration::from_millis(250);
 const LONGEST_WAIT: Duration = Duration::from_secs(2);
@@ -99,9 +102,15 @@
 }
 
 impl QuotaBounds {
+    /// Units that a workspace may use in the window.
+    fn limit(&self, terms: &WorkspaceTerms) -> f64 {
+        terms.rate * self.window.as_secs_f64() + terms.burst
+    }
+
     /// Units that a workspace may use in a part of the window.
     fn allowed(&self, terms: &WorkspaceTerms, spans: u32) -> f64 {
-        terms.rate * (self.window * spans).as_secs_f64() / f64::from(SPANS) + terms.burst
+        let time = self.window.as_secs_f64() * f64::from(spans) / f64::from(SPANS);
+        (terms.rate * time + terms.burst * SPAN_BURSTS).min(self.limit(terms))
     }
 
     /// The most that a process may have used of its share of a quota in a part of the window of which it knows
@@ -111,7 +120,7 @@
             return 0.0;
         }
         let spans = (unknown.div_duration_f64(self.window) * f64::from(SPANS)).ceil() as u32;
-        self.allowed(terms, spans.min(SPANS)) / self.allowed(terms, SPANS)
+        self.allowed(terms, spans.min(SPANS)) / self.limit(terms)
     }
 
     /// Part of its share of the tolerance that a process may use which doesn't know its use in a part of the
@@ -187,7 +196,7 @@
         let usage = self.own.entry(name_key(workspace)).or_default();
         usage.expire(window, now);
         if terms.rate > 0.0 {
-            let limit = bounds.allowed(terms, SPANS);
+            let limit = bounds.limit(terms);
             let sharing = foreign.sharing.max(1) as f64;
             // A silent process may use its part, and a restarted one may have used it in this window.
             let kept = limit / sharing * ((foreign.silent + foreign.unmet) as f64 + presumed);
--- a/crates/tarragon-fleet/tests/fleet/quota.rs
+++ b/crates/tarragon-fleet/tests/fleet/quota.rs
@@ -189,6 +189,24 @@
     assert!(most <= ALLOWED, "{most} of {ALLOWED}");
 }
 
+/// Guards against a workspace that is refused though it stays far below the limit of the window, since its
+/// requests come close together (quiet-1 of both sites: all refusals of the day).
+#[test]
+fn requests_that_come_together_are_served_within_the_limit() {
+    let mut fleet = Fleet::start(8, 12);
+    for request in 0..70 {
+        let node = request % 8;
+        let actions = fleet.ask(node, TOKENS);
+        assert!(!over_quota(&actions), "refused after {request} requests, {LIMIT} tokens allowed");
+        for action in &actions {
+            fleet.finish(node, action, AttemptEnd::Finished);
+        }
+        if request % 7 == 6 {
+            fleet.advance(STEP);
+        }
+    }
+}
+
 /// Guards against units that are charged for requests which were never run.
 #[test]
 fn refused_requests_give_their_units_back() {
