--- a/crates/tarragon-fleet/tests/fleet/member.rs
+++ b/crates/tarragon-fleet/tests/fleet/member.rs
@@ -71,8 +71,8 @@
     let now = Instant::now();
     let mut members = MemberTable::new(address(1), "north", &[address(2)]);
     assert!(members.is_alone());
-    let seasoned = PeerDigest { met: 40, ..digest(2, 1, &[]) };
-    members.take(address(2), seasoned, now);
+    let teller = PeerDigest { met: 40, ..digest(2, 1, &[]) };
+    members.take(address(2), teller, now);
     assert!(!members.is_alone());
     assert_eq!((members.met(), members.sharing()), (2, 40));
     let silent = now + SILENT;
