Look services and versions up in one place, and name peers once a digest

Found on reading the change: the time for which a service's targets are cold was looked up by three copies of the same code, two of which copied the configuration and the evacuated data centres first; the version in force by three, a service's terms by two. OperatorState answers all of these now.

An answer to a first digest chose the names for its receiver twice and dropped the first choice, which moved the turn of the names on. A digest for processes that an answer names is written only if there are any. The part of a quota that the process itself may have used is computed once a request.

--- a/crates/tarragon-fleet/src/health.rs
+++ b/crates/tarragon-fleet/src/health.rs
@@ -18,7 +18,7 @@
 const LONGEST_REST: Duration = Duration::from_secs(3);
 
 /// Outcomes at one target.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct TargetHealth {
     /// Mean rate of failures.
     pub failures: f64,
@@ -28,12 +28,6 @@
     pub resting: Option<Instant>,
 }
 
-impl Default for TargetHealth {
-    fn default() -> TargetHealth {
-        TargetHealth { failures: 0.0, streak: 0, rests: 0, resting: None }
-    }
-}
-
 impl TargetHealth {
     /// Takes the end of an attempt. `common` is the mean rate of failures of the service. Returns whether the
     /// target is to be left alone from now on.
--- a/crates/tarragon-fleet/src/node/limits.rs
+++ b/crates/tarragon-fleet/src/node/limits.rs
@@ -130,19 +130,10 @@
 
     /// Requests that a cold target of a service bears in a second; `None` if it bears any number.
     fn cold_starts(&self, service: &str) -> Option<u32> {
-        let terms = self.service_terms(service)?;
+        let terms = self.operator.service_terms(service)?;
         (terms.cold_starts > 0.0).then(|| (terms.cold_starts as u32).max(1))
     }
 
-    pub(super) fn service_terms(&self, service: &str) -> Option<&ServiceTerms> {
-        self.operator.configuration.as_ref()?.services.get(service)
-    }
-
-    /// Time for which targets of a service are cold after a start.
-    pub(super) fn cold_time(&self, service: &str) -> Duration {
-        self.service_terms(service).map_or(Duration::ZERO, |terms| terms.cold_time)
-    }
-
     /// Retries that this process may make, as its part of what the fleet may make.
     pub(super) fn update_retries(&mut self) {
         let bounds = self.settings.bounds;
@@ -167,7 +158,7 @@
         let Some(entry) = self.directory.get(target) else { return };
         let service = entry.listed.service.clone();
         if end == AttemptEnd::NotSent {
-            let cold_time = self.cold_time(&service);
+            let cold_time = self.operator.cold_time(&service);
             self.directory.suspect(target, cold_time, now);
         }
         let (common, last) = self.service_health(&service, target);
--- a/crates/tarragon-fleet/src/node/news.rs
+++ b/crates/tarragon-fleet/src/node/news.rs
@@ -49,9 +49,7 @@
         source: &str,
         actions: &mut Vec<SchedulerAction>,
     ) -> bool {
-        let version =
-            |state: &OperatorState| state.configuration.as_ref().map_or(0, |known| known.version);
-        let (known, new) = (version(&self.operator), version(&state));
+        let (known, new) = (self.operator.version(), state.version());
         if state.revision <= self.operator.revision || new < known {
             return false;
         }
@@ -67,13 +65,10 @@
     }
 
     fn update_evacuations(&mut self, now: Instant, actions: &mut Vec<SchedulerAction>) {
-        let evacuated = self.operator.evacuated.clone();
-        let configuration = self.operator.configuration.clone();
-        let cold_time = |service: &str| {
-            let terms = configuration.as_ref().and_then(|known| known.services.get(service));
-            terms.map_or(Duration::ZERO, |terms| terms.cold_time)
-        };
-        let changed = self.directory.evacuate(|name| evacuated.contains(name), cold_time, now);
+        let operator = &self.operator;
+        let is_out = |name: &str| operator.evacuated.contains(name);
+        let cold_time = |service: &str| operator.cold_time(service);
+        let changed = self.directory.evacuate(is_out, cold_time, now);
         for target in changed {
             self.update_starts(&target, now, actions);
             self.list_target(&target, now, actions);
@@ -89,11 +84,8 @@
         actions: &mut Vec<SchedulerAction>,
     ) {
         let Some(read) = now.checked_sub(age) else { return };
-        let configuration = self.operator.configuration.clone();
-        let cold_time = |service: &str| {
-            let terms = configuration.as_ref().and_then(|known| known.services.get(service));
-            terms.map_or(Duration::ZERO, |terms| terms.cold_time)
-        };
+        let operator = &self.operator;
+        let cold_time = |service: &str| operator.cold_time(service);
         let changes = self.directory.take(listing, read, cold_time);
         for change in changes {
             match change {
@@ -262,12 +254,15 @@
 
     /// The digest for a peer that has just been met.
     pub fn answer(&mut self, now: Instant) -> PeerDigest {
-        let members = self.members.named(ANSWER_NAMES, now);
-        PeerDigest { answers: true, members, ..self.digest(now) }
+        PeerDigest { answers: true, ..self.digest_naming(ANSWER_NAMES, now) }
     }
 
     /// The digest for peers.
     pub fn digest(&mut self, now: Instant) -> PeerDigest {
+        self.digest_naming(NAMED_MEMBERS, now)
+    }
+
+    fn digest_naming(&mut self, most: usize, now: Instant) -> PeerDigest {
         self.sequence += 1;
         let age = |since: Instant| {
             u32::try_from(now.saturating_duration_since(since).as_millis()).unwrap_or(u32::MAX)
@@ -305,7 +300,7 @@
             former: self.members.former(now),
             answers: false,
             met: u32::try_from(self.members.met()).unwrap_or(u32::MAX),
-            members: self.members.named(NAMED_MEMBERS, now),
+            members: self.members.named(most, now),
         }
     }
 }
--- a/crates/tarragon-fleet/src/published.rs
+++ b/crates/tarragon-fleet/src/published.rs
@@ -133,6 +133,23 @@
     pub evacuated: IndexSet<DataCentreName>,
 }
 
+impl OperatorState {
+    /// Version of the configuration in force; 0 before the first.
+    pub fn version(&self) -> ConfigurationVersion {
+        self.configuration.as_ref().map_or(0, |known| known.version)
+    }
+
+    /// What the configuration says of a service.
+    pub fn service_terms(&self, service: &str) -> Option<&ServiceTerms> {
+        self.configuration.as_ref()?.services.get(service)
+    }
+
+    /// Time for which targets of a service are cold after a start.
+    pub fn cold_time(&self, service: &str) -> Duration {
+        self.service_terms(service).map_or(Duration::ZERO, |terms| terms.cold_time)
+    }
+}
+
 /// One target as it registers itself.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ListedTarget {
--- a/crates/tarragon-fleet/src/quota.rs
+++ b/crates/tarragon-fleet/src/quota.rs
@@ -192,7 +192,8 @@
         let unknown = self.unknown(now);
         let own_accrued = if foreign.alone { 0.0 } else { bounds.accrued(unknown) };
         let accrued = foreign.accrued + own_accrued;
-        let presumed = foreign.presumed + bounds.presumed(terms, unknown);
+        let own_presumed = bounds.presumed(terms, unknown);
+        let presumed = foreign.presumed + own_presumed;
         let usage = self.own.entry(name_key(workspace)).or_default();
         usage.expire(window, now);
         if terms.rate > 0.0 {
@@ -209,8 +210,8 @@
             let mut excess = used - limit - tolerance;
             if foreign.unmet > 0 && !unknown.is_zero() {
                 // Others that know these peers as well may use the peers' parts of the tolerance.
-                let own_part = tolerance_part * own_accrued
-                    + limit / sharing * (1.0 - bounds.presumed(terms, unknown));
+                let own_part =
+                    tolerance_part * own_accrued + limit / sharing * (1.0 - own_presumed);
                 excess = excess.max((usage.sum + units) as f64 - own_part);
             }
             for (spans, (own, told)) in (1..).zip(own_recent.iter().zip(foreign.told_recent)) {
--- a/crates/tarragon-gateway/src/peers.rs
+++ b/crates/tarragon-gateway/src/peers.rs
@@ -181,9 +181,13 @@
             send_digest(&context, &socket, &answer, &[from]).await;
         }
         if news.introduced {
-            let (digest, named) =
-                context.desk.run(|node, now, _| (node.digest(now), node.introduce()));
-            send_digest(&context, &socket, &digest, &named).await;
+            let introduction = context.desk.run(|node, now, _| {
+                let named = node.introduce();
+                (!named.is_empty()).then(|| (node.digest(now), named))
+            });
+            if let Some((digest, named)) = introduction {
+                send_digest(&context, &socket, &digest, &named).await;
+            }
         }
         if (news.operator || news.listing) && !pulling.swap(true, Ordering::Relaxed) {
             let (context, pulling) = (context.clone(), pulling.clone());
--- a/crates/tarragon-gateway/src/reader.rs
+++ b/crates/tarragon-gateway/src/reader.rs
@@ -158,7 +158,7 @@
 pub fn take_state<D>(context: &GatewayContext<D>, state: OperatorState, source: &str) {
     let (new, version) = context.desk.run(|node, now, actions| {
         let new = node.take_operator(now, state, source, actions);
-        (new, node.operator().configuration.as_ref().map_or(0, |known| known.version))
+        (new, node.operator().version())
     });
     if new {
         context.desk.urgent.notify_one();
--- a/crates/tarragon-scheduler/src/retry.rs
+++ b/crates/tarragon-scheduler/src/retry.rs
@@ -44,6 +44,7 @@
         RetryBudget { terms, saved: terms.floor_saved, filled: None }
     }
 }
+
 impl RetryBudget {
     /// Takes other terms. What is saved above the new bound is lost.
     pub fn set_terms(&mut self, terms: RetryTerms) {
