Measure a pool's rate only while requests wait throughout the interval

Cause: an interval of half a second counted as busy if requests waited at its end, so that a burst right before the end made the few calls of an idle pool look like all that it can do. The next arrivals were refused with "the deadline can't be met". An interval now counts if requests wait at its start and at its end. The scheduler test fails without the change (20 of 20 calls refused).

--- a/crates/tarragon-scheduler/src/targets.rs
+++ b/crates/tarragon-scheduler/src/targets.rs
@@ -186,6 +186,8 @@
     drain_mean: f64,
     /// Tokens a second in the last interval in which requests waited.
     drain_last: f64,
+    /// Whether requests waited at the end of the last interval.
+    waited: bool,
 }
 
 impl ServicePool {
@@ -220,7 +222,9 @@
             *mean += ARRIVAL_GAIN * (std::mem::take(arrived) as f64 / seconds - *mean);
         }
         let rate = std::mem::take(&mut self.drained) as f64 / seconds;
-        if !busy {
+        // Requests that wait at the end alone may have arrived a moment ago, at a pool that was idle before.
+        let waited = std::mem::replace(&mut self.waited, busy);
+        if !(waited && busy) {
             return;
         }
         let gain = if self.drain_mean > 0.0 { DRAIN_GAIN } else { 1.0 };
--- a/crates/tarragon-scheduler/tests/rules/terms.rs
+++ b/crates/tarragon-scheduler/tests/rules/terms.rs
@@ -175,3 +175,27 @@
         driver.end(request, 1, AttemptEnd::Finished);
     }
 }
+
+/// Guards against calls that are refused by the rate of an idle pool: a burst that arrived right before the end
+/// of an interval made the few calls of that interval look like all that the pool can do.
+#[test]
+fn a_burst_at_an_idle_pool_says_nothing_of_its_rate() {
+    let mut driver = Driver::with_targets(2, 2);
+    let plain =
+        || Ask { model: "", tier: Tier::High, deadline: Duration::from_secs(4), ..Ask::default() };
+    for _ in 0..20 {
+        let request = driver.ask(plain());
+        driver.advance(Duration::from_millis(10));
+        driver.end(request, 1, AttemptEnd::Finished);
+        driver.advance(Duration::from_millis(490));
+    }
+    let burst: Vec<RequestId> = (0..60).map(|_| driver.ask(plain())).collect();
+    driver.advance(Duration::from_millis(600));
+    let mut refused = driver.refused().len();
+    for _ in 0..20 {
+        driver.ask(plain());
+        refused += driver.refused().len();
+    }
+    assert_eq!(refused, 0, "{} wait", driver.waiting());
+    assert!(driver.waiting() as usize >= burst.len());
+}
