Heed targets that leave or ask for a pause, and cut targets that send without end

A target's first answer that says so (errors, heads of streams and interim answers included) now takes it out of this process's choice at once; digests tell peers; a listing that is read later doesn't bring it back, a new start of the process does. Idle connections to it are closed. - A 503 with Retry-After was a rejection like any other. The target now gets nothing from this process until then (bounded to 600 s). If all targets of a service ask for a pause, callers are refused with the earliest end. Peers aren't told: the pause is asked of one process, and a hint would close targets that have room for others. - Bytes without end: the size line of a chunk was read without bound up to the deadline, and whole answers up to 16 MiB each.

--- a/crates/tarragon-fleet/src/digest.rs
+++ b/crates/tarragon-fleet/src/digest.rs
@@ -79,6 +79,8 @@
     pub unknown_ms: u32,
     /// Requests that may crash targets.
     pub suspects: Vec<SuspectEntry>,
+    /// Starts of the processes of targets that have said a short time ago that they are leaving.
+    pub leaving: Vec<u64>,
     /// Units that peers which were restarted a short time ago had used before, by address.
     pub former: Vec<(SocketAddr, Vec<UsageSum>)>,
     /// Whether this answers the receiver's first digest. An answer is not answered.
--- a/crates/tarragon-fleet/src/directory.rs
+++ b/crates/tarragon-fleet/src/directory.rs
@@ -16,6 +16,27 @@
 const OUTAGE: Duration = Duration::from_millis(2_500);
 /// Lapsed entries are back this long after the store, from the platform's description.
 const RETURN_TIME: Duration = Duration::from_millis(2_200);
+/// What a target said of itself is kept this long after its entry has gone. A leaving target serves for some
+/// seconds after that, and its entry may come back with a listing of another process.
+const KEPT_NOTICE: Duration = Duration::from_secs(60);
+/// Longest pause that a target may ask for. It is the longest time that callers are asked to wait.
+const LONGEST_PAUSE: Duration = Duration::from_secs(600);
+
+/// What a target has said of itself in its answers.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct TargetNotice {
+    /// Since when it is known to be leaving.
+    pub leaving: Option<Instant>,
+    /// Until when it wants no requests of this process.
+    pub paused: Option<Instant>,
+}
+
+impl TargetNotice {
+    /// Whether it allows new work.
+    fn allows_work(&self) -> bool {
+        self.leaving.is_none() && self.paused.is_none()
+    }
+}
 
 /// One target.
 #[derive(Debug, Clone)]
@@ -32,12 +53,24 @@
     evacuated: bool,
     /// Whether another process has answered at the address since the entry was written.
     replaced: bool,
+    /// What the target has said of itself. It counts more than its entry, which is older.
+    notice: TargetNotice,
 }
 
 impl DirectoryEntry {
     /// Whether it may get new work.
     pub fn in_service(&self) -> bool {
-        !self.listed.leaving && !self.evacuated && !self.replaced
+        self.is_available() && self.notice.allows_work()
+    }
+
+    /// Whether it may get new work once a pause that it has asked for is over.
+    fn is_available(&self) -> bool {
+        !self.is_leaving() && !self.evacuated && !self.replaced
+    }
+
+    /// Whether it is about to stop, by its entry or by its answers.
+    pub fn is_leaving(&self) -> bool {
+        self.listed.leaving || self.notice.leaving.is_some()
     }
 
     /// Whether it counts as cold.
@@ -70,6 +103,8 @@
     listed: Vec<ListedTarget>,
     /// Hash of what the listing says.
     hash: u64,
+    /// What targets whose entries are gone have said, by the start of their process.
+    kept: IndexMap<u64, (TargetNotice, Instant)>,
 }
 
 impl TargetDirectory {
@@ -167,6 +202,7 @@
                 missing: None,
                 evacuated: false,
                 replaced: false,
+                notice: self.kept.get(&restart).map(|(notice, _)| *notice).unwrap_or_default(),
             };
             self.entries.insert(target.clone(), entry);
             return Some(DirectoryChange::Changed(target.clone()));
@@ -202,6 +238,7 @@
         }
         entry.restart = restart;
         entry.replaced = false;
+        entry.notice = TargetNotice::default();
         entry.cold_until = told_cold.max(Some(now + cold_time));
         Some(DirectoryChange::Restarted(target.clone()))
     }
@@ -215,6 +252,8 @@
     ) {
         let recent = |since: Instant| now.saturating_duration_since(since) < RETURN_TIME;
         let returning = self.returned.is_some_and(recent);
+        let kept = &mut self.kept;
+        kept.retain(|_, (_, gone)| now.saturating_duration_since(*gone) < KEPT_NOTICE);
         self.entries.retain(|target, entry| {
             if newest.contains_key(target) {
                 return true;
@@ -229,6 +268,9 @@
                 was_leaving = entry.listed.leaving,
                 "target is gone"
             );
+            if !entry.notice.allows_work() {
+                kept.insert(entry.restart, (entry.notice, now));
+            }
             changes.push(DirectoryChange::Removed(target.clone()));
             false
         });
@@ -279,6 +321,91 @@
         entry.replaced = true;
         true
     }
+
+    /// Notes that the instance at an address is leaving, as its answers say. Returns whether this is news.
+    pub fn note_leaving(&mut self, target: &str, instance: &str, now: Instant) -> bool {
+        let Some(entry) = self.entries.get_mut(target) else { return false };
+        if &*entry.listed.instance != instance || entry.notice.leaving.is_some() {
+            return false;
+        }
+        tracing::info!(
+            target_address = target,
+            instance,
+            revision = entry.listed.revision,
+            "target says that it is leaving"
+        );
+        entry.notice.leaving = Some(now);
+        true
+    }
+
+    /// Notes that the target with this start of its process is leaving, as a peer has heard. Returns the
+    /// target if this is news.
+    pub fn take_leaving(&mut self, restart: u64, now: Instant) -> Option<TargetName> {
+        let (target, entry) =
+            self.entries.iter_mut().find(|(_, entry)| entry.restart == restart)?;
+        if entry.notice.leaving.is_some() {
+            return None;
+        }
+        tracing::info!(
+            target_address = &**target,
+            instance = &*entry.listed.instance,
+            revision = entry.listed.revision,
+            "a peer tells that the target is leaving"
+        );
+        entry.notice.leaving = Some(now);
+        Some(target.clone())
+    }
+
+    /// Starts of the processes of targets that said within `span` that they are leaving.
+    pub fn leaving_since(&self, span: Duration, now: Instant) -> Vec<u64> {
+        let recent = |since: Instant| now.saturating_duration_since(since) < span;
+        let entries = self.entries.values();
+        entries
+            .filter(|entry| entry.notice.leaving.is_some_and(recent))
+            .map(|entry| entry.restart)
+            .collect()
+    }
+
+    /// Notes that the instance at an address wants no requests of this process for a time. A later word may
+    /// prolong the pause, but doesn't shorten it. Returns whether this is news.
+    pub fn pause(&mut self, target: &str, instance: &str, time: Duration, now: Instant) -> bool {
+        let Some(entry) = self.entries.get_mut(target) else { return false };
+        let until = now + time.min(LONGEST_PAUSE);
+        if &*entry.listed.instance != instance
+            || entry.notice.paused.is_some_and(|known| known >= until)
+        {
+            return false;
+        }
+        tracing::info!(
+            target_address = target,
+            instance,
+            pause_ms = time.as_millis() as u64,
+            "target wants no requests for a while"
+        );
+        entry.notice.paused = Some(until);
+        true
+    }
+
+    /// Ends the pauses that are over. Returns their targets.
+    pub fn end_pauses(&mut self, now: Instant) -> Vec<TargetName> {
+        let over = self.entries.iter_mut().filter_map(|(target, entry)| {
+            entry.notice.paused.take_if(|until| *until <= now).map(|_| target.clone())
+        });
+        over.collect()
+    }
+
+    /// When the first target of a service ends its pause, if all that could serve have asked for one.
+    pub fn service_pause(&self, service: &str) -> Option<Instant> {
+        let mut earliest = None;
+        for entry in self.entries.values() {
+            if &*entry.listed.service != service || !entry.is_available() {
+                continue;
+            }
+            let until = entry.notice.paused?;
+            earliest = Some(earliest.map_or(until, |known: Instant| known.min(until)));
+        }
+        earliest
+    }
 }
 
 /// One entry for each address: that of the process which started last.
--- a/crates/tarragon-fleet/src/node.rs
+++ b/crates/tarragon-fleet/src/node.rs
@@ -97,6 +97,8 @@
     members: MemberTable,
     quotas: QuotaLedger,
     terms: IndexMap<TargetName, TargetTerms>,
+    /// Services all of whose targets want no requests for a while, as last told to the scheduler.
+    pauses: IndexMap<ServiceName, Option<Instant>>,
     calls: IndexMap<RequestId, OpenCall>,
     started: Instant,
     sequence: u64,
@@ -119,6 +121,7 @@
             ),
             quotas: QuotaLedger::new(settings.bounds.quota, started),
             terms: IndexMap::new(),
+            pauses: IndexMap::new(),
             calls: IndexMap::new(),
             started: now,
             sequence: 0,
@@ -214,6 +217,7 @@
             self.update_retries();
         }
         self.wake_targets(now, actions);
+        self.end_pauses(now, actions);
         self.update_targets(now, actions);
         self.schedule(now, SchedulerEvent::Tick, actions);
     }
--- a/crates/tarragon-fleet/src/node/limits.rs
+++ b/crates/tarragon-fleet/src/node/limits.rs
@@ -209,6 +209,19 @@
         }
     }
 
+    /// Gives targets work again that wanted none for a time which is over.
+    pub(super) fn end_pauses(&mut self, now: Instant, actions: &mut Vec<SchedulerAction>) {
+        let over = self.directory.end_pauses(now);
+        if over.is_empty() {
+            return;
+        }
+        for target in &over {
+            tracing::info!(target_address = &**target, "target takes requests again");
+            self.list_target(target, now, actions);
+        }
+        self.update_pauses(now, actions);
+    }
+
     /// Tells the scheduler whether a target may get work.
     pub(super) fn list_target(
         &mut self,
--- a/crates/tarragon-fleet/src/node/news.rs
+++ b/crates/tarragon-fleet/src/node/news.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::{
     digest::{NameKey, ToldLoad, name_key},
@@ -21,6 +21,10 @@
 const TOLD_LIFETIME: Duration = Duration::from_secs(2);
 /// Suspected requests that one digest tells.
 const TOLD_SUSPECTS: usize = 8;
+/// Time for which digests tell that a target is leaving: longer than the store's listings take to say so.
+const TOLD_LEAVING: Duration = Duration::from_secs(5);
+/// Leaving targets that one digest tells.
+const MAX_LEAVING: usize = 32;
 
 /// A peer's listing that is newer by less than this is not worth a call.
 const LISTING_STEP: Duration = Duration::from_millis(150);
@@ -110,6 +114,50 @@
         }
         self.update_evacuations(now, actions);
         self.update_targets(now, actions);
+        self.update_pauses(now, actions);
+    }
+
+    /// The instance at a target's address says that it is leaving. It gets no new work from now on, also while
+    /// the store is away or its entry doesn't say so yet.
+    pub fn target_leaves(
+        &mut self,
+        now: Instant,
+        target: &TargetName,
+        instance: &str,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        if self.directory.note_leaving(target, instance, now) {
+            self.list_target(target, now, actions);
+            self.update_pauses(now, actions);
+        }
+    }
+
+    /// The instance at a target's address wants no requests of this process for a time.
+    pub fn target_pauses(
+        &mut self,
+        now: Instant,
+        target: &TargetName,
+        instance: &str,
+        time: Duration,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        if self.directory.pause(target, instance, time, now) {
+            self.list_target(target, now, actions);
+            self.update_pauses(now, actions);
+        }
+    }
+
+    /// Tells the scheduler which services wait for the end of a pause at all their targets.
+    pub(super) fn update_pauses(&mut self, now: Instant, actions: &mut Vec<SchedulerAction>) {
+        let services: IndexSet<ServiceName> =
+            self.directory.iter().map(|(_, entry)| entry.listed.service.clone()).collect();
+        for service in services {
+            let until = self.directory.service_pause(&service);
+            if self.pauses.get(&service).copied().flatten() != until {
+                self.pauses.insert(service.clone(), until);
+                self.schedule(now, SchedulerEvent::ServicePaused(service, until), actions);
+            }
+        }
     }
 
     /// Takes the load that a target told with an answer.
@@ -154,6 +202,7 @@
         let sharing = self.members.sharing();
         let uses = digest.uses.clone();
         let suspects = digest.suspects.clone();
+        let leaving = digest.leaving.clone();
         if let Some(usage) = self.members.own_former(&digest) {
             self.quotas.adopt(usage, now);
         }
@@ -166,6 +215,11 @@
         for suspect in suspects {
             self.schedule(now, SchedulerEvent::SuspectReported(suspect), actions);
         }
+        for restart in leaving {
+            if let Some(target) = self.directory.take_leaving(restart, now) {
+                self.list_target(&target, now, actions);
+            }
+        }
         self.take_told_loads(now, &uses, actions);
         if self.members.sharing() <= SMALL_FLEET {
             self.update_targets(now, actions);
@@ -234,7 +288,7 @@
         let Some(entry) = self.directory.get(target) else { return };
         let report = LoadReport {
             restart: entry.restart,
-            state: match (entry.listed.leaving, entry.is_cold(now)) {
+            state: match (entry.is_leaving(), entry.is_cold(now)) {
                 (true, _) => TargetState::Leaving,
                 (false, true) => TargetState::Cold,
                 (false, false) => TargetState::Warm,
@@ -284,6 +338,8 @@
         usage.truncate(TOLD_WORKSPACES);
         let mut suspects = self.scheduler.suspects(now);
         suspects.truncate(TOLD_SUSPECTS);
+        let mut leaving = self.directory.leaving_since(TOLD_LEAVING, now);
+        leaving.truncate(MAX_LEAVING);
         PeerDigest {
             vm: self.settings.vm.clone(),
             data_centre: name_key(&self.settings.data_centre),
@@ -297,6 +353,7 @@
             usage,
             unknown_ms: self.quotas.unknown(now).as_millis() as u32,
             suspects,
+            leaving,
             former: self.members.former(now),
             answers: false,
             met: u32::try_from(self.members.met()).unwrap_or(u32::MAX),
--- a/crates/tarragon-fleet/tests/fleet/member.rs
+++ b/crates/tarragon-fleet/tests/fleet/member.rs
@@ -20,6 +20,7 @@
         usage: Vec::new(),
         unknown_ms: 0,
         suspects: Vec::new(),
+        leaving: Vec::new(),
         former: Vec::new(),
         answers: false,
         met: 1,
--- a/crates/tarragon-fleet/tests/fleet/node.rs
+++ b/crates/tarragon-fleet/tests/fleet/node.rs
@@ -174,3 +174,62 @@
     }
     assert!(to_bad <= 12, "{to_bad} of 40 requests went to the failing target");
 }
+
+/// Guards against peers that go on using a target which has told one process that it is leaving, and against an
+/// entry that brings it back: one that is read later, or that lapses and returns.
+#[test]
+fn the_word_of_a_leaving_target_reaches_peers_and_outlives_its_entry() {
+    let mut fleet = Fleet::start(3, 2);
+    let leaver = listed(1);
+    let now = fleet.now;
+    fleet.nodes[0].target_leaves(now, &leaver.address, &leaver.instance, &mut Vec::new());
+    assert_eq!(fleet.nodes[0].may_send(&leaver.address, SERVICE), None);
+    fleet.advance(Duration::from_millis(200));
+    let is_out = |fleet: &Fleet| {
+        fleet.nodes.iter().all(|node| node.may_send(&leaver.address, SERVICE).is_none())
+    };
+    assert!(is_out(&fleet), "peers have heard it");
+    for (revision, targets) in [
+        (2, vec![ListedTarget { revision: 9, ..leaver.clone() }, listed(2)]),
+        (3, vec![listed(2)]),
+        (4, vec![ListedTarget { revision: 11, ..leaver.clone() }, listed(2)]),
+    ] {
+        fleet.now += Duration::from_millis(900);
+        fleet.publish(revision, 1, targets);
+        assert!(is_out(&fleet), "revision {revision}");
+    }
+    fleet.now += Duration::from_millis(900);
+    let successor = ListedTarget { started_ms: 2_000, ..leaver.clone() };
+    fleet.publish(5, 1, vec![successor, listed(2)]);
+    assert!(fleet.nodes.iter().all(|node| node.may_send(&leaver.address, SERVICE).is_some()));
+}
+
+/// Guards against callers who wait, or aren't told how long, while all targets of their service want no requests;
+/// and against peers that are bound by a pause which was asked of one process.
+#[test]
+fn callers_learn_when_the_first_target_takes_requests_again() {
+    let mut fleet = Fleet::start(2, 2);
+    let now = fleet.now;
+    for (index, seconds) in [(1, 2.0), (2, 1.5)] {
+        let (target, pause) = (listed(index), Duration::from_secs_f64(seconds));
+        let (name, instance) = (target.address, target.instance);
+        fleet.nodes[0].target_pauses(now, &name, &instance, pause, &mut Vec::new());
+        // A shorter word that comes later changes nothing.
+        let shorter = Duration::from_millis(100);
+        fleet.nodes[0].target_pauses(now, &name, &instance, shorter, &mut Vec::new());
+    }
+    let refused: Vec<Option<Duration>> = fleet
+        .ask(0, 100)
+        .iter()
+        .filter_map(|action| match action {
+            SchedulerAction::Refuse { refusal, .. } => Some(refusal.retry_after),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(refused, [Some(Duration::from_millis(1_500))]);
+    assert_eq!(dispatched(&fleet.ask(1, 100)).len(), 1, "a peer isn't bound");
+    fleet.advance(Duration::from_millis(1_400));
+    assert_eq!(dispatched(&fleet.ask(0, 100)), []);
+    fleet.advance(Duration::from_millis(200));
+    assert_eq!(dispatched(&fleet.ask(0, 100)), [listed(2).address]);
+}
--- a/crates/tarragon-gateway/src/context.rs
+++ b/crates/tarragon-gateway/src/context.rs
@@ -4,7 +4,11 @@
 
 use tarragon_config::settings::GatewaySettings;
 use tarragon_fleet::prelude::*;
-use tarragon_server::{clock::ProcessClock, process::RequestIds, target::pool::ConnectionPool};
+use tarragon_server::{
+    clock::ProcessClock,
+    process::RequestIds,
+    target::{body::AnswerRoom, pool::ConnectionPool},
+};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{desk::FleetDesk, metrics::GatewayMetrics};
@@ -21,6 +25,10 @@
     pub caller_stall: Duration,
     /// Largest answer that is not streamed, in bytes.
     pub answer_bytes: usize,
+    /// Largest body of a rejection that is read so that its connection can be used again, in bytes.
+    pub rejection_bytes: usize,
+    /// Longest time for which such a body is read. The request waits for its next target meanwhile.
+    pub rejection_time: Duration,
 }
 
 impl Default for ForwardLimits {
@@ -29,7 +37,9 @@
             connect: Duration::from_millis(300),
             stream_silence: Duration::from_millis(1_500),
             caller_stall: Duration::from_secs(5),
-            answer_bytes: 16 << 20,
+            answer_bytes: 4 << 20,
+            rejection_bytes: 16 << 10,
+            rejection_time: Duration::from_millis(100),
         }
     }
 }
@@ -50,6 +60,8 @@
     pub clock: ProcessClock,
     /// Time limits.
     pub limits: ForwardLimits,
+    /// Room for answers that are read whole.
+    pub answers: AnswerRoom,
     /// Ids of requests.
     pub ids: RequestIds,
     /// Tasks that shutdown waits for.
--- a/crates/tarragon-gateway/src/dialect.rs
+++ b/crates/tarragon-gateway/src/dialect.rs
@@ -34,6 +34,10 @@
     pub verdict: AnswerVerdict,
     /// Load of the target, if it told.
     pub load: Option<AnswerLoad>,
+    /// Whether the target says that it is about to stop.
+    pub leaving: bool,
+    /// Time for which the target wants no further requests of this process.
+    pub pause: Option<Duration>,
 }
 
 /// Load as a target tells it with an answer.
@@ -68,6 +72,9 @@
     /// Headers of a call to a target.
     fn call_headers(&self, caller: &HeaderMap, terms: &SendTerms<'_>) -> HeaderMap;
 
+    /// Whether an answer, or an interim one, says that its target is about to stop.
+    fn is_leaving(&self, headers: &HeaderMap) -> bool;
+
     /// Reads the head of a target's answer to the request with this id.
     fn read_answer(&self, tag: &str, head: &response::Parts) -> AnswerFacts;
 
--- a/crates/tarragon-gateway/src/events.rs
+++ b/crates/tarragon-gateway/src/events.rs
@@ -2,8 +2,9 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// Largest event, in bytes. A target that sends more in one event is at fault.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Largest event, in bytes: some hundred times the largest of the users' sheets. A target that sends more
+/// without ending its event sends no events, and each stream holds up to this much.
+const MAX_EVENT_BYTES: usize = 64 << 10;
 
 /// One event as it came, with its number.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -22,6 +23,9 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
+    /// Start of the line that is being searched for its end.
+    line_start: usize,
+    /// Up to here that line has no end.
     searched: usize,
 }
 
@@ -38,7 +42,7 @@
     /// The next whole event, if one is there.
     pub fn next_event(&mut self) -> Option<RawEvent> {
         let end = self.find_end()?;
-        self.searched = 0;
+        (self.line_start, self.searched) = (0, 0);
         let bytes = self.buffer.split_to(end).freeze();
         let number = event_number(&bytes);
         Some(RawEvent { bytes, number })
@@ -51,19 +55,18 @@
 
     /// Position behind the first blank line.
     fn find_end(&mut self) -> Option<usize> {
-        let buffer = &self.buffer;
-        let mut line_start = self.searched;
         loop {
-            let Some(offset) = buffer[line_start..].iter().position(|byte| *byte == b'\n') else {
-                self.searched = line_start;
+            let rest = &self.buffer[self.searched..];
+            let Some(offset) = rest.iter().position(|byte| *byte == b'\n') else {
+                self.searched = self.buffer.len();
                 return None;
             };
-            let line = &buffer[line_start..line_start + offset];
-            let next = line_start + offset + 1;
+            let end = self.searched + offset;
+            let line = &self.buffer[self.line_start..end];
             if line.is_empty() || line == b"\r" {
-                return Some(next);
+                return Some(end + 1);
             }
-            line_start = next;
+            (self.line_start, self.searched) = (end + 1, end + 1);
         }
     }
 }
--- a/crates/tarragon-gateway/src/forward.rs
+++ b/crates/tarragon-gateway/src/forward.rs
@@ -2,11 +2,16 @@
 
 mod stream;
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
-use hyper::body::Incoming;
 use tarragon_fleet::prelude::*;
 use tarragon_server::{
     caller::answer::CallerAnswer,
@@ -14,20 +19,27 @@
     request::{AttemptReport, AttemptRunner, DispatchOrder},
     target::{
         body::collect_body,
+        metered::TargetBody,
         pool::{CallBody, CallFault, TargetConnection},
     },
 };
-use tokio::{sync::oneshot, time::Instant};
+use tokio::{
+    sync::oneshot,
+    time::{Instant, timeout},
+};
+use tokio_util::sync::CancellationToken;
 
 pub use stream::StreamSink;
 
 use crate::{
     context::GatewayContext,
-    dialect::{AnswerVerdict, CallDialect, SendTerms},
+    dialect::{AnswerFacts, AnswerVerdict, CallDialect, SendTerms},
 };
 
 /// Part of the time left that a target gets for an answer while the call may still go to another one.
 const FIRST_TRY_PART: f64 = 0.35;
+/// Interim answers to one call. A target that sends more of them than that sends no answer.
+const MAX_INTERIM: u32 = 64;
 /// Nothing is sent with less time left: no answer could come back.
 const LEAST_TIME: Duration = Duration::from_millis(3);
 /// Time for which a connection is kept whose target names no limit: it may be below a second.
@@ -98,7 +110,7 @@
 struct OpenAnswer {
     connection: TargetConnection,
     head: http::response::Parts,
-    body: Incoming,
+    body: TargetBody,
     sent: Instant,
 }
 
@@ -173,17 +185,15 @@
         // Connecting takes time, in which the target may have been taken out of service.
         let service = &self.call.routed.service;
         let grant = self.context.desk.view(|node| node.may_send(&order.target, service));
-        let Some(grant) = grant else {
-            self.context.pool.give_back_for(&order.address, connection, SHORT_IDLE);
-            return ended(AttemptEnd::NotSent);
-        };
+        let Some(grant) = grant else { return ended(AttemptEnd::NotSent) };
         let remaining = self.call.deadline.remaining(&self.context.clock);
         if remaining < LEAST_TIME {
             return ended(AttemptEnd::Withheld);
         }
-        let Some(request) = self.build_request(order, &grant, remaining) else {
+        let Some(mut request) = self.build_request(order, &grant, remaining) else {
             return ended(AttemptEnd::Withheld);
         };
+        let flood = self.watch_interim_answers(order, &grant, &mut request);
         self.context.desk.start_attempt(order);
         tracing::info!(
             request = self.call.tag,
@@ -202,7 +212,18 @@
             waited_ms = self.call.arrived.elapsed().as_millis() as u64,
             "sent"
         );
-        match self.exchange(order, connection, request, remaining).await {
+        let answer = tokio::select! {
+            answer = self.exchange(order, connection, request, remaining) => answer,
+            () = flood.cancelled() => {
+                tracing::warn!(
+                    request = self.call.tag,
+                    target_address = &*order.target,
+                    "target sends interim answers without end"
+                );
+                Err(AttemptEnd::Garbled)
+            }
+        };
+        match answer {
             Ok(answer) => self.take_answer(order, &grant, answer).await,
             Err(end) => ended(end),
         }
@@ -267,6 +288,61 @@
         Some(request)
     }
 
+    /// Looks at interim answers, which may say, too, that the target is about to stop. The returned token is
+    /// cancelled when there are too many of them.
+    fn watch_interim_answers(
+        &self,
+        order: &DispatchOrder,
+        grant: &SendGrant,
+        request: &mut Request<CallBody>,
+    ) -> CancellationToken {
+        let context = self.context.clone();
+        let (target, instance) = (order.target.clone(), grant.instance.clone());
+        let flood = CancellationToken::new();
+        let (token, count) = (flood.clone(), AtomicU32::new(0));
+        hyper::ext::on_informational(request, move |interim| {
+            if context.dialect.is_leaving(interim.headers()) {
+                note_leaving(&context, &target, &instance);
+            }
+            if count.fetch_add(1, Ordering::Relaxed) >= MAX_INTERIM {
+                token.cancel();
+            }
+        });
+        flood
+    }
+
+    /// Takes what an answer says of its target, apart from the request.
+    fn take_facts(&self, order: &DispatchOrder, grant: &SendGrant, facts: &AnswerFacts) {
+        let (target, instance) = (&order.target, &grant.instance);
+        if let Some(load) = facts.load {
+            self.context.desk.run(|node, now, actions| {
+                node.take_load(now, target, load.running, load.waiting, actions);
+            });
+        }
+        if facts.leaving {
+            note_leaving(self.context, target, instance);
+        }
+        if let Some(pause) = facts.pause {
+            self.context.desk.run(|node, now, actions| {
+                node.target_pauses(now, target, instance, pause, actions);
+            });
+        }
+    }
+
+    /// Keeps a connection for further calls, unless its target gets none any more.
+    fn keep_connection(
+        &self,
+        order: &DispatchOrder,
+        connection: TargetConnection,
+        headers: &HeaderMap,
+    ) {
+        let service = &self.call.routed.service;
+        if self.context.desk.view(|node| node.may_send(&order.target, service)).is_some() {
+            let idle = idle_limit(headers);
+            self.context.pool.give_back_for(&order.address, connection, idle);
+        }
+    }
+
     /// Sends the call and waits for the head of its answer.
     async fn exchange(
         &mut self,
@@ -315,11 +391,7 @@
         answer: OpenAnswer,
     ) -> AttemptReport<ForwardAnswer> {
         let facts = self.context.dialect.read_answer(&self.call.tag, &answer.head);
-        if let Some(load) = facts.load {
-            self.context.desk.run(|node, now, actions| {
-                node.take_load(now, &order.target, load.running, load.waiting, actions);
-            });
-        }
+        self.take_facts(order, grant, &facts);
         match facts.verdict {
             AnswerVerdict::Answered => {}
             AnswerVerdict::NotRun => {
@@ -358,11 +430,11 @@
 
     /// Reads the short body of a rejection, so that the connection can be used again.
     async fn finish_rejection(&self, order: &DispatchOrder, answer: OpenAnswer) {
-        let idle = idle_limit(&answer.head.headers);
-        let OpenAnswer { connection, body, .. } = answer;
+        let OpenAnswer { connection, head, body, .. } = answer;
         let limits = self.context.limits;
-        if collect_body(body, limits.answer_bytes, limits.connect).await.is_ok() {
-            self.context.pool.give_back_for(&order.address, connection, idle);
+        let read = collect_body(body, limits.rejection_bytes, limits.rejection_time);
+        if matches!(timeout(limits.rejection_time, read).await, Ok(Ok(_))) {
+            self.keep_connection(order, connection, &head.headers);
         }
     }
 
@@ -374,7 +446,8 @@
         let OpenAnswer { connection, head, body, .. } = answer;
         let remaining = self.call.deadline.remaining(&self.context.clock);
         let patience = self.patience(remaining);
-        let body = match collect_body(body, self.context.limits.answer_bytes, patience).await {
+        let limit = self.context.limits.answer_bytes;
+        let body = match self.context.answers.collect(body, limit, patience).await {
             Ok(body) => body,
             Err(fault) => {
                 tracing::warn!(
@@ -387,7 +460,7 @@
                 return AttemptReport::Ended(AttemptEnd::Broken);
             }
         };
-        self.context.pool.give_back_for(&order.address, connection, idle_limit(&head.headers));
+        self.keep_connection(order, connection, &head.headers);
         let headers = self.context.dialect.answer_headers(&head.headers);
         let whole = WholeAnswer { status: head.status, headers, body };
         if head.status.is_server_error() && self.may_go_on() {
@@ -404,6 +477,12 @@
     }
 }
 
+/// Takes a target's word that it is about to stop. Idle connections to it are closed.
+fn note_leaving<D>(context: &GatewayContext<D>, target: &TargetName, instance: &str) {
+    context.desk.run(|node, now, actions| node.target_leaves(now, target, instance, actions));
+    context.pool.retain(|address| address != &**target);
+}
+
 /// Whether callers take a status as the promise that the request has not run.
 fn promises_no_run(status: StatusCode) -> bool {
     matches!(
--- a/crates/tarragon-gateway/src/forward/stream.rs
+++ b/crates/tarragon-gateway/src/forward/stream.rs
@@ -5,18 +5,18 @@
 use bytes::Bytes;
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use tarragon_fleet::prelude::*;
 use tarragon_server::{
     caller::answer::{AnswerBody, BodyPart, CallerAnswer},
     request::{AttemptReport, DispatchOrder},
+    target::metered::TargetBody,
 };
 use tokio::{
     sync::{mpsc, oneshot},
     time::{Instant, timeout},
 };
 
-use super::{ForwardAnswer, ForwardRunner, OpenAnswer, idle_limit};
+use super::{ForwardAnswer, ForwardRunner, OpenAnswer};
 use crate::{
     dialect::CallDialect,
     events::{EventSplitter, RawEvent},
@@ -141,13 +141,12 @@
         if self.sink.send(BodyPart::End, self.context.limits.caller_stall).await.is_err() {
             return caller_stalled();
         }
-        let idle = idle_limit(&head.headers);
-        self.context.pool.give_back_for(&order.address, connection, idle);
+        self.keep_connection(order, connection, &head.headers);
         AttemptReport::Answered(ForwardAnswer::Streamed)
     }
 
     /// The next bytes of a target's answer; `None` at its end.
-    async fn next_data(&self, body: &mut Incoming) -> Result<Option<Bytes>, AttemptEnd> {
+    async fn next_data(&self, body: &mut TargetBody) -> Result<Option<Bytes>, AttemptEnd> {
         let remaining = self.call.deadline.remaining(&self.context.clock);
         let patience = if self.may_go_on() {
             self.context.limits.stream_silence.min(remaining)
--- a/crates/tarragon-gateway/src/serve.rs
+++ b/crates/tarragon-gateway/src/serve.rs
@@ -14,7 +14,7 @@
     clock::{ProcessClock, SystemClock, now},
     process::RequestIds,
     serve::bind,
-    target::pool::ConnectionPool,
+    target::{body::AnswerRoom, pool::ConnectionPool},
 };
 use tokio::{
     net::UdpSocket,
@@ -104,6 +104,7 @@
         metrics: GatewayMetrics::new()?,
         clock: options.clock,
         limits: options.limits,
+        answers: AnswerRoom::default(),
         ids: RequestIds::new(rand::random()),
         tasks: TaskTracker::new(),
         abort: CancellationToken::new(),
--- a/crates/tarragon-scheduler/src/event.rs
+++ b/crates/tarragon-scheduler/src/event.rs
@@ -31,6 +31,8 @@
     SlotsChanged(TargetSlots),
     /// The number of requests that this process may start at a target in any second; `None` for no bound.
     StartsLimited(TargetName, Option<u32>),
+    /// When the first target of a service takes requests again, if all of them want none for a while.
+    ServicePaused(ServiceName, Option<Instant>),
     /// A report of a target's load, from the target or from a peer.
     LoadReported {
         /// Target.
--- a/crates/tarragon-scheduler/src/scheduler.rs
+++ b/crates/tarragon-scheduler/src/scheduler.rs
@@ -180,6 +180,11 @@
             SchedulerEvent::TargetRemoved(target) => self.remove_target(&target, now),
             SchedulerEvent::SlotsChanged(slots) => self.change_slots(&slots, now),
             SchedulerEvent::StartsLimited(target, limit) => self.limit_starts(&target, limit, now),
+            SchedulerEvent::ServicePaused(service, until) => {
+                let pool = self.targets.pool_index(&service);
+                self.targets.set_pause(pool, until);
+                self.refuse_paused(pool, now, actions);
+            }
             SchedulerEvent::LoadReported { target, report, age } => {
                 self.take_report(&target, &report, age, now, actions)
             }
--- a/crates/tarragon-scheduler/src/scheduler/arrival.rs
+++ b/crates/tarragon-scheduler/src/scheduler/arrival.rs
@@ -27,7 +27,33 @@
 /// model takes seconds.
 const NO_TARGET_RETRY: Duration = Duration::from_secs(2);
 
+/// Why requests are refused while all targets of their service want none.
+const ALL_PAUSED: &str = "all targets of the service want no requests for a while";
+
 impl Scheduler {
+    /// Refuses the waiting requests of a pool all of whose targets want none for a while. Their callers learn
+    /// when the first target takes requests again.
+    pub(super) fn refuse_paused(
+        &mut self,
+        pool: usize,
+        now: Instant,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        let Some(pause) = self.pause_left(pool, now) else { return };
+        let waiting = self.queue.iter().filter(|job| job.pool == pool);
+        let requests: Vec<RequestId> = waiting.map(Job::request).collect();
+        for request in requests {
+            let Some(job) = self.dequeue_unserved(request) else { continue };
+            let refusal = Scheduler::refusal_of(&job, RefusalCode::NoTarget, ALL_PAUSED);
+            self.refuse(request, job.tier(), refusal.with_retry_after(pause), actions);
+        }
+    }
+
+    /// Time until the first target of a pool takes requests again, if all of them want none for a while.
+    pub(super) fn pause_left(&self, pool: usize, now: Instant) -> Option<Duration> {
+        self.targets.pool(pool).paused_until?.checked_duration_since(now)
+    }
+
     pub(super) fn arrive(
         &mut self,
         profile: Box<RequestProfile>,
@@ -68,12 +94,18 @@
         }
         let models = self.targets.models.find(profile.model_call().map(|call| &call.model));
         let pool = self.targets.find_pool(&profile.service);
-        if !pool.is_some_and(|pool| self.targets.can_serve(pool, models)) {
-            let message = "no target in service can take this request";
-            let refusal = Refusal::not_run(RefusalCode::NoTarget, message);
-            return Err(refusal.with_retry_after(NO_TARGET_RETRY));
+        if pool.is_some_and(|pool| self.targets.can_serve(pool, models)) {
+            return Ok(());
         }
-        Ok(())
+        Err(match pool.and_then(|pool| self.pause_left(pool, now)) {
+            Some(pause) => {
+                Refusal::not_run(RefusalCode::NoTarget, ALL_PAUSED).with_retry_after(pause)
+            }
+            None => {
+                let message = "no target in service can take this request";
+                Refusal::not_run(RefusalCode::NoTarget, message).with_retry_after(NO_TARGET_RETRY)
+            }
+        })
     }
 
     fn new_job(&mut self, profile: Box<RequestProfile>, now: Instant) -> Job {
--- a/crates/tarragon-scheduler/src/scheduler/attempt.rs
+++ b/crates/tarragon-scheduler/src/scheduler/attempt.rs
@@ -344,27 +344,35 @@
         let delay = back_off(job.attempts, &mut self.rng);
         self.set_latest_start(&mut job, now);
         let in_time = now + delay < job.latest_start;
-        if !allowed || !in_time || exhausted {
-            return self.refuse_failed(job, end, actions);
+        let paused = self.pause_left(job.pool, now).is_some();
+        if !allowed || !in_time || exhausted || paused {
+            return self.refuse_failed(job, end, now, actions);
         }
         // A request that was not sent has put no load on a target, so it needs no budget.
         if !unsent && !self.budget(job.pool).take(now) {
             self.statistics.retries_denied += 1;
-            return self.refuse_failed(job, end, actions);
+            return self.refuse_failed(job, end, now, actions);
         }
         self.statistics.retries += 1;
         job.avoid.push(target);
         self.requeue(job, WaitState::Deferred(now + delay), now);
     }
 
-    fn refuse_failed(&mut self, job: Job, end: AttemptEnd, actions: &mut Vec<SchedulerAction>) {
+    fn refuse_failed(
+        &mut self,
+        job: Job,
+        end: AttemptEnd,
+        now: Instant,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
         let (code, message) = match end {
             AttemptEnd::NotSent => (RefusalCode::NoTarget, "no target could be reached"),
             AttemptEnd::Rejected => (RefusalCode::NoTarget, "the target takes no work now"),
             AttemptEnd::Broken => (RefusalCode::TargetFailed, "the connection to the target broke"),
             _ => (RefusalCode::TargetFailed, "the target failed"),
         };
-        let delay = if end == AttemptEnd::Broken { RETRY_AFTER_BREAK } else { RETRY_AFTER };
+        let usual = if end == AttemptEnd::Broken { RETRY_AFTER_BREAK } else { RETRY_AFTER };
+        let delay = self.pause_left(job.pool, now).unwrap_or(usual);
         let refusal = Scheduler::refusal_of(&job, code, message).with_retry_after(delay);
         self.refuse(job.request(), job.tier(), refusal, actions);
     }
--- a/crates/tarragon-scheduler/src/targets.rs
+++ b/crates/tarragon-scheduler/src/targets.rs
@@ -176,6 +176,8 @@
     pub fastest: Option<RateEstimate>,
     /// Since when no member may get work.
     pub empty_since: Option<Instant>,
+    /// When the first member takes requests again, if all of them want none for a while.
+    pub paused_until: Option<Instant>,
     /// Tokens processed in the current interval.
     drained: u64,
     /// Tokens of admitted requests in the current interval, by tier.
@@ -467,6 +469,11 @@
         }
     }
 
+    /// Sets the end of the pause for which all members of a pool have asked.
+    pub fn set_pause(&mut self, pool: usize, until: Option<Instant>) {
+        self.pools[pool].paused_until = until;
+    }
+
     /// Notes that a request was admitted.
     pub fn note_arrived(&mut self, pool: usize, tier: Tier, tokens: u64) {
         self.pools[pool].arrived[tier.index()] += tokens;
--- a/crates/tarragon-scheduler/tests/rules/terms.rs
+++ b/crates/tarragon-scheduler/tests/rules/terms.rs
@@ -199,3 +199,27 @@
     assert_eq!(refused, 0, "{} wait", driver.waiting());
     assert!(driver.waiting() as usize >= burst.len());
 }
+
+/// Guards against requests that wait in vain while all targets of their service want none for a while, and that
+/// are refused without the time after which they may come back.
+#[test]
+fn requests_of_a_paused_service_are_refused_with_the_time_of_its_return() {
+    let mut driver = Driver::with_targets(1, 1);
+    driver.ask(Ask::default());
+    let waiting = driver.ask(Ask::default());
+    assert_eq!(driver.waiting(), 1);
+    driver.list("pool", "t0", false);
+    let until = driver.now + Duration::from_millis(700);
+    driver.handle(SchedulerEvent::ServicePaused("pool".into(), Some(until)));
+    let waits = |driver: &Driver| -> Vec<(RequestId, Option<Duration>)> {
+        let refusals = driver.actions.iter().filter_map(|action| match action {
+            SchedulerAction::Refuse { request, refusal } => Some((*request, refusal.retry_after)),
+            _ => None,
+        });
+        refusals.collect()
+    };
+    assert_eq!(waits(&driver), [(waiting, Some(Duration::from_millis(700)))]);
+    driver.advance(Duration::from_millis(200));
+    let late = driver.ask(Ask::default());
+    assert_eq!(waits(&driver), [(late, Some(Duration::from_millis(500)))]);
+}
--- a/crates/tarragon-server/src/peer/relay.rs
+++ b/crates/tarragon-server/src/peer/relay.rs
@@ -6,7 +6,6 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use tarragon_cluster::{
@@ -29,6 +28,7 @@
     guarded::Guarded,
     process::{Deadline, ProcessContext},
     target::{
+        metered::TargetBody,
         pool::{CallBody, CallFault, TargetConnection},
         timeouts::TargetTimeouts,
     },
@@ -122,7 +122,7 @@
     process: &ProcessContext,
     peers: &[PeerAddress],
     call: &CallerCall,
-) -> Result<Response<Incoming>, RelayFault> {
+) -> Result<Response<TargetBody>, RelayFault> {
     for peer in peers {
         for _ in 0..SEAL_TRIES {
             match relay_to(process, peer, call).await {
@@ -142,7 +142,7 @@
 
 /// How an attempt to relay a request ended.
 enum RelayTry {
-    Answered(Response<Incoming>),
+    Answered(Response<TargetBody>),
     /// The peer did not accept the seal and ran nothing. Many requests at once can overtake each other by
     /// more than the peer's replay window holds; a new seal has a newer counter.
     SealRefused,
@@ -177,7 +177,7 @@
 }
 
 /// Whether the answer is the peer's own refusal of a seal, which names the header.
-fn is_seal_refusal(response: &Response<Incoming>) -> bool {
+fn is_seal_refusal(response: &Response<TargetBody>) -> bool {
     response.status() == StatusCode::FORBIDDEN && response.headers().contains_key(RELAY)
 }
 
@@ -202,7 +202,7 @@
 }
 
 /// Passes the answer of another VM on as it arrives.
-pub fn stream_back(process: &ProcessContext, response: Response<Incoming>) -> CallerAnswer {
+pub fn stream_back(process: &ProcessContext, response: Response<TargetBody>) -> CallerAnswer {
     let (head, body) = response.into_parts();
     let (sender, parts) = mpsc::channel(RELAY_PARTS);
     process.spawn(copy_body(body, sender, process.timeouts));
@@ -224,7 +224,7 @@
 
 /// Copies a body. Dropping the sender before its end breaks the caller's connection, so that a part is
 /// never taken for the whole; a caller that goes closes the connection to the other VM.
-async fn copy_body(mut body: Incoming, sender: mpsc::Sender<BodyPart>, timeouts: TargetTimeouts) {
+async fn copy_body(mut body: TargetBody, sender: mpsc::Sender<BodyPart>, timeouts: TargetTimeouts) {
     loop {
         let frame = tokio::select! {
             () = sender.closed() => return,
--- a/crates/tarragon-server/src/platform/remote.rs
+++ b/crates/tarragon-server/src/platform/remote.rs
@@ -140,6 +140,6 @@
     match fault {
         AnswerFault::CutShort => PlatformFault::Unreachable,
         AnswerFault::TooSlow => PlatformFault::TimedOut,
-        AnswerFault::TooLarge => PlatformFault::Malformed,
+        AnswerFault::TooLarge | AnswerFault::NoRoom => PlatformFault::Malformed,
     }
 }
--- a/crates/tarragon-server/src/target.rs
+++ b/crates/tarragon-server/src/target.rs
@@ -3,6 +3,7 @@
 pub mod body;
 pub mod engine;
 pub mod event_stream;
+pub mod metered;
 pub mod plain;
 pub mod poll;
 pub mod pool;
--- a/crates/tarragon-server/src/target/body.rs
+++ b/crates/tarragon-server/src/target/body.rs
@@ -1,12 +1,20 @@
 //! Reads the body of a target's answer whole.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Method, Response, StatusCode, header};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
-use tokio::time::timeout;
+use tokio::{
+    sync::{Semaphore, SemaphorePermit},
+    time::timeout,
+};
+
+use crate::target::metered::TargetBody;
+
+/// Bytes of all answers that are being read whole. The smallest VMs have 160 MB, and a target may send bytes
+/// without end to each of its callers.
+const ROOM_BYTES: usize = 32 << 20;
 
 /// Why a body is not whole.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -17,12 +25,48 @@
     TooSlow,
     /// Larger than the limit.
     TooLarge,
+    /// Answers that are read at once take up all room.
+    NoRoom,
+}
+
+/// Room for the bytes of all answers that are read whole at once.
+#[derive(Debug, Clone)]
+pub struct AnswerRoom {
+    free: Arc<Semaphore>,
+}
+
+impl Default for AnswerRoom {
+    fn default() -> AnswerRoom {
+        AnswerRoom { free: Arc::new(Semaphore::new(ROOM_BYTES)) }
+    }
+}
+
+impl AnswerRoom {
+    /// Reads a body like [`collect_body`], as long as there is room.
+    pub async fn collect(
+        &self,
+        body: TargetBody,
+        limit: usize,
+        idle: Duration,
+    ) -> Result<Bytes, AnswerFault> {
+        let mut held: Option<SemaphorePermit<'_>> = None;
+        let take = |bytes: usize| {
+            let count = u32::try_from(bytes).map_err(|_| AnswerFault::TooLarge)?;
+            let part = self.free.try_acquire_many(count).map_err(|_| AnswerFault::NoRoom)?;
+            match &mut held {
+                Some(held) => held.merge(part),
+                None => held = Some(part),
+            }
+            Ok(())
+        };
+        collect_parts(body, limit, idle, take).await
+    }
 }
 
 /// Reads a whole body. `idle` bounds the wait for each part.
 pub async fn read_whole(
     method: &Method,
-    response: Response<Incoming>,
+    response: Response<TargetBody>,
     limit: usize,
     idle: Duration,
 ) -> Result<Bytes, AnswerFault> {
@@ -35,10 +79,23 @@
 /// Reads a body up to its end, which may also be that of the connection if nothing else tells it. A
 /// connection that is reset has not ended the body.
 pub async fn collect_body(
-    mut body: Incoming,
+    body: TargetBody,
     limit: usize,
     idle: Duration,
 ) -> Result<Bytes, AnswerFault> {
+    collect_parts(body, limit, idle, |_| Ok(())).await
+}
+
+/// Reads a body. `take` is asked for the room of each part.
+async fn collect_parts<F>(
+    mut body: TargetBody,
+    limit: usize,
+    idle: Duration,
+    mut take: F,
+) -> Result<Bytes, AnswerFault>
+where
+    F: FnMut(usize) -> Result<(), AnswerFault>,
+{
     let mut whole = BytesMut::new();
     loop {
         let frame = timeout(idle, body.frame()).await.map_err(|_| AnswerFault::TooSlow)?;
@@ -47,6 +104,7 @@
         if whole.len() + data.len() > limit {
             return Err(AnswerFault::TooLarge);
         }
+        take(data.len())?;
         whole.extend_from_slice(&data);
     }
 }
--- a/crates/tarragon-server/src/target/engine.rs
+++ b/crates/tarragon-server/src/target/engine.rs
@@ -5,7 +5,6 @@
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode, header};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use serde_json::{Map, Value};
 use tarragon_protocol::{
     engine::{ChatChunk, StreamExtension},
@@ -25,6 +24,7 @@
     caller::header::forwarded_headers,
     process::{Deadline, ProcessContext},
     request::{AttemptReport, AttemptRunner, DispatchOrder},
+    target::metered::TargetBody,
     token_sink::{TokenSink, TokenText},
 };
 
@@ -158,7 +158,7 @@
         &mut self,
         stream: AttemptStream<'_>,
         connection: TargetConnection,
-        response: Response<Incoming>,
+        response: Response<TargetBody>,
     ) -> AttemptReport<EngineAnswer> {
         let status = response.status();
         if status == StatusCode::OK {
@@ -190,7 +190,7 @@
     async fn take_stream(
         &mut self,
         mut stream: AttemptStream<'_>,
-        mut body: Incoming,
+        mut body: TargetBody,
     ) -> AttemptReport<EngineAnswer> {
         let idle = self.process.timeouts.idle;
         let mut decoder = EventDecoder::default();
--- a/crates/tarragon-server/src/target/pool.rs
+++ b/crates/tarragon-server/src/target/pool.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
-use hyper::{body::Incoming, client::conn::http1};
+use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
 use tokio::{
@@ -15,7 +15,10 @@
     time::{Instant, timeout},
 };
 
-use crate::guarded::Guarded;
+use crate::{
+    guarded::Guarded,
+    target::metered::{MeteredStream, ReadAllowance, TargetBody},
+};
 
 /// Body of a call to a target. It is whole, so that its length is known.
 pub type CallBody = Full<Bytes>;
@@ -25,6 +28,9 @@
 /// Time after which an idle connection is not used again, below the common keep-alive limits of servers.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(10);
 
+/// Largest head of an answer, and largest trailers, in bytes. Heads of the users' sheets have some hundred.
+const MAX_HEAD_BYTES: usize = 32 << 10;
+
 /// Wait for a pooled connection whose last answer was read a moment ago and whose task has yet to run.
 const READY_WAIT: Duration = Duration::from_millis(10);
 
@@ -52,6 +58,7 @@
 /// A connection that is ready to take one call.
 pub struct TargetConnection {
     sender: http1::SendRequest<CallBody>,
+    allowance: ReadAllowance,
     reused: bool,
     /// When it must not be used again without another answer.
     idle_until: Instant,
@@ -64,14 +71,18 @@
         let stream =
             timeout(limit, TcpStream::connect(address)).await.map_err(|_| timed_out())??;
         stream.set_nodelay(true)?;
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let allowance = ReadAllowance::default();
+        let handshake = http1::Builder::new()
+            .max_header_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(MeteredStream::new(stream, allowance.clone())))
+            .await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         tokio::spawn(async move {
             if let Err(error) = connection.await {
                 tracing::debug!(%error, "connection to a target ended");
             }
         });
-        Ok(TargetConnection { sender, reused: false, idle_until: Instant::now() })
+        Ok(TargetConnection { sender, allowance, reused: false, idle_until: Instant::now() })
     }
 
     /// Whether it has carried a call before.
@@ -87,7 +98,7 @@
         connect: Duration,
         request: Request<CallBody>,
         limit: Duration,
-    ) -> Result<Response<Incoming>, CallFault> {
+    ) -> Result<Response<TargetBody>, CallFault> {
         let spare = self.reused.then(|| request.clone());
         let fault = match self.send(request, limit).await {
             Ok(response) => return Ok(response),
@@ -104,11 +115,15 @@
         &mut self,
         request: Request<CallBody>,
         limit: Duration,
-    ) -> Result<Response<Incoming>, CallFault> {
+    ) -> Result<Response<TargetBody>, CallFault> {
+        self.allowance.renew();
         let answer = timeout(limit, self.sender.try_send_request(request)).await;
         match answer {
             Err(_) => Err(CallFault::TimedOut),
-            Ok(Ok(response)) => Ok(response),
+            Ok(Ok(response)) => {
+                self.allowance.renew();
+                Ok(response.map(|body| TargetBody::new(body, self.allowance.clone())))
+            }
             Ok(Err(mut error)) => match error.take_message() {
                 Some(_) => Err(CallFault::NotSent(io::Error::other(error.into_error()))),
                 None => Err(CallFault::Broken(error.into_error())),
--- a/crates/tarragon-standin/src/scripted_target.rs
+++ b/crates/tarragon-standin/src/scripted_target.rs
@@ -24,6 +24,8 @@
     Close,
     /// Resets the connection.
     Reset,
+    /// Writes text again and again until the other side closes the connection.
+    WriteForever(String),
     /// Waits until the other side closes the connection.
     AwaitClose,
 }
@@ -131,6 +133,11 @@
                         return;
                     }
                 }
+                TargetStep::WriteForever(text) => {
+                    while stream.write_all(text.as_bytes()).await.is_ok() {}
+                    lock(log).closed += 1;
+                    return;
+                }
                 TargetStep::Pause(time) => sleep(*time).await,
                 TargetStep::Close => return,
                 TargetStep::Reset => {
