Relay the sums of large data centres, and don't let short calls wait for news

Now two processes of a data centre with more than 36 others relay its sums, and read the store for it. They are the first in an order by hash that answer; they relay for whoever asks. Sums name the digests that they include, so that each process takes its own part off. At targets of plain services that aren't cold, each process may always have one call.

--- a/crates/tarragon-fleet/src/digest.rs
+++ b/crates/tarragon-fleet/src/digest.rs
@@ -115,6 +115,8 @@
     pub former: Vec<(SocketAddr, Vec<UsageSum>)>,
     /// Whether this answers the receiver's first digest. An answer is not answered.
     pub answers: bool,
+    /// Whether the sender asks the receiver for the sums of their data centre.
+    pub wants_sums: bool,
     /// Processes that the sender has met, itself included.
     pub met: u32,
     /// Addresses of processes that the sender has heard of recently.
--- a/crates/tarragon-fleet/src/member.rs
+++ b/crates/tarragon-fleet/src/member.rs
@@ -11,7 +11,7 @@
 use crate::{
     digest::{NameKey, name_key},
     prelude::*,
-    sums::{CentreSum, CentreView},
+    sums::{CentreSum, CentreView, ToldHistory},
 };
 
 /// Units used by workspaces.
@@ -26,6 +26,13 @@
 pub const DIGEST_INTERVAL: Duration = Duration::from_millis(200);
 /// Peers of the own data centre that one digest goes to.
 const NEAR_FANOUT: usize = 12;
+/// Digests in which all peers of the own data centre are written to, above which a few processes of it relay sums
+/// to the others in place of that. With fewer, sums would be no younger than what each process tells.
+const RELAYED_TURNS: u32 = 3;
+/// Processes that relay the sums of a data centre. With two, sums go on when one of them dies.
+const RELAYS: usize = 2;
+/// Peers of the own data centre that one digest goes to beside the relays, so that all know of each other.
+const RELAYED_FANOUT: usize = 1;
 /// Peers of other data centres that one digest goes to, if there are no more of them. All of them hear from each
 /// process then. If there are more, they get the sum of the data centre, and one of its processes after the
 /// other tells it.
@@ -75,7 +82,11 @@
 pub struct DigestRecipients {
     /// Those that get the own use.
     pub full: Vec<SocketAddr>,
-    /// Those that get the sum of the data centre.
+    /// Those that get it and are asked for the sums of the data centre.
+    pub relays: Vec<SocketAddr>,
+    /// Those that have asked this process for the sums of the data centre.
+    pub askers: Vec<SocketAddr>,
+    /// Those of other data centres that get the sum of this one.
     pub sums: Vec<SocketAddr>,
 }
 
@@ -101,6 +112,16 @@
     restarted: IndexSet<SocketAddr>,
     /// Rises when the known peers change, for ranks that are kept.
     generation: u64,
+    /// What this process has told of its own use.
+    history: ToldHistory,
+    /// Processes that are asked for the sums of the own data centre, and since when.
+    relays: IndexMap<SocketAddr, Instant>,
+    /// Processes that were asked for sums and didn't answer. They are not asked until they are heard again.
+    failed: IndexSet<SocketAddr>,
+    /// Peers that ask this process for sums, and when they did last.
+    askers: IndexMap<SocketAddr, Instant>,
+    /// Since when peers ask.
+    relay_since: Option<Instant>,
     /// Most processes that one of the members has met.
     most_met: usize,
     /// Position of the first member that the next digest names.
@@ -126,6 +147,11 @@
             centres: IndexMap::new(),
             restarted: IndexSet::new(),
             generation: 0,
+            history: ToldHistory::default(),
+            relays: IndexMap::new(),
+            failed: IndexSet::new(),
+            askers: IndexMap::new(),
+            relay_since: None,
             most_met: 0,
             cursor: 0,
         }
@@ -177,8 +203,13 @@
         }
         centre.sums.add(&digest);
         if let Some(sum) = &digest.centre {
-            centre.take_told(sum, now);
+            centre.take_told(sum, self.own, &self.history, now);
         }
+        if digest.wants_sums {
+            self.askers.insert(from, now);
+            self.relay_since.get_or_insert(now);
+        }
+        self.failed.swap_remove(&from);
         if digest.unknown_ms > 0 {
             self.restarted.insert(from);
         } else {
@@ -191,7 +222,9 @@
     fn note_restart(&mut self, from: SocketAddr, digest: &PeerDigest, now: Instant) {
         let Some(known) = self.members.get(&from) else { return };
         let recent = now.saturating_duration_since(known.heard) < FORMER;
-        let told = known.digest.unknown_ms == 0 && known.digest.centre.is_none();
+        // Where relays hear of each process at once, what others have heard is too old.
+        let current = known.digest.wants_sums || !self.is_relayed();
+        let told = known.digest.unknown_ms == 0 && known.digest.centre.is_none() && current;
         if known.digest.incarnation != digest.incarnation && told && recent {
             self.former.insert(from, (now, known.digest.usage.clone()));
         }
@@ -216,8 +249,12 @@
         self.rumours.retain(|_, rumour| now.saturating_duration_since(rumour.heard) < RUMOUR);
         let limits = [self.silence_limit(true), self.silence_limit(false)];
         let (own, mut changed) = (self.data_centre, false);
+        let asked_for = |since: Instant| now.saturating_duration_since(since) >= SILENT;
+        let relays = self.relay_since.is_some_and(asked_for);
         for (address, member) in &mut self.members {
-            let limit = limits[usize::from(member.digest.data_centre != own)];
+            let near = member.digest.data_centre == own;
+            // All of the data centre write to a relay with each digest interval.
+            let limit = if near && relays { SILENT } else { limits[usize::from(!near)] };
             if !member.counted || member.is_present(limit, now) {
                 continue;
             }
@@ -238,7 +275,8 @@
 
     /// Forgets peers that have been silent for long.
     fn forget(&mut self, now: Instant) {
-        let limit = FORGOTTEN.max(self.silence_limit(false));
+        let turns = self.silence_limit(true).max(self.silence_limit(false));
+        let limit = FORGOTTEN.max(turns);
         let known = self.members.len();
         let (centres, restarted) = (&mut self.centres, &mut self.restarted);
         self.members.retain(|address, member| {
@@ -293,6 +331,60 @@
         all.map(|unknown_ms| Duration::from_millis(unknown_ms.into()))
     }
 
+    /// Notes what the next digest tells of the own use.
+    pub fn note_told(&mut self, sequence: u64, uses: &[TargetUse], usage: &[UsageSum]) {
+        self.history.note(sequence, uses, usage);
+    }
+
+    /// The sum of the own data centre as a relay has told it, if this process hears of its peers by relays.
+    pub fn relayed_sum(&self, now: Instant) -> Option<&CentreSum> {
+        if !self.is_relayed() || !self.askers.is_empty() {
+            return None;
+        }
+        self.centres.get(&self.data_centre)?.raw_told(now)
+    }
+
+    /// Whether so many processes share the data centre that a few of them relay sums.
+    pub fn is_relayed(&self) -> bool {
+        u32::try_from(self.near_count().div_ceil(NEAR_FANOUT)).unwrap_or(u32::MAX) > RELAYED_TURNS
+    }
+
+    /// Whether this process relays the sums of its data centre, since peers ask it to.
+    pub fn is_relay(&self) -> bool {
+        !self.askers.is_empty()
+    }
+
+    /// Brings the relays that are asked up to date: the first of an order that all processes share, without those
+    /// that don't answer. This process may be one of them.
+    fn choose_relays(&mut self, now: Instant) {
+        self.askers.retain(|_, asked| now.saturating_duration_since(*asked) < SILENT);
+        if self.askers.is_empty() {
+            self.relay_since = None;
+        }
+        if !self.is_relayed() {
+            self.relays.clear();
+            return;
+        }
+        for (relay, since) in &self.relays {
+            let heard = self.members.get(relay).map_or(*since, |member| member.heard.max(*since));
+            if *relay != self.own && now.saturating_duration_since(heard) >= SILENT {
+                tracing::info!(peer = %relay, "relay gives no sums; another one is asked");
+                self.failed.insert(*relay);
+            }
+        }
+        let near = self.members.iter().filter(|(_, member)| self.is_near(member));
+        let near = near.map(|(address, _)| *address).chain([self.own]);
+        let key = u64::from(self.data_centre);
+        let mut order: Vec<(u64, SocketAddr)> = near
+            .filter(|address| !self.failed.contains(address))
+            .map(|address| (weight(address, key), address))
+            .collect();
+        order.sort_unstable();
+        let chosen = order.iter().take(RELAYS).map(|(_, address)| *address);
+        let since = |address| self.relays.get(&address).copied().unwrap_or(now);
+        self.relays = chosen.map(|address| (address, since(address))).collect();
+    }
+
     /// The sum over the peers of the own data centre that are present.
     pub fn own_centre_sum(&self) -> CentreSum {
         let centre = self.centres.get(&self.data_centre);
@@ -300,12 +392,14 @@
         let present = self.restarted.iter().filter_map(|address| self.members.get(address));
         let near = present.filter(|member| member.counted && self.is_near(member));
         sum.unknown_ms = near.map(|member| member.digest.unknown_ms).collect();
+        let near = self.present().filter(|(_, member)| self.is_near(member));
+        sum.included = near.map(|(address, member)| (*address, member.digest.sequence)).collect();
         sum
     }
 
     /// Time by which the use of quotas that peers have told lags behind.
     pub fn lag(&self) -> Duration {
-        let near = DIGEST_INTERVAL * self.turns(true);
+        let near = DIGEST_INTERVAL * if self.is_relayed() { 2 } else { self.turns(true) };
         if self.far_in_turns() { near + DIGEST_INTERVAL.div_f64(FAR_SUMS) } else { near }
     }
 
@@ -314,8 +408,13 @@
         self.generation
     }
 
+    /// Whether this process is one of a few of its data centre that read the store for all of it.
+    pub fn is_reader(&self, readers: usize) -> bool {
+        if self.is_relayed() { self.is_relay() } else { self.near_rank() < readers }
+    }
+
     /// Position of this process among the present ones of its data centre.
-    pub fn near_rank(&self) -> usize {
+    fn near_rank(&self) -> usize {
         let near = self.present().filter(|(_, member)| self.is_near(member));
         near.filter(|(address, _)| **address < self.own).count()
     }
@@ -331,7 +430,9 @@
 
     /// Digests in which each peer of the own data centre, or each of the others, is written to once.
     fn turns(&self, near: bool) -> u32 {
-        let (count, fanout) = if near {
+        let (count, fanout) = if near && self.is_relayed() {
+            (self.near_count(), RELAYED_FANOUT)
+        } else if near {
             (self.near_count(), NEAR_FANOUT)
         } else {
             (self.far_count(), self.far_fanout())
@@ -409,7 +510,8 @@
 
     /// Addresses to which the next digest goes: peers in turns, those of the own data centre more often, and
     /// addresses that were only heard of.
-    pub fn recipients(&mut self, urgent: bool) -> DigestRecipients {
+    pub fn recipients(&mut self, urgent: bool, now: Instant) -> DigestRecipients {
+        self.choose_relays(now);
         let (mut near, mut far) = (Vec::new(), Vec::new());
         for (address, member) in &self.members {
             if self.is_near(member) { near.push(*address) } else { far.push(*address) }
@@ -421,10 +523,17 @@
             .filter(|address| *address != self.own && !known.contains_key(address))
             .collect();
         let unmet = Vec::from_iter(unmet);
-        let near_count = if urgent { URGENT_FANOUT } else { NEAR_FANOUT };
+        let near_count = match (urgent, self.is_relayed()) {
+            (true, _) => URGENT_FANOUT,
+            (false, true) => RELAYED_FANOUT,
+            (false, false) => NEAR_FANOUT,
+        };
         let far_count = self.far_fanout();
         let mut recipients = DigestRecipients::default();
         recipients.full = in_turn(&near, near_count, &mut self.near_turn);
+        recipients.relays =
+            self.relays.keys().copied().filter(|relay| *relay != self.own).collect();
+        recipients.askers = self.askers.keys().copied().collect();
         let far = in_turn(&far, far_count, &mut self.far_turn);
         if self.far_in_turns() {
             recipients.sums = far;
--- a/crates/tarragon-fleet/src/node.rs
+++ b/crates/tarragon-fleet/src/node.rs
@@ -12,7 +12,7 @@
     time::{Duration, Instant},
 };
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::{
     digest::NameKey,
@@ -101,6 +101,8 @@
     settings: FleetSettings,
     scheduler: Scheduler,
     operator: OperatorState,
+    /// Services whose calls take less time than news of their targets.
+    plain_services: IndexSet<ServiceName>,
     /// When the operators' state was last known to be the newest.
     operator_confirmed: Option<Instant>,
     directory: TargetDirectory,
@@ -124,6 +126,7 @@
         FleetNode {
             scheduler: Scheduler::new(settings.limits.clone(), seed).without_preemption(),
             operator: OperatorState::default(),
+            plain_services: IndexSet::new(),
             operator_confirmed: None,
             directory: TargetDirectory::default(),
             members: MemberTable::new(
@@ -166,8 +169,8 @@
     }
 
     /// Addresses to which the next digest goes.
-    pub fn recipients(&mut self, urgent: bool) -> DigestRecipients {
-        self.members.recipients(urgent)
+    pub fn recipients(&mut self, urgent: bool, now: Instant) -> DigestRecipients {
+        self.members.recipients(urgent, now)
     }
 
     /// Processes that an answer has named, for a digest at once.
@@ -194,14 +197,14 @@
     /// others when they hear nothing new from them.
     pub fn reads_targets(&self, now: Instant) -> bool {
         let old = self.directory.age(now).is_none_or(|age| age > OLD_LISTING);
-        old || self.members.near_rank() < READERS
+        old || self.members.is_reader(READERS)
     }
 
     /// Whether this process watches what operators write, for the same reasons.
     pub fn reads_operator(&self, now: Instant) -> bool {
         let age = self.operator_confirmed.map(|time| now.saturating_duration_since(time));
         let old = age.is_none_or(|age| age > OLD_OPERATOR_STATE);
-        old || self.members.near_rank() < READERS
+        old || self.members.is_reader(READERS)
     }
 
     /// The store has just told that nothing newer than the known state exists.
--- a/crates/tarragon-fleet/src/node/limits.rs
+++ b/crates/tarragon-fleet/src/node/limits.rs
@@ -20,6 +20,9 @@
 /// Processes of other data centres that use a target, and requests of each, in fleets whose digests take turns.
 const DISTANT_USERS: usize = 2;
 const DISTANT_SLOTS: u32 = 1;
+/// Slots of a process at a target of a plain service, whatever its peers use. Calls that were told in a digest
+/// have ended before it arrives, so that a full target is most often free again.
+const PLAIN_SLOTS: u32 = 1;
 /// Fleet up to which slots are brought up to date with each digest; in larger ones with each tick.
 pub(super) const SMALL_FLEET: usize = 12;
 /// Processes that share the retry slack at least. A process that has just started doesn't know its peers.
@@ -73,6 +76,8 @@
             let data_centre = name_key(&listed.data_centre);
             let rank = self.target_rank(target, Some(data_centre));
             slots = if rank < DISTANT_USERS { slots.min(DISTANT_SLOTS) } else { 0 };
+        } else if self.plain_services.contains(&listed.service) && !cold {
+            slots = slots.max(PLAIN_SLOTS);
         }
         let slots = TargetSlots { target: target.clone(), slots, bears, cold };
         let Some(terms) = self.terms.get_mut(target) else { return };
--- a/crates/tarragon-fleet/src/node/news.rs
+++ b/crates/tarragon-fleet/src/node/news.rs
@@ -61,6 +61,9 @@
             source, version = new, known_version = known, revision = state.revision,
             evacuated = ?state.evacuated, "operator state is in force"
         );
+        let configuration = state.configuration.as_deref();
+        self.plain_services =
+            configuration.map(FleetConfiguration::plain_services).unwrap_or_default();
         self.operator = state;
         self.update_retries();
         self.update_evacuations(now, actions);
@@ -316,16 +319,21 @@
         self.digest_naming(NAMED_MEMBERS, now)
     }
 
-    /// A digest in place of another one, for peers of other data centres that get sums.
-    pub fn sum_digest(&self, digest: &PeerDigest) -> PeerDigest {
-        let mut sum = self.members.own_centre_sum();
-        sum.add_own(digest);
+    /// A digest in place of another one, for peers that get the sum of the data centre.
+    pub fn sum_digest(&self, digest: &PeerDigest, now: Instant) -> PeerDigest {
+        let mut sum = match self.members.relayed_sum(now) {
+            Some(sum) => sum.clone(),
+            None => {
+                let mut sum = self.members.own_centre_sum();
+                sum.add_own(self.settings.peer_address, digest);
+                sum
+            }
+        };
         sum.usage.sort_unstable_by_key(|one| std::cmp::Reverse(one.units));
         sum.usage.truncate(TOLD_WORKSPACES);
         PeerDigest {
             uses: Vec::new(),
             usage: Vec::new(),
-            former: Vec::new(),
             members: Vec::new(),
             centre: Some(sum),
             ..digest.clone()
@@ -354,6 +362,7 @@
         usage.truncate(TOLD_WORKSPACES);
         let mut suspects = self.scheduler.suspects(now);
         suspects.truncate(TOLD_SUSPECTS);
+        self.members.note_told(self.sequence, &uses, &usage);
         let mut leaving = self.directory.leaving_since(TOLD_LEAVING, now);
         leaving.truncate(MAX_LEAVING);
         PeerDigest {
@@ -373,6 +382,7 @@
             leaving,
             former: self.members.former(now),
             answers: false,
+            wants_sums: false,
             met: u32::try_from(self.members.met()).unwrap_or(u32::MAX),
             members: self.members.named(most),
         }
--- a/crates/tarragon-fleet/src/published.rs
+++ b/crates/tarragon-fleet/src/published.rs
@@ -124,6 +124,18 @@
     pub limits: CallerLimits,
 }
 
+impl FleetConfiguration {
+    /// Services that no route with streams goes to. Their calls take milliseconds.
+    pub fn plain_services(&self) -> IndexSet<ServiceName> {
+        let services = |streamed: bool| {
+            let routes = self.routes.iter().filter(move |route| route.streamed == streamed);
+            routes.flat_map(|route| route.services.iter().map(|(service, _)| service.clone()))
+        };
+        let streamed: IndexSet<ServiceName> = services(true).collect();
+        services(false).filter(|service| !streamed.contains(service)).collect()
+    }
+}
+
 /// All that operators publish, as of one revision.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct OperatorState {
--- a/crates/tarragon-fleet/src/sums.rs
+++ b/crates/tarragon-fleet/src/sums.rs
@@ -1,7 +1,11 @@
 //! Sums over what the processes of a data centre have told. They are kept up to date with each digest, so that
 //! neither a request nor a tick goes over all peers.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::VecDeque,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
@@ -21,6 +25,34 @@
     /// For each process that doesn't know its use before its start: the part of the quotas' window before it, in
     /// milliseconds.
     pub unknown_ms: Vec<u32>,
+    /// Processes whose use is included, with the number of the digest that told it.
+    pub included: Vec<(SocketAddr, u64)>,
+}
+
+/// What this process has told of its own use in its last digests, to be taken off sums that include it.
+#[derive(Debug, Default)]
+pub struct ToldHistory {
+    told: VecDeque<(u64, CentreSum)>,
+}
+
+/// Digests of which a process remembers what it told. Sums include one of the last few.
+const TOLD_DIGESTS: usize = 16;
+
+impl ToldHistory {
+    /// Notes what a digest tells.
+    pub fn note(&mut self, sequence: u64, uses: &[TargetUse], usage: &[UsageSum]) {
+        let uses = uses.iter().map(|one| (one.target, one.in_flight.into())).collect();
+        let sum = CentreSum { processes: 1, uses, usage: usage.to_vec(), ..CentreSum::default() };
+        self.told.push_back((sequence, sum));
+        if self.told.len() > TOLD_DIGESTS {
+            self.told.pop_front();
+        }
+    }
+
+    /// What a digest told; nothing if it is forgotten.
+    fn get(&self, sequence: u64) -> Option<&CentreSum> {
+        self.told.iter().find(|(number, _)| *number == sequence).map(|(_, sum)| sum)
+    }
 }
 
 /// Sums over single processes.
@@ -76,6 +108,8 @@
     pub sums: UseSums,
     /// The sum that one of its processes told last.
     told: Option<(Instant, ToldCentre)>,
+    /// That sum as it was told.
+    raw: CentreSum,
 }
 
 /// A sum that was told, with its entries by name.
@@ -87,6 +121,22 @@
     unknown_ms: Vec<u32>,
 }
 
+impl ToldCentre {
+    /// Takes off what one process had told.
+    fn remove(&mut self, sum: &CentreSum) {
+        for (target, in_flight) in &sum.uses {
+            if let Some(all) = self.uses.get_mut(target) {
+                *all = all.saturating_sub(*in_flight);
+            }
+        }
+        for one in &sum.usage {
+            if let Some(all) = self.usage.get_mut(&one.workspace) {
+                all.remove(one);
+            }
+        }
+    }
+}
+
 /// A sum that was told longer ago than this says nothing of the present. Several come each second, at irregular
 /// times. That all seven of two seconds are missed by chance is rare, and costs callers less than an old sum.
 const TOLD_LIFETIME: Duration = Duration::from_secs(2);
@@ -98,8 +148,9 @@
 
 impl CentreSum {
     /// Adds what the process itself tells.
-    pub fn add_own(&mut self, digest: &PeerDigest) {
+    pub fn add_own(&mut self, address: SocketAddr, digest: &PeerDigest) {
         self.processes += 1;
+        self.included.push((address, digest.sequence));
         for own in &digest.uses {
             let in_flight = u32::from(own.in_flight);
             match self.uses.iter_mut().find(|(target, _)| *target == own.target) {
@@ -122,20 +173,40 @@
 
 impl CentreView {
     /// Takes the sum that a process of this data centre has told.
-    pub fn take_told(&mut self, sum: &CentreSum, now: Instant) {
+    ///
+    /// `own` is the address of this process, whose own use is taken off.
+    pub fn take_told(
+        &mut self,
+        sum: &CentreSum,
+        own: SocketAddr,
+        history: &ToldHistory,
+        now: Instant,
+    ) {
         if let Some((heard, known)) = &self.told {
             let partial = f64::from(sum.processes) < known.processes as f64 * WHOLE_PART;
             if partial && now.saturating_duration_since(*heard) < PARTIAL_DELAY {
                 return;
             }
         }
-        let told = ToldCentre {
+        let mut told = ToldCentre {
             processes: sum.processes as usize,
             uses: sum.uses.iter().copied().collect(),
             usage: sum.usage.iter().map(|one| (one.workspace, *one)).collect(),
             unknown_ms: sum.unknown_ms.clone(),
         };
+        if let Some((_, sequence)) = sum.included.iter().find(|(address, _)| *address == own) {
+            told.processes = told.processes.saturating_sub(1);
+            if let Some(known) = history.get(*sequence) {
+                told.remove(known);
+            }
+        }
         self.told = Some((now, told));
+        self.raw.clone_from(sum);
+    }
+
+    /// The sum that was told last, as it was told, unless it is old.
+    pub fn raw_told(&self, now: Instant) -> Option<&CentreSum> {
+        self.told(now).map(|_| &self.raw)
     }
 
     /// Forgets the sum that was told.
@@ -177,6 +248,7 @@
             uses: self.sums.uses.iter().map(|(target, sum)| (*target, *sum)).collect(),
             usage: self.sums.usage.values().copied().collect(),
             unknown_ms: Vec::new(),
+            included: Vec::new(),
         }
     }
 }
--- a/crates/tarragon-fleet/tests/fleet/member.rs
+++ b/crates/tarragon-fleet/tests/fleet/member.rs
@@ -24,6 +24,7 @@
         leaving: Vec::new(),
         former: Vec::new(),
         answers: false,
+        wants_sums: false,
         met: 1,
         members: members.iter().map(|index| address(*index)).collect(),
     }
@@ -34,9 +35,9 @@
 fn peers_are_found_by_rumour() {
     let now = Instant::now();
     let mut members = MemberTable::new(address(1), "north", &[address(2)]);
-    assert_eq!(members.recipients(false).full, [address(2)]);
+    assert_eq!(members.recipients(false, now).full, [address(2)]);
     members.take(address(3), digest(3, 1, &[1, 4, 5]), now);
-    let mut recipients = members.recipients(false).full;
+    let mut recipients = members.recipients(false, now).full;
     recipients.sort();
     assert_eq!(recipients, [2, 3, 4, 5].map(address));
 }
--- a/crates/tarragon-fleet/tests/fleet/node.rs
+++ b/crates/tarragon-fleet/tests/fleet/node.rs
@@ -233,3 +233,35 @@
     fleet.advance(Duration::from_millis(200));
     assert_eq!(dispatched(&fleet.ask(0, 100)), [listed(2).address]);
 }
+
+/// Guards against calls of some milliseconds that wait for the next digest, since the last one told that peers use
+/// all slots of their target (large fleet, quiet-1: one in seven truck dispatches late on a calm day).
+#[test]
+fn short_calls_dont_wait_for_news_of_a_target_that_was_full() {
+    struct SlotCase {
+        name: &'static str,
+        streamed: bool,
+        dispatched: usize,
+    }
+    let cases = [
+        SlotCase { name: "a plain service", streamed: false, dispatched: 1 },
+        SlotCase { name: "a service with streams", streamed: true, dispatched: 0 },
+    ];
+    for case in cases {
+        let mut fleet = Fleet::start(2, 1);
+        let route = CallRoute { streamed: case.streamed, ..route("/a/", SERVICE) };
+        let configuration = FleetConfiguration { routes: vec![route.into()], ..configuration(2) };
+        let state = OperatorState { configuration: Some(configuration.into()), ..operator(2, 2) };
+        let now = fleet.now;
+        for node in &mut fleet.nodes {
+            node.take_operator(now, state.clone(), "store", &mut Vec::new());
+        }
+        for action in fleet.ask(0, 100) {
+            fleet.finish(0, &action, AttemptEnd::Finished);
+        }
+        let first: usize = (0..4).map(|_| dispatched(&fleet.ask(0, 100)).len()).sum();
+        assert_eq!(first, 4, "{}", case.name);
+        fleet.advance(Duration::from_millis(200));
+        assert_eq!(dispatched(&fleet.ask(1, 100)).len(), case.dispatched, "{}", case.name);
+    }
+}
--- a/crates/tarragon-fleet/tests/fleet/sums.rs
+++ b/crates/tarragon-fleet/tests/fleet/sums.rs
@@ -4,7 +4,7 @@
 
 use tarragon_fleet::{
     digest::{NameKey, name_key},
-    member::MemberTable,
+    member::{DIGEST_INTERVAL, MemberTable},
     sums::CentreSum,
 };
 
@@ -107,8 +107,57 @@
     assert_eq!(sent.len(), 1);
     let now = fleet.now;
     let full = fleet.nodes[0].digest(now);
-    let sum = fleet.nodes[0].sum_digest(&full).centre.unwrap();
+    let sum = fleet.nodes[0].sum_digest(&full, now).centre.unwrap();
     assert_eq!(sum.processes, 12);
     assert!(sum.uses.contains(&(name_key(&sent[0]), 1)), "{:?}", sum.uses);
     assert_eq!(sum.usage.len(), 1);
 }
+
+/// Processes in one data centre, so many that a few of them relay sums.
+const MANY: u8 = 60;
+
+/// Requests of a node's peers in flight at a target, as the node sees them.
+fn seen(fleet: &Fleet, node: usize, target: &str) -> u32 {
+    fleet.nodes[node].members().in_flight(name_key(target), fleet.now)
+}
+
+/// Lets node 0 send a request, and returns its target.
+fn send_one(fleet: &mut Fleet) -> TargetName {
+    dispatched(&fleet.ask(0, 100)).remove(0)
+}
+
+/// Guards against a data centre in which each process hears of its peers' use by turns, seconds late, and against
+/// a process that takes its own use for that of a peer.
+#[test]
+fn relays_tell_the_use_of_all_within_two_digests() {
+    let mut fleet = Fleet::start_in(&["north"], MANY, 3);
+    let relays = fleet.nodes.iter().filter(|node| node.members().is_relay()).count();
+    assert_eq!(relays, 2);
+    let target = send_one(&mut fleet);
+    fleet.advance_in_turns(2 * DIGEST_INTERVAL);
+    for node in 1..fleet.nodes.len() {
+        assert_eq!(seen(&fleet, node, &target), 1, "node {node}");
+    }
+    assert_eq!(seen(&fleet, 0, &target), 0);
+}
+
+/// Guards against sums that stop, or keep the use of processes that are gone, when processes die, both relays
+/// among them.
+#[test]
+fn sums_go_on_without_the_processes_that_are_gone() {
+    let mut fleet = Fleet::start_in(&["north"], MANY, 3);
+    let target = send_one(&mut fleet);
+    fleet.advance_in_turns(Duration::from_secs(1));
+    // Node 0 dies with its request, and so do the relays.
+    let relays = (1..fleet.nodes.len()).filter(|node| fleet.nodes[*node].members().is_relay());
+    let gone = Vec::from_iter(relays.chain([0]));
+    fleet.kill(&gone);
+    fleet.advance_in_turns(Duration::from_secs(6));
+    let alive = (0..fleet.nodes.len()).filter(|node| !gone.contains(node));
+    let alive = Vec::from_iter(alive);
+    for node in &alive {
+        assert_eq!(seen(&fleet, *node, &target), 0, "node {node}");
+    }
+    let new = alive.iter().filter(|node| fleet.nodes[**node].members().is_relay()).count();
+    assert_eq!(new, 2);
+}
--- a/crates/tarragon-fleet/tests/fleet/support.rs
+++ b/crates/tarragon-fleet/tests/fleet/support.rs
@@ -115,13 +115,15 @@
     /// Targets that were last published.
     listing: Vec<ListedTarget>,
     next: RequestId,
+    /// Nodes that send and take nothing any more.
+    dead: Vec<usize>,
 }
 
 impl Fleet {
     pub fn start(size: u8, targets: u8) -> Fleet {
         let now = Instant::now() + Duration::from_secs(100);
         let nodes = (1..=size).map(|index| node(index, true, now)).collect();
-        let mut fleet = Fleet { nodes, now, listing: Vec::new(), next: 0 };
+        let mut fleet = Fleet { nodes, now, listing: Vec::new(), next: 0, dead: Vec::new() };
         fleet.publish(1, 1, (1..=targets).map(listed).collect());
         fleet.gossip();
         fleet.advance(Duration::from_secs(3));
@@ -133,7 +135,7 @@
         let now = Instant::now() + Duration::from_secs(100);
         let centre = |index: u8| centres[usize::from(index) % centres.len()];
         let nodes = (1..=size).map(|index| node_in(centre(index), index, true, now)).collect();
-        let mut fleet = Fleet { nodes, now, listing: Vec::new(), next: 0 };
+        let mut fleet = Fleet { nodes, now, listing: Vec::new(), next: 0, dead: Vec::new() };
         fleet.publish(1, 1, (1..=targets).map(listed).collect());
         fleet.advance_in_turns(Duration::from_secs(4));
         fleet
@@ -159,6 +161,11 @@
         begun
     }
 
+    /// Ends processes.
+    pub fn kill(&mut self, nodes: &[usize]) {
+        self.dead.extend(nodes);
+    }
+
     /// Replaces all nodes by ones that have started after a time and have not met.
     pub fn restart(&mut self, down: Duration) {
         self.now += down;
@@ -200,11 +207,15 @@
     /// to the newcomer.
     pub fn gossip_in_turns(&mut self) {
         let now = self.now;
-        for sender in 0..self.nodes.len() {
+        let alive = (0..self.nodes.len()).filter(|node| !self.dead.contains(node));
+        for sender in Vec::from_iter(alive) {
             let digest = self.nodes[sender].digest(now);
-            let recipients = self.nodes[sender].recipients(false);
-            let sums = self.nodes[sender].sum_digest(&digest);
+            let recipients = self.nodes[sender].recipients(false, now);
+            let sums = self.nodes[sender].sum_digest(&digest, now);
+            let asking = PeerDigest { wants_sums: true, ..digest.clone() };
             self.send_digest(sender, &digest, recipients.full);
+            self.send_digest(sender, &asking, recipients.relays);
+            self.send_digest(sender, &sums, recipients.askers);
             self.send_digest(sender, &sums, recipients.sums);
         }
     }
@@ -212,6 +223,9 @@
     fn send_digest(&mut self, sender: usize, digest: &PeerDigest, recipients: Vec<SocketAddr>) {
         let now = self.now;
         for recipient in recipients {
+            if self.index_of(recipient).is_some_and(|index| self.dead.contains(&index)) {
+                continue;
+            }
             if !self.hand_over(sender, recipient, digest.clone()).newcomer {
                 continue;
             }
--- a/crates/tarragon-gateway/src/peers.rs
+++ b/crates/tarragon-gateway/src/peers.rs
@@ -123,14 +123,24 @@
 
 async fn send_digests<D>(context: &GatewayContext<D>, socket: &UdpSocket, urgent: bool) {
     let (digest, recipients, present) = context.desk.run(|node, now, _| {
-        (node.digest(now), node.recipients(urgent), node.members().present().count())
+        (node.digest(now), node.recipients(urgent, now), node.members().present().count())
     });
     context.metrics.peers.set(i64::try_from(present).unwrap_or(i64::MAX));
     send_digest(context, socket, &digest, &recipients.full).await;
-    if !recipients.sums.is_empty() {
-        let sums = context.desk.view(|node| node.sum_digest(&digest));
-        send_digest(context, socket, &sums, &recipients.sums).await;
+    if !recipients.relays.is_empty() {
+        let asking = PeerDigest { wants_sums: true, ..digest.clone() };
+        send_digest(context, socket, &asking, &recipients.relays).await;
     }
+    if recipients.askers.is_empty() && recipients.sums.is_empty() {
+        return;
+    }
+    let mut sums = context.desk.run(|node, now, _| node.sum_digest(&digest, now));
+    send_digest(context, socket, &sums, &recipients.askers).await;
+    // Bytes between data centres are dear, and no receiver there is included.
+    if let Some(sum) = &mut sums.centre {
+        sum.included.clear();
+    }
+    send_digest(context, socket, &sums, &recipients.sums).await;
 }
 
 async fn send_digest<D>(
@@ -139,6 +149,9 @@
     digest: &PeerDigest,
     recipients: &[SocketAddr],
 ) {
+    if recipients.is_empty() {
+        return;
+    }
     let bytes = match digest.to_bytes() {
         Ok(bytes) => bytes,
         Err(error) => {
