--- a/crates/tarragon-fleet/src/member.rs
+++ b/crates/tarragon-fleet/src/member.rs
@@ -1,5 +1,7 @@
 //! Peers of this process: found by seeds and by rumour, known by their digests.
 
+mod relays;
+
 use std::{
     net::{IpAddr, SocketAddr},
     time::{Duration, Instant},
@@ -10,6 +12,7 @@
 
 use crate::{
     digest::{NameKey, name_key},
+    member::relays::RelayTable,
     prelude::*,
     sums::{CentreSum, CentreView, ToldHistory},
 };
@@ -29,8 +32,6 @@
 /// Digests in which all peers of the own data centre are written to, above which a few processes of it relay sums
 /// to the others in place of that. With fewer, sums would be no younger than what each process tells.
 const RELAYED_TURNS: u32 = 3;
-/// Processes that relay the sums of a data centre. With two, sums go on when one of them dies.
-const RELAYS: usize = 2;
 /// Peers of the own data centre that one digest goes to beside the relays, so that all know of each other.
 const RELAYED_FANOUT: usize = 1;
 /// Peers of other data centres that one digest goes to, if there are no more of them. All of them hear from each
@@ -114,14 +115,8 @@
     generation: u64,
     /// What this process has told of its own use.
     history: ToldHistory,
-    /// Processes that are asked for the sums of the own data centre, and since when.
-    relays: IndexMap<SocketAddr, Instant>,
-    /// Processes that were asked for sums and didn't answer. They are not asked until they are heard again.
-    failed: IndexSet<SocketAddr>,
-    /// Peers that ask this process for sums, and when they did last.
-    askers: IndexMap<SocketAddr, Instant>,
-    /// Since when peers ask.
-    relay_since: Option<Instant>,
+    /// Who relays the sums of the own data centre.
+    relays: RelayTable,
     /// Most processes that one of the members has met.
     most_met: usize,
     /// Position of the first member that the next digest names.
@@ -148,10 +143,7 @@
             restarted: IndexSet::new(),
             generation: 0,
             history: ToldHistory::default(),
-            relays: IndexMap::new(),
-            failed: IndexSet::new(),
-            askers: IndexMap::new(),
-            relay_since: None,
+            relays: RelayTable::default(),
             most_met: 0,
             cursor: 0,
         }
@@ -205,11 +197,7 @@
         if let Some(sum) = &digest.centre {
             centre.take_told(sum, self.own, &self.history, now);
         }
-        if digest.wants_sums {
-            self.askers.insert(from, now);
-            self.relay_since.get_or_insert(now);
-        }
-        self.failed.swap_remove(&from);
+        self.relays.hear(from, digest.wants_sums, now);
         if digest.unknown_ms > 0 {
             self.restarted.insert(from);
         } else {
@@ -249,12 +237,11 @@
         self.rumours.retain(|_, rumour| now.saturating_duration_since(rumour.heard) < RUMOUR);
         let limits = [self.silence_limit(true), self.silence_limit(false)];
         let (own, mut changed) = (self.data_centre, false);
-        let asked_for = |since: Instant| now.saturating_duration_since(since) >= SILENT;
-        let relays = self.relay_since.is_some_and(asked_for);
+        let hears_all = self.relays.hears_all(now);
         for (address, member) in &mut self.members {
             let near = member.digest.data_centre == own;
             // All of the data centre write to a relay with each digest interval.
-            let limit = if near && relays { SILENT } else { limits[usize::from(!near)] };
+            let limit = if near && hears_all { SILENT } else { limits[usize::from(!near)] };
             if !member.counted || member.is_present(limit, now) {
                 continue;
             }
@@ -338,7 +325,7 @@
 
     /// The sum of the own data centre as a relay has told it, if this process hears of its peers by relays.
     pub fn relayed_sum(&self, now: Instant) -> Option<&CentreSum> {
-        if !self.is_relayed() || !self.askers.is_empty() {
+        if !self.is_relayed() || self.is_relay() {
             return None;
         }
         self.centres.get(&self.data_centre)?.raw_told(now)
@@ -351,38 +338,20 @@
 
     /// Whether this process relays the sums of its data centre, since peers ask it to.
     pub fn is_relay(&self) -> bool {
-        !self.askers.is_empty()
+        self.relays.is_relay()
     }
 
-    /// Brings the relays that are asked up to date: the first of an order that all processes share, without those
-    /// that don't answer. This process may be one of them.
     fn choose_relays(&mut self, now: Instant) {
-        self.askers.retain(|_, asked| now.saturating_duration_since(*asked) < SILENT);
-        if self.askers.is_empty() {
-            self.relay_since = None;
-        }
+        self.relays.expire(now);
         if !self.is_relayed() {
             self.relays.clear();
             return;
         }
-        for (relay, since) in &self.relays {
-            let heard = self.members.get(relay).map_or(*since, |member| member.heard.max(*since));
-            if *relay != self.own && now.saturating_duration_since(heard) >= SILENT {
-                tracing::info!(peer = %relay, "relay gives no sums; another one is asked");
-                self.failed.insert(*relay);
-            }
-        }
-        let near = self.members.iter().filter(|(_, member)| self.is_near(member));
-        let near = near.map(|(address, _)| *address).chain([self.own]);
-        let key = u64::from(self.data_centre);
-        let mut order: Vec<(u64, SocketAddr)> = near
-            .filter(|address| !self.failed.contains(address))
-            .map(|address| (weight(address, key), address))
-            .collect();
-        order.sort_unstable();
-        let chosen = order.iter().take(RELAYS).map(|(_, address)| *address);
-        let since = |address| self.relays.get(&address).copied().unwrap_or(now);
-        self.relays = chosen.map(|address| (address, since(address))).collect();
+        let (members, centre) = (&self.members, self.data_centre);
+        let near = members.iter().filter(|(_, member)| member.digest.data_centre == centre);
+        let processes = near.map(|(address, _)| *address).chain([self.own]);
+        let heard = |address: &SocketAddr| members.get(address).map(|member| member.heard);
+        self.relays.choose(processes, self.own, centre, heard, now);
     }
 
     /// The sum over the peers of the own data centre that are present.
@@ -529,11 +498,12 @@
             (false, false) => NEAR_FANOUT,
         };
         let far_count = self.far_fanout();
-        let mut recipients = DigestRecipients::default();
-        recipients.full = in_turn(&near, near_count, &mut self.near_turn);
-        recipients.relays =
-            self.relays.keys().copied().filter(|relay| *relay != self.own).collect();
-        recipients.askers = self.askers.keys().copied().collect();
+        let mut recipients = DigestRecipients {
+            full: in_turn(&near, near_count, &mut self.near_turn),
+            relays: self.relays.asked(self.own),
+            askers: self.relays.askers(),
+            sums: Vec::new(),
+        };
         let far = in_turn(&far, far_count, &mut self.far_turn);
         if self.far_in_turns() {
             recipients.sums = far;
