--- a/crates/tarragon-fleet/src/directory.rs
+++ b/crates/tarragon-fleet/src/directory.rs
@@ -366,7 +366,7 @@
             .collect()
     }
 
-    /// Notes that the instance at an address wants no requests of this process for a time. A later word may
+    /// Notes that the instance at an address wants no requests of this process for a time. A later answer may
     /// prolong the pause, but doesn't shorten it. Returns whether this is news.
     pub fn pause(&mut self, target: &str, instance: &str, time: Duration, now: Instant) -> bool {
         let Some(entry) = self.entries.get_mut(target) else { return false };
--- a/crates/tarragon-fleet/tests/fleet/node.rs
+++ b/crates/tarragon-fleet/tests/fleet/node.rs
@@ -178,7 +178,7 @@
 /// Guards against peers that go on using a target which has told one process that it is leaving, and against an
 /// entry that brings it back: one that is read later, or that lapses and returns.
 #[test]
-fn the_word_of_a_leaving_target_reaches_peers_and_outlives_its_entry() {
+fn a_leaving_target_stays_out_at_all_peers_whatever_its_entry_says() {
     let mut fleet = Fleet::start(3, 2);
     let leaver = listed(1);
     let now = fleet.now;
@@ -214,7 +214,7 @@
         let (target, pause) = (listed(index), Duration::from_secs_f64(seconds));
         let (name, instance) = (target.address, target.instance);
         fleet.nodes[0].target_pauses(now, &name, &instance, pause, &mut Vec::new());
-        // A shorter word that comes later changes nothing.
+        // A shorter pause that is asked for later changes nothing.
         let shorter = Duration::from_millis(100);
         fleet.nodes[0].target_pauses(now, &name, &instance, shorter, &mut Vec::new());
     }
--- a/crates/tarragon-gateway/src/forward.rs
+++ b/crates/tarragon-gateway/src/forward.rs
@@ -477,7 +477,7 @@
     }
 }
 
-/// Takes a target's word that it is about to stop. Idle connections to it are closed.
+/// Takes a target's notice that it is about to stop. Idle connections to it are closed.
 fn note_leaving<D>(context: &GatewayContext<D>, target: &TargetName, instance: &str) {
     context.desk.run(|node, now, actions| node.target_leaves(now, target, instance, actions));
     context.pool.retain(|address| address != &**target);
