Add to sums of data centres and take off them in one place

The same arithmetic on uses by target and usage by workspace stood in three forms: for the digests of peers, for the own part of a relayed sum, and, with a search of the whole list for each entry, for the own use that a process adds to the sum that it tells. UseSums now does all three; a told sum holds one, and the history keeps what digests told as it was. Entries of a told sum may stand in another order; their values are the same.

--- a/crates/tarragon-fleet/src/member.rs
+++ b/crates/tarragon-fleet/src/member.rs
@@ -182,7 +182,9 @@
     fn count(&mut self, from: SocketAddr, digest: PeerDigest, now: Instant) {
         let centre = self.centres.entry(digest.data_centre).or_default();
         match self.members.get(&from) {
-            Some(known) if known.counted => centre.sums.remove(&known.digest),
+            Some(known) if known.counted => {
+                centre.sums.remove(&known.digest.uses, &known.digest.usage)
+            }
             Some(_) => centre.present += 1,
             None => {
                 centre.known += 1;
@@ -193,7 +195,7 @@
         if !self.members.get(&from).is_some_and(|known| known.counted) {
             tracing::info!(peer = %from, vm = &*digest.vm, incarnation = digest.incarnation, "peer is present");
         }
-        centre.sums.add(&digest);
+        centre.sums.add(&digest.uses, &digest.usage);
         if let Some(sum) = &digest.centre {
             centre.take_told(sum, self.own, &self.history, now);
         }
@@ -248,7 +250,7 @@
             member.counted = false;
             changed = true;
             if let Some(centre) = self.centres.get_mut(&member.digest.data_centre) {
-                centre.sums.remove(&member.digest);
+                centre.sums.remove(&member.digest.uses, &member.digest.usage);
                 centre.present -= 1;
             }
             tracing::info!(peer = %address, silent_ms = limit.as_millis() as u64, "peer is silent");
@@ -354,15 +356,21 @@
         self.relays.choose(processes, self.own, centre, heard, now);
     }
 
-    /// The sum over the peers of the own data centre that are present.
-    pub fn own_centre_sum(&self) -> CentreSum {
+    /// The sum over the peers of the own data centre that are present, and over what this process itself tells.
+    pub fn own_centre_sum(&self, own: &PeerDigest) -> CentreSum {
         let centre = self.centres.get(&self.data_centre);
-        let mut sum = centre.map(CentreView::centre_sum).unwrap_or_default();
+        let mut sums = centre.map(|centre| centre.sums.clone()).unwrap_or_default();
+        sums.add(&own.uses, &own.usage);
+        let mut sum = sums.into_centre_sum();
+        let processes = centre.map_or(0, |centre| centre.present) + 1;
+        sum.processes = u32::try_from(processes).unwrap_or(u32::MAX);
         let present = self.restarted.iter().filter_map(|address| self.members.get(address));
         let near = present.filter(|member| member.counted && self.is_near(member));
         sum.unknown_ms = near.map(|member| member.digest.unknown_ms).collect();
+        sum.unknown_ms.extend((own.unknown_ms > 0).then_some(own.unknown_ms));
         let near = self.present().filter(|(_, member)| self.is_near(member));
         sum.included = near.map(|(address, member)| (*address, member.digest.sequence)).collect();
+        sum.included.push((self.own, own.sequence));
         sum
     }
 
--- a/crates/tarragon-fleet/src/node/news.rs
+++ b/crates/tarragon-fleet/src/node/news.rs
@@ -323,11 +323,7 @@
     pub fn sum_digest(&self, digest: &PeerDigest, now: Instant) -> PeerDigest {
         let mut sum = match self.members.relayed_sum(now) {
             Some(sum) => sum.clone(),
-            None => {
-                let mut sum = self.members.own_centre_sum();
-                sum.add_own(self.settings.peer_address, digest);
-                sum
-            }
+            None => self.members.own_centre_sum(digest),
         };
         sum.usage.sort_unstable_by_key(|one| std::cmp::Reverse(one.units));
         sum.usage.truncate(TOLD_WORKSPACES);
--- a/crates/tarragon-fleet/src/sums.rs
+++ b/crates/tarragon-fleet/src/sums.rs
@@ -32,7 +32,7 @@
 /// What this process has told of its own use in its last digests, to be taken off sums that include it.
 #[derive(Debug, Default)]
 pub struct ToldHistory {
-    told: VecDeque<(u64, CentreSum)>,
+    told: VecDeque<(u64, Vec<TargetUse>, Vec<UsageSum>)>,
 }
 
 /// Digests of which a process remembers what it told. Sums include one of the last few.
@@ -41,22 +41,21 @@
 impl ToldHistory {
     /// Notes what a digest tells.
     pub fn note(&mut self, sequence: u64, uses: &[TargetUse], usage: &[UsageSum]) {
-        let uses = uses.iter().map(|one| (one.target, one.in_flight.into())).collect();
-        let sum = CentreSum { processes: 1, uses, usage: usage.to_vec(), ..CentreSum::default() };
-        self.told.push_back((sequence, sum));
+        self.told.push_back((sequence, uses.to_vec(), usage.to_vec()));
         if self.told.len() > TOLD_DIGESTS {
             self.told.pop_front();
         }
     }
 
     /// What a digest told; nothing if it is forgotten.
-    fn get(&self, sequence: u64) -> Option<&CentreSum> {
-        self.told.iter().find(|(number, _)| *number == sequence).map(|(_, sum)| sum)
+    fn get(&self, sequence: u64) -> Option<(&[TargetUse], &[UsageSum])> {
+        let told = self.told.iter().find(|(number, ..)| *number == sequence);
+        told.map(|(_, uses, usage)| (uses.as_slice(), usage.as_slice()))
     }
 }
 
-/// Sums over single processes.
-#[derive(Debug, Default)]
+/// Sums over processes, by name.
+#[derive(Debug, Clone, Default)]
 pub struct UseSums {
     uses: IndexMap<NameKey, u32>,
     usage: IndexMap<NameKey, UsageSum>,
@@ -64,11 +63,11 @@
 
 impl UseSums {
     /// Adds what a process has told.
-    pub fn add(&mut self, digest: &PeerDigest) {
-        for one in &digest.uses {
+    pub fn add(&mut self, uses: &[TargetUse], usage: &[UsageSum]) {
+        for one in uses {
             *self.uses.entry(one.target).or_default() += u32::from(one.in_flight);
         }
-        for one in &digest.usage {
+        for one in usage {
             self.usage
                 .entry(one.workspace)
                 .or_insert_with(|| UsageSum::none(one.workspace))
@@ -77,13 +76,13 @@
     }
 
     /// Takes off what was added of a process.
-    pub fn remove(&mut self, digest: &PeerDigest) {
-        for one in &digest.uses {
+    pub fn remove(&mut self, uses: &[TargetUse], usage: &[UsageSum]) {
+        for one in uses {
             if let Some(sum) = self.uses.get_mut(&one.target) {
                 *sum = sum.saturating_sub(one.in_flight.into());
             }
         }
-        for one in &digest.usage {
+        for one in usage {
             if let Some(sum) = self.usage.get_mut(&one.workspace) {
                 sum.remove(one);
             }
@@ -95,6 +94,16 @@
         self.uses.retain(|_, sum| *sum > 0);
         self.usage.retain(|_, sum| sum.units > 0);
     }
+
+    /// The entries, for a digest.
+    pub fn into_centre_sum(mut self) -> CentreSum {
+        self.uses.retain(|_, sum| *sum > 0);
+        CentreSum {
+            uses: self.uses.into_iter().collect(),
+            usage: self.usage.into_values().collect(),
+            ..CentreSum::default()
+        }
+    }
 }
 
 /// What is known of one data centre.
@@ -116,27 +125,10 @@
 #[derive(Debug)]
 struct ToldCentre {
     processes: usize,
-    uses: IndexMap<NameKey, u32>,
-    usage: IndexMap<NameKey, UsageSum>,
+    sums: UseSums,
     unknown_ms: Vec<u32>,
 }
 
-impl ToldCentre {
-    /// Takes off what one process had told.
-    fn remove(&mut self, sum: &CentreSum) {
-        for (target, in_flight) in &sum.uses {
-            if let Some(all) = self.uses.get_mut(target) {
-                *all = all.saturating_sub(*in_flight);
-            }
-        }
-        for one in &sum.usage {
-            if let Some(all) = self.usage.get_mut(&one.workspace) {
-                all.remove(one);
-            }
-        }
-    }
-}
-
 /// A sum that was told longer ago than this says nothing of the present. Several come each second, at irregular
 /// times. That all seven of two seconds are missed by chance is rare, and costs callers less than an old sum.
 const TOLD_LIFETIME: Duration = Duration::from_secs(2);
@@ -146,31 +138,6 @@
 /// Time for which the last sum goes before one that includes fewer processes.
 const PARTIAL_DELAY: Duration = Duration::from_millis(800);
 
-impl CentreSum {
-    /// Adds what the process itself tells.
-    pub fn add_own(&mut self, address: SocketAddr, digest: &PeerDigest) {
-        self.processes += 1;
-        self.included.push((address, digest.sequence));
-        for own in &digest.uses {
-            let in_flight = u32::from(own.in_flight);
-            match self.uses.iter_mut().find(|(target, _)| *target == own.target) {
-                Some((_, sum)) => *sum += in_flight,
-                None => self.uses.push((own.target, in_flight)),
-            }
-        }
-        self.uses.retain(|(_, sum)| *sum > 0);
-        for own in &digest.usage {
-            match self.usage.iter_mut().find(|sum| sum.workspace == own.workspace) {
-                Some(sum) => sum.add(own),
-                None => self.usage.push(*own),
-            }
-        }
-        if digest.unknown_ms > 0 {
-            self.unknown_ms.push(digest.unknown_ms);
-        }
-    }
-}
-
 impl CentreView {
     /// Takes the sum that a process of this data centre has told.
     ///
@@ -190,14 +157,16 @@
         }
         let mut told = ToldCentre {
             processes: sum.processes as usize,
-            uses: sum.uses.iter().copied().collect(),
-            usage: sum.usage.iter().map(|one| (one.workspace, *one)).collect(),
+            sums: UseSums {
+                uses: sum.uses.iter().copied().collect(),
+                usage: sum.usage.iter().map(|one| (one.workspace, *one)).collect(),
+            },
             unknown_ms: sum.unknown_ms.clone(),
         };
         if let Some((_, sequence)) = sum.included.iter().find(|(address, _)| *address == own) {
             told.processes = told.processes.saturating_sub(1);
-            if let Some(known) = history.get(*sequence) {
-                told.remove(known);
+            if let Some((uses, usage)) = history.get(*sequence) {
+                told.sums.remove(uses, usage);
             }
         }
         self.told = Some((now, told));
@@ -219,15 +188,19 @@
         (now.saturating_duration_since(*heard) < TOLD_LIFETIME).then_some(told)
     }
 
+    /// The sum that was told, if it is not old, else that over the digests of its processes.
+    fn current(&self, now: Instant) -> &UseSums {
+        self.told(now).map_or(&self.sums, |told| &told.sums)
+    }
+
     /// Requests in flight at a target.
     pub fn in_flight(&self, target: NameKey, now: Instant) -> u32 {
-        let uses = self.told(now).map_or(&self.sums.uses, |told| &told.uses);
-        uses.get(&target).copied().unwrap_or(0)
+        self.current(now).uses.get(&target).copied().unwrap_or(0)
     }
 
     /// Use of a workspace's quota.
     pub fn usage(&self, workspace: NameKey, now: Instant) -> UsageSum {
-        let usage = self.told(now).map_or(&self.sums.usage, |told| &told.usage);
+        let usage = &self.current(now).usage;
         usage.get(&workspace).copied().unwrap_or_else(|| UsageSum::none(workspace))
     }
 
@@ -240,15 +213,4 @@
     pub fn told_unknown(&self, now: Instant) -> Option<&[u32]> {
         self.told(now).map(|told| told.unknown_ms.as_slice())
     }
-
-    /// The sum over the processes whose digests are known, for a digest of one of them.
-    pub fn centre_sum(&self) -> CentreSum {
-        CentreSum {
-            processes: u32::try_from(self.present).unwrap_or(u32::MAX),
-            uses: self.sums.uses.iter().map(|(target, sum)| (*target, *sum)).collect(),
-            usage: self.sums.usage.values().copied().collect(),
-            unknown_ms: Vec::new(),
-            included: Vec::new(),
-        }
-    }
 }
