Log how broken connections become crashes, or don't

Arrivals tell the fingerprint now; each break ends in a line that says whether it counts as a crash and why; news of peers have a line if they change a belief; two gauges count the suspects and those that the last digest left out. The page's test covers the scheduler's lines, too. No decision changes.

--- a/crates/tarragon-gateway/src/caller.rs
+++ b/crates/tarragon-gateway/src/caller.rs
@@ -199,6 +199,7 @@
     tracing::info!(
         request = call.tag,
         id = call.request,
+        fingerprint = order.fingerprint,
         workspace = call.routed.workspace.as_deref(),
         route = route.name,
         service = &*call.routed.service,
--- a/crates/tarragon-gateway/src/metrics.rs
+++ b/crates/tarragon-gateway/src/metrics.rs
@@ -41,6 +41,10 @@
     pub peers: IntGauge,
     /// Connections made to targets.
     pub target_connections: IntCounter,
+    /// Requests that are suspected of crashing targets, or convicted of it.
+    pub suspects: IntGauge,
+    /// Those of them that the last digest left out.
+    pub untold_suspects: IntGauge,
 }
 
 impl GatewayMetrics {
@@ -64,6 +68,8 @@
                 name("target_connections_total"),
                 "Connections made to targets",
             )?,
+            suspects: gauge("suspects", "Requests that are suspected of crashing targets")?,
+            untold_suspects: gauge("untold_suspects", "Suspects that the last digest left out")?,
             registry,
         };
         metrics.register()?;
@@ -84,7 +90,9 @@
         registry.register(Box::new(self.connections.clone()))?;
         registry.register(Box::new(self.open_requests.clone()))?;
         registry.register(Box::new(self.peers.clone()))?;
-        registry.register(Box::new(self.target_connections.clone()))
+        registry.register(Box::new(self.target_connections.clone()))?;
+        registry.register(Box::new(self.suspects.clone()))?;
+        registry.register(Box::new(self.untold_suspects.clone()))
     }
 
     /// The text that prometheus reads.
--- a/crates/tarragon-gateway/src/peers.rs
+++ b/crates/tarragon-gateway/src/peers.rs
@@ -122,10 +122,15 @@
 }
 
 async fn send_digests<D>(context: &GatewayContext<D>, socket: &UdpSocket, urgent: bool) {
-    let (digest, recipients, present) = context.desk.run(|node, now, _| {
-        (node.digest(now), node.recipients(urgent, now), node.members().present().count())
+    let (digest, recipients, present, suspects) = context.desk.run(|node, now, _| {
+        let digest = node.digest(now);
+        let present = node.members().present().count();
+        (digest, node.recipients(urgent, now), present, node.scheduler().suspect_count())
     });
-    context.metrics.peers.set(i64::try_from(present).unwrap_or(i64::MAX));
+    let gauged = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+    context.metrics.peers.set(gauged(present));
+    context.metrics.suspects.set(gauged(suspects));
+    context.metrics.untold_suspects.set(gauged(suspects.saturating_sub(digest.suspects.len())));
     send_digest(context, socket, &digest, &recipients.full).await;
     if !recipients.relays.is_empty() {
         let asking = PeerDigest { wants_sums: true, ..digest.clone() };
--- a/crates/tarragon-gateway/tests/log_page.rs
+++ b/crates/tarragon-gateway/tests/log_page.rs
@@ -1,13 +1,14 @@
-//! The messages that the fleet and the gateway log, against the table of `docs/OPERATIONS.md`.
+//! The messages that the scheduler, the fleet and the gateway log, against the table of `docs/OPERATIONS.md`.
 
 use std::{fs, path::Path};
 
 use indexmap::{IndexMap, IndexSet};
 
-const SOURCES: [&str; 4] = [
+const SOURCES: [&str; 5] = [
     "crates/tarragon-command/src/command/serve",
     "crates/tarragon-fleet/src",
     "crates/tarragon-gateway/src",
+    "crates/tarragon-scheduler/src",
     "platform/src",
 ];
 const PAGE: &str = "docs/OPERATIONS.md";
--- a/crates/tarragon-scheduler/src/scheduler.rs
+++ b/crates/tarragon-scheduler/src/scheduler.rs
@@ -246,6 +246,11 @@
         self.suspects.entries(now)
     }
 
+    /// Number of suspects and verdicts in force.
+    pub fn suspect_count(&self) -> usize {
+        self.suspects.crashed().count()
+    }
+
     /// Takes all waiting requests out that have not been dispatched yet, for a process that shuts down
     /// and hands them to a peer. They are no longer known here.
     pub fn release_waiting(&mut self) -> Vec<RequestProfile> {
--- a/crates/tarragon-scheduler/src/scheduler/report.rs
+++ b/crates/tarragon-scheduler/src/scheduler/report.rs
@@ -12,7 +12,7 @@
 impl Scheduler {
     pub(super) fn remove_target(&mut self, target: &TargetName, now: Instant) {
         if let Some(index) = self.targets.find(target) {
-            self.release_broken(index, None);
+            self.release_broken(index, None, "target is gone", now);
             self.targets.unlist(index, now);
             self.placement_changed = true;
         }
@@ -54,7 +54,7 @@
         } else if before == Some(report.restart) {
             // The process survived whatever broke before these figures were taken.
             if let Some(taken) = now.checked_sub(age) {
-                self.release_broken(index, Some(taken));
+                self.release_broken(index, Some(taken), "target lives", now);
             }
         }
         self.targets.refresh(index, now);
@@ -96,10 +96,19 @@
         let restart = before.or_else(|| row.restart()).unwrap_or(0);
         let name = row.name.clone();
         for (fingerprint, broken) in std::mem::take(&mut row.broken) {
-            if now.saturating_duration_since(broken) > CRASH_LINK {
+            let age = now.saturating_duration_since(broken);
+            if age > CRASH_LINK {
+                log_release(&name, fingerprint, "too old", age);
                 self.suspects.release(fingerprint);
                 continue;
             }
+            tracing::info!(
+                target_address = &*name,
+                fingerprint,
+                restart,
+                age_ms = age.as_millis() as u64,
+                "target crashed while the request ran"
+            );
             let mark = (name.clone(), restart);
             if let Some(entry) = self.suspects.confirm(fingerprint, mark, broken, now) {
                 self.announce_suspect(entry, actions);
@@ -108,12 +117,20 @@
     }
 
     /// Connections that broke at the target were no crash: all of them, or those before a time.
-    pub(super) fn release_broken(&mut self, target: usize, before: Option<Instant>) {
+    pub(super) fn release_broken(
+        &mut self,
+        target: usize,
+        before: Option<Instant>,
+        cause: &str,
+        now: Instant,
+    ) {
         let Some(row) = self.targets.row_mut(target) else { return };
         let suspects = &mut self.suspects;
+        let name = &row.name;
         row.broken.retain(|(fingerprint, broken)| {
             let keep = before.is_some_and(|before| *broken >= before);
             if !keep {
+                log_release(name, *fingerprint, cause, now.saturating_duration_since(*broken));
                 suspects.release(*fingerprint);
             }
             keep
@@ -126,7 +143,20 @@
         now: Instant,
         actions: &mut Vec<SchedulerAction>,
     ) {
-        if let Some(entry) = self.suspects.merge(entry, now) {
+        let known = self.suspects.check(entry.fingerprint, now);
+        let news = self.suspects.merge(entry, now);
+        let suspicion = self.suspects.check(entry.fingerprint, now);
+        if suspicion != known {
+            tracing::info!(
+                fingerprint = entry.fingerprint,
+                crashes = entry.crashes.len(),
+                convicted = entry.convicted,
+                age_ms = entry.age_ms,
+                ?suspicion,
+                "a peer tells of a request that may crash targets"
+            );
+        }
+        if let Some(entry) = news {
             self.announce_suspect(entry, actions);
         }
     }
@@ -136,3 +166,13 @@
         actions.push(SchedulerAction::AnnounceSuspect(entry));
     }
 }
+
+fn log_release(target: &TargetName, fingerprint: Fingerprint, cause: &str, age: Duration) {
+    tracing::info!(
+        target_address = &**target,
+        fingerprint,
+        cause,
+        age_ms = age.as_millis() as u64,
+        "broken connection doesn't count as a crash"
+    );
+}
--- a/crates/tarragon-scheduler/src/scheduler/tick.rs
+++ b/crates/tarragon-scheduler/src/scheduler/tick.rs
@@ -100,7 +100,7 @@
             .collect();
         for index in affected {
             if old.is_some() {
-                self.release_broken(index, old);
+                self.release_broken(index, old, "too old", now);
             }
         }
     }
--- a/crates/tarragon-scheduler/src/suspect.rs
+++ b/crates/tarragon-scheduler/src/suspect.rs
@@ -22,8 +22,9 @@
 /// One crash: the target and its restart id before it.
 pub type CrashMark = (TargetName, u64);
 
+/// What is known of one request.
 #[derive(Debug)]
-struct SuspectState {
+pub struct SuspectState {
     crashes: Vec<CrashMark>,
     /// Crashes from before a finished run. Peers may still repeat them.
     settled: Vec<CrashMark>,
@@ -142,8 +143,12 @@
 
     /// Suspects and verdicts in force.
     pub fn entries(&self, now: Instant) -> Vec<SuspectEntry> {
-        let known = self.entries.iter().filter(|(_, state)| !state.crashes.is_empty());
-        known.map(|(fingerprint, state)| state.entry(*fingerprint, now)).collect()
+        self.crashed().map(|(fingerprint, state)| state.entry(*fingerprint, now)).collect()
+    }
+
+    /// Requests near which targets crashed.
+    pub fn crashed(&self) -> impl Iterator<Item = (&Fingerprint, &SuspectState)> {
+        self.entries.iter().filter(|(_, state)| !state.crashes.is_empty())
     }
 
     fn state(&mut self, fingerprint: Fingerprint, now: Instant) -> &mut SuspectState {
