Reproduce a request that crashes one target after the other

A fleet of eight processes and twelve targets in virtual time, with digests that take time, listings read at each process's own times, and targets that crash for other causes and come back as new processes. One caller sends a request that crashes each target that runs it. The users' rule allows three sendings later than 3 s after the third crash.

--- /dev/null
+++ b/crates/tarragon-fleet/tests/fleet/crash_world.rs
@@ -0,0 +1,457 @@
+//! A fleet whose targets crash, in virtual time: digests take time and get lost, each process reads listings at its
+//! own times, targets come back as new processes, and one caller sends a request that crashes each target.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration, time::Instant};
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use tarragon_fleet::published::StoreRevision;
+
+use crate::support::*;
+
+/// Fingerprint of the request that crashes each target that runs it.
+pub const CULPRIT: Fingerprint = 666;
+/// The users' bound on the time in which all processes have to hear of a third crash.
+pub const CONTACT: Duration = Duration::from_secs(3);
+
+const STEP: Duration = Duration::from_millis(10);
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
+/// Silence after which an entry lapses: three heartbeats.
+const LAPSE: Duration = Duration::from_millis(3_600);
+const LISTING_INTERVAL: Duration = Duration::from_millis(900);
+const DIGEST_INTERVAL: Duration = Duration::from_millis(200);
+const TICK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time for a message between a process and a target.
+const HOP: Duration = Duration::from_millis(3);
+/// Time from the start of the request until its target crashes.
+const FUSE: Duration = Duration::from_millis(20);
+
+/// What happens in one play.
+#[derive(Debug, Clone)]
+pub struct CrashPlan {
+    pub name: &'static str,
+    pub processes: u8,
+    pub targets: u8,
+    /// Requests that harm nobody, a second.
+    pub load: u32,
+    /// Time between two sendings of the request that crashes targets.
+    pub repeat: Duration,
+    /// Copies of it that go to different processes at once.
+    pub copies: usize,
+    /// Time between crashes for other causes.
+    pub other_crashes: Duration,
+    /// Least and longest time for which a crashed target is away, in milliseconds.
+    pub away_ms: (u64, u64),
+    /// Part of the crashed targets that start again under their old name.
+    pub same_name: f64,
+    /// Part of the requests whose connection breaks for other causes.
+    pub breaks: f64,
+    /// Part of the digests that get lost.
+    pub lost: f64,
+    /// Time between restarts of single processes of the fleet.
+    pub process_restarts: Duration,
+    /// Whether a crashed target leaves its connections open, so that its callers hear nothing.
+    pub silent: bool,
+}
+
+impl Default for CrashPlan {
+    fn default() -> CrashPlan {
+        CrashPlan {
+            name: "crashes",
+            processes: 8,
+            targets: 12,
+            load: 60,
+            repeat: Duration::from_millis(800),
+            copies: 1,
+            other_crashes: Duration::from_secs(3),
+            away_ms: (1_000, 4_000),
+            same_name: 0.2,
+            breaks: 0.01,
+            lost: 0.01,
+            process_restarts: Duration::from_secs(1_000),
+            silent: false,
+        }
+    }
+}
+
+/// What the request did in one play.
+#[derive(Debug, Default)]
+pub struct CrashTally {
+    /// When it crashed targets, from the start of the play.
+    pub crashes: Vec<Duration>,
+    /// When it was sent to targets.
+    pub sent: Vec<Duration>,
+    /// Other requests that were refused because targets crashed near them.
+    pub bystanders_refused: usize,
+    /// Other requests that were finished.
+    pub finished: usize,
+}
+
+impl CrashTally {
+    /// Sendings that the users' rule counts: those later than the bound after the third crash.
+    pub fn late(&self) -> usize {
+        let Some(third) = self.crashes.get(2) else { return 0 };
+        self.sent.iter().filter(|sent| **sent > *third + CONTACT).count()
+    }
+}
+
+struct RunningCall {
+    node: usize,
+    request: RequestId,
+    attempt: AttemptNumber,
+    fingerprint: Fingerprint,
+}
+
+struct SimTarget {
+    listed: ListedTarget,
+    /// When it starts again; `None` while it runs.
+    returns: Option<Instant>,
+    heartbeat: Instant,
+    lapses: Instant,
+    running: Vec<RunningCall>,
+}
+
+enum WorldEvent {
+    Digest { to: usize, from: SocketAddr, digest: Box<PeerDigest> },
+    Urgent(usize),
+    Begin { node: usize, request: RequestId, attempt: AttemptNumber, target: TargetName },
+    Crash { target: usize, started_ms: u64 },
+    Finish { target: usize, request: RequestId },
+    End { node: usize, request: RequestId, attempt: AttemptNumber, end: AttemptEnd },
+}
+
+pub struct CrashWorld {
+    plan: CrashPlan,
+    rng: SmallRng,
+    start: Instant,
+    now: Instant,
+    nodes: Vec<FleetNode>,
+    incarnation: u8,
+    targets: Vec<SimTarget>,
+    entries: BTreeMap<TargetName, ListedTarget>,
+    revision: StoreRevision,
+    events: BTreeMap<(Instant, u64), WorldEvent>,
+    sequence: u64,
+    requests: BTreeMap<RequestId, (Fingerprint, TargetName)>,
+    fingerprints: BTreeMap<RequestId, Fingerprint>,
+    next: RequestId,
+    tally: CrashTally,
+}
+
+impl CrashWorld {
+    pub fn play(plan: &CrashPlan, seed: u64, time: Duration) -> CrashTally {
+        let start = Instant::now() + Duration::from_secs(100);
+        let nodes = (1..=plan.processes).map(|index| new_node(index, true, start)).collect();
+        let entries: BTreeMap<TargetName, ListedTarget> = (1..=plan.targets)
+            .map(|index| ListedTarget { data_centre: centre(index).into(), ..listed(index) })
+            .map(|listed| (listed.address.clone(), listed))
+            .collect();
+        let targets = entries.values().map(|listed| SimTarget {
+            listed: listed.clone(),
+            returns: None,
+            heartbeat: start,
+            lapses: start + LAPSE,
+            running: Vec::new(),
+        });
+        let mut world = CrashWorld {
+            plan: plan.clone(),
+            rng: SmallRng::seed_from_u64(seed),
+            start,
+            now: start,
+            nodes,
+            incarnation: 0,
+            targets: targets.collect(),
+            entries,
+            revision: 10,
+            events: BTreeMap::new(),
+            sequence: 0,
+            requests: BTreeMap::new(),
+            fingerprints: BTreeMap::new(),
+            next: 0,
+            tally: CrashTally::default(),
+        };
+        for node in 0..world.nodes.len() {
+            world.configure(node);
+        }
+        while world.now < start + time {
+            world.step();
+        }
+        world.tally
+    }
+
+    fn configure(&mut self, node: usize) {
+        self.nodes[node].take_operator(self.now, operator(1, 1), "store", &mut Vec::new());
+        self.read_listing(node);
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        while let Some(entry) = self.events.first_entry().filter(|entry| entry.key().0 <= self.now)
+        {
+            let event = entry.remove();
+            self.take(event);
+        }
+        self.run_targets();
+        self.run_store();
+        for node in 0..self.nodes.len() {
+            let phase = STEP * (node as u32 * 7 % 90);
+            if self.is_due(phase, LISTING_INTERVAL) {
+                self.read_listing(node);
+            }
+            if self.is_due(phase, TICK_INTERVAL) {
+                self.decide(node, |node, now, actions| node.tick(now, actions));
+            }
+            if self.is_due(phase, DIGEST_INTERVAL) {
+                self.send_digests(node);
+            }
+        }
+        self.send_requests();
+        let part = STEP.as_secs_f64() / self.plan.other_crashes.as_secs_f64();
+        if self.rng.random_bool(part) {
+            let target = self.rng.random_range(0..self.targets.len());
+            self.crash(target);
+        }
+        let part = STEP.as_secs_f64() / self.plan.process_restarts.as_secs_f64();
+        if self.rng.random_bool(part) {
+            let node = self.rng.random_range(0..self.nodes.len());
+            self.restart_node(node);
+        }
+    }
+
+    fn is_due(&self, phase: Duration, interval: Duration) -> bool {
+        let elapsed = (self.now - self.start) + phase;
+        elapsed.as_millis().is_multiple_of(interval.as_millis())
+    }
+
+    fn after(&mut self, time: Duration, event: WorldEvent) {
+        self.sequence += 1;
+        self.events.insert((self.now + time, self.sequence), event);
+    }
+
+    fn restart_node(&mut self, node: usize) {
+        self.incarnation = self.incarnation.wrapping_add(1);
+        let index = node as u8 + 1;
+        self.nodes[node] = new_node(index, false, self.now);
+        self.configure(node);
+        for target in &mut self.targets {
+            target.running.retain(|running| running.node != node);
+        }
+        self.requests.retain(|request, _| request % 256 != node as u64);
+    }
+
+    fn run_targets(&mut self) {
+        for index in 0..self.targets.len() {
+            let now = self.now;
+            let target = &mut self.targets[index];
+            if let Some(returns) = target.returns {
+                if returns > now {
+                    continue;
+                }
+                target.returns = None;
+                target.listed.started_ms += (now - self.start).as_millis() as u64;
+                if !self.rng.random_bool(self.plan.same_name) {
+                    target.listed.instance = format!("i-{index}-{}", self.revision).into();
+                }
+                target.heartbeat = now;
+            }
+            if target.heartbeat <= now {
+                target.heartbeat = now + HEARTBEAT;
+                target.lapses = now + LAPSE;
+                self.revision += 1;
+                target.listed.revision = self.revision;
+                self.entries.insert(target.listed.address.clone(), target.listed.clone());
+            }
+        }
+    }
+
+    fn run_store(&mut self) {
+        for target in &self.targets {
+            if target.lapses <= self.now && self.entries.remove(&target.listed.address).is_some() {
+                self.revision += 1;
+            }
+        }
+    }
+
+    fn read_listing(&mut self, node: usize) {
+        let listing = listing(self.revision, self.entries.values().cloned().collect());
+        let age = Duration::from_millis(4);
+        self.decide(node, |node, now, actions| node.take_listing(now, &listing, age, actions));
+    }
+
+    fn send_digests(&mut self, node: usize) {
+        let digest = self.nodes[node].digest(self.now);
+        for to in (0..self.nodes.len()).filter(|to| *to != node) {
+            if self.rng.random_bool(self.plan.lost) {
+                continue;
+            }
+            let delay = Duration::from_millis(self.rng.random_range(2..50));
+            let digest = Box::new(digest.clone());
+            self.after(delay, WorldEvent::Digest { to, from: address(node as u8 + 1), digest });
+        }
+    }
+
+    fn send_requests(&mut self) {
+        let part = f64::from(self.plan.load) * STEP.as_secs_f64();
+        if self.rng.random_bool(part.min(1.0)) {
+            let node = self.rng.random_range(0..self.nodes.len());
+            let fingerprint = 1_000 + self.next;
+            self.ask(node, fingerprint);
+        }
+        if self.is_due(Duration::ZERO, self.plan.repeat) && self.now > self.start + CONTACT {
+            let first = self.rng.random_range(0..self.nodes.len());
+            for copy in 0..self.plan.copies {
+                self.ask((first + copy) % self.nodes.len(), CULPRIT);
+            }
+        }
+    }
+
+    fn ask(&mut self, node: usize, fingerprint: Fingerprint) {
+        self.next += 1;
+        // The low byte tells the process, so that its requests end with it.
+        let request = self.next << 8 | node as u64;
+        self.fingerprints.insert(request, fingerprint);
+        let order = call_order(&self.nodes[node], request, fingerprint, 200, self.now);
+        self.decide(node, |node, now, actions| node.admit(now, order, actions));
+    }
+
+    fn decide<W>(&mut self, index: usize, work: W)
+    where
+        W: FnOnce(&mut FleetNode, Instant, &mut Vec<SchedulerAction>),
+    {
+        let mut actions = Vec::new();
+        work(&mut self.nodes[index], self.now, &mut actions);
+        for action in actions {
+            match action {
+                SchedulerAction::Dispatch { request, attempt, target } => {
+                    let fingerprint = self.fingerprints[&request];
+                    self.requests.insert(request, (fingerprint, target.clone()));
+                    self.after(HOP, WorldEvent::Begin { node: index, request, attempt, target });
+                }
+                SchedulerAction::Refuse { request, refusal } => {
+                    let fingerprint = self.fingerprints.remove(&request);
+                    let convicted = refusal.code == RefusalCode::CrashesTargets;
+                    self.tally.bystanders_refused +=
+                        usize::from(convicted && fingerprint != Some(CULPRIT));
+                    self.nodes[index].release(request);
+                }
+                SchedulerAction::Cancel { request, attempt } => {
+                    let end = AttemptEnd::Cancelled;
+                    self.after(HOP, WorldEvent::End { node: index, request, attempt, end });
+                }
+                SchedulerAction::AnnounceSuspect(_) => {
+                    self.after(Duration::from_millis(10), WorldEvent::Urgent(index));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn take(&mut self, event: WorldEvent) {
+        match event {
+            WorldEvent::Digest { to, from, digest } => {
+                self.decide(to, |node, now, actions| {
+                    node.take_digest(now, from, *digest, actions);
+                });
+            }
+            WorldEvent::Urgent(node) => self.send_digests(node),
+            WorldEvent::Begin { node, request, attempt, target } => {
+                self.begin(node, request, attempt, &target);
+            }
+            WorldEvent::Crash { target, started_ms } => {
+                if self.targets[target].listed.started_ms == started_ms {
+                    self.crash(target);
+                }
+            }
+            WorldEvent::Finish { target, request } => self.finish(target, request),
+            WorldEvent::End { node, request, attempt, end } => {
+                self.end(node, request, attempt, end);
+            }
+        }
+    }
+
+    fn begin(&mut self, node: usize, request: RequestId, attempt: AttemptNumber, to: &TargetName) {
+        if !self.requests.contains_key(&request) {
+            return;
+        }
+        let event = SchedulerEvent::AttemptStarted(request, attempt);
+        self.decide(node, |node, now, actions| node.handle(now, event, actions));
+        let index = self.targets.iter().position(|one| one.listed.address == *to).unwrap();
+        let Some(grant) = self.nodes[node].may_send(to, SERVICE) else {
+            return self.end(node, request, attempt, AttemptEnd::NotSent);
+        };
+        let fingerprint = self.fingerprints[&request];
+        let target = &self.targets[index];
+        if target.returns.is_some() {
+            return self.end(node, request, attempt, AttemptEnd::NotSent);
+        }
+        if fingerprint == CULPRIT {
+            self.tally.sent.push(self.now - self.start);
+        }
+        let running = self.targets[index].running.len() as u16;
+        if target.listed.instance != grant.instance {
+            let instance = grant.instance;
+            self.decide(node, |node, now, actions| {
+                node.take_load(now, to, running, 0, actions);
+                node.target_replaced(now, to, &instance, actions);
+            });
+            return self.end(node, request, attempt, AttemptEnd::Rejected);
+        }
+        let started_ms = target.listed.started_ms;
+        self.targets[index].running.push(RunningCall { node, request, attempt, fingerprint });
+        if fingerprint == CULPRIT {
+            return self.after(FUSE, WorldEvent::Crash { target: index, started_ms });
+        }
+        if self.rng.random_bool(self.plan.breaks) {
+            self.targets[index].running.pop();
+            return self.end(node, request, attempt, AttemptEnd::Broken);
+        }
+        let time = Duration::from_millis(self.rng.random_range(50..600));
+        self.after(time, WorldEvent::Finish { target: index, request });
+    }
+
+    fn finish(&mut self, index: usize, request: RequestId) {
+        let target = &mut self.targets[index];
+        let found = target.running.iter().position(|running| running.request == request);
+        let Some(position) = found else { return };
+        let call = target.running.swap_remove(position);
+        let (name, running) = (target.listed.address.clone(), target.running.len() as u16);
+        self.tally.finished += 1;
+        self.decide(call.node, |node, now, actions| {
+            node.take_load(now, &name, running, 0, actions);
+        });
+        self.end(call.node, request, call.attempt, AttemptEnd::Finished);
+    }
+
+    fn crash(&mut self, index: usize) {
+        let target = &mut self.targets[index];
+        if target.returns.is_some() {
+            return;
+        }
+        let away = self.rng.random_range(self.plan.away_ms.0..=self.plan.away_ms.1);
+        target.returns = Some(self.now + Duration::from_millis(away));
+        let broken = std::mem::take(&mut target.running);
+        if broken.iter().any(|call| call.fingerprint == CULPRIT) {
+            self.tally.crashes.push(self.now - self.start);
+        }
+        for call in broken {
+            // The answer to a request that is sent silently never comes; its sender gives up after its patience.
+            let time = if self.plan.silent { Duration::from_secs(4) } else { HOP };
+            let RunningCall { node, request, attempt, .. } = call;
+            self.after(time, WorldEvent::End { node, request, attempt, end: AttemptEnd::Broken });
+        }
+    }
+
+    fn end(&mut self, node: usize, request: RequestId, attempt: AttemptNumber, end: AttemptEnd) {
+        let Some((_, target)) = self.requests.get(&request).cloned() else { return };
+        self.decide(node, |node, now, actions| {
+            node.end_attempt(now, (request, attempt), &target, end, actions);
+        });
+    }
+}
+
+fn centre(index: u8) -> &'static str {
+    ["north", "south", "west"][usize::from(index) % 3]
+}
+
+fn new_node(index: u8, first_start: bool, now: Instant) -> FleetNode {
+    node_in(centre(index), index, first_start, now)
+}
--- /dev/null
+++ b/crates/tarragon-fleet/tests/fleet/crashing.rs
@@ -0,0 +1,62 @@
+//! A request that crashes each target that runs it, beside crashes for other causes.
+
+use std::time::Duration;
+
+use crate::crash_world::{CrashPlan, CrashWorld};
+
+/// Sendings that the users allow later than the bound after the third crash.
+const ALLOWED: usize = 3;
+const SEEDS: u64 = 12;
+
+fn seeds() -> u64 {
+    std::env::var("CRASH_SEEDS").ok().and_then(|text| text.parse().ok()).unwrap_or(SEEDS)
+}
+
+/// Plays a plan with several seeds and tells those in which the request was sent too often.
+fn overruns(plan: &CrashPlan) -> Vec<(u64, usize, usize)> {
+    let play = |seed| (seed, CrashWorld::play(plan, seed, Duration::from_secs(40)));
+    let tallies = (0..seeds()).map(play);
+    tallies
+        .inspect(|(_, tally)| assert!(tally.crashes.len() >= 2, "{}: it never ran", plan.name))
+        .map(|(seed, tally)| (seed, tally.crashes.len(), tally.late()))
+        .filter(|(.., late)| *late > ALLOWED)
+        .collect()
+}
+
+fn assert_bounded(plan: &CrashPlan) {
+    let found = overruns(plan);
+    assert!(found.is_empty(), "{}: (seed, crashes, late sendings) {found:?}", plan.name);
+}
+
+/// Guards against a request that is sent to one target after the other beside crashes for other causes.
+#[test]
+fn a_crashing_request_is_stopped_beside_other_crashes() {
+    assert_bounded(&CrashPlan::default());
+}
+
+/// Guards against a crash that nobody counts, since its target is away until its entry lapses.
+#[test]
+fn a_crashing_request_is_stopped_if_entries_lapse() {
+    let away_ms = (5_000, 8_000);
+    assert_bounded(&CrashPlan { name: "long absence", away_ms, ..CrashPlan::default() });
+}
+
+/// Guards against crashes that are noticed only when callers give up, after the target's return.
+#[test]
+fn a_crashing_request_is_stopped_if_targets_die_silently() {
+    assert_bounded(&CrashPlan { name: "silent", silent: true, ..CrashPlan::default() });
+}
+
+/// Guards against copies that run at other processes until the first restart is listed.
+#[test]
+fn a_crashing_request_is_stopped_if_it_comes_quickly_and_in_copies() {
+    let repeat = Duration::from_millis(200);
+    assert_bounded(&CrashPlan { name: "copies", repeat, copies: 3, ..CrashPlan::default() });
+}
+
+/// Guards against verdicts that are lost with the processes that have found them.
+#[test]
+fn a_crashing_request_is_stopped_while_processes_restart() {
+    let process_restarts = Duration::from_secs(2);
+    assert_bounded(&CrashPlan { name: "restarts", process_restarts, ..CrashPlan::default() });
+}
--- a/crates/tarragon-fleet/tests/fleet/support.rs
+++ b/crates/tarragon-fleet/tests/fleet/support.rs
@@ -270,22 +270,18 @@
     /// Gives a request to a node and returns what it decides at once.
     pub fn ask(&mut self, node: usize, tokens: u32) -> Vec<SchedulerAction> {
         self.next += 1;
-        let head = CallHead { key: Some("key".to_owned()), ..CallHead::default() };
-        let routed = self.nodes[node].route("calls.example", "/a/1", &head).unwrap();
-        let order = CallOrder {
-            request: self.next,
-            routed,
-            arrived: self.now,
-            deadline: self.now + Duration::from_secs(8),
-            fingerprint: self.next,
-            generation: Some(GenerationHead {
-                model: "m".into(),
-                prompt_tokens: tokens,
-                max_tokens: 0,
-                expected_tokens: Some(20),
-                parts: Vec::new(),
-            }),
-        };
+        self.ask_again(node, tokens, self.next)
+    }
+
+    /// Gives a request to a node that has been sent before under the same fingerprint.
+    pub fn ask_again(
+        &mut self,
+        node: usize,
+        tokens: u32,
+        fingerprint: Fingerprint,
+    ) -> Vec<SchedulerAction> {
+        self.next += 1;
+        let order = call_order(&self.nodes[node], self.next, fingerprint, tokens, self.now);
         let mut actions = Vec::new();
         self.nodes[node].admit(self.now, order, &mut actions);
         actions
@@ -300,6 +296,31 @@
     }
 }
 
+/// A request for the only route.
+pub fn call_order(
+    node: &FleetNode,
+    request: RequestId,
+    fingerprint: Fingerprint,
+    tokens: u32,
+    now: Instant,
+) -> CallOrder {
+    let head = CallHead { key: Some("key".to_owned()), ..CallHead::default() };
+    CallOrder {
+        request,
+        routed: node.route("calls.example", "/a/1", &head).unwrap(),
+        arrived: now,
+        deadline: now + Duration::from_secs(8),
+        fingerprint,
+        generation: Some(GenerationHead {
+            model: "m".into(),
+            prompt_tokens: tokens,
+            max_tokens: 0,
+            expected_tokens: Some(20),
+            parts: Vec::new(),
+        }),
+    }
+}
+
 /// Whether a request was refused because of its quota.
 pub fn over_quota(actions: &[SchedulerAction]) -> bool {
     quota_waits(actions).next().is_some()
