Take a crash for a survival only on proof that the process lives

What callers saw: a request that crashes each target that runs it was run on and on. A crash counts once the target is seen to have restarted, and a load report with the known restart id was taken as the proof that it had not. In fleets this id came from the directory, not from the report: any answer from the target's address, also that of the new process, and any load that a peer told, discarded the breaks, most often right before the listing that shows the restart.

The class of fault is evidence that is read without the identity of the process that gave it. Restart ids of fleets come from listings alone, loads that answers tell carry none, and a process has survived a break if a connection older than the break brings news, if its entry is listed when it would have lapsed, or if something answers and a listing read after that still names the same start. Reports that tell the process's own restart id count as before.

`an_answer_before_the_listing_doesnt_hide_a_crash` fails on the code before.

--- a/crates/tarragon-fleet/src/directory.rs
+++ b/crates/tarragon-fleet/src/directory.rs
@@ -19,6 +19,8 @@
 /// What a target said of itself is kept this long after its entry has gone. A leaving target serves for some
 /// seconds after that, and its entry may come back with a listing of another process.
 const KEPT_NOTICE: Duration = Duration::from_secs(60);
+/// After an outage of the store, entries may be old for this long: they lapse within it if nobody renews them.
+const RENEWAL_TIME: Duration = Duration::from_secs(5);
 /// Longest pause that a target may ask for. It is the longest time that callers are asked to wait.
 const LONGEST_PAUSE: Duration = Duration::from_secs(600);
 
@@ -73,6 +75,11 @@
         self.listed.leaving || self.notice.leaving.is_some()
     }
 
+    /// Whether the listing in use has its entry.
+    pub fn is_listed(&self) -> bool {
+        self.missing.is_none()
+    }
+
     /// Whether it counts as cold.
     pub fn is_cold(&self, now: Instant) -> bool {
         self.cold_until.is_some_and(|until| now < until)
@@ -138,6 +145,14 @@
         self.read.map(|read| now.saturating_duration_since(read))
     }
 
+    /// When the listing in use was read, if targets have had the time to renew their entries since the last outage
+    /// of the store.
+    pub fn renewed(&self) -> Option<Instant> {
+        let read = self.read?;
+        let since = |returned| read.saturating_duration_since(returned) < RENEWAL_TIME;
+        (!self.returned.is_some_and(since)).then_some(read)
+    }
+
     /// Takes a listing that was read at `read`. `cold_time` tells for how long targets of a service are cold
     /// after a start.
     pub fn take<C>(
--- a/crates/tarragon-fleet/src/node/news.rs
+++ b/crates/tarragon-fleet/src/node/news.rs
@@ -111,7 +111,7 @@
                         terms.told = None;
                     }
                     self.list_target(&target, now, actions);
-                    self.report_load(now, &target, 0, 0, Duration::ZERO, actions);
+                    self.tell_load(now, &target, 0, 0, Duration::ZERO, actions);
                 }
                 DirectoryChange::Removed(target) => {
                     self.terms.swap_remove(&target);
@@ -119,11 +119,25 @@
                 }
             }
         }
+        self.confirm_processes(now, actions);
         self.update_evacuations(now, actions);
         self.update_targets(now, actions);
         self.update_pauses(now, actions);
     }
 
+    /// Tells the scheduler which processes are still listed at targets with broken connections.
+    fn confirm_processes(&mut self, now: Instant, actions: &mut Vec<SchedulerAction>) {
+        let Some(read) = self.directory.renewed() else { return };
+        let broken: Vec<TargetName> = self.scheduler.broken_targets().cloned().collect();
+        for target in broken {
+            let Some(entry) = self.directory.get(&target).filter(|entry| entry.is_listed()) else {
+                continue;
+            };
+            let restart = entry.restart;
+            self.schedule(now, SchedulerEvent::TargetConfirmed { target, restart, read }, actions);
+        }
+    }
+
     /// The instance at a target's address says that it is leaving. It gets no new work from now on, also while
     /// the store is away or its entry doesn't say so yet.
     pub fn target_leaves(
@@ -179,7 +193,7 @@
         let Some(terms) = self.terms.get_mut(target) else { return };
         let told = Some(ToldLoad { running, waiting, age_ms: 0 });
         terms.told = Some((TargetUse { target: name_key(target), in_flight: 0, told }, now));
-        self.report_load(now, target, running, waiting, Duration::ZERO, actions);
+        self.tell_load(now, target, running, waiting, Duration::ZERO, actions);
     }
 
     /// Another instance answered at a target's address.
@@ -275,11 +289,11 @@
                 continue;
             }
             terms.told = Some((*one, taken));
-            self.report_load(now, &target, told.running, told.waiting, age, actions);
+            self.tell_load(now, &target, told.running, told.waiting, age, actions);
         }
     }
 
-    fn report_load(
+    fn tell_load(
         &mut self,
         now: Instant,
         target: &TargetName,
@@ -289,23 +303,9 @@
         actions: &mut Vec<SchedulerAction>,
     ) {
         let Some(entry) = self.directory.get(target) else { return };
-        let report = LoadReport {
-            restart: entry.restart,
-            state: match (entry.is_leaving(), entry.is_cold(now)) {
-                (true, _) => TargetState::Leaving,
-                (false, true) => TargetState::Cold,
-                (false, false) => TargetState::Warm,
-            },
-            bears: entry.listed.slots,
-            running: u32::from(running),
-            waiting: u32::from(waiting),
-            free_cache_tokens: 0,
-            models: Vec::new(),
-            fencing: 0,
-            last_order_age_ms: None,
-            lag_ms: 0,
-        };
-        let event = SchedulerEvent::LoadReported { target: target.clone(), report, age };
+        let cold = entry.is_cold(now);
+        let load = TargetLoad { running: running.into(), waiting: waiting.into(), cold };
+        let event = SchedulerEvent::LoadTold { target: target.clone(), load, age };
         self.schedule(now, event, actions);
     }
 
--- a/crates/tarragon-fleet/tests/fleet/crashing.rs
+++ b/crates/tarragon-fleet/tests/fleet/crashing.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use crate::crash_world::{CrashPlan, CrashWorld};
+use crate::{
+    crash_world::{CULPRIT, CrashPlan, CrashWorld},
+    support::*,
+};
 
 /// Sendings that the users allow later than the bound after the third crash.
 const ALLOWED: usize = 3;
@@ -60,3 +63,45 @@
     let process_restarts = Duration::from_secs(2);
     assert_bounded(&CrashPlan { name: "restarts", process_restarts, ..CrashPlan::default() });
 }
+
+struct ReturnCase {
+    name: &'static str,
+    /// What the target is listed as after its return.
+    listed: fn() -> ListedTarget,
+    crash: bool,
+}
+
+const RETURNS: &[ReturnCase] = &[
+    ReturnCase {
+        name: "a new name",
+        listed: || ListedTarget { instance: "i-new".into(), started_ms: 9_000, ..listed(1) },
+        crash: true,
+    },
+    ReturnCase {
+        name: "the old name",
+        listed: || ListedTarget { started_ms: 9_000, ..listed(1) },
+        crash: true,
+    },
+    ReturnCase { name: "the same process", listed: || listed(1), crash: false },
+];
+
+/// Guards against a crash that is taken for a survival, since the new process answers before it is listed.
+#[test]
+fn an_answer_before_the_listing_doesnt_hide_a_crash() {
+    for case in RETURNS {
+        let mut fleet = Fleet::start(2, 1);
+        let asked = fleet.ask_again(0, 100, CULPRIT);
+        let target = dispatched(&asked).remove(0);
+        fleet.finish(0, &asked[0], AttemptEnd::Broken);
+        fleet.advance(Duration::from_secs(1));
+        for _ in 0..3 {
+            let now = fleet.now;
+            fleet.nodes[0].take_load(now, &target, 0, 0, &mut Vec::new());
+            fleet.advance(Duration::from_millis(200));
+        }
+        fleet.publish(2, 1, vec![(case.listed)()]);
+        fleet.advance(Duration::from_secs(1));
+        let suspects = fleet.nodes[0].scheduler().suspect_count();
+        assert_eq!(suspects, usize::from(case.crash), "{}", case.name);
+    }
+}
--- a/crates/tarragon-protocol/src/identity.rs
+++ b/crates/tarragon-protocol/src/identity.rs
@@ -40,6 +40,9 @@
 /// Hash of workspace, service, model and prompt; the same for each sending of one request.
 pub type Fingerprint = u64;
 
+/// Identifies one start of a target's process.
+pub type RestartId = u64;
+
 /// Chained hash of a prompt prefix, one per block of tokens.
 pub type BlockHash = u64;
 
--- a/crates/tarragon-protocol/src/prelude.rs
+++ b/crates/tarragon-protocol/src/prelude.rs
@@ -3,7 +3,7 @@
 pub use crate::finding::{Finding, FindingList, Place};
 pub use crate::identity::{
     AttemptNumber, BlockHash, ConfigurationVersion, DataCentreName, FencingNumber, Fingerprint,
-    Incarnation, ModelName, RequestId, ServiceName, TargetName, VmName, WorkspaceName,
+    Incarnation, ModelName, RequestId, RestartId, ServiceName, TargetName, VmName, WorkspaceName,
 };
 pub use crate::load::{LoadReport, TargetState};
 pub use crate::outcome::{CallOutcome, Refusal, RefusalCode};
--- a/crates/tarragon-scheduler/benches/decision.rs
+++ b/crates/tarragon-scheduler/benches/decision.rs
@@ -48,8 +48,13 @@
         };
         for target in bench.targets.clone() {
             let service = "pool".into();
-            let entry =
-                TargetEntry { target: target.clone(), service, in_service: true, distant: false };
+            let entry = TargetEntry {
+                target: target.clone(),
+                service,
+                in_service: true,
+                distant: false,
+                restart: None,
+            };
             bench.handle(SchedulerEvent::TargetListed(entry));
             let slots = TargetSlots { target, slots: SLOTS, bears: SLOTS * 8, cold: false };
             bench.handle(SchedulerEvent::SlotsChanged(slots));
--- a/crates/tarragon-scheduler/src/event.rs
+++ b/crates/tarragon-scheduler/src/event.rs
@@ -33,6 +33,25 @@
     StartsLimited(TargetName, Option<u32>),
     /// When the first target of a service takes requests again, if all of them want none for a while.
     ServicePaused(ServiceName, Option<Instant>),
+    /// What is published still names this process for a target.
+    TargetConfirmed {
+        /// Target.
+        target: TargetName,
+        /// Restart id of the process.
+        restart: RestartId,
+        /// When that was read.
+        read: Instant,
+    },
+    /// Load that a target has told some caller with an answer. It doesn't say which process answered, so that
+    /// it proves neither a restart nor that the process has survived.
+    LoadTold {
+        /// Target.
+        target: TargetName,
+        /// Load.
+        load: TargetLoad,
+        /// Age of the figures.
+        age: Duration,
+    },
     /// A report of a target's load, from the target or from a peer.
     LoadReported {
         /// Target.
@@ -108,6 +127,19 @@
     pub in_service: bool,
     /// Whether it stands in another data centre, to which traffic is dearer.
     pub distant: bool,
+    /// Restart id of its process, if what is published tells it. Otherwise its reports do.
+    pub restart: Option<RestartId>,
+}
+
+/// Load of a target at one moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TargetLoad {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait inside the target.
+    pub waiting: u32,
+    /// Whether the target counts as cold.
+    pub cold: bool,
 }
 
 /// This process's part of what a target bears.
--- a/crates/tarragon-scheduler/src/inflight.rs
+++ b/crates/tarragon-scheduler/src/inflight.rs
@@ -26,6 +26,8 @@
     pub job: Job,
     /// Position of the target.
     pub target: usize,
+    /// Restart id of the target's process at dispatch, if it was known.
+    pub restart: Option<RestartId>,
     /// Number of the attempt.
     pub attempt: AttemptNumber,
     /// Whether bytes may have been written.
--- a/crates/tarragon-scheduler/src/prelude.rs
+++ b/crates/tarragon-scheduler/src/prelude.rs
@@ -5,7 +5,7 @@
 pub use crate::{
     event::{
         AttemptEnd, AttemptProgress, PeerPressure, SchedulerAction, SchedulerEvent, TargetEntry,
-        TargetSlots,
+        TargetLoad, TargetSlots,
     },
     scheduler::{Scheduler, SchedulerLimits},
     statistics::SchedulerStatistics,
--- a/crates/tarragon-scheduler/src/scheduler.rs
+++ b/crates/tarragon-scheduler/src/scheduler.rs
@@ -4,6 +4,7 @@
 mod assume;
 mod attempt;
 mod candidate;
+mod crash;
 mod dispatch;
 mod dump;
 mod explain;
@@ -173,10 +174,7 @@
             SchedulerEvent::AttemptEnded(request, attempt, end) => {
                 self.end_attempt(request, attempt, end, now, actions)
             }
-            SchedulerEvent::TargetListed(entry) => {
-                self.targets.list(&entry, now);
-                self.placement_changed = true;
-            }
+            SchedulerEvent::TargetListed(entry) => self.list_target(&entry, now, actions),
             SchedulerEvent::TargetRemoved(target) => self.remove_target(&target, now),
             SchedulerEvent::SlotsChanged(slots) => self.change_slots(&slots, now),
             SchedulerEvent::StartsLimited(target, limit) => self.limit_starts(&target, limit, now),
@@ -185,6 +183,12 @@
                 self.targets.set_pause(pool, until);
                 self.refuse_paused(pool, now, actions);
             }
+            SchedulerEvent::TargetConfirmed { target, restart, read } => {
+                self.confirm_process(&target, restart, read, now)
+            }
+            SchedulerEvent::LoadTold { target, load, age } => {
+                self.take_told_load(&target, load, age, now)
+            }
             SchedulerEvent::LoadReported { target, report, age } => {
                 self.take_report(&target, &report, age, now, actions)
             }
--- a/crates/tarragon-scheduler/src/scheduler/attempt.rs
+++ b/crates/tarragon-scheduler/src/scheduler/attempt.rs
@@ -55,7 +55,7 @@
         let new = progress.tokens.saturating_sub(running.tokens);
         running.tokens += new;
         self.targets.note_drained(running.job.pool, u64::from(new));
-        let target = running.target;
+        let (target, dispatched) = (running.target, running.dispatched);
         let first = running.first_token.is_none();
         if first {
             running.first_token = Some(now);
@@ -67,6 +67,7 @@
         if let Some(row) = self.targets.row_mut(target) {
             row.window.prove(now);
         }
+        self.outlast(target, dispatched, now);
         self.targets.refresh(target, now);
     }
 
@@ -216,8 +217,14 @@
         if wasted {
             self.statistics.wasted_prefill_tokens += u64::from(running.uncached);
         }
+        if matches!(end, AttemptEnd::Finished | AttemptEnd::Rejected | AttemptEnd::Failed) {
+            self.note_answer(running.target, now);
+        }
         match end {
-            AttemptEnd::Finished => self.learn_from_finish(running, now, actions),
+            AttemptEnd::Finished => {
+                self.outlast(running.target, running.dispatched, now);
+                self.learn_from_finish(running, now, actions);
+            }
             AttemptEnd::Broken => {
                 self.note_broken(running, now);
                 self.suspect_cold(running.target, now, actions);
--- a/crates/tarragon-scheduler/src/scheduler/dispatch.rs
+++ b/crates/tarragon-scheduler/src/scheduler/dispatch.rs
@@ -196,7 +196,7 @@
         let uncached = prompt.saturating_sub(estimate.cached);
         let tier = job.tier().index();
         let row = self.targets.row_mut(candidate.target)?;
-        let ahead = row.pending_prefill;
+        let (ahead, restart) = (row.pending_prefill, row.restart);
         row.in_flight += 1;
         row.starts.note(now);
         row.by_tier[tier] += 1;
@@ -206,6 +206,7 @@
         self.targets.prefixes.insert_prompt(candidate.target, job.blocks());
         let charged = job.output;
         Some(RunningAttempt {
+            restart,
             attempt: job.attempts,
             job,
             target: candidate.target,
--- a/crates/tarragon-scheduler/src/scheduler/tick.rs
+++ b/crates/tarragon-scheduler/src/scheduler/tick.rs
@@ -7,7 +7,6 @@
     job::Job,
     prelude::*,
     scheduler::{RETRY_AFTER, Scheduler},
-    suspect::CRASH_LINK,
 };
 
 /// Interval of the refresh of the pools' figures.
@@ -88,20 +87,4 @@
             self.refuse(request, job.tier(), refusal.with_retry_after(RETRY_AFTER), actions);
         }
     }
-
-    /// Broken connections without a restart of the target in time were no crash.
-    fn release_old_breaks(&mut self, now: Instant) {
-        let old = now.checked_sub(CRASH_LINK);
-        let affected: Vec<usize> = self
-            .targets
-            .iter()
-            .filter(|(_, row)| !row.broken.is_empty())
-            .map(|(index, _)| index)
-            .collect();
-        for index in affected {
-            if old.is_some() {
-                self.release_broken(index, old, "too old", now);
-            }
-        }
-    }
 }
--- a/crates/tarragon-scheduler/src/suspect.rs
+++ b/crates/tarragon-scheduler/src/suspect.rs
@@ -19,8 +19,21 @@
 /// A restart of the target within this time of a broken connection counts as a crash.
 pub const CRASH_LINK: Duration = Duration::from_secs(10);
 
+/// A request whose connection broke.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BrokenRun {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// Restart id of the process that it was sent to, if it was known.
+    pub restart: Option<RestartId>,
+    /// When the connection broke.
+    pub broken: Instant,
+    /// When some process at the target's address first answered after that.
+    pub answered: Option<Instant>,
+}
+
 /// One crash: the target and its restart id before it.
-pub type CrashMark = (TargetName, u64);
+pub type CrashMark = (TargetName, RestartId);
 
 /// What is known of one request.
 #[derive(Debug)]
--- a/crates/tarragon-scheduler/src/targets.rs
+++ b/crates/tarragon-scheduler/src/targets.rs
@@ -16,6 +16,7 @@
 use crate::{
     job::Job,
     prelude::*,
+    suspect::BrokenRun,
     targets::{
         estimate::TargetOutlook,
         models::{ModelBits, OTHER_MODEL},
@@ -44,8 +45,6 @@
 /// The last report of a target.
 #[derive(Debug, Clone)]
 pub struct ReportView {
-    /// Restart id.
-    pub restart: u64,
     /// Running requests.
     pub running: u32,
     /// Waiting requests.
@@ -89,6 +88,8 @@
     pub starts: StartLimit,
     /// Window.
     pub window: TargetWindow,
+    /// Restart id of its process, as it was last listed or reported.
+    pub restart: Option<RestartId>,
     /// Last report.
     pub report: Option<ReportView>,
     /// Models held; empty if unknown.
@@ -102,7 +103,7 @@
     /// Trust in the prefix index.
     pub trust: CacheTrust,
     /// Requests whose connection broke here a short time ago.
-    pub broken: Vec<(Fingerprint, Instant)>,
+    pub broken: Vec<BrokenRun>,
 }
 
 impl TargetRow {
@@ -123,6 +124,7 @@
             distant: entry.distant,
             starts: StartLimit::default(),
             window: TargetWindow::new(now),
+            restart: None,
             report: None,
             models: Vec::new(),
             models_told: None,
@@ -138,6 +140,16 @@
         self.listed && self.in_service && !self.leaving
     }
 
+    /// Whether figures taken at a time are no older than the known ones.
+    fn expects(&self, taken: Instant) -> bool {
+        self.report.as_ref().is_none_or(|known| known.taken <= taken)
+    }
+
+    fn take_figures(&mut self, running: u32, waiting: u32, own: u32, taken: Instant) {
+        self.report = Some(ReportView { running, waiting, own, taken });
+        self.window.settle(taken);
+    }
+
     fn forget_models(&mut self) {
         self.models.clear();
         self.models_told = None;
@@ -154,9 +166,13 @@
         Tier::DESCENDING.into_iter().find(|tier| self.by_tier[tier.index()] > 0)
     }
 
-    /// Restart id of the last report.
-    pub fn restart(&self) -> Option<u64> {
-        self.report.as_ref().map(|report| report.restart)
+    /// Takes the restart id of the process that runs now. Returns the one before if this is another process.
+    fn take_restart(&mut self, restart: RestartId, now: Instant) -> Option<RestartId> {
+        let before = self.restart.replace(restart).filter(|before| *before != restart)?;
+        self.trust.restart();
+        self.forget_models();
+        self.window.suspect(now);
+        Some(before)
     }
 }
 
@@ -315,8 +331,9 @@
         self.pools[pool].last = target;
     }
 
-    /// Adds or changes a target.
-    pub fn list(&mut self, entry: &TargetEntry, now: Instant) {
+    /// Adds or changes a target. Returns its position, and the restart id of the process before if another one
+    /// runs there now.
+    pub fn list(&mut self, entry: &TargetEntry, now: Instant) -> (usize, Option<RestartId>) {
         let pool = self.pool_index(&entry.service);
         let index = match self.find(&entry.target) {
             Some(index) => index,
@@ -328,7 +345,21 @@
             row.distant = entry.distant;
             row.listed = true;
         }
+        let before = entry.restart.and_then(|restart| self.take_restart(index, restart, now));
         self.refresh(index, now);
+        (index, before)
+    }
+
+    fn take_restart(
+        &mut self,
+        index: usize,
+        restart: RestartId,
+        now: Instant,
+    ) -> Option<RestartId> {
+        let row = self.rows.get_mut(index).and_then(Option::as_mut)?;
+        let before = row.take_restart(restart, now)?;
+        self.prefixes.clear_target(index);
+        Some(before)
     }
 
     /// The target is no longer published.
@@ -394,7 +425,8 @@
         gaps
     }
 
-    /// Takes a report, given the own requests that it may include. Returns whether the restart id is a new one.
+    /// Takes a report, given the own requests that it may include. Returns the restart id of the process before
+    /// if another one runs now.
     pub fn take_report(
         &mut self,
         index: usize,
@@ -402,34 +434,36 @@
         own: u32,
         age: Duration,
         now: Instant,
-    ) -> bool {
-        let Some(row) = self.rows.get_mut(index).and_then(Option::as_mut) else { return false };
-        let Some(taken) = now.checked_sub(age) else { return false };
-        if row.report.as_ref().is_some_and(|known| known.taken > taken) {
-            return false;
-        }
-        let restarted = row.restart().is_some_and(|known| known != report.restart);
-        if restarted {
-            row.trust.restart();
-            row.forget_models();
-            row.window.suspect(now);
-            self.prefixes.clear_target(index);
+    ) -> Option<RestartId> {
+        let taken = now.checked_sub(age)?;
+        if !self.row(index)?.expects(taken) {
+            return None;
         }
+        let before = self.take_restart(index, report.restart, now);
+        let row = self.rows.get_mut(index).and_then(Option::as_mut)?;
         if !report.models.is_empty() {
             row.models.clone_from(&report.models);
             row.models_told = Some(taken);
             row.model_set = self.models.set(&report.models);
         }
-        row.report = Some(ReportView {
-            restart: report.restart,
-            running: report.running,
-            waiting: report.waiting,
-            own,
-            taken,
-        });
+        row.take_figures(report.running, report.waiting, own, taken);
         row.leaving = report.state == TargetState::Leaving;
-        row.window.settle(taken);
-        restarted
+        before
+    }
+
+    /// Takes load that the target has told, given the own requests that it may include.
+    pub fn take_load(
+        &mut self,
+        index: usize,
+        load: TargetLoad,
+        own: u32,
+        age: Duration,
+        now: Instant,
+    ) {
+        let Some(row) = self.rows.get_mut(index).and_then(Option::as_mut) else { return };
+        if let Some(taken) = now.checked_sub(age).filter(|taken| row.expects(*taken)) {
+            row.take_figures(load.running, load.waiting, own, taken);
+        }
     }
 
     /// Brings figures of the pools up to date that change slowly. `elapsed` is the time since the last
--- a/crates/tarragon-scheduler/tests/rules/driver.rs
+++ b/crates/tarragon-scheduler/tests/rules/driver.rs
@@ -91,10 +91,18 @@
             service: service.into(),
             in_service,
             distant: false,
+            restart: None,
         };
         self.handle(SchedulerEvent::TargetListed(entry));
     }
 
+    /// What is published now still names a process for the target.
+    pub fn confirm(&mut self, name: &str, restart: u64) {
+        let target = name.into();
+        let read = self.now;
+        self.handle(SchedulerEvent::TargetConfirmed { target, restart, read });
+    }
+
     pub fn slots(&mut self, name: &str, slots: u32, cold: bool) {
         let target = name.into();
         let slots = TargetSlots { target, slots, bears: slots, cold };
--- a/crates/tarragon-scheduler/tests/rules/suspect.rs
+++ b/crates/tarragon-scheduler/tests/rules/suspect.rs
@@ -77,6 +77,120 @@
     }
 }
 
+fn listed(target: &str, restart: u64) -> SchedulerEvent {
+    SchedulerEvent::TargetListed(TargetEntry {
+        target: target.into(),
+        service: "pool".into(),
+        in_service: true,
+        distant: false,
+        restart: Some(restart),
+    })
+}
+
+fn answered(target: &str) -> SchedulerEvent {
+    let load = TargetLoad { running: 0, waiting: 0, cold: false };
+    SchedulerEvent::LoadTold { target: target.into(), load, age: Duration::ZERO }
+}
+
+struct SurvivalCase {
+    name: &'static str,
+    /// What is heard of the target after the break, before another process is listed.
+    after: fn(&mut Driver, &str),
+    crash: bool,
+}
+
+const SURVIVALS: &[SurvivalCase] = &[
+    SurvivalCase { name: "nothing", after: |_, _| {}, crash: true },
+    SurvivalCase {
+        name: "answers alone, maybe of the new process",
+        after: |driver, target| {
+            driver.advance_silently(Duration::from_millis(500));
+            driver.handle(answered(target));
+        },
+        crash: true,
+    },
+    SurvivalCase {
+        name: "an answer, and a listing from before a new process can be listed",
+        after: |driver, target| {
+            driver.advance_silently(Duration::from_millis(500));
+            driver.handle(answered(target));
+            driver.advance_silently(Duration::from_millis(100));
+            driver.confirm(target, 1);
+        },
+        crash: true,
+    },
+    SurvivalCase {
+        name: "an answer, and a listing in which a new process would show",
+        after: |driver, target| {
+            driver.advance_silently(Duration::from_millis(500));
+            driver.handle(answered(target));
+            driver.advance_silently(Duration::from_millis(600));
+            driver.confirm(target, 1);
+        },
+        crash: false,
+    },
+    SurvivalCase {
+        name: "an answer that was told late, and a listing",
+        after: |driver, target| {
+            driver.advance_silently(Duration::from_millis(300));
+            driver.handle(answered(target));
+            driver.advance_silently(Duration::from_millis(600));
+            driver.confirm(target, 1);
+        },
+        crash: true,
+    },
+    SurvivalCase {
+        name: "an entry that would have lapsed",
+        after: |driver, target| {
+            driver.advance_silently(Duration::from_secs(4));
+            driver.confirm(target, 1);
+        },
+        crash: false,
+    },
+    SurvivalCase {
+        name: "an entry that may lapse yet",
+        after: |driver, target| {
+            driver.advance_silently(Duration::from_millis(3_900));
+            driver.confirm(target, 1);
+        },
+        crash: true,
+    },
+];
+
+/// Guards against a crash that is taken for a survival because something answers at the target's address.
+#[test]
+fn only_proof_that_the_process_lives_ends_a_suspicion() {
+    for case in SURVIVALS {
+        let mut driver = Driver::with_targets(1, 4);
+        driver.handle(listed("t0", 1));
+        let request = driver.ask(Ask { idempotent: false, ..culprit() });
+        driver.end(request, 1, AttemptEnd::Broken);
+        (case.after)(&mut driver, "t0");
+        driver.handle(listed("t0", 2));
+        assert_eq!(suspicions(&driver).len(), usize::from(case.crash), "{}", case.name);
+    }
+}
+
+/// Guards against suspicions of requests whose answer alone was lost, where the target goes on with others.
+#[test]
+fn a_connection_that_outlasts_a_break_shows_that_the_process_lives() {
+    for (older, crash) in [(true, false), (false, true)] {
+        let mut driver = Driver::with_targets(1, 4);
+        driver.handle(listed("t0", 1));
+        let other = |driver: &mut Driver| driver.ask(Ask { idempotent: false, ..Ask::default() });
+        let early = other(&mut driver);
+        driver.advance_silently(Duration::from_millis(10));
+        let request = driver.ask(Ask { idempotent: false, ..culprit() });
+        driver.end(request, 1, AttemptEnd::Broken);
+        driver.advance_silently(Duration::from_millis(10));
+        let late = other(&mut driver);
+        driver.advance_silently(Duration::from_millis(10));
+        driver.end(if older { early } else { late }, 1, AttemptEnd::Finished);
+        driver.handle(listed("t0", 2));
+        assert_eq!(suspicions(&driver).len(), usize::from(crash), "older connection: {older}");
+    }
+}
+
 /// Guards against a request that crashes one target after another.
 #[test]
 fn the_second_crash_convicts() {
