Count the end of a target's process as a crash in whatever order it is heard of

What callers saw: a request that crashes targets which then stay silent, or away for long, was run on and on. A break was compared with restarts that were listed after it. One that was noticed later (a silent target: the caller's or the process's patience ends after the restart) was compared with the new process, and the removal of an entry that had lapsed discarded its breaks.

A break whose process is known to have ended counts at once; an entry that goes without notice counts as an end of the process; a caller who leaves a target that has sent nothing counts if that process turns out to have ended. An end that the target has announced counts no longer.

--- a/crates/tarragon-fleet/src/directory.rs
+++ b/crates/tarragon-fleet/src/directory.rs
@@ -93,8 +93,10 @@
     Changed(TargetName),
     /// Another process runs at the target's address.
     Restarted(TargetName),
-    /// A target is gone.
+    /// A target that was leaving is gone.
     Removed(TargetName),
+    /// The entry of a target that didn't say that it was leaving is gone.
+    Lapsed(TargetName),
 }
 
 /// All targets by address.
@@ -286,7 +288,11 @@
             if !entry.notice.allows_work() {
                 kept.insert(entry.restart, (entry.notice, now));
             }
-            changes.push(DirectoryChange::Removed(target.clone()));
+            changes.push(if entry.is_leaving() {
+                DirectoryChange::Removed(target.clone())
+            } else {
+                DirectoryChange::Lapsed(target.clone())
+            });
             false
         });
     }
--- a/crates/tarragon-fleet/src/node/limits.rs
+++ b/crates/tarragon-fleet/src/node/limits.rs
@@ -248,7 +248,7 @@
             service: entry.listed.service.clone(),
             in_service: entry.in_service() && terms.health.resting.is_none(),
             distant: entry.listed.data_centre != self.settings.data_centre,
-            restart: Some(entry.restart),
+            process: Some(ListedProcess { restart: entry.restart, leaving: entry.is_leaving() }),
         });
         self.schedule(now, event, actions);
     }
--- a/crates/tarragon-fleet/src/node/news.rs
+++ b/crates/tarragon-fleet/src/node/news.rs
@@ -117,6 +117,10 @@
                     self.terms.swap_remove(&target);
                     self.schedule(now, SchedulerEvent::TargetRemoved(target), actions);
                 }
+                DirectoryChange::Lapsed(target) => {
+                    self.terms.swap_remove(&target);
+                    self.schedule(now, SchedulerEvent::TargetLapsed(target), actions);
+                }
             }
         }
         self.confirm_processes(now, actions);
--- a/crates/tarragon-node/src/node.rs
+++ b/crates/tarragon-node/src/node.rs
@@ -252,7 +252,7 @@
                     service: target.service.clone(),
                     in_service: *in_service,
                     distant: false,
-                    restart: None,
+                    process: None,
                 });
                 self.list_targets(now, entries.collect(), actions);
             }
--- a/crates/tarragon-scheduler/src/event.rs
+++ b/crates/tarragon-scheduler/src/event.rs
@@ -27,6 +27,9 @@
     TargetListed(TargetEntry),
     /// A target is no longer published.
     TargetRemoved(TargetName),
+    /// A target is no longer published, though nothing said that it would stop: its process has ended, or nobody
+    /// hears of it.
+    TargetLapsed(TargetName),
     /// The number of slots that this process may use at a target has changed.
     SlotsChanged(TargetSlots),
     /// The number of requests that this process may start at a target in any second; `None` for no bound.
@@ -127,8 +130,17 @@
     pub in_service: bool,
     /// Whether it stands in another data centre, to which traffic is dearer.
     pub distant: bool,
-    /// Restart id of its process, if what is published tells it. Otherwise its reports do.
-    pub restart: Option<RestartId>,
+    /// Its process, if what is published tells it. Otherwise its reports do.
+    pub process: Option<ListedProcess>,
+}
+
+/// The process that runs at a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ListedProcess {
+    /// Restart id.
+    pub restart: RestartId,
+    /// Whether it is about to stop.
+    pub leaving: bool,
 }
 
 /// Load of a target at one moment.
--- a/crates/tarragon-scheduler/src/prelude.rs
+++ b/crates/tarragon-scheduler/src/prelude.rs
@@ -4,8 +4,8 @@
 
 pub use crate::{
     event::{
-        AttemptEnd, AttemptProgress, PeerPressure, SchedulerAction, SchedulerEvent, TargetEntry,
-        TargetLoad, TargetSlots,
+        AttemptEnd, AttemptProgress, ListedProcess, PeerPressure, SchedulerAction, SchedulerEvent,
+        TargetEntry, TargetLoad, TargetSlots,
     },
     scheduler::{Scheduler, SchedulerLimits},
     statistics::SchedulerStatistics,
--- a/crates/tarragon-scheduler/src/scheduler.rs
+++ b/crates/tarragon-scheduler/src/scheduler.rs
@@ -176,6 +176,7 @@
             }
             SchedulerEvent::TargetListed(entry) => self.list_target(&entry, now, actions),
             SchedulerEvent::TargetRemoved(target) => self.remove_target(&target, now),
+            SchedulerEvent::TargetLapsed(target) => self.lapse_target(&target, now, actions),
             SchedulerEvent::SlotsChanged(slots) => self.change_slots(&slots, now),
             SchedulerEvent::StartsLimited(target, limit) => self.limit_starts(&target, limit, now),
             SchedulerEvent::ServicePaused(service, until) => {
--- a/crates/tarragon-scheduler/src/scheduler/attempt.rs
+++ b/crates/tarragon-scheduler/src/scheduler/attempt.rs
@@ -218,7 +218,7 @@
             self.statistics.wasted_prefill_tokens += u64::from(running.uncached);
         }
         if matches!(end, AttemptEnd::Finished | AttemptEnd::Rejected | AttemptEnd::Failed) {
-            self.note_answer(running.target, now);
+            self.note_answer(running.target, running.dispatched, now);
         }
         match end {
             AttemptEnd::Finished => {
@@ -226,17 +226,24 @@
                 self.learn_from_finish(running, now, actions);
             }
             AttemptEnd::Broken => {
-                self.note_broken(running, now);
+                self.note_broken(running, false, now, actions);
                 self.suspect_cold(running.target, now, actions);
             }
             AttemptEnd::NotSent => {
-                self.confirm_crash(running.target, None, now, actions);
+                self.take_refused_connection(running.target, now, actions);
                 self.suspect_cold(running.target, now, actions);
             }
             AttemptEnd::Rejected | AttemptEnd::Failed => {
                 self.suspect_cold(running.target, now, actions);
             }
-            AttemptEnd::Withheld | AttemptEnd::Garbled | AttemptEnd::Cancelled => {}
+            AttemptEnd::Cancelled => {
+                let ours =
+                    matches!(running.cancel, Some(CancelCause::Preempted | CancelCause::Moved));
+                if !ours && running.started && running.first_token.is_none() {
+                    self.note_broken(running, true, now, actions);
+                }
+            }
+            AttemptEnd::Withheld | AttemptEnd::Garbled => {}
         }
     }
 
--- a/crates/tarragon-scheduler/src/scheduler/crash.rs
+++ b/crates/tarragon-scheduler/src/scheduler/crash.rs
@@ -11,6 +11,7 @@
     prelude::*,
     scheduler::Scheduler,
     suspect::{BrokenRun, CRASH_LINK},
+    targets::EndedProcess,
 };
 
 /// Broken connections that are remembered for each target.
@@ -19,53 +20,106 @@
 const ENTRY_LIFETIME: Duration = Duration::from_secs(4);
 /// A new process has published itself this long after its first answer: two calls to a slow store.
 const PUBLISHING_TIME: Duration = Duration::from_millis(500);
-/// Answers that are told later than this after a break may be from before it: two digest intervals.
-const TELLING_TIME: Duration = Duration::from_millis(400);
 
 impl Scheduler {
-    /// Remembers that a connection broke.
-    pub(super) fn note_broken(&mut self, running: &RunningAttempt, now: Instant) {
-        let fingerprint = running.job.profile.fingerprint;
+    /// Remembers that a connection broke, or that the caller left a target that had sent nothing.
+    pub(super) fn note_broken(
+        &mut self,
+        running: &RunningAttempt,
+        abandoned: bool,
+        now: Instant,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
         let Some(row) = self.targets.row_mut(running.target) else { return };
-        if row.listed && row.broken.len() < MAX_BROKEN {
-            let run =
-                BrokenRun { fingerprint, restart: running.restart, broken: now, answered: None };
-            row.broken.push(run);
-            self.suspects.pend(fingerprint, now);
+        let run = BrokenRun {
+            fingerprint: running.job.profile.fingerprint,
+            restart: running.restart,
+            broken: now,
+            answered: None,
+            abandoned,
+        };
+        if row.listed && row.restart == run.restart {
+            if row.broken.len() < MAX_BROKEN {
+                row.broken.push(run);
+                if !abandoned {
+                    let mark = run.mark(&row.name);
+                    self.suspects.pend(run.fingerprint, mark, now);
+                }
+            }
+            return;
+        }
+        // The end of the process has been heard of before the end of its connection.
+        let ended = row.ended.filter(|ended| Some(ended.restart) == run.restart);
+        if ended.is_some_and(|ended| !ended.planned) {
+            self.confirm_run(running.target, run, now, actions);
+        }
+    }
+
+    /// The process of a target has ended.
+    pub(super) fn take_end(
+        &mut self,
+        target: usize,
+        ended: EndedProcess,
+        now: Instant,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        if ended.planned {
+            self.release_broken(target, "target was leaving", now, |_| true);
+        } else {
+            self.confirm_crash(target, now, |_| true, actions);
         }
     }
 
-    /// The process of a target has ended: what ran there when connections broke is suspect. Without its restart
-    /// id, the last known one stands for the crash.
-    pub(super) fn confirm_crash(
+    /// No connection to a target could be made. One that is leaving or gone may not have been asked for one.
+    pub(super) fn take_refused_connection(
         &mut self,
         target: usize,
-        ended: Option<RestartId>,
         now: Instant,
         actions: &mut Vec<SchedulerAction>,
     ) {
+        if self.targets.row(target).is_some_and(|row| row.listed && !row.leaving) {
+            self.confirm_crash(target, now, |run| !run.abandoned, actions);
+        }
+    }
+
+    /// The process of a target has crashed: what ran there when connections broke is suspect.
+    fn confirm_crash<C>(
+        &mut self,
+        target: usize,
+        now: Instant,
+        counts: C,
+        actions: &mut Vec<SchedulerAction>,
+    ) where
+        C: Fn(&BrokenRun) -> bool,
+    {
+        self.release_old_breaks_at(target, now);
         let Some(row) = self.targets.row_mut(target) else { return };
-        let restart = ended.or(row.restart).unwrap_or(0);
-        let name = row.name.clone();
-        for run in std::mem::take(&mut row.broken) {
-            let BrokenRun { fingerprint, broken, .. } = run;
-            let age = now.saturating_duration_since(broken);
-            if age > CRASH_LINK {
-                log_release(&name, &run, "too old", now);
-                self.suspects.release(fingerprint);
-                continue;
-            }
-            tracing::info!(
-                target_address = &*name,
-                fingerprint,
-                restart,
-                age_ms = age.as_millis() as u64,
-                "target crashed while the request ran"
-            );
-            let mark = (name.clone(), restart);
-            if let Some(entry) = self.suspects.confirm(fingerprint, mark, broken, now) {
-                self.announce_suspect(entry, actions);
-            }
+        let crashed: Vec<BrokenRun> = row.broken.extract_if(.., |run| counts(run)).collect();
+        for run in crashed {
+            self.confirm_run(target, run, now, actions);
+        }
+    }
+
+    fn confirm_run(
+        &mut self,
+        target: usize,
+        run: BrokenRun,
+        now: Instant,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        let Some(row) = self.targets.row(target) else { return };
+        let BrokenRun { fingerprint, broken, .. } = run;
+        let mark = run.mark(&row.name);
+        tracing::info!(
+            target_address = &*mark.0,
+            fingerprint,
+            restart = mark.1,
+            abandoned = run.abandoned,
+            age_ms = now.saturating_duration_since(broken).as_millis() as u64,
+            "target crashed while the request ran"
+        );
+        if let Some(entry) = self.suspects.confirm(fingerprint, mark, broken, now) {
+            self.announce_suspect(entry, actions);
         }
     }
 
@@ -76,12 +130,12 @@
         });
     }
 
-    /// Some process at the target's address has answered.
-    pub(super) fn note_answer(&mut self, target: usize, at: Instant) {
+    /// Some process at the target's address has answered an attempt that was dispatched at a time. Load that peers
+    /// tell isn't evidence: its age is estimated, and grows too slowly as it is passed on.
+    pub(super) fn note_answer(&mut self, target: usize, dispatched: Instant, now: Instant) {
         let Some(row) = self.targets.row_mut(target) else { return };
-        let later = row.broken.iter_mut().filter(|run| run.broken + TELLING_TIME <= at);
-        for run in later {
-            run.answered.get_or_insert(at);
+        for run in row.broken.iter_mut().filter(|run| run.broken <= dispatched) {
+            run.answered.get_or_insert(now);
         }
     }
 
@@ -105,7 +159,7 @@
     /// An attempt that was dispatched at a time has news of its target over the same connection: the process has
     /// been alive all the while.
     pub(super) fn outlast(&mut self, target: usize, dispatched: Instant, now: Instant) {
-        self.release_broken(target, "target lives", now, |run| run.broken >= dispatched);
+        self.release_broken(target, "target lives", now, |run| run.broken > dispatched);
     }
 
     /// Connections that broke at a target were no crash.
@@ -119,16 +173,15 @@
         C: Fn(&BrokenRun) -> bool,
     {
         let Some(row) = self.targets.row_mut(target) else { return };
-        let suspects = &mut self.suspects;
-        let name = &row.name;
-        row.broken.retain(|run| {
-            let harmless = is_harmless(run);
-            if harmless {
-                log_release(name, run, cause, now);
-                suspects.release(run.fingerprint);
+        let (name, broken) = (&row.name, &mut row.broken);
+        let released: Vec<BrokenRun> = broken.extract_if(.., |run| is_harmless(run)).collect();
+        for run in released {
+            log_release(name, &run, cause, now);
+            let same = |other: &BrokenRun| other.fingerprint == run.fingerprint && !other.abandoned;
+            if !run.abandoned && !broken.iter().any(same) {
+                self.suspects.release(run.fingerprint, &run.mark(name));
             }
-            !harmless
-        });
+        }
     }
 
     /// Targets at which connections broke a short time ago.
@@ -141,11 +194,15 @@
     pub(super) fn release_old_breaks(&mut self, now: Instant) {
         let broken = self.targets.iter().filter(|(_, row)| !row.broken.is_empty());
         let affected: Vec<usize> = broken.map(|(index, _)| index).collect();
-        let is_old = |run: &BrokenRun| now.saturating_duration_since(run.broken) > CRASH_LINK;
         for index in affected {
-            self.release_broken(index, "too old", now, is_old);
+            self.release_old_breaks_at(index, now);
         }
     }
+
+    fn release_old_breaks_at(&mut self, target: usize, now: Instant) {
+        let is_old = |run: &BrokenRun| now.saturating_duration_since(run.broken) > CRASH_LINK;
+        self.release_broken(target, "too old", now, is_old);
+    }
 }
 
 fn log_release(target: &TargetName, run: &BrokenRun, cause: &str, now: Instant) {
--- a/crates/tarragon-scheduler/src/scheduler/report.rs
+++ b/crates/tarragon-scheduler/src/scheduler/report.rs
@@ -4,7 +4,7 @@
 
 use tarragon_protocol::peer::SuspectEntry;
 
-use crate::{prelude::*, scheduler::Scheduler};
+use crate::{prelude::*, scheduler::Scheduler, targets::EndedProcess};
 
 impl Scheduler {
     pub(super) fn remove_target(&mut self, target: &TargetName, now: Instant) {
@@ -15,6 +15,23 @@
         }
     }
 
+    pub(super) fn lapse_target(
+        &mut self,
+        target: &TargetName,
+        now: Instant,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        let Some(index) = self.targets.find(target) else { return };
+        if let Some(row) = self.targets.row_mut(index)
+            && let Some(restart) = row.restart
+        {
+            let ended = EndedProcess { restart, planned: row.leaving };
+            row.ended = Some(ended);
+            self.take_end(index, ended, now, actions);
+        }
+        self.remove_target(target, now);
+    }
+
     pub(super) fn change_slots(&mut self, slots: &TargetSlots, now: Instant) {
         let Some(index) = self.targets.find(&slots.target) else { return };
         if let Some(row) = self.targets.row_mut(index) {
@@ -45,7 +62,7 @@
         let cold = report.state == TargetState::Cold;
         let own = self.own_within(index, cold, now.checked_sub(age));
         match self.targets.take_report(index, report, own, age, now) {
-            Some(before) => self.take_new_process(index, before, now, actions),
+            Some(ended) => self.take_new_process(index, ended, now, actions),
             None => {
                 if let Some(taken) = now.checked_sub(age) {
                     self.survive(index, report.restart, taken, now);
@@ -65,9 +82,6 @@
         let Some(index) = self.targets.find(target) else { return };
         let own = self.own_within(index, load.cold, now.checked_sub(age));
         self.targets.take_load(index, load, own, age, now);
-        if let Some(taken) = now.checked_sub(age) {
-            self.note_answer(index, taken);
-        }
         self.targets.refresh(index, now);
     }
 
@@ -77,9 +91,9 @@
         now: Instant,
         actions: &mut Vec<SchedulerAction>,
     ) {
-        let (index, before) = self.targets.list(entry, now);
-        if let Some(before) = before {
-            self.take_new_process(index, before, now, actions);
+        let (index, ended) = self.targets.list(entry, now);
+        if let Some(ended) = ended {
+            self.take_new_process(index, ended, now, actions);
         }
         self.placement_changed = true;
     }
@@ -88,7 +102,7 @@
     fn take_new_process(
         &mut self,
         index: usize,
-        before: RestartId,
+        ended: EndedProcess,
         now: Instant,
         actions: &mut Vec<SchedulerAction>,
     ) {
@@ -96,7 +110,7 @@
         if let Some(row) = self.targets.row(index) {
             actions.push(SchedulerAction::PollTarget(row.name.clone()));
         }
-        self.confirm_crash(index, Some(before), now, actions);
+        self.take_end(index, ended, now, actions);
     }
 
     /// Own requests at a target that a report of figures taken at a time may include. At a cold target
--- a/crates/tarragon-scheduler/src/suspect.rs
+++ b/crates/tarragon-scheduler/src/suspect.rs
@@ -30,6 +30,16 @@
     pub broken: Instant,
     /// When some process at the target's address first answered after that.
     pub answered: Option<Instant>,
+    /// Whether the caller left a target that had sent nothing, in place of a connection that broke. This counts
+    /// only if the process turns out to have ended.
+    pub abandoned: bool,
+}
+
+impl BrokenRun {
+    /// The crash that this is if the process has ended.
+    pub fn mark(&self, target: &TargetName) -> CrashMark {
+        (target.clone(), self.restart.unwrap_or(0))
+    }
 }
 
 /// One crash: the target and its restart id before it.
@@ -42,7 +52,7 @@
     /// Crashes from before a finished run. Peers may still repeat them.
     settled: Vec<CrashMark>,
     /// Broken connections that may turn out to be crashes.
-    pending: usize,
+    open: Vec<CrashMark>,
     convicted: bool,
     cleared: Option<Instant>,
     last: Instant,
@@ -79,7 +89,7 @@
         if now.saturating_duration_since(state.last) > SUSPECT_LIFETIME {
             return Suspicion::None;
         }
-        match state.crashes.len() + state.pending {
+        match state.crashes.len() + state.open.len() {
             _ if state.convicted => Suspicion::Convicted,
             0 => Suspicion::None,
             1 => Suspicion::Suspect,
@@ -88,17 +98,19 @@
     }
 
     /// A connection broke while the request ran.
-    pub fn pend(&mut self, fingerprint: Fingerprint, now: Instant) {
+    pub fn pend(&mut self, fingerprint: Fingerprint, mark: CrashMark, now: Instant) {
         let state = self.state(fingerprint, now);
-        state.pending += 1;
+        if !state.knows(&mark) && !state.open.contains(&mark) {
+            state.open.push(mark);
+        }
         state.last = now;
     }
 
     /// A broken connection was no crash, or it is not known to be one in time.
-    pub fn release(&mut self, fingerprint: Fingerprint) {
+    pub fn release(&mut self, fingerprint: Fingerprint, mark: &CrashMark) {
         let Some(state) = self.entries.get_mut(&fingerprint) else { return };
-        state.pending = state.pending.saturating_sub(1);
-        if state.pending == 0 && state.crashes.is_empty() && state.settled.is_empty() {
+        state.open.retain(|open| open != mark);
+        if state.open.is_empty() && state.crashes.is_empty() && state.settled.is_empty() {
             self.entries.swap_remove(&fingerprint);
         }
     }
@@ -112,7 +124,7 @@
         now: Instant,
     ) -> Option<SuspectEntry> {
         let state = self.state(fingerprint, now);
-        state.pending = state.pending.saturating_sub(1);
+        state.open.retain(|open| *open != crash);
         if state.cleared.is_some_and(|cleared| cleared >= broken) {
             state.settled.push(crash);
             return None;
@@ -171,7 +183,7 @@
         self.entries.entry(fingerprint).or_insert_with(|| SuspectState {
             crashes: Vec::new(),
             settled: Vec::new(),
-            pending: 0,
+            open: Vec::new(),
             convicted: false,
             cleared: None,
             last: now,
@@ -188,9 +200,14 @@
 }
 
 impl SuspectState {
+    fn knows(&self, crash: &CrashMark) -> bool {
+        self.crashes.contains(crash) || self.settled.contains(crash)
+    }
+
     /// Adds a crash. Returns whether it was unknown.
     fn add(&mut self, crash: CrashMark) -> bool {
-        if self.crashes.contains(&crash) || self.settled.contains(&crash) {
+        self.open.retain(|open| *open != crash);
+        if self.knows(&crash) {
             return false;
         }
         if self.crashes.len() < CONVICTING_CRASHES {
--- a/crates/tarragon-scheduler/src/targets.rs
+++ b/crates/tarragon-scheduler/src/targets.rs
@@ -55,6 +55,15 @@
     pub taken: Instant,
 }
 
+/// A target's process that runs no more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EndedProcess {
+    /// Restart id.
+    pub restart: RestartId,
+    /// Whether it said before that it would stop.
+    pub planned: bool,
+}
+
 /// One target.
 #[derive(Debug)]
 pub struct TargetRow {
@@ -90,6 +99,8 @@
     pub window: TargetWindow,
     /// Restart id of its process, as it was last listed or reported.
     pub restart: Option<RestartId>,
+    /// The process that ran before, or that lapsed.
+    pub ended: Option<EndedProcess>,
     /// Last report.
     pub report: Option<ReportView>,
     /// Models held; empty if unknown.
@@ -125,6 +136,7 @@
             starts: StartLimit::default(),
             window: TargetWindow::new(now),
             restart: None,
+            ended: None,
             report: None,
             models: Vec::new(),
             models_told: None,
@@ -167,12 +179,14 @@
     }
 
     /// Takes the restart id of the process that runs now. Returns the one before if this is another process.
-    fn take_restart(&mut self, restart: RestartId, now: Instant) -> Option<RestartId> {
+    fn take_restart(&mut self, restart: RestartId, now: Instant) -> Option<EndedProcess> {
         let before = self.restart.replace(restart).filter(|before| *before != restart)?;
+        let ended = EndedProcess { restart: before, planned: self.leaving };
+        self.ended = Some(ended);
         self.trust.restart();
         self.forget_models();
         self.window.suspect(now);
-        Some(before)
+        Some(ended)
     }
 }
 
@@ -331,9 +345,8 @@
         self.pools[pool].last = target;
     }
 
-    /// Adds or changes a target. Returns its position, and the restart id of the process before if another one
-    /// runs there now.
-    pub fn list(&mut self, entry: &TargetEntry, now: Instant) -> (usize, Option<RestartId>) {
+    /// Adds or changes a target. Returns its position, and the process before if another one runs there now.
+    pub fn list(&mut self, entry: &TargetEntry, now: Instant) -> (usize, Option<EndedProcess>) {
         let pool = self.pool_index(&entry.service);
         let index = match self.find(&entry.target) {
             Some(index) => index,
@@ -345,9 +358,15 @@
             row.distant = entry.distant;
             row.listed = true;
         }
-        let before = entry.restart.and_then(|restart| self.take_restart(index, restart, now));
+        let ended = entry.process.and_then(|process| {
+            let ended = self.take_restart(index, process.restart, now);
+            if let Some(row) = self.row_mut(index) {
+                row.leaving = process.leaving;
+            }
+            ended
+        });
         self.refresh(index, now);
-        (index, before)
+        (index, ended)
     }
 
     fn take_restart(
@@ -355,11 +374,11 @@
         index: usize,
         restart: RestartId,
         now: Instant,
-    ) -> Option<RestartId> {
+    ) -> Option<EndedProcess> {
         let row = self.rows.get_mut(index).and_then(Option::as_mut)?;
-        let before = row.take_restart(restart, now)?;
+        let ended = row.take_restart(restart, now)?;
         self.prefixes.clear_target(index);
-        Some(before)
+        Some(ended)
     }
 
     /// The target is no longer published.
@@ -425,8 +444,8 @@
         gaps
     }
 
-    /// Takes a report, given the own requests that it may include. Returns the restart id of the process before
-    /// if another one runs now.
+    /// Takes a report, given the own requests that it may include. Returns the process before if another one runs
+    /// now.
     pub fn take_report(
         &mut self,
         index: usize,
@@ -434,12 +453,12 @@
         own: u32,
         age: Duration,
         now: Instant,
-    ) -> Option<RestartId> {
+    ) -> Option<EndedProcess> {
         let taken = now.checked_sub(age)?;
         if !self.row(index)?.expects(taken) {
             return None;
         }
-        let before = self.take_restart(index, report.restart, now);
+        let ended = self.take_restart(index, report.restart, now);
         let row = self.rows.get_mut(index).and_then(Option::as_mut)?;
         if !report.models.is_empty() {
             row.models.clone_from(&report.models);
@@ -448,7 +467,7 @@
         }
         row.take_figures(report.running, report.waiting, own, taken);
         row.leaving = report.state == TargetState::Leaving;
-        before
+        ended
     }
 
     /// Takes load that the target has told, given the own requests that it may include.
