Tell each suspect in its turn, news first

What callers saw: beside crashes for other causes, a request that crashes targets ended up to 16 of them with eight processes. A digest told the first 8 suspects in the order in which they were heard of, for 10 minutes; a verdict that came after eight suspected bystanders stayed with the process that had found it, and each of the others had to count two crashes of its own. The class of fault is a list that is cut at a fixed place instead of in turns.

Digests now tell first what was learned in the last 5 s, then the rest, each the longest untold first. The answer to a first digest tells 64, so that a process that has just started knows the verdicts.

--- a/crates/tarragon-fleet/src/node/news.rs
+++ b/crates/tarragon-fleet/src/node/news.rs
@@ -19,8 +19,11 @@
 const TOLD_WORKSPACES: usize = 64;
 /// A load that was told longer ago than this is not passed on.
 const TOLD_LIFETIME: Duration = Duration::from_secs(2);
-/// Suspected requests that one digest tells.
+/// Suspected requests that one digest tells, of 70 bytes each: in five digests a second, 3 KB/s to each peer at most.
 const TOLD_SUSPECTS: usize = 8;
+/// Suspected requests that the answer to a first digest tells, so that a process which has just started knows them
+/// before it gets requests. They take a third of a datagram.
+const ANSWER_SUSPECTS: usize = 64;
 /// Time for which digests tell that a target is leaving: longer than the store's listings take to say so.
 const TOLD_LEAVING: Duration = Duration::from_secs(5);
 /// Leaving targets that one digest tells.
@@ -315,12 +318,12 @@
 
     /// The digest for a peer that has just been met.
     pub fn answer(&mut self, now: Instant) -> PeerDigest {
-        PeerDigest { answers: true, ..self.digest_naming(ANSWER_NAMES, now) }
+        PeerDigest { answers: true, ..self.digest_naming(ANSWER_NAMES, ANSWER_SUSPECTS, now) }
     }
 
     /// The digest for peers.
     pub fn digest(&mut self, now: Instant) -> PeerDigest {
-        self.digest_naming(NAMED_MEMBERS, now)
+        self.digest_naming(NAMED_MEMBERS, TOLD_SUSPECTS, now)
     }
 
     /// A digest in place of another one, for peers that get the sum of the data centre.
@@ -340,7 +343,7 @@
         }
     }
 
-    fn digest_naming(&mut self, most: usize, now: Instant) -> PeerDigest {
+    fn digest_naming(&mut self, members: usize, suspects: usize, now: Instant) -> PeerDigest {
         self.sequence += 1;
         let age = |since: Instant| {
             u32::try_from(now.saturating_duration_since(since).as_millis()).unwrap_or(u32::MAX)
@@ -360,8 +363,7 @@
         let mut usage = self.quotas.sums(now);
         usage.sort_unstable_by_key(|sum| std::cmp::Reverse(sum.units));
         usage.truncate(TOLD_WORKSPACES);
-        let mut suspects = self.scheduler.suspects(now);
-        suspects.truncate(TOLD_SUSPECTS);
+        let suspects = self.scheduler.tell_suspects(suspects, now);
         self.members.note_told(self.sequence, &uses, &usage);
         let mut leaving = self.directory.leaving_since(TOLD_LEAVING, now);
         leaving.truncate(MAX_LEAVING);
@@ -384,7 +386,7 @@
             answers: false,
             wants_sums: false,
             met: u32::try_from(self.members.met()).unwrap_or(u32::MAX),
-            members: self.members.named(most),
+            members: self.members.named(members),
         }
     }
 }
--- a/crates/tarragon-fleet/tests/fleet/crashing.rs
+++ b/crates/tarragon-fleet/tests/fleet/crashing.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use tarragon_protocol::peer::SuspectEntry;
+
 use crate::{
     crash_world::{CULPRIT, CrashPlan, CrashWorld},
     support::*,
@@ -105,3 +107,56 @@
         assert_eq!(suspects, usize::from(case.crash), "{}", case.name);
     }
 }
+
+fn suspect(fingerprint: Fingerprint, convicted: bool) -> SchedulerEvent {
+    let crash = |restart| (TargetName::from("10.9.0.1:80"), restart);
+    SchedulerEvent::SuspectReported(SuspectEntry {
+        fingerprint,
+        crashes: (0..1 + u64::from(convicted)).map(crash).collect(),
+        convicted,
+        age_ms: 100,
+    })
+}
+
+/// Guards against a verdict that stays with the process that has found it, since older suspects fill its digests.
+#[test]
+fn a_verdict_is_told_beside_many_older_suspects() {
+    let mut fleet = Fleet::start(2, 1);
+    let now = fleet.now;
+    for fingerprint in 1_000..1_040 {
+        fleet.nodes[0].handle(now, suspect(fingerprint, false), &mut Vec::new());
+    }
+    fleet.advance(Duration::from_secs(6));
+    let known = fleet.nodes[1].scheduler().suspect_count();
+    assert_eq!(known, 40, "each suspect is told in its turn");
+    let now = fleet.now;
+    fleet.nodes[0].handle(now, suspect(CULPRIT, true), &mut Vec::new());
+    fleet.gossip();
+    let asked = fleet.ask_again(1, 100, CULPRIT);
+    let refused = asked.iter().any(|action| match action {
+        SchedulerAction::Refuse { refusal, .. } => refusal.code == RefusalCode::CrashesTargets,
+        _ => false,
+    });
+    assert!(refused, "the next digest tells a verdict: {asked:?}");
+}
+
+/// Guards against a process that has just started and runs what its peers have convicted.
+#[test]
+fn an_answer_to_a_first_digest_tells_verdicts() {
+    let mut fleet = Fleet::start(2, 1);
+    let now = fleet.now;
+    for fingerprint in 1_000..1_060 {
+        fleet.nodes[0].handle(now, suspect(fingerprint, true), &mut Vec::new());
+    }
+    assert_eq!(fleet.nodes[0].answer(now).suspects.len(), 60);
+    let bytes = fleet.nodes[0].answer(now).to_bytes().unwrap().len();
+    assert!(bytes < 16 << 10, "{bytes} bytes don't fit into a datagram");
+}
+
+/// Guards against a request that is sent on and on beside so many crashes that hundreds of others are suspected.
+#[test]
+fn a_crashing_request_is_stopped_beside_many_suspects() {
+    let other_crashes = Duration::from_millis(700);
+    let plan = CrashPlan { name: "many", other_crashes, load: 100, ..CrashPlan::default() };
+    assert_bounded(&plan);
+}
--- a/crates/tarragon-scheduler/src/scheduler.rs
+++ b/crates/tarragon-scheduler/src/scheduler.rs
@@ -246,14 +246,14 @@
         self.invariants.set_strict(strict);
     }
 
-    /// Suspects and verdicts in force, for digests.
-    pub fn suspects(&self, now: Instant) -> Vec<SuspectEntry> {
-        self.suspects.entries(now)
+    /// Up to `most` suspects and verdicts for the next digest.
+    pub fn tell_suspects(&mut self, most: usize, now: Instant) -> Vec<SuspectEntry> {
+        self.suspects.tell(most, now)
     }
 
     /// Number of suspects and verdicts in force.
     pub fn suspect_count(&self) -> usize {
-        self.suspects.crashed().count()
+        self.suspects.crashed()
     }
 
     /// Takes all waiting requests out that have not been dispatched yet, for a process that shuts down
--- a/crates/tarragon-scheduler/src/suspect.rs
+++ b/crates/tarragon-scheduler/src/suspect.rs
@@ -42,12 +42,15 @@
     }
 }
 
+/// News of a suspect go before older ones for this long: longer than they take to reach all processes.
+const NEWS_TIME: Duration = Duration::from_secs(5);
+
 /// One crash: the target and its restart id before it.
 pub type CrashMark = (TargetName, RestartId);
 
 /// What is known of one request.
 #[derive(Debug)]
-pub struct SuspectState {
+struct SuspectState {
     crashes: Vec<CrashMark>,
     /// Crashes from before a finished run. Peers may still repeat them.
     settled: Vec<CrashMark>,
@@ -56,6 +59,10 @@
     convicted: bool,
     cleared: Option<Instant>,
     last: Instant,
+    /// When this process last learned something of it.
+    learned: Instant,
+    /// Turn in which it was last told to peers.
+    told: u64,
 }
 
 /// What is held against a request.
@@ -75,6 +82,8 @@
 #[derive(Debug, Default)]
 pub struct SuspectTable {
     entries: IndexMap<Fingerprint, SuspectState, NumberHash>,
+    /// Times that suspects were told to peers.
+    turn: u64,
 }
 
 impl SuspectTable {
@@ -130,7 +139,7 @@
             return None;
         }
         state.last = now;
-        state.add(crash).then(|| state.entry(fingerprint, now))
+        state.add(crash, now).then(|| state.entry(fingerprint, now))
     }
 
     /// A peer's finding. Returns what other peers have to know: two findings together may convict.
@@ -142,11 +151,14 @@
         let state = self.state(entry.fingerprint, now);
         let known = state.convicted;
         for crash in &entry.crashes {
-            if state.add(crash.clone()) {
+            if state.add(crash.clone(), now) {
                 state.last = state.last.max(now.checked_sub(age).unwrap_or(now));
             }
         }
-        state.convicted |= entry.convicted;
+        if entry.convicted && !state.convicted {
+            state.convicted = true;
+            state.learned = now;
+        }
         let news = state.convicted && !known && !entry.convicted;
         news.then(|| state.entry(entry.fingerprint, now))
     }
@@ -166,14 +178,27 @@
             .retain(|_, state| now.saturating_duration_since(state.last) <= SUSPECT_LIFETIME);
     }
 
-    /// Suspects and verdicts in force.
-    pub fn entries(&self, now: Instant) -> Vec<SuspectEntry> {
-        self.crashed().map(|(fingerprint, state)| state.entry(*fingerprint, now)).collect()
+    /// Number of suspects and verdicts in force.
+    pub fn crashed(&self) -> usize {
+        self.entries.values().filter(|state| !state.crashes.is_empty()).count()
     }
 
-    /// Requests near which targets crashed.
-    pub fn crashed(&self) -> impl Iterator<Item = (&Fingerprint, &SuspectState)> {
-        self.entries.iter().filter(|(_, state)| !state.crashes.is_empty())
+    /// Up to `most` suspects and verdicts for the next digest: news first, and in turns, so that each is told
+    /// however many there are.
+    pub fn tell(&mut self, most: usize, now: Instant) -> Vec<SuspectEntry> {
+        self.turn += 1;
+        let turn = self.turn;
+        let mut known: Vec<(&Fingerprint, &mut SuspectState)> =
+            self.entries.iter_mut().filter(|(_, state)| !state.crashes.is_empty()).collect();
+        known.sort_by_key(|(_, state)| {
+            let old = now.saturating_duration_since(state.learned) > NEWS_TIME;
+            (old, state.told, !state.convicted)
+        });
+        let entry = |(fingerprint, state): (&Fingerprint, &mut SuspectState)| {
+            state.told = turn;
+            state.entry(*fingerprint, now)
+        };
+        known.into_iter().take(most).map(entry).collect()
     }
 
     fn state(&mut self, fingerprint: Fingerprint, now: Instant) -> &mut SuspectState {
@@ -187,6 +212,8 @@
             convicted: false,
             cleared: None,
             last: now,
+            learned: now,
+            told: 0,
         })
     }
 
@@ -205,7 +232,7 @@
     }
 
     /// Adds a crash. Returns whether it was unknown.
-    fn add(&mut self, crash: CrashMark) -> bool {
+    fn add(&mut self, crash: CrashMark, now: Instant) -> bool {
         self.open.retain(|open| *open != crash);
         if self.knows(&crash) {
             return false;
@@ -214,6 +241,7 @@
             self.crashes.push(crash);
         }
         self.convicted |= self.crashes.len() >= CONVICTING_CRASHES;
+        self.learned = now;
         true
     }
 
