Count attempts that wait for a process which has ended

What callers saw: on an idle fleet of targets that die silently, quick copies of a request that crashes targets went on until the first caller or process lost patience, 4 s after the crash, though the restart was listed long before. When the end of a process is heard of, the attempts that wait for it and have heard nothing count at once.

--- a/crates/tarragon-fleet/tests/fleet/crash_world.rs
+++ b/crates/tarragon-fleet/tests/fleet/crash_world.rs
@@ -4,7 +4,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration, time::Instant};
 
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use tarragon_fleet::published::StoreRevision;
+use tarragon_fleet::{node::PeerNews, published::StoreRevision};
 
 use crate::support::*;
 
@@ -29,6 +29,7 @@
 #[derive(Debug, Clone)]
 pub struct CrashPlan {
     pub name: &'static str,
+    pub time: Duration,
     pub processes: u8,
     pub targets: u8,
     /// Requests that harm nobody, a second.
@@ -57,6 +58,7 @@
     fn default() -> CrashPlan {
         CrashPlan {
             name: "crashes",
+            time: Duration::from_secs(40),
             processes: 8,
             targets: 12,
             load: 60,
@@ -138,7 +140,7 @@
 }
 
 impl CrashWorld {
-    pub fn play(plan: &CrashPlan, seed: u64, time: Duration) -> CrashTally {
+    pub fn play(plan: &CrashPlan, seed: u64) -> CrashTally {
         let start = Instant::now() + Duration::from_secs(100);
         let nodes = (1..=plan.processes).map(|index| new_node(index, true, start)).collect();
         let entries: BTreeMap<TargetName, ListedTarget> = (1..=plan.targets)
@@ -172,7 +174,7 @@
         for node in 0..world.nodes.len() {
             world.configure(node);
         }
-        while world.now < start + time {
+        while world.now < start + plan.time {
             world.step();
         }
         world.tally
@@ -201,7 +203,7 @@
                 self.decide(node, |node, now, actions| node.tick(now, actions));
             }
             if self.is_due(phase, DIGEST_INTERVAL) {
-                self.send_digests(node);
+                self.send_digests(node, false);
             }
         }
         self.send_requests();
@@ -277,10 +279,22 @@
         self.decide(node, |node, now, actions| node.take_listing(now, &listing, age, actions));
     }
 
-    fn send_digests(&mut self, node: usize) {
-        let digest = self.nodes[node].digest(self.now);
-        for to in (0..self.nodes.len()).filter(|to| *to != node) {
-            if self.rng.random_bool(self.plan.lost) {
+    fn send_digests(&mut self, node: usize, urgent: bool) {
+        let now = self.now;
+        let digest = self.nodes[node].digest(now);
+        let recipients = self.nodes[node].recipients(urgent, now);
+        let asking = PeerDigest { wants_sums: true, ..digest.clone() };
+        let sums = self.nodes[node].sum_digest(&digest, now);
+        self.send_digest(node, &digest, &recipients.full);
+        self.send_digest(node, &asking, &recipients.relays);
+        self.send_digest(node, &sums, &recipients.askers);
+        self.send_digest(node, &sums, &recipients.sums);
+    }
+
+    fn send_digest(&mut self, node: usize, digest: &PeerDigest, recipients: &[SocketAddr]) {
+        for recipient in recipients {
+            let to = self.index_of(*recipient);
+            if to == node || self.rng.random_bool(self.plan.lost) {
                 continue;
             }
             let delay = Duration::from_millis(self.rng.random_range(2..50));
@@ -289,6 +303,24 @@
         }
     }
 
+    fn index_of(&self, peer: SocketAddr) -> usize {
+        (0..self.nodes.len()).find(|index| address(*index as u8 + 1) == peer).unwrap()
+    }
+
+    fn take_digest(&mut self, to: usize, from: SocketAddr, digest: PeerDigest) {
+        let mut news = PeerNews::default();
+        self.decide(to, |node, now, actions| news = node.take_digest(now, from, digest, actions));
+        if news.newcomer {
+            let answer = self.nodes[to].answer(self.now);
+            self.send_digest(to, &answer, &[from]);
+        }
+        if news.introduced {
+            let named = self.nodes[to].introduce();
+            let digest = self.nodes[to].digest(self.now);
+            self.send_digest(to, &digest, &named);
+        }
+    }
+
     fn send_requests(&mut self) {
         let part = f64::from(self.plan.load) * STEP.as_secs_f64();
         if self.rng.random_bool(part.min(1.0)) {
@@ -347,12 +379,8 @@
 
     fn take(&mut self, event: WorldEvent) {
         match event {
-            WorldEvent::Digest { to, from, digest } => {
-                self.decide(to, |node, now, actions| {
-                    node.take_digest(now, from, *digest, actions);
-                });
-            }
-            WorldEvent::Urgent(node) => self.send_digests(node),
+            WorldEvent::Digest { to, from, digest } => self.take_digest(to, from, *digest),
+            WorldEvent::Urgent(node) => self.send_digests(node, true),
             WorldEvent::Begin { node, request, attempt, target } => {
                 self.begin(node, request, attempt, &target);
             }
--- a/crates/tarragon-fleet/tests/fleet/crashing.rs
+++ b/crates/tarragon-fleet/tests/fleet/crashing.rs
@@ -18,9 +18,9 @@
 }
 
 /// Plays a plan with several seeds and tells those in which the request was sent too often.
-fn overruns(plan: &CrashPlan) -> Vec<(u64, usize, usize)> {
-    let play = |seed| (seed, CrashWorld::play(plan, seed, Duration::from_secs(40)));
-    let tallies = (0..seeds()).map(play);
+fn overruns(plan: &CrashPlan, seeds: std::ops::Range<u64>) -> Vec<(u64, usize, usize)> {
+    let play = |seed| (seed, CrashWorld::play(plan, seed));
+    let tallies = seeds.map(play);
     tallies
         .inspect(|(_, tally)| assert!(tally.crashes.len() >= 2, "{}: it never ran", plan.name))
         .map(|(seed, tally)| (seed, tally.crashes.len(), tally.late()))
@@ -29,7 +29,7 @@
 }
 
 fn assert_bounded(plan: &CrashPlan) {
-    let found = overruns(plan);
+    let found = overruns(plan, 0..seeds());
     assert!(found.is_empty(), "{}: (seed, crashes, late sendings) {found:?}", plan.name);
 }
 
@@ -108,6 +108,34 @@
     }
 }
 
+/// Guards against crashes that are counted only when callers lose patience, while quick copies go on.
+#[test]
+fn a_crashing_request_is_stopped_on_an_idle_fleet_of_silent_targets() {
+    let repeat = Duration::from_millis(200);
+    let plan = CrashPlan { name: "idle", load: 2, silent: true, repeat, ..CrashPlan::default() };
+    assert_bounded(&plan);
+}
+
+/// Guards against verdicts that get stuck where digests go to a few peers at a time and relays pass them on.
+#[test]
+fn a_crashing_request_is_stopped_in_a_large_fleet() {
+    for (name, processes, targets) in [("in turns", 60, 60), ("relayed", 150, 120)] {
+        let plan = CrashPlan {
+            name,
+            time: Duration::from_secs(15),
+            processes,
+            targets,
+            load: u32::from(processes),
+            repeat: Duration::from_millis(400),
+            other_crashes: Duration::from_millis(500),
+            ..CrashPlan::default()
+        };
+        // A play of a large fleet takes as long as twelve others.
+        let found = overruns(&plan, 0..seeds().div_ceil(12));
+        assert!(found.is_empty(), "{name}: (seed, crashes, late sendings) {found:?}");
+    }
+}
+
 fn suspect(fingerprint: Fingerprint, convicted: bool) -> SchedulerEvent {
     let crash = |restart| (TargetName::from("10.9.0.1:80"), restart);
     SchedulerEvent::SuspectReported(SuspectEntry {
--- a/crates/tarragon-scheduler/src/scheduler/crash.rs
+++ b/crates/tarragon-scheduler/src/scheduler/crash.rs
@@ -31,13 +31,7 @@
         actions: &mut Vec<SchedulerAction>,
     ) {
         let Some(row) = self.targets.row_mut(running.target) else { return };
-        let run = BrokenRun {
-            fingerprint: running.job.profile.fingerprint,
-            restart: running.restart,
-            broken: now,
-            answered: None,
-            abandoned,
-        };
+        let run = BrokenRun::of(running, now, abandoned);
         if row.listed && row.restart == run.restart {
             if row.broken.len() < MAX_BROKEN {
                 row.broken.push(run);
@@ -67,6 +61,28 @@
             self.release_broken(target, "target was leaving", now, |_| true);
         } else {
             self.confirm_crash(target, now, |_| true, actions);
+            self.confirm_waiting(target, ended.restart, now, actions);
+        }
+    }
+
+    /// Attempts that wait for a process which has ended hear nothing of it until their patience is over.
+    fn confirm_waiting(
+        &mut self,
+        target: usize,
+        ended: RestartId,
+        now: Instant,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        let waiting = self.in_flight.iter().filter(|running| {
+            running.target == target
+                && running.restart == Some(ended)
+                && running.started
+                && running.first_token.is_none()
+        });
+        let runs: Vec<BrokenRun> =
+            waiting.map(|running| BrokenRun::of(running, now, true)).collect();
+        for run in runs {
+            self.confirm_run(target, run, now, actions);
         }
     }
 
--- a/crates/tarragon-scheduler/src/suspect.rs
+++ b/crates/tarragon-scheduler/src/suspect.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 use tarragon_protocol::peer::SuspectEntry;
 
-use crate::{hash::NumberHash, prelude::*};
+use crate::{hash::NumberHash, inflight::RunningAttempt, prelude::*};
 
 /// Fingerprints that are remembered.
 pub const MAX_SUSPECTS: usize = 1_024;
@@ -36,6 +36,17 @@
 }
 
 impl BrokenRun {
+    /// The run of an attempt whose target has just turned out to be lost.
+    pub fn of(running: &RunningAttempt, now: Instant, abandoned: bool) -> BrokenRun {
+        BrokenRun {
+            fingerprint: running.job.profile.fingerprint,
+            restart: running.restart,
+            broken: now,
+            answered: None,
+            abandoned,
+        }
+    }
+
     /// The crash that this is if the process has ended.
     pub fn mark(&self, target: &TargetName) -> CrashMark {
         (target.clone(), self.restart.unwrap_or(0))
--- a/crates/tarragon-scheduler/tests/rules/suspect.rs
+++ b/crates/tarragon-scheduler/tests/rules/suspect.rs
@@ -234,6 +234,21 @@
         },
         crash: true,
     },
+    EndCase {
+        name: "another process is listed while the request still waits",
+        events: |driver, _| {
+            driver.handle(listed("t0", 2));
+        },
+        crash: true,
+    },
+    EndCase {
+        name: "its entry lapses while it answers",
+        events: |driver, request| {
+            driver.progress(request, 1, 1, 10);
+            driver.handle(SchedulerEvent::TargetLapsed("t0".into()));
+        },
+        crash: false,
+    },
     EndCase {
         name: "the caller leaves a silent target that has been restarted",
         events: |driver, request| {
@@ -300,7 +315,8 @@
         let request = driver.ask(Ask { idempotent: false, ..culprit() });
         driver.handle(SchedulerEvent::AttemptStarted(request, 1));
         (case.events)(&mut driver, request);
-        assert_eq!(suspicions(&driver).len(), usize::from(case.crash), "{}", case.name);
+        let suspects = driver.scheduler.suspect_count();
+        assert_eq!(suspects, usize::from(case.crash), "{}", case.name);
     }
 }
 
