Tell the former use of restarted peers in turns

What a restarted process had used of quotas is told by its peers for 5 s, all of it in each digest. After 35 processes of a data centre with 40 workspaces have been restarted at once a digest has 27,019 bytes; readers take 16,384, so that no peer can read any digest of the survivors for 5 s: neither verdicts nor loads, and they count as silent.

A digest tells 4 of them in turns, and the answer to a first digest tells its receiver's own, which is the one that needs it. `a_digest_fits_into_a_datagram_after_many_restarts` failed before.

--- a/crates/tarragon-fleet/src/member.rs
+++ b/crates/tarragon-fleet/src/member.rs
@@ -51,6 +51,8 @@
 const RUMOUR: Duration = Duration::from_secs(5);
 /// Use of quotas that was told longer ago than this says nothing of the quotas' present windows.
 const FORMER: Duration = Duration::from_secs(8);
+/// Restarted peers whose former use one digest tells: 2 KB each at most, half of what a reader takes.
+const TOLD_FORMER: usize = 4;
 /// Addresses of processes not met yet that one digest goes to. In a fleet of 73 all meet within a second.
 const UNMET_FANOUT: usize = 24;
 /// Addresses that one digest names.
@@ -101,6 +103,8 @@
     near_turn: usize,
     far_turn: usize,
     unmet_turn: usize,
+    /// Position of the first restarted peer whose former use the next digest tells.
+    former_turn: usize,
     seeds: Vec<SocketAddr>,
     members: IndexMap<SocketAddr, Member>,
     /// Addresses that peers have named and that were not met.
@@ -135,6 +139,7 @@
             near_turn: turn,
             far_turn: turn,
             unmet_turn: 0,
+            former_turn: 0,
             seeds: seeds.iter().copied().filter(|seed| *seed != own).collect(),
             members: IndexMap::new(),
             rumours: IndexMap::new(),
@@ -220,11 +225,19 @@
         }
     }
 
-    /// Use of quotas of restarted peers before their restart, for the next digest.
+    /// Use of quotas of some restarted peers before their restart, for the next digest, in turns. Each gets its
+    /// own with the answer to its first digest, too.
     pub fn former(&mut self, now: Instant) -> Vec<(SocketAddr, FormerUsage)> {
         let recent = |since: &Instant| now.saturating_duration_since(*since) < RUMOUR;
         self.former.retain(|_, (since, _)| recent(since));
-        self.former.iter().map(|(address, (_, usage))| (*address, usage.clone())).collect()
+        let addresses: Vec<SocketAddr> = self.former.keys().copied().collect();
+        let told = in_turn(&addresses, TOLD_FORMER, &mut self.former_turn);
+        told.into_iter().filter_map(|address| self.former_of(address)).collect()
+    }
+
+    /// Use of quotas of one restarted peer before its restart.
+    pub fn former_of(&self, address: SocketAddr) -> Option<(SocketAddr, FormerUsage)> {
+        self.former.get(&address).map(|(_, usage)| (address, usage.clone()))
     }
 
     /// What a digest says of this process's use of quotas before its restart.
--- a/crates/tarragon-fleet/src/node/news.rs
+++ b/crates/tarragon-fleet/src/node/news.rs
@@ -317,8 +317,10 @@
     }
 
     /// The digest for a peer that has just been met.
-    pub fn answer(&mut self, now: Instant) -> PeerDigest {
-        PeerDigest { answers: true, ..self.digest_naming(ANSWER_NAMES, ANSWER_SUSPECTS, now) }
+    pub fn answer(&mut self, peer: SocketAddr, now: Instant) -> PeerDigest {
+        let digest = self.digest_naming(ANSWER_NAMES, ANSWER_SUSPECTS, now);
+        let former = self.members.former_of(peer).into_iter().collect();
+        PeerDigest { answers: true, former, ..digest }
     }
 
     /// The digest for peers.
--- a/crates/tarragon-fleet/tests/fleet/crash_world.rs
+++ b/crates/tarragon-fleet/tests/fleet/crash_world.rs
@@ -311,7 +311,7 @@
         let mut news = PeerNews::default();
         self.decide(to, |node, now, actions| news = node.take_digest(now, from, digest, actions));
         if news.newcomer {
-            let answer = self.nodes[to].answer(self.now);
+            let answer = self.nodes[to].answer(from, self.now);
             self.send_digest(to, &answer, &[from]);
         }
         if news.introduced {
--- a/crates/tarragon-fleet/tests/fleet/crashing.rs
+++ b/crates/tarragon-fleet/tests/fleet/crashing.rs
@@ -176,8 +176,8 @@
     for fingerprint in 1_000..1_060 {
         fleet.nodes[0].handle(now, suspect(fingerprint, true), &mut Vec::new());
     }
-    assert_eq!(fleet.nodes[0].answer(now).suspects.len(), 60);
-    let bytes = fleet.nodes[0].answer(now).to_bytes().unwrap().len();
+    assert_eq!(fleet.nodes[0].answer(address(2), now).suspects.len(), 60);
+    let bytes = fleet.nodes[0].answer(address(2), now).to_bytes().unwrap().len();
     assert!(bytes < 16 << 10, "{bytes} bytes don't fit into a datagram");
 }
 
--- a/crates/tarragon-fleet/tests/fleet/member.rs
+++ b/crates/tarragon-fleet/tests/fleet/member.rs
@@ -1,11 +1,18 @@
 //! Peers: found by seeds and rumours, counted while silent.
 
-use std::time::{Duration, Instant};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
+use indexmap::IndexSet;
 use tarragon_fleet::member::{MemberTable, SILENT};
 
 use crate::support::*;
 
+/// Largest datagram that a process reads.
+const DATAGRAM_BYTES: usize = 16 << 10;
+
 fn digest(index: u8, sequence: u64, members: &[u8]) -> PeerDigest {
     PeerDigest {
         vm: format!("vm-{index}").into(),
@@ -115,3 +122,33 @@
     ranks.sort_unstable();
     assert_eq!(ranks, Vec::from_iter(0..8));
 }
+
+/// Guards against digests that nobody can read after many processes of a data centre have been restarted at once.
+#[test]
+fn a_digest_fits_into_a_datagram_after_many_restarts() {
+    let now = Instant::now() + Duration::from_secs(100);
+    let mut survivor = node(1, true, now);
+    for incarnation in [1, 2] {
+        for index in 2..=36 {
+            let used = |key| UsageSum {
+                units: 100_000,
+                recent: [30_000; 3],
+                latest: 5_000,
+                ..UsageSum::none(u32::MAX - key)
+            };
+            let usage = (0..40).map(used).collect();
+            let digest = PeerDigest { incarnation, usage, ..digest(index, 1, &[]) };
+            survivor.take_digest(now, address(index), digest, &mut Vec::new());
+        }
+    }
+    let answer = survivor.answer(address(36), now);
+    let told: Vec<SocketAddr> = answer.former.iter().map(|(address, _)| *address).collect();
+    assert_eq!(told, [address(36)], "the answer to a first digest tells the receiver's own use");
+    let mut told = IndexSet::new();
+    for digest in std::iter::once(answer).chain((0..9).map(|_| survivor.digest(now))) {
+        let bytes = digest.to_bytes().unwrap().len();
+        assert!(bytes <= DATAGRAM_BYTES, "{bytes} bytes");
+        told.extend(digest.former.iter().map(|(address, _)| *address));
+    }
+    assert_eq!(told.len(), 35, "all are told in turns");
+}
--- a/crates/tarragon-fleet/tests/fleet/support.rs
+++ b/crates/tarragon-fleet/tests/fleet/support.rs
@@ -230,7 +230,7 @@
                 continue;
             }
             let receiver = self.index_of(recipient).unwrap();
-            let answer = self.nodes[receiver].answer(now);
+            let answer = self.nodes[receiver].answer(address(sender as u8 + 1), now);
             if self.hand_over(receiver, address(sender as u8 + 1), answer).introduced {
                 let digest = self.nodes[sender].digest(now);
                 let named = self.nodes[sender].introduce();
--- a/crates/tarragon-gateway/src/peers.rs
+++ b/crates/tarragon-gateway/src/peers.rs
@@ -199,7 +199,7 @@
         let news =
             context.desk.run(|node, now, actions| node.take_digest(now, from, digest, actions));
         if news.newcomer {
-            let answer = context.desk.run(|node, now, _| node.answer(now));
+            let answer = context.desk.run(|node, now, _| node.answer(from, now));
             send_digest(&context, &socket, &answer, &[from]).await;
         }
         if news.introduced {
