Tell leaving targets in turns

The same class of fault as with suspects: a digest told the first 32 targets that had said within 5 s that they leave, and never the others. With 100 targets that leave at once the other process learned of 32 (`all_leaving_targets_are_told_in_turns` on the code before); now all are told within four digests.

--- a/crates/tarragon-fleet/src/node/news.rs
+++ b/crates/tarragon-fleet/src/node/news.rs
@@ -26,7 +26,7 @@
 const ANSWER_SUSPECTS: usize = 64;
 /// Time for which digests tell that a target is leaving: longer than the store's listings take to say so.
 const TOLD_LEAVING: Duration = Duration::from_secs(5);
-/// Leaving targets that one digest tells.
+/// Leaving targets that one digest tells, in turns if there are more.
 const MAX_LEAVING: usize = 32;
 
 /// A peer's listing that is newer by less than this is not worth a call.
@@ -368,7 +368,12 @@
         let suspects = self.scheduler.tell_suspects(suspects, now);
         self.members.note_told(self.sequence, &uses, &usage);
         let mut leaving = self.directory.leaving_since(TOLD_LEAVING, now);
-        leaving.truncate(MAX_LEAVING);
+        if leaving.len() > MAX_LEAVING {
+            let turns = leaving.len().div_ceil(MAX_LEAVING);
+            let turn = usize::try_from(self.sequence).unwrap_or_default() % turns;
+            leaving.rotate_left(turn * MAX_LEAVING);
+            leaving.truncate(MAX_LEAVING);
+        }
         PeerDigest {
             vm: self.settings.vm.clone(),
             data_centre: name_key(&self.settings.data_centre),
--- a/crates/tarragon-fleet/tests/fleet/member.rs
+++ b/crates/tarragon-fleet/tests/fleet/member.rs
@@ -152,3 +152,20 @@
     }
     assert_eq!(told.len(), 35, "all are told in turns");
 }
+
+/// Guards against targets that no digest ever names as leaving, since others that leave at once fill it.
+#[test]
+fn all_leaving_targets_are_told_in_turns() {
+    let mut fleet = Fleet::start(2, 100);
+    let now = fleet.now;
+    for index in 1..=100 {
+        let target = listed(index);
+        let node = &mut fleet.nodes[0];
+        node.target_leaves(now, &target.address, &target.instance, &mut Vec::new());
+    }
+    for _ in 0..4 {
+        fleet.gossip();
+    }
+    let leaving = fleet.nodes[1].directory().iter().filter(|(_, entry)| entry.is_leaving());
+    assert_eq!(leaving.count(), 100);
+}
