Give restarted processes of the crash plays a start of their own

A process that was restarted twice had the same incarnation as before, so that peers dropped its digests as old ones until their number had caught up: harder than any fleet. Constants and fields get plainer names.

--- a/crates/tarragon-fleet/tests/fleet/crash_world.rs
+++ b/crates/tarragon-fleet/tests/fleet/crash_world.rs
@@ -23,7 +23,7 @@
 /// Time for a message between a process and a target.
 const HOP: Duration = Duration::from_millis(3);
 /// Time from the start of the request until its target crashes.
-const FUSE: Duration = Duration::from_millis(20);
+const TIME_TO_CRASH: Duration = Duration::from_millis(20);
 
 /// What happens in one play.
 #[derive(Debug, Clone)]
@@ -127,13 +127,15 @@
     start: Instant,
     now: Instant,
     nodes: Vec<FleetNode>,
-    incarnation: u8,
+    /// Starts of processes so far.
+    starts: u64,
     targets: Vec<SimTarget>,
     entries: BTreeMap<TargetName, ListedTarget>,
     revision: StoreRevision,
     events: BTreeMap<(Instant, u64), WorldEvent>,
     sequence: u64,
-    requests: BTreeMap<RequestId, (Fingerprint, TargetName)>,
+    /// Targets of requests that are in flight or were last.
+    dispatched: BTreeMap<RequestId, TargetName>,
     fingerprints: BTreeMap<RequestId, Fingerprint>,
     next: RequestId,
     tally: CrashTally,
@@ -142,7 +144,8 @@
 impl CrashWorld {
     pub fn play(plan: &CrashPlan, seed: u64) -> CrashTally {
         let start = Instant::now() + Duration::from_secs(100);
-        let nodes = (1..=plan.processes).map(|index| new_node(index, true, start)).collect();
+        let node = |index| node_in(centre(index), index, true, start);
+        let nodes = (1..=plan.processes).map(node).collect();
         let entries: BTreeMap<TargetName, ListedTarget> = (1..=plan.targets)
             .map(|index| ListedTarget { data_centre: centre(index).into(), ..listed(index) })
             .map(|listed| (listed.address.clone(), listed))
@@ -160,13 +163,13 @@
             start,
             now: start,
             nodes,
-            incarnation: 0,
+            starts: 1_000,
             targets: targets.collect(),
             entries,
             revision: 10,
             events: BTreeMap::new(),
             sequence: 0,
-            requests: BTreeMap::new(),
+            dispatched: BTreeMap::new(),
             fingerprints: BTreeMap::new(),
             next: 0,
             tally: CrashTally::default(),
@@ -230,14 +233,16 @@
     }
 
     fn restart_node(&mut self, node: usize) {
-        self.incarnation = self.incarnation.wrapping_add(1);
+        self.starts += 1;
         let index = node as u8 + 1;
-        self.nodes[node] = new_node(index, false, self.now);
+        let settings = fleet_settings(centre(index), index, false);
+        let settings = FleetSettings { incarnation: self.starts, ..settings };
+        self.nodes[node] = FleetNode::new(settings, self.starts, self.now);
         self.configure(node);
         for target in &mut self.targets {
             target.running.retain(|running| running.node != node);
         }
-        self.requests.retain(|request, _| request % 256 != node as u64);
+        self.dispatched.retain(|request, _| request % 256 != node as u64);
     }
 
     fn run_targets(&mut self) {
@@ -354,8 +359,7 @@
         for action in actions {
             match action {
                 SchedulerAction::Dispatch { request, attempt, target } => {
-                    let fingerprint = self.fingerprints[&request];
-                    self.requests.insert(request, (fingerprint, target.clone()));
+                    self.dispatched.insert(request, target.clone());
                     self.after(HOP, WorldEvent::Begin { node: index, request, attempt, target });
                 }
                 SchedulerAction::Refuse { request, refusal } => {
@@ -397,7 +401,7 @@
     }
 
     fn begin(&mut self, node: usize, request: RequestId, attempt: AttemptNumber, to: &TargetName) {
-        if !self.requests.contains_key(&request) {
+        if !self.dispatched.contains_key(&request) {
             return;
         }
         let event = SchedulerEvent::AttemptStarted(request, attempt);
@@ -406,7 +410,7 @@
         let Some(grant) = self.nodes[node].may_send(to, SERVICE) else {
             return self.end(node, request, attempt, AttemptEnd::NotSent);
         };
-        let fingerprint = self.fingerprints[&request];
+        let Some(fingerprint) = self.fingerprints.get(&request).copied() else { return };
         let target = &self.targets[index];
         if target.returns.is_some() {
             return self.end(node, request, attempt, AttemptEnd::NotSent);
@@ -426,7 +430,7 @@
         let started_ms = target.listed.started_ms;
         self.targets[index].running.push(RunningCall { node, request, attempt, fingerprint });
         if fingerprint == CULPRIT {
-            return self.after(FUSE, WorldEvent::Crash { target: index, started_ms });
+            return self.after(TIME_TO_CRASH, WorldEvent::Crash { target: index, started_ms });
         }
         if self.rng.random_bool(self.plan.breaks) {
             self.targets[index].running.pop();
@@ -461,7 +465,7 @@
             self.tally.crashes.push(self.now - self.start);
         }
         for call in broken {
-            // The answer to a request that is sent silently never comes; its sender gives up after its patience.
+            // A silent target's connections stay open, so that the sender waits until its patience is over.
             let time = if self.plan.silent { Duration::from_secs(4) } else { HOP };
             let RunningCall { node, request, attempt, .. } = call;
             self.after(time, WorldEvent::End { node, request, attempt, end: AttemptEnd::Broken });
@@ -469,7 +473,7 @@
     }
 
     fn end(&mut self, node: usize, request: RequestId, attempt: AttemptNumber, end: AttemptEnd) {
-        let Some((_, target)) = self.requests.get(&request).cloned() else { return };
+        let Some(target) = self.dispatched.get(&request).cloned() else { return };
         self.decide(node, |node, now, actions| {
             node.end_attempt(now, (request, attempt), &target, end, actions);
         });
@@ -479,7 +483,3 @@
 fn centre(index: u8) -> &'static str {
     ["north", "south", "west"][usize::from(index) % 3]
 }
-
-fn new_node(index: u8, first_start: bool, now: Instant) -> FleetNode {
-    node_in(centre(index), index, first_start, now)
-}
--- a/crates/tarragon-fleet/tests/fleet/support.rs
+++ b/crates/tarragon-fleet/tests/fleet/support.rs
@@ -95,7 +95,11 @@
 }
 
 pub fn node_in(data_centre: &str, index: u8, first_start: bool, now: Instant) -> FleetNode {
-    let settings = FleetSettings {
+    FleetNode::new(fleet_settings(data_centre, index, first_start), 7, now)
+}
+
+pub fn fleet_settings(data_centre: &str, index: u8, first_start: bool) -> FleetSettings {
+    FleetSettings {
         vm: format!("vm-{index}").into(),
         data_centre: data_centre.into(),
         incarnation: u64::from(index) + u64::from(first_start),
@@ -104,8 +108,7 @@
         first_start,
         bounds: FleetBounds { retry_ratio: 0.2, retry_slack: 50.0, quota: BOUNDS },
         limits: SchedulerLimits::default(),
-    };
-    FleetNode::new(settings, 7, now)
+    }
 }
 
 /// A fleet whose digests all arrive at once.
