--- a/crates/tarragon-fleet/tests/fleet/main.rs
+++ b/crates/tarragon-fleet/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 
 mod crash_world;
 mod crashing;
+mod crashing_parts;
 mod directory;
 mod fleet_network;
 mod limit_world;
--- a/crates/tarragon-gateway/src/caller.rs
+++ b/crates/tarragon-gateway/src/caller.rs
@@ -30,6 +30,8 @@
 
 /// Longest wait for the next part of a caller's body.
 const BODY_PART_TIMEOUT: Duration = Duration::from_secs(5);
+/// Most prompt parts in the log line of a request.
+const MAX_LOGGED_PARTS: usize = 8;
 
 /// Answers a caller's request.
 pub async fn handle<D>(
@@ -207,6 +209,7 @@
         service = &*call.routed.service,
         rank = route.tier.name(),
         prompt_tokens = call.generation.as_ref().map(|size| size.prompt_tokens),
+        parts = call.generation.as_ref().map(shared_part_ids),
         allowed_ms = call.deadline.remaining(&context.clock).as_millis() as u64,
         open = context.metrics.open_requests.get(),
         "request received"
@@ -220,6 +223,13 @@
     context.metrics.open_requests.dec();
 }
 
+/// Ids of the first shared parts of a prompt, for logs. The last part belongs to the request alone.
+fn shared_part_ids(generation: &GenerationHead) -> String {
+    let shared = generation.parts.len().saturating_sub(1);
+    let ids = generation.parts[..shared].iter().take(MAX_LOGGED_PARTS);
+    Vec::from_iter(ids.map(|(id, _)| format!("{id:x}"))).join(",")
+}
+
 fn call_order(call: &ForwardCall) -> AdmissionRequest {
     AdmissionRequest {
         request: call.request,
