Treat an unframed stream that ends before its first event as broken

A target's stream may come with neither a length nor chunks and end with its connection. If the target crashed after the head of such an answer and before the first event, the stream was taken for complete: the caller got an empty answer that looked whole, and the target's crash was counted as a finished request.

The new case "unframed, closed before its first event, and sent again" failed before (no event instead of event 1). The four other unframed cases (complete; closed inside an event, with and without resumption; reset after an event) passed before and stay as tests.

--- a/crates/tarragon-gateway/src/forward/stream.rs
+++ b/crates/tarragon-gateway/src/forward/stream.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Response, StatusCode};
+use http::{HeaderMap, Response, StatusCode, header};
 use http_body_util::BodyExt;
 use tarragon_fleet::prelude::*;
 use tarragon_server::{
@@ -134,7 +134,8 @@
             self.report_progress(order, &mut progress, false);
         }
         self.report_progress(order, &mut progress, true);
-        if splitter.has_partial_event() {
+        let is_empty = progress.events == 0 && self.sink.position.is_none();
+        if splitter.has_partial_event() || is_empty && is_unframed(&head.headers) {
             return self.end_stream(order, &mut progress, AttemptEnd::Broken);
         }
         self.sink.begin(head.status, headers);
@@ -217,6 +218,13 @@
     }
 }
 
+/// Whether the end of an answer shows only by the end of its connection. A target that has crashed before its
+/// first event leaves such an answer empty.
+fn is_unframed(headers: &HeaderMap) -> bool {
+    !headers.contains_key(header::CONTENT_LENGTH)
+        && !headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Ends a stream whose caller does not read it: it would occupy a slot at the target that others wait for.
 fn caller_not_reading() -> AttemptReport<ForwardAnswer> {
     let message = "the caller did not take its answer in time";
