Blame prompt parts for crashes that requests of all kinds share

Blame was kept for whole requests only, by fingerprint, so that each new request started without any.

Requests and shared prompt parts are now two kinds of cause in one table. A finish with a part, at any process, clears it of the crashes before. Causes are assessed together: one that explains several crashes takes them from those that are less likely. Breaks are told to peers before they are confirmed, and each process that sees the target's process end confirms them. A part is held at its third crash (the fifth if requests with it have finished before), requests wait 2 s at most for that, and processes take turns to try a convicted part again.

Three faults showed on the way and are part of the fix: crashes in a chain counted as one moment, memories of which crashes were the latest ping-ponged between processes, and only the process that had seen a break could confirm it. Ruled out: crashes after the first events were counted before, too.

Tests that build SuspectEntry use its new form and check what they did.

--- a/crates/tarragon-cluster/src/broadcast.rs
+++ b/crates/tarragon-cluster/src/broadcast.rs
@@ -5,6 +5,8 @@
 
 use indexmap::IndexMap;
 
+use tarragon_protocol::peer::{CrashSighting, SuspectCause};
+
 use crate::prelude::*;
 
 /// Time for which a finding about a request is kept.
@@ -30,7 +32,7 @@
 /// Known suspects and successors.
 #[derive(Debug, Default)]
 pub struct BroadcastTable {
-    suspects: IndexMap<Fingerprint, BroadcastItem<SuspectEntry>>,
+    suspects: IndexMap<SuspectCause, BroadcastItem<SuspectEntry>>,
     successors: IndexMap<PeerIdentity, BroadcastItem<SuccessorEntry>>,
 }
 
@@ -39,14 +41,16 @@
     pub fn merge_suspect(&mut self, entry: &SuspectEntry, now: Instant) -> bool {
         let at = event_time(now, entry.age_ms);
         let Some(at) = at.filter(|at| now - *at < SUSPECT_LIFETIME) else { return false };
-        let Some(known) = self.suspects.get_mut(&entry.fingerprint) else {
+        let Some(known) = self.suspects.get_mut(&entry.cause) else {
             evict_oldest_if_full(&mut self.suspects);
             let item = BroadcastItem { entry: entry.clone(), at, times_sent: 0 };
-            self.suspects.insert(entry.fingerprint, item);
+            self.suspects.insert(entry.cause, item);
             return true;
         };
-        let new = entry.crashes.iter().filter(|crash| !known.entry.crashes.contains(crash));
-        let new: Vec<(TargetName, u64)> = new.cloned().collect();
+        let is_known =
+            |new: &CrashSighting| known.entry.crashes.iter().any(|known| known.is_same_crash(new));
+        let new = entry.crashes.iter().filter(|crash| !is_known(crash));
+        let new: Vec<CrashSighting> = new.cloned().collect();
         let convicted = entry.convicted && !known.entry.convicted;
         if new.is_empty() && !convicted {
             return false;
--- a/crates/tarragon-cluster/tests/cluster_world.rs
+++ b/crates/tarragon-cluster/tests/cluster_world.rs
@@ -317,10 +317,8 @@
 fn suspects_and_successors_reach_members_that_start_later() {
     let mut world = started_world(4, 1, 8);
     let entry = SuspectEntry {
-        fingerprint: 9,
-        crashes: vec![("dc0-runner-000".into(), 1)],
         convicted: true,
-        age_ms: 0,
+        ..SuspectEntry::of_request(9, [("dc0-runner-000".into(), 1)])
     };
     world.handle(0, ClusterEvent::SuspectFound(entry));
     let owner = PeerIdentity { vm: "gone".into(), incarnation: 3 };
@@ -487,8 +485,7 @@
         world.start_node(vm, &vm[..1], index as u64 + 1);
     }
     world.run_until(20 * SECOND, all_ready).expect("all nodes become ready");
-    let crashes = vec![("a-runner-000".into(), 1)];
-    let entry = SuspectEntry { fingerprint: 9, crashes, convicted: false, age_ms: 0 };
+    let entry = SuspectEntry::of_request(9, [("a-runner-000".into(), 1)]);
     world.handle(0, ClusterEvent::SuspectFound(entry));
     let owner = PeerIdentity { vm: "gone".into(), incarnation: 3 };
     let successor = PeerIdentity { vm: "a-1".into(), incarnation: 2 };
--- a/crates/tarragon-cluster/tests/peer_messages.rs
+++ b/crates/tarragon-cluster/tests/peer_messages.rs
@@ -173,10 +173,8 @@
         load_updates: names.iter().map(update).collect(),
         borrowed: vec![5],
         suspects: vec![SuspectEntry {
-            fingerprint: 1,
-            crashes: vec![("t".into(), 2)],
-            convicted: false,
             age_ms: 3,
+            ..SuspectEntry::of_request(1, [("t".into(), 2)])
         }],
         successors: Vec::new(),
     }
--- a/crates/tarragon-fleet/src/node.rs
+++ b/crates/tarragon-fleet/src/node.rs
@@ -254,6 +254,7 @@
         self.end_pauses(now, actions);
         self.update_targets(now, actions);
         self.pace_starts(now, actions);
+        self.update_trial_turn(now);
         self.schedule(now, SchedulerEvent::Tick, actions);
     }
 
--- a/crates/tarragon-fleet/src/node/admit.rs
+++ b/crates/tarragon-fleet/src/node/admit.rs
@@ -12,6 +12,9 @@
 /// Tokens per synthetic block of a shared prompt part: the same as in a block of a real prompt.
 const TOKENS_PER_PART_BLOCK: u32 = tarragon_protocol::identity::TOKENS_PER_BLOCK as u32;
 
+/// Most prompt parts of a request that are kept with it.
+const MAX_SHARED_PARTS: usize = 64;
+
 /// A request to be admitted.
 #[derive(Debug, Clone)]
 pub struct AdmissionRequest {
@@ -183,6 +186,7 @@
         deadline,
         idempotent: route.repeat != RepeatRule::AtMostOnce,
         fingerprint,
+        parts: generation.as_ref().map(shared_parts).unwrap_or_default(),
         options: CallOptions {
             max_attempts: route.max_attempts.max(1),
             first_output_objective: route.objective.map(|objective| arrived + objective),
@@ -204,6 +208,12 @@
     }
 }
 
+/// Ids of the parts of a prompt that other requests may share. The last part belongs to this request alone.
+fn shared_parts(generation: &GenerationHead) -> Vec<PartId> {
+    let shared = generation.parts.len().saturating_sub(1);
+    generation.parts[..shared].iter().map(|(part, _)| *part).take(MAX_SHARED_PARTS).collect()
+}
+
 /// Chained hashes that represent the shared parts of a prompt, as blocks of its prefix. The last part belongs
 /// to this request alone and is left out.
 fn prefix_block_hashes(parts: &[(u64, u32)]) -> Vec<BlockHash> {
--- a/crates/tarragon-fleet/src/node/limits.rs
+++ b/crates/tarragon-fleet/src/node/limits.rs
@@ -14,6 +14,13 @@
 };
 
 /// Fraction of the fleet's retry ratio that is used. The rest is left because the sums over all processes lag
+/// Length of one process's turn to try a suspected prompt part, and the time from its start in which a trial may
+/// begin. The rest is for its outcome to become known to all.
+const TRIAL_TURN: Duration = Duration::from_secs(3);
+const TRIAL_START_TIME: Duration = Duration::from_millis(500);
+/// Key by which processes are ordered for these turns.
+const TRIAL_RANK_KEY: u64 = 0;
+
 /// behind.
 const RETRY_RATIO_FRACTION: f64 = 0.85;
 /// Fraction of the fleet's retry slack that all processes together may accumulate.
@@ -157,6 +164,18 @@
         total / sharing + u32::from(rank < total % sharing)
     }
 
+    /// Tells the scheduler whether it is this process's turn to try a prompt part that is suspected of crashing
+    /// targets. Processes take turns on the clock that the fleet shares, so that few requests are at risk.
+    pub(super) fn update_trial_turn(&mut self, now: Instant) {
+        let time = self.clock.time(now).as_millis();
+        let turn = time / TRIAL_TURN.as_millis();
+        let is_open = time % TRIAL_TURN.as_millis() < TRIAL_START_TIME.as_millis();
+        let owner = turn % self.members.sharing().max(1) as u128;
+        let is_own = owner == self.members.rank(TRIAL_RANK_KEY) as u128;
+        let is_allowed = is_open && is_own && !self.is_settling(now);
+        self.scheduler.set_trial_turn(is_allowed.then_some(turn as u64));
+    }
+
     /// Requests per second that may start at a cold target of a service; `None` if there is no limit.
     fn cold_starts(&self, service: &str) -> Option<u32> {
         let service = self.operator_state.service_configuration(service)?;
--- a/crates/tarragon-fleet/tests/fleet/crashing.rs
+++ b/crates/tarragon-fleet/tests/fleet/crashing.rs
@@ -138,11 +138,11 @@
 
 fn suspect(fingerprint: Fingerprint, convicted: bool) -> SchedulerEvent {
     let crash = |restart| (TargetName::from("10.9.0.1:80"), restart);
+    let crashes = (0..1 + u64::from(convicted)).map(crash);
     SchedulerEvent::SuspectReported(SuspectEntry {
-        fingerprint,
-        crashes: (0..1 + u64::from(convicted)).map(crash).collect(),
         convicted,
         age_ms: 100,
+        ..SuspectEntry::of_request(fingerprint, crashes)
     })
 }
 
--- a/crates/tarragon-fleet/tests/fleet/crashing_parts.rs
+++ b/crates/tarragon-fleet/tests/fleet/crashing_parts.rs
@@ -51,28 +51,26 @@
     faults
 }
 
-fn assert_contained_in(plan: &CrashPlan, seeds: u64) {
-    let mut found = Vec::new();
-    for seed in 0..seeds {
+/// Plays a plan with several seeds and tells those in which a rule was broken.
+fn broken_plays(plan: &CrashPlan, seeds: u64) -> Vec<(&'static str, u64, Vec<String>)> {
+    let play = |seed| {
         let tally = CrashWorld::play(plan, seed);
         let crashes: usize = tally.parts.values().map(|part| part.crashes.len()).sum();
         assert!(crashes >= 2, "{}: no request with the part ran", plan.name);
-        let faults = faults(plan, &tally);
-        if !faults.is_empty() {
-            found.push((seed, faults));
-        }
-    }
-    assert!(found.is_empty(), "{}, {} of {seeds} seeds: {found:#?}", plan.name, found.len());
+        (plan.name, seed, faults(plan, &tally))
+    };
+    (0..seeds).map(play).filter(|(.., faults)| !faults.is_empty()).collect()
 }
 
-fn assert_contained(plan: &CrashPlan) {
-    assert_contained_in(plan, seeds());
+fn assert_contained(plan: &CrashPlan, seeds: u64) {
+    let found = broken_plays(plan, seeds);
+    assert!(found.is_empty(), "{} of {seeds} seeds: {found:#?}", found.len());
 }
 
 /// Guards against a prompt part that crashes one target after the other under requests that are all different.
 #[test]
 fn a_crashing_prompt_part_is_stopped() {
-    assert_contained(&part_plan("one part", PromptPlan::default()));
+    assert_contained(&part_plan("one part", PromptPlan::default()), seeds());
 }
 
 struct PartCase {
@@ -168,10 +166,12 @@
 /// Guards against blame for a crash that goes to a sound part, or is lost or not told in time.
 #[test]
 fn a_crashing_prompt_part_is_stopped_in_other_conditions() {
-    for case in CASES {
+    let play = |case: &PartCase| {
         println!("{}", case.name);
-        assert_contained_in(&(case.plan)(), seeds().div_ceil(case.seeds_per));
-    }
+        broken_plays(&(case.plan)(), seeds().div_ceil(case.seeds_per))
+    };
+    let found: Vec<_> = CASES.iter().flat_map(play).collect();
+    assert!(found.is_empty(), "{found:#?}");
 }
 
 /// Guards against verdicts that arrive too late where each process hears from a few of the others at a time.
@@ -185,7 +185,7 @@
         other_crashes: Duration::from_secs(2),
         ..part_plan("three hundred", PromptPlan { bad_rate: 12.0, ..PromptPlan::default() })
     };
-    assert_contained_in(&plan, seeds().div_ceil(24));
+    assert_contained(&plan, seeds().div_ceil(24));
 }
 
 /// Guards against conditions that nobody has thought of: each seed draws a plan of its own.
--- a/crates/tarragon-gateway/src/shared_node.rs
+++ b/crates/tarragon-gateway/src/shared_node.rs
@@ -141,10 +141,10 @@
             }
             SchedulerAction::AnnounceSuspect(entry) => {
                 tracing::warn!(
-                    fingerprint = entry.fingerprint,
+                    cause = %entry.cause,
                     crashes = entry.crashes.len(),
                     convicted = entry.convicted,
-                    "request is suspected of crashing targets"
+                    "peers are told what may crash targets"
                 );
                 self.urgent_digest.notify_one();
             }
--- a/crates/tarragon-lab/src/soak/world/request.rs
+++ b/crates/tarragon-lab/src/soak/world/request.rs
@@ -131,6 +131,7 @@
         let process = self.vms[vm].process.as_mut();
         let request = process.map_or(0, |process| process.next_request());
         RequestProfile {
+            parts: Vec::new(),
             request,
             workspace: call.workspace,
             service: call.service,
--- a/crates/tarragon-node/tests/ticket.rs
+++ b/crates/tarragon-node/tests/ticket.rs
@@ -102,6 +102,7 @@
             body: body.as_bytes().to_vec(),
         };
         let profile = RequestProfile {
+            parts: Vec::new(),
             request,
             workspace: "depot".into(),
             service: SERVICE.into(),
--- a/crates/tarragon-protocol/src/identity.rs
+++ b/crates/tarragon-protocol/src/identity.rs
@@ -41,6 +41,9 @@
 /// Hash of workspace, service, model and prompt; the same each time one request is sent.
 pub type Fingerprint = u64;
 
+/// Id of a part of a prompt. Equal ids stand for equal content.
+pub type PartId = u64;
+
 /// Identifies one run of a target's process; it changes at each restart.
 pub type RestartId = u64;
 
--- a/crates/tarragon-protocol/src/peer.rs
+++ b/crates/tarragon-protocol/src/peer.rs
@@ -1,5 +1,7 @@
 //! Messages exchanged by entry VMs.
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 
 use crate::{engine::OrderChange, identity::TicketSequence, platform::ListedVm, prelude::*};
@@ -100,19 +102,82 @@
     pub age_ms: u64,
 }
 
-/// A request that is suspected or confirmed to crash targets.
+/// What may crash the targets that run it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum SuspectCause {
+    /// A request, each time that it is sent.
+    Request(Fingerprint),
+    /// All requests with a part of a prompt.
+    Part(PartId),
+}
+
+impl fmt::Display for SuspectCause {
+    /// Part ids are hexadecimal, as callers write them.
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            SuspectCause::Request(fingerprint) => write!(formatter, "request {fingerprint}"),
+            SuspectCause::Part(part) => write!(formatter, "part {part:x}"),
+        }
+    }
+}
+
+/// A connection that broke while a target ran something suspected.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashSighting {
+    /// Target.
+    pub target: TargetName,
+    /// Restart id of the target's process before the crash.
+    pub restart: u64,
+    /// Milliseconds from the break to the last crash of the entry.
+    pub before_ms: u64,
+    /// Whether the target's process is known to have crashed.
+    pub confirmed: bool,
+}
+
+impl CrashSighting {
+    /// Whether two sightings are of the same crash.
+    pub fn is_same_crash(&self, other: &CrashSighting) -> bool {
+        (&self.target, self.restart) == (&other.target, other.restart)
+    }
+}
+
+/// A request or prompt part that is suspected or confirmed to crash targets.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectEntry {
-    /// Fingerprint of the request.
-    pub fingerprint: Fingerprint,
-    /// Up to two targets that crashed while they ran the request, each with its restart id before the crash.
-    pub crashes: Vec<(TargetName, u64)>,
-    /// Whether the request is confirmed to crash targets, so that all processes refuse it.
+    /// What is suspected.
+    pub cause: SuspectCause,
+    /// Position of a part in prompts; the largest number for a request.
+    pub depth: u16,
+    /// The latest crashes.
+    pub crashes: Vec<CrashSighting>,
+    /// Milliseconds from the last crash to the last known finish of a request with this cause; negative if it
+    /// was earlier. `None` if none is known.
+    pub finished_after_ms: Option<i64>,
+    /// Whether the sender refuses it, since it is confirmed to crash targets.
     pub convicted: bool,
     /// Milliseconds since the last crash.
     pub age_ms: u64,
 }
 
+impl SuspectEntry {
+    /// An entry of a request with confirmed crashes at one time.
+    pub fn of_request<C>(fingerprint: Fingerprint, crashes: C) -> SuspectEntry
+    where
+        C: IntoIterator<Item = (TargetName, u64)>,
+    {
+        let sighting =
+            |(target, restart)| CrashSighting { target, restart, before_ms: 0, confirmed: true };
+        SuspectEntry {
+            cause: SuspectCause::Request(fingerprint),
+            depth: u16::MAX,
+            crashes: crashes.into_iter().map(sighting).collect(),
+            finished_after_ms: None,
+            convicted: false,
+            age_ms: 0,
+        }
+    }
+}
+
 /// Names the process that has taken over the ticket records of a process that has ended.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuccessorEntry {
--- a/crates/tarragon-protocol/src/prelude.rs
+++ b/crates/tarragon-protocol/src/prelude.rs
@@ -3,7 +3,8 @@
 pub use crate::finding::{Finding, FindingList, SourceLocation};
 pub use crate::identity::{
     AttemptNumber, BlockHash, ConfigurationVersion, DataCentreName, FencingNumber, Fingerprint,
-    Incarnation, ModelName, RequestId, RestartId, ServiceName, TargetName, VmName, WorkspaceName,
+    Incarnation, ModelName, PartId, RequestId, RestartId, ServiceName, TargetName, VmName,
+    WorkspaceName,
 };
 pub use crate::load::{LoadReport, TargetState};
 pub use crate::outcome::{CallOutcome, Refusal, RefusalCode};
--- a/crates/tarragon-protocol/src/request.rs
+++ b/crates/tarragon-protocol/src/request.rs
@@ -22,6 +22,8 @@
     pub idempotent: bool,
     /// Hash that is the same each time one request is sent.
     pub fingerprint: Fingerprint,
+    /// Parts of the prompt that other requests may share, in order.
+    pub parts: Vec<PartId>,
     /// Model call or plain call.
     pub kind: CallKind,
     /// What the route of the request allows.
--- a/crates/tarragon-scheduler/benches/decision.rs
+++ b/crates/tarragon-scheduler/benches/decision.rs
@@ -112,6 +112,7 @@
             .extend((0..PREFIX_BLOCKS).map(|block| mix(prefix << 40 | conversation << 8 | block)));
         let workspace = self.rng.random_range(0..self.workspaces.len());
         let profile = RequestProfile {
+            parts: Vec::new(),
             request,
             workspace: self.workspaces[workspace].clone(),
             service: "pool".into(),
--- a/crates/tarragon-scheduler/src/inflight.rs
+++ b/crates/tarragon-scheduler/src/inflight.rs
@@ -3,8 +3,11 @@
 use std::time::Instant;
 
 use indexmap::IndexMap;
+use tarragon_protocol::peer::SuspectCause;
 
-use crate::{hash::NumberHash, job::Job, prelude::*, targets::estimate::CostEstimate};
+use crate::{
+    hash::NumberHash, job::Job, prelude::*, suspect::CauseList, targets::estimate::CostEstimate,
+};
 
 /// Reason for cancelling an attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -50,8 +53,8 @@
     pub cached_part: Option<f32>,
     /// Answer tokens that the workspace has been charged for.
     pub charged: u32,
-    /// Whether it was dispatched as a suspect.
-    pub suspect: bool,
+    /// Causes for which it was dispatched as a suspect.
+    pub suspect_causes: CauseList,
     /// Reason of the cancellation, once one was requested.
     pub cancel: Option<CancelCause>,
 }
@@ -60,10 +63,17 @@
 #[derive(Debug, Default)]
 pub struct InFlightTable {
     attempts: IndexMap<RequestId, RunningAttempt, NumberHash>,
-    suspects: IndexMap<Fingerprint, u32, NumberHash>,
+    suspects: IndexMap<SuspectCause, u32, NumberHash>,
     preempting: usize,
 }
 
+impl RunningAttempt {
+    /// Whether it was dispatched as a suspect.
+    pub fn is_suspect(&self) -> bool {
+        !self.suspect_causes.is_empty()
+    }
+}
+
 impl InFlightTable {
     /// Number of attempts.
     pub fn len(&self) -> usize {
@@ -80,9 +90,9 @@
         self.suspects.len()
     }
 
-    /// Whether a request with this fingerprint runs as a suspect.
-    pub fn runs_suspect(&self, fingerprint: Fingerprint) -> bool {
-        self.suspects.contains_key(&fingerprint)
+    /// Whether a request runs as a suspect because of one of these causes.
+    pub fn runs_suspect(&self, causes: &[SuspectCause]) -> bool {
+        causes.iter().any(|cause| self.suspects.contains_key(cause))
     }
 
     /// The attempt of a request.
@@ -112,8 +122,8 @@
 
     /// Adds an attempt.
     pub fn insert(&mut self, running: RunningAttempt) {
-        if running.suspect {
-            *self.suspects.entry(running.job.profile.fingerprint).or_default() += 1;
+        for cause in &running.suspect_causes {
+            *self.suspects.entry(*cause).or_default() += 1;
         }
         self.attempts.insert(running.job.request(), running);
     }
@@ -122,12 +132,11 @@
     pub fn remove(&mut self, request: RequestId, attempt: AttemptNumber) -> Option<RunningAttempt> {
         self.attempts.get(&request).filter(|running| running.attempt == attempt)?;
         let running = self.attempts.swap_remove(&request)?;
-        if running.suspect {
-            let fingerprint = running.job.profile.fingerprint;
-            if let Some(count) = self.suspects.get_mut(&fingerprint) {
+        for cause in &running.suspect_causes {
+            if let Some(count) = self.suspects.get_mut(cause) {
                 *count -= 1;
                 if *count == 0 {
-                    self.suspects.swap_remove(&fingerprint);
+                    self.suspects.swap_remove(cause);
                 }
             }
         }
--- a/crates/tarragon-scheduler/src/job.rs
+++ b/crates/tarragon-scheduler/src/job.rs
@@ -62,6 +62,8 @@
     pub overtaken_count: u8,
     /// How often it was pre-empted.
     pub preemptions: u8,
+    /// Since when it is held because it may crash targets.
+    pub held_since: Option<Instant>,
     /// After this time no target can finish it before the deadline, or begin the answer before the caller
     /// gives up.
     pub latest_start: Instant,
@@ -91,6 +93,7 @@
             delivered: 0,
             overtaken_count: 0,
             preemptions: 0,
+            held_since: None,
         }
     }
 
--- a/crates/tarragon-scheduler/src/queue.rs
+++ b/crates/tarragon-scheduler/src/queue.rs
@@ -177,6 +177,11 @@
         self.entries.get(&request).map(|entry| &entry.job)
     }
 
+    /// A waiting request, to change what the order of the queue doesn't depend on.
+    pub fn get_mut(&mut self, request: RequestId) -> Option<&mut Job> {
+        self.entries.get_mut(&request).map(|entry| &mut entry.job)
+    }
+
     /// All waiting requests.
     pub fn iter(&self) -> impl Iterator<Item = &Job> {
         self.entries.values().map(|entry| &entry.job)
--- a/crates/tarragon-scheduler/src/scheduler.rs
+++ b/crates/tarragon-scheduler/src/scheduler.rs
@@ -221,6 +221,7 @@
             SchedulerEvent::DrainStarted => self.draining = true,
             SchedulerEvent::Tick => self.tick(now, actions),
         }
+        self.assess_suspects(false, None, now, actions);
         self.queue.release_due(now);
         self.refuse_past_latest_start(now, actions);
         self.dispatch(now, actions);
@@ -262,12 +263,17 @@
         self.invariants.set_strict(strict);
     }
 
-    /// Returns up to `most` suspected or convicted requests for the next digest.
+    /// Returns up to `most` suspected or convicted causes for the next digest.
     pub fn suspects_for_digest(&mut self, most: usize, now: Instant) -> Vec<SuspectEntry> {
         self.suspects.next_for_digest(most, now)
     }
 
-    /// Number of requests currently suspected or convicted of crashing targets.
+    /// Sets the number of the turn in which this process may try a suspected prompt part; `None` while it has none.
+    pub fn set_trial_turn(&mut self, turn: Option<u64>) {
+        self.suspects.set_trial_turn(turn);
+    }
+
+    /// Number of requests and prompt parts currently suspected or convicted of crashing targets.
     pub fn suspect_count(&self) -> usize {
         self.suspects.active_count()
     }
--- a/crates/tarragon-scheduler/src/scheduler/arrival.rs
+++ b/crates/tarragon-scheduler/src/scheduler/arrival.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use tarragon_protocol::peer::SuspectCause;
+
 use crate::{
     admission::{AdmissionVerdict, AdmissionView},
     cost,
@@ -33,6 +35,16 @@
 /// Refusal message while all targets of a service have asked to receive no requests.
 const ALL_PAUSED_MESSAGE: &str = "all targets of the service want no requests for a while";
 
+/// Why a request with a convicted cause is refused.
+pub(super) fn conviction_message(cause: SuspectCause) -> &'static str {
+    match cause {
+        SuspectCause::Request(_) => "targets crashed while they ran this request",
+        SuspectCause::Part(_) => {
+            "targets crashed while they ran requests with a part of this prompt"
+        }
+    }
+}
+
 impl Scheduler {
     /// Refuses the waiting requests of a pool if all of its targets have paused. The retry-after time tells
     /// callers when the first target accepts requests again.
@@ -90,9 +102,9 @@
         if profile.deadline <= now {
             return Err(Refusal::not_run(RefusalCode::DeadlineExceeded, "the deadline has passed"));
         }
-        if self.suspects.check(profile.fingerprint, now) == Suspicion::Convicted {
-            let message = "two targets crashed while they ran this request";
-            let refusal = Refusal::not_run(RefusalCode::CrashesTargets, message);
+        let (cause, suspicion) = self.suspects.check_request(profile, now);
+        if suspicion == Suspicion::Convicted && !self.suspects.may_try(profile, now) {
+            let refusal = Refusal::not_run(RefusalCode::CrashesTargets, conviction_message(cause));
             return Err(refusal.with_retry_after(SUSPECT_LIFETIME));
         }
         let models = self.targets.models.find(profile.model_call().map(|call| &call.model));
--- a/crates/tarragon-scheduler/src/scheduler/attempt.rs
+++ b/crates/tarragon-scheduler/src/scheduler/attempt.rs
@@ -184,7 +184,7 @@
             balanced &= row.in_flight > 0 && row.by_tier[tier] > 0;
             row.in_flight = row.in_flight.saturating_sub(1);
             row.by_tier[tier] = row.by_tier[tier].saturating_sub(1);
-            row.suspects[tier] = row.suspects[tier].saturating_sub(u32::from(running.suspect));
+            row.suspects[tier] = row.suspects[tier].saturating_sub(u32::from(running.is_suspect()));
             balanced &= row.pending_prefill >= running.pending;
             row.pending_prefill = row.pending_prefill.saturating_sub(running.pending);
         }
@@ -257,7 +257,7 @@
     ) {
         let job = &running.job;
         let total = job.delivered.saturating_add(running.tokens);
-        self.suspects.clear(job.profile.fingerprint, now);
+        self.suspects.clear(&job.profile, running.first_token.is_some(), now);
         if job.model().is_none() {
             self.targets.record_processed(job.pool, job.tokens());
         }
--- a/crates/tarragon-scheduler/src/scheduler/crash.rs
+++ b/crates/tarragon-scheduler/src/scheduler/crash.rs
@@ -37,11 +37,11 @@
         let attempt = BrokenAttempt::of(running, now, abandoned);
         if row.listed && row.restart == attempt.restart {
             if row.broken.len() < MAX_BROKEN {
-                row.broken.push(attempt);
                 if !abandoned {
                     let crash_id = attempt.crash_id(&row.name);
-                    self.suspects.add_possible_crash(attempt.fingerprint, crash_id, now);
+                    self.suspects.add_possible_crash(&attempt.causes, &crash_id, now);
                 }
+                row.broken.push(attempt);
             }
             return;
         }
@@ -66,6 +66,11 @@
             self.record_crashes(target, now, |_| true, actions);
             self.record_crashes_of_waiting(target, ended.restart, now, actions);
         }
+        // Peers may have told of connections of theirs that broke.
+        if let Some(row) = self.targets.row(target) {
+            let crash = (row.name.clone(), ended.restart);
+            self.suspects.record_process_end(&crash, ended.planned, now);
+        }
     }
 
     /// Records a crash for attempts that still wait for the first token of an ended process. Their own
@@ -130,17 +135,22 @@
         actions: &mut Vec<SchedulerAction>,
     ) {
         let Some(row) = self.targets.row(target) else { return };
-        let BrokenAttempt { fingerprint, broken, .. } = attempt;
+        let BrokenAttempt { broken, .. } = attempt;
         let crash_id = attempt.crash_id(&row.name);
         tracing::info!(
             target_address = &*crash_id.0,
-            fingerprint,
+            fingerprint = attempt.fingerprint(),
             restart = crash_id.1,
             abandoned = attempt.abandoned,
             age_ms = now.saturating_duration_since(broken).as_millis() as u64,
             "target crashed while the request ran"
         );
-        if let Some(entry) = self.suspects.confirm_crash(fingerprint, crash_id, broken, now) {
+        let is_news = self.suspects.confirm_crash(&attempt.causes, &crash_id, broken, now);
+        self.assess_suspects(false, None, now, actions);
+        let request = attempt.causes.first().filter(|_| is_news);
+        let entry = request.and_then(|request| self.suspects.entry(*request, now));
+        // Convictions have been announced.
+        if let Some(entry) = entry.filter(|entry| !entry.convicted) {
             self.announce_suspect(entry, actions);
         }
     }
@@ -207,10 +217,12 @@
             broken.extract_if(.., |attempt| is_harmless(attempt)).collect();
         for attempt in dismissed {
             log_dismissal(name, &attempt, cause, now);
-            let same =
-                |kept: &BrokenAttempt| kept.fingerprint == attempt.fingerprint && !kept.abandoned;
-            if !attempt.abandoned && !broken.iter().any(same) {
-                self.suspects.dismiss(attempt.fingerprint, &attempt.crash_id(name));
+            let crash_id = attempt.crash_id(name);
+            for cause in attempt.causes.iter().filter(|_| !attempt.abandoned) {
+                let same = |kept: &BrokenAttempt| kept.causes.contains(cause) && !kept.abandoned;
+                if !broken.iter().any(same) {
+                    self.suspects.dismiss(*cause, &crash_id);
+                }
             }
         }
     }
@@ -241,7 +253,7 @@
     let age = now.saturating_duration_since(attempt.broken);
     tracing::info!(
         target_address = &**target,
-        fingerprint = attempt.fingerprint,
+        fingerprint = attempt.fingerprint(),
         cause,
         age_ms = age.as_millis() as u64,
         "broken connection doesn't count as a crash"
--- a/crates/tarragon-scheduler/src/scheduler/dispatch.rs
+++ b/crates/tarragon-scheduler/src/scheduler/dispatch.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use tarragon_protocol::peer::SuspectCause;
+
 use crate::{
     choose::{ChooseCandidate, ChooseView},
     inflight::RunningAttempt,
@@ -10,15 +12,20 @@
     prelude::*,
     queue::WaitState,
     scheduler::{
-        Scheduler,
+        RETRY_AFTER, Scheduler,
+        arrival::conviction_message,
         candidate::{ChoiceBounds, may_run_suspect},
     },
-    suspect::{SUSPECT_LIFETIME, Suspicion},
+    suspect::{CauseList, SUSPECT_LIFETIME, Suspicion},
 };
 
 /// A request that no open target can take is deferred for this time, so that it doesn't block those behind it.
 const RECHECK_DELAY: Duration = Duration::from_millis(50);
 
+/// Longest time for which a request is held because of a part of its prompt. By then the crashes are confirmed
+/// or dismissed, or the caller is better off with an answer.
+const MAX_HOLD_TIME: Duration = Duration::from_secs(2);
+
 /// Maximum requests of one lane and tier that one event processes, so that its cost is bounded. The next event
 /// continues.
 const MAX_STEPS_PER_LANE: usize = 64;
@@ -34,16 +41,18 @@
 
 /// Decision about the next request of a lane.
 enum DispatchStep {
-    /// Send it to the target; the flag tells whether it runs as a suspect.
-    Send(ChooseCandidate, bool),
+    /// Send it to the target; the causes are those for which it runs as a suspect.
+    Send(ChooseCandidate, CauseList),
     /// Park it: its workspace is at its concurrency limit.
     Park,
     /// Defer it: no open target can take it, but one may take the next request.
     Defer,
     /// Stop: no target is open to the lane.
     Closed,
+    /// Hold it: it may crash targets, and it isn't known yet whether some have crashed.
+    Hold,
     /// Refuse it: it has crashed targets.
-    Convicted,
+    Convicted(SuspectCause),
 }
 
 impl Scheduler {
@@ -80,14 +89,15 @@
                 _ => self.plan_dispatch(request, now),
             };
             match step {
-                DispatchStep::Send(candidate, suspect) => {
-                    self.send(request, candidate, suspect, now, actions)
+                DispatchStep::Send(candidate, causes) => {
+                    self.send(request, candidate, causes, now, actions)
                 }
                 DispatchStep::Park => self.park(request),
                 DispatchStep::Defer => {
                     self.queue.set_state(request, WaitState::Deferred(now + RECHECK_DELAY))
                 }
-                DispatchStep::Convicted => self.refuse_convicted(request, actions),
+                DispatchStep::Hold => self.hold(request, now, actions),
+                DispatchStep::Convicted(cause) => self.refuse_convicted(request, cause, actions),
                 DispatchStep::Closed => {
                     if self.preemption_enabled
                         && tier == Tier::Urgent
@@ -134,16 +144,18 @@
         {
             return DispatchStep::Park;
         }
-        let fingerprint = job.profile.fingerprint;
-        let suspect = match self.suspects.check(fingerprint, now) {
-            Suspicion::None => false,
-            Suspicion::Suspect if self.in_flight.runs_suspect(fingerprint) => {
-                return DispatchStep::Defer;
-            }
-            Suspicion::Suspect => true,
-            Suspicion::Held => return DispatchStep::Defer,
-            Suspicion::Convicted => return DispatchStep::Convicted,
+        let (cause, suspicion) = self.suspects.check_request(&job.profile, now);
+        let is_trial = suspicion >= Suspicion::Held && self.suspects.may_try(&job.profile, now);
+        let causes = match suspicion {
+            Suspicion::None => CauseList::new(),
+            Suspicion::Held if !is_trial => return DispatchStep::Hold,
+            Suspicion::Convicted if !is_trial => return DispatchStep::Convicted(cause),
+            _ => self.suspects.causes_with(&job.profile, suspicion, now),
         };
+        if self.in_flight.runs_suspect(&causes) {
+            return DispatchStep::Defer;
+        }
+        let suspect = !causes.is_empty();
         let bounds = ChoiceBounds { suspect, suspects_run: self.in_flight.suspect_count() > 0 };
         self.candidates.collect(&self.targets, job, bounds);
         if self.candidates.items.is_empty() {
@@ -159,19 +171,22 @@
         });
         let candidates = &self.candidates.items;
         let candidate = candidates.get(position).unwrap_or(&candidates[0]);
-        DispatchStep::Send(*candidate, suspect)
+        if is_trial {
+            self.suspects.record_trial();
+        }
+        DispatchStep::Send(*candidate, causes)
     }
 
     fn send(
         &mut self,
         request: RequestId,
         candidate: ChooseCandidate,
-        suspect: bool,
+        causes: CauseList,
         now: Instant,
         actions: &mut Vec<SchedulerAction>,
     ) {
         let Some(mut job) = self.dequeue(request) else { return };
-        self.check_dispatch(&job, candidate.target, suspect, now);
+        self.check_dispatch(&job, candidate.target, !causes.is_empty(), now);
         self.queue.advance(job.lane, job.tier(), job.tags.0);
         self.targets.set_last(job.pool, candidate.target);
         job.attempts += 1;
@@ -181,7 +196,7 @@
             usage.in_flight += 1;
         }
         let attempt = job.attempts;
-        let Some(running) = self.reserve_slot(job, candidate, suspect, now) else { return };
+        let Some(running) = self.reserve_slot(job, candidate, causes, now) else { return };
         let Some(row) = self.targets.row(candidate.target) else { return };
         let target = row.name.clone();
         self.in_flight.insert(running);
@@ -193,7 +208,7 @@
         &mut self,
         job: Job,
         candidate: ChooseCandidate,
-        suspect: bool,
+        suspect_causes: CauseList,
         now: Instant,
     ) -> Option<RunningAttempt> {
         let estimate = candidate.estimate;
@@ -205,7 +220,7 @@
         row.in_flight += 1;
         row.starts.record(now);
         row.by_tier[tier] += 1;
-        row.suspects[tier] += u32::from(suspect);
+        row.suspects[tier] += u32::from(!suspect_causes.is_empty());
         row.pending_prefill += u64::from(uncached);
         self.targets.refresh(candidate.target, now);
         self.targets.prefixes.insert_prompt(candidate.target, job.blocks());
@@ -225,7 +240,7 @@
             ahead,
             cached_part: None,
             charged,
-            suspect,
+            suspect_causes,
             cancel: None,
         })
     }
@@ -244,9 +259,29 @@
         usage.parked.push_back(request);
     }
 
-    fn refuse_convicted(&mut self, request: RequestId, actions: &mut Vec<SchedulerAction>) {
+    /// Defers a request that may crash targets, or refuses it if that has taken too long.
+    fn hold(&mut self, request: RequestId, now: Instant, actions: &mut Vec<SchedulerAction>) {
+        let Some(job) = self.queue.get_mut(request) else { return };
+        let since = *job.held_since.get_or_insert(now);
+        if now.saturating_duration_since(since) < MAX_HOLD_TIME {
+            return self.queue.set_state(request, WaitState::Deferred(now + RECHECK_DELAY));
+        }
+        let Some(job) = self.dequeue_unserved(request) else { return };
+        let message =
+            "targets may have crashed while they ran this request or a part of its prompt";
+        let refusal = Scheduler::refusal_of(&job, RefusalCode::CrashesTargets, message)
+            .with_retry_after(RETRY_AFTER);
+        self.refuse(request, job.tier(), refusal, actions);
+    }
+
+    fn refuse_convicted(
+        &mut self,
+        request: RequestId,
+        cause: SuspectCause,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
         let Some(job) = self.dequeue_unserved(request) else { return };
-        let message = "targets crashed while they ran this request";
+        let message = conviction_message(cause);
         // The conviction holds this long on every VM. An earlier repeat could reach a VM that has not
         // received it yet and crash a third target.
         let refusal = Scheduler::refusal_of(&job, RefusalCode::CrashesTargets, message)
--- a/crates/tarragon-scheduler/src/scheduler/dump.rs
+++ b/crates/tarragon-scheduler/src/scheduler/dump.rs
@@ -42,7 +42,7 @@
     pub workspace_count: usize,
     /// Workspaces with the most requests.
     pub workspaces: Vec<WorkspaceDump>,
-    /// Request fingerprints in the suspect table.
+    /// Requests and prompt parts in the suspect table.
     pub suspects: usize,
     /// Number of learned answer lengths.
     pub length_estimates: usize,
--- a/crates/tarragon-scheduler/src/scheduler/explain.rs
+++ b/crates/tarragon-scheduler/src/scheduler/explain.rs
@@ -67,7 +67,7 @@
         let pool = self.targets.find_pool(&profile.service);
         let policy = PolicyChoice::select(&self.rules, &profile.service);
         let job = self.trial_job(profile, pool.unwrap_or(usize::MAX));
-        let suspicion = self.suspects.check(profile.fingerprint, now);
+        let (_, suspicion) = self.suspects.check_request(profile, now);
         let suspect = suspicion == Suspicion::Suspect;
         let bounds = ChoiceBounds { suspect, suspects_run: self.in_flight.suspect_count() > 0 };
         let mut candidates = CandidateList::default();
@@ -174,10 +174,11 @@
     plugin: &str,
 ) -> String {
     if suspicion == Suspicion::Convicted {
-        return "refused: targets crashed while they ran this request".to_owned();
+        return "refused: targets crashed while they ran this request or a part of its prompt"
+            .to_owned();
     }
     if suspicion == Suspicion::Held {
-        return "held: a second target may have crashed while it ran this request".to_owned();
+        return "held: targets may have crashed while they ran this request or a part of its prompt".to_owned();
     }
     if profile.tier < floor {
         return format!("shed: the floor is {floor}");
--- a/crates/tarragon-scheduler/src/scheduler/report.rs
+++ b/crates/tarragon-scheduler/src/scheduler/report.rs
@@ -2,11 +2,12 @@
 
 use std::time::{Duration, Instant};
 
-use tarragon_protocol::peer::SuspectEntry;
+use tarragon_protocol::peer::{SuspectCause, SuspectEntry};
 
 use crate::{
     prelude::*,
     scheduler::Scheduler,
+    suspect::{Suspicion, SuspicionChange},
     targets::{EndedProcess, starts::StartLimit},
 };
 
@@ -139,21 +140,48 @@
         now: Instant,
         actions: &mut Vec<SchedulerAction>,
     ) {
-        let known = self.suspects.check(entry.fingerprint, now);
-        let news = self.suspects.merge(entry, now);
-        let suspicion = self.suspects.check(entry.fingerprint, now);
-        if suspicion != known {
+        self.suspects.merge(entry, now);
+        for sighting in entry.crashes.iter().filter(|sighting| !sighting.confirmed) {
+            let row = self.targets.find(&sighting.target).and_then(|index| self.targets.row(index));
+            let ended = row.and_then(|row| row.ended);
+            if let Some(ended) = ended.filter(|ended| ended.restart == sighting.restart) {
+                let crash = (sighting.target.clone(), sighting.restart);
+                self.suspects.record_process_end(&crash, ended.planned, now);
+            }
+        }
+        self.assess_suspects(false, Some(entry), now, actions);
+    }
+
+    /// Assesses what may crash targets, if something has changed or `due` is set. Tells peers at once of what is
+    /// held or refused from now on, unless a peer has told so.
+    pub(super) fn assess_suspects(
+        &mut self,
+        due: bool,
+        told: Option<&SuspectEntry>,
+        now: Instant,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        for change in self.suspects.assess_changes(due, now) {
+            let SuspicionChange { before, after, entry } = change;
             tracing::info!(
-                fingerprint = entry.fingerprint,
+                cause = %entry.cause,
+                ?before,
+                ?after,
                 crashes = entry.crashes.len(),
-                convicted = entry.convicted,
+                confirmed = entry.crashes.iter().filter(|sighting| sighting.confirmed).count(),
                 age_ms = entry.age_ms,
-                ?suspicion,
-                "peer reported a request that may crash targets"
+                finished_after_ms = entry.finished_after_ms,
+                told_by_peer = told.is_some_and(|told| told.cause == entry.cause),
+                "suspicion of crashing targets has changed"
             );
-        }
-        if let Some(entry) = news {
-            self.announce_suspect(entry, actions);
+            let is_known = told.is_some_and(|told| told.cause == entry.cause && told.convicted);
+            let is_grave = match entry.cause {
+                SuspectCause::Request(_) => after == Suspicion::Convicted,
+                SuspectCause::Part(_) => after >= Suspicion::Held,
+            };
+            if is_grave && !is_known {
+                self.announce_suspect(entry, actions);
+            }
         }
     }
 
--- a/crates/tarragon-scheduler/src/scheduler/tick.rs
+++ b/crates/tarragon-scheduler/src/scheduler/tick.rs
@@ -29,6 +29,7 @@
         self.stop_attempts(now, actions);
         self.refuse_without_target(now, actions);
         self.dismiss_old_breaks(now);
+        self.assess_suspects(true, None, now, actions);
         let waiting = self.queue.len() as u32;
         self.limit_share = self.pressure.share(waiting, now);
         let last = *self.clocks.pools.get_or_insert(now);
--- a/crates/tarragon-scheduler/tests/random/world.rs
+++ b/crates/tarragon-scheduler/tests/random/world.rs
@@ -161,6 +161,7 @@
             }),
         };
         let profile = RequestProfile {
+            parts: Vec::new(),
             request,
             workspace: format!("w{workspace}").into(),
             service: format!("s{service}").into(),
@@ -302,10 +303,9 @@
         }),
         Step::ForgetPeer(index) => SchedulerEvent::PeerForgotten(peer(*index)),
         Step::Suspect(fingerprint, convicted) => SchedulerEvent::SuspectReported(SuspectEntry {
-            fingerprint: u64::from(*fingerprint),
-            crashes: vec![(target_name(0), 9)],
             convicted: *convicted,
             age_ms: 10,
+            ..SuspectEntry::of_request(u64::from(*fingerprint), [(target_name(0), 9)])
         }),
         Step::Rules(variant) => SchedulerEvent::RulesChanged(Arc::new(rules(*variant))),
         _ => SchedulerEvent::Tick,
--- a/crates/tarragon-scheduler/tests/rules/choice.rs
+++ b/crates/tarragon-scheduler/tests/rules/choice.rs
@@ -56,6 +56,7 @@
 
 fn profile(driver: &Driver) -> RequestProfile {
     RequestProfile {
+        parts: Vec::new(),
         request: 9_999,
         workspace: "depot".into(),
         service: "pool".into(),
--- a/crates/tarragon-scheduler/tests/rules/driver.rs
+++ b/crates/tarragon-scheduler/tests/rules/driver.rs
@@ -163,6 +163,7 @@
             }),
         };
         let profile = RequestProfile {
+            parts: Vec::new(),
             request,
             workspace: ask.workspace.into(),
             service: ask.service.into(),
--- a/crates/tarragon-scheduler/tests/rules/suspect.rs
+++ b/crates/tarragon-scheduler/tests/rules/suspect.rs
@@ -71,7 +71,9 @@
         let found = announced_suspects(&driver);
         assert_eq!(found.len(), usize::from(case.crash), "{}", case.name);
         for entry in found {
-            assert_eq!(entry.crashes, [(target.clone(), 1)], "{}", case.name);
+            let crashes: Vec<_> =
+                entry.crashes.iter().map(|one| (one.target.clone(), one.restart)).collect();
+            assert_eq!(crashes, [(target.clone(), 1)], "{}", case.name);
             assert!(!entry.convicted, "{}", case.name);
         }
     }
@@ -352,11 +354,10 @@
 }
 
 fn peer_report(crashes: &[(&str, u64)]) -> SchedulerEvent {
+    let crashes = crashes.iter().map(|(target, restart)| ((*target).into(), *restart));
     SchedulerEvent::SuspectReported(SuspectEntry {
-        fingerprint: SUSPECT_FINGERPRINT,
-        crashes: crashes.iter().map(|(target, restart)| ((*target).into(), *restart)).collect(),
-        convicted: false,
         age_ms: 100,
+        ..SuspectEntry::of_request(SUSPECT_FINGERPRINT, crashes)
     })
 }
 
@@ -410,10 +411,8 @@
     let mut driver = Driver::with_targets(1, 1);
     for fingerprint in 0..3_000 {
         driver.handle(SchedulerEvent::SuspectReported(SuspectEntry {
-            fingerprint,
-            crashes: vec![("t8".into(), fingerprint)],
             convicted: fingerprint == 0,
-            age_ms: 0,
+            ..SuspectEntry::of_request(fingerprint, [("t8".into(), fingerprint)])
         }));
     }
     assert_eq!(driver.scheduler.dump(driver.now).suspects, 1_024);
--- a/crates/tarragon-server/src/caller/chat.rs
+++ b/crates/tarragon-server/src/caller/chat.rs
@@ -55,6 +55,7 @@
     pub fn profile(&self) -> RequestProfile {
         let headers = &self.arrival.headers;
         RequestProfile {
+            parts: Vec::new(),
             request: self.arrival.request,
             workspace: headers.workspace.clone(),
             service: self.service.clone(),
--- a/crates/tarragon-server/src/caller/service.rs
+++ b/crates/tarragon-server/src/caller/service.rs
@@ -43,6 +43,7 @@
         let headers = &self.arrival.headers;
         let call = &self.call;
         RequestProfile {
+            parts: Vec::new(),
             request: self.arrival.request,
             workspace: headers.workspace.clone(),
             service: self.service.clone(),
--- a/crates/tarragon-server/src/explain.rs
+++ b/crates/tarragon-server/src/explain.rs
@@ -53,6 +53,7 @@
     let rules = process.rules();
     let idempotent = rules.services.get(&service).is_some_and(|rule| rule.idempotent);
     Ok(RequestProfile {
+        parts: Vec::new(),
         request: 0,
         workspace: workspace.into(),
         service,
--- a/crates/tarragon-server/src/node_task/run/tests.rs
+++ b/crates/tarragon-server/src/node_task/run/tests.rs
@@ -69,6 +69,7 @@
     TicketCall {
         binding: CallBinding::of("depot", "dispatch-app", &call),
         profile: RequestProfile {
+            parts: Vec::new(),
             request: REQUEST,
             workspace: "depot".into(),
             service: "dispatch-app".into(),
