--- a/crates/tarragon-standin/src/shared_store.rs
+++ b/crates/tarragon-standin/src/shared_store.rs
@@ -39,8 +39,13 @@
     history: Vec<(u64, String, Option<Vec<u8>>)>,
     /// Watches from before this revision are refused.
     compacted: u64,
+    /// Number of times that the store has come back from a copy, as each answer tells.
+    era: u64,
 }
 
+/// Copy of the content of a store.
+pub struct StoreCopy(StoreState);
+
 /// A store on a loopback port. Dropping it stops it.
 pub struct SharedStore {
     control: ListenerControl,
@@ -96,6 +101,20 @@
         self.control.reset_connections();
     }
 
+    /// Copies the content.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.state.borrow().clone())
+    }
+
+    /// Replaces the content by an older copy: later writes are lost, and their revisions are given out again.
+    pub fn restore(&self, copy: &StoreCopy) {
+        self.state.send_modify(|state| {
+            let era = state.era + 1;
+            *state = StoreState { era, mode: state.mode, ..copy.0.clone() };
+        });
+        self.control.reset_connections();
+    }
+
     /// Drops the history: watches have to start anew.
     pub fn compact(&self) {
         self.state.send_modify(|state| {
@@ -110,6 +129,18 @@
     async fn answer(
         self: Arc<Self>,
         request: Request<Incoming>,
+    ) -> Result<Response<StandinBody>, CloseConnection> {
+        let mut response = self.answer_call(request).await?;
+        let era = self.state.borrow().era;
+        response.headers_mut().insert("store-era", era.into());
+        Ok(response)
+    }
+}
+
+impl StoreService {
+    async fn answer_call(
+        &self,
+        request: Request<Incoming>,
     ) -> Result<Response<StandinBody>, CloseConnection> {
         let mode = self.state.borrow().mode;
         match mode {
@@ -133,9 +164,7 @@
             _ => Ok(empty(StatusCode::NOT_FOUND)),
         }
     }
-}
 
-impl StoreService {
     fn range(&self, prefix: &str, after: Option<&str>) -> Response<StandinBody> {
         let state = self.state.borrow();
         let mut keys: Vec<&String> = state
@@ -154,7 +183,11 @@
     }
 
     async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Response<StandinBody> {
-        if after < self.state.borrow().compacted.saturating_sub(1) {
+        let (compacted, revision) = {
+            let state = self.state.borrow();
+            (state.compacted, state.revision)
+        };
+        if after < compacted.saturating_sub(1) || after > revision {
             return empty(StatusCode::GONE);
         }
         let mut changes = self.state.subscribe();
