Order published state by the era of the store and by its own version

After a drill in which the store came back from an older copy, callers got 404 for routes that were added later, older configurations were acted on, and leaving targets got requests: all order rested on the store's revision, which had gone back.

The store's era, which each of its answers tells, now goes before the revision: in operator state, listings, watches and digests. A configuration is ordered by its own version across eras, so that a process which starts and reads only the copy gets the newest one from its peers. Evacuations that the copy lacks are carried for 5 s, targets that it lacks get the time of an outage to register again, leaving targets stay leaving, and an entry of a target that is known to be gone counts only once the target has written it again (its sequence number rises).

--- a/crates/tarragon-fleet/src/digest.rs
+++ b/crates/tarragon-fleet/src/digest.rs
@@ -6,7 +6,7 @@
 use tarragon_protocol::peer::SuspectEntry;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{prelude::*, published::StoreRevision, sums::CentreSum};
+use crate::{prelude::*, published::StorePosition, sums::CentreSum};
 
 /// Hash that stands for a name in digests. If two names have the same one, only their usage estimates get
 /// mixed.
@@ -91,8 +91,10 @@
     pub sequence: u64,
     /// Key of the sender's data centre.
     pub data_centre: NameKey,
-    /// Revision of the operator state that the sender holds.
-    pub operator_revision: StoreRevision,
+    /// Position in the history of the store of the operator state that the sender holds.
+    pub operator_position: StorePosition,
+    /// Version of the configuration in that state; 0 if the sender has none.
+    pub operator_version: ConfigurationVersion,
     /// Milliseconds since that state was confirmed as the newest; `None` if the sender has none.
     pub operator_age_ms: Option<u32>,
     /// Milliseconds since the sender's listing of targets was read from the store; `None` if it has none.
--- a/crates/tarragon-fleet/src/directory.rs
+++ b/crates/tarragon-fleet/src/directory.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     prelude::*,
-    published::{InstanceName, StoreRevision},
+    published::{InstanceName, StorePosition},
     rate::RateBelief,
 };
 
@@ -109,6 +109,16 @@
     Lapsed(TargetName),
 }
 
+/// What is remembered of a target whose entry is gone.
+#[derive(Debug, Clone, Copy)]
+struct GoneTarget {
+    notice: TargetNotice,
+    /// Sequence number of its last entry.
+    sequence: u64,
+    /// Since when the entry is gone.
+    since: Instant,
+}
+
 /// All targets by address.
 #[derive(Debug, Default)]
 pub struct TargetDirectory {
@@ -117,13 +127,16 @@
     read_at: Option<Instant>,
     /// When the first listing after an outage of the store was read.
     returned: Option<Instant>,
-    revision: StoreRevision,
+    /// Position in the history of the store at which it was read.
+    position: StorePosition,
+    /// When the first listing of the current era was read, unless it is the first one known.
+    era_began: Option<Instant>,
     /// The targets of the current listing, for peers.
     listed: Vec<ListedTarget>,
     /// Hash of the content of the current listing.
     hash: u64,
-    /// Notices of targets whose entries are gone, by restart id, with the time since when they are gone.
-    kept_notices: IndexMap<u64, (TargetNotice, Instant)>,
+    /// Targets whose entries are gone, by restart id.
+    gone: IndexMap<u64, GoneTarget>,
 }
 
 impl TargetDirectory {
@@ -149,7 +162,8 @@
 
     /// The current listing, for a peer that can't read the store.
     pub fn listing(&self) -> TargetListing {
-        TargetListing { revision: self.revision, targets: self.listed.clone() }
+        let StorePosition { era, revision } = self.position;
+        TargetListing { era, revision, targets: self.listed.clone() }
     }
 
     /// Time since the current listing was read.
@@ -176,19 +190,24 @@
     where
         C: Fn(&str) -> Duration,
     {
-        if self.read_at.is_some_and(|known| known >= read_at) || listing.revision < self.revision {
+        let position = StorePosition { era: listing.era, revision: listing.revision };
+        if self.read_at.is_some_and(|known| known >= read_at) || position < self.position {
             return Vec::new();
         }
         let is_first = self.read_at.is_none();
         if self.read_at.is_some_and(|known| read_at.saturating_duration_since(known) > OUTAGE) {
             self.returned = Some(read_at);
         }
+        if !is_first && position.era != self.position.era {
+            self.start_era(position, read_at);
+        }
         self.read_at = Some(read_at);
-        self.revision = listing.revision;
+        self.position = position;
         self.hash = listing_hash(&listing.targets);
         self.listed.clone_from(&listing.targets);
         let mut changes = Vec::new();
-        let newest = newest_by_address(&listing.targets);
+        let mut newest = newest_by_address(&listing.targets);
+        newest.retain(|_, listed| !self.is_lost_removal(listed, read_at));
         for (target, listed) in &newest {
             let cold_time = cold_time(&listed.service);
             changes.extend(self.apply_entry(target, listed, read_at, cold_time, is_first));
@@ -197,6 +216,34 @@
         changes
     }
 
+    /// Handles that the store has come back from an older copy: targets that registered since get time to do so
+    /// again, and those that were leaving still are, whatever the copy says.
+    fn start_era(&mut self, position: StorePosition, read_at: Instant) {
+        tracing::warn!(
+            era = position.era,
+            known_era = self.position.era,
+            revision = position.revision,
+            known_revision = self.position.revision,
+            "store has come back from an older copy"
+        );
+        self.returned = Some(read_at);
+        self.era_began = Some(read_at);
+        for entry in self.entries.values_mut().filter(|entry| entry.listed.leaving) {
+            entry.notice.leaving.get_or_insert(read_at);
+        }
+    }
+
+    /// Whether an entry is from an older copy of the store, and its target is known to be gone since: it has
+    /// not been written again.
+    fn is_lost_removal(&self, listed: &ListedTarget, read_at: Instant) -> bool {
+        let recent = |began| read_at.saturating_duration_since(began) < RENEWAL_TIME;
+        let restart_id = restart_id(&listed.instance, listed.started_ms);
+        self.era_began.is_some_and(|began| {
+            let gone = self.gone.get(&restart_id).filter(|gone| gone.since < began);
+            recent(began) && gone.is_some_and(|gone| listed.sequence <= gone.sequence)
+        })
+    }
+
     /// Adds a target, or updates it by its entry. `is_first` tells that no listing was known before.
     fn apply_entry(
         &mut self,
@@ -230,11 +277,7 @@
                 missing: None,
                 evacuated: false,
                 replaced: false,
-                notice: self
-                    .kept_notices
-                    .get(&restart_id)
-                    .map(|(notice, _)| *notice)
-                    .unwrap_or_default(),
+                notice: self.gone.get(&restart_id).map(|gone| gone.notice).unwrap_or_default(),
             };
             self.entries.insert(target.clone(), entry);
             return Some(DirectoryChange::Changed(target.clone()));
@@ -244,6 +287,7 @@
         let is_renewed = listed.revision != entry.listed.revision;
         let reported_cold = reported_cold.filter(|_| is_renewed);
         entry.listed.revision = listed.revision;
+        entry.listed.sequence = entry.listed.sequence.max(listed.sequence);
         let restarted = entry.restart_id != restart_id;
         let unchanged = !restarted
             && entry.listed.leaving == listed.leaving
@@ -285,8 +329,8 @@
     ) {
         let recent = |since: Instant| now.saturating_duration_since(since) < RETURN_TIME;
         let returning = self.returned.is_some_and(recent);
-        let kept_notices = &mut self.kept_notices;
-        kept_notices.retain(|_, (_, gone)| now.saturating_duration_since(*gone) < NOTICE_RETENTION);
+        let gone = &mut self.gone;
+        gone.retain(|_, target| now.saturating_duration_since(target.since) < NOTICE_RETENTION);
         self.entries.retain(|target, entry| {
             if newest.contains_key(target) {
                 return true;
@@ -301,9 +345,9 @@
                 was_leaving = entry.listed.leaving,
                 "target is gone"
             );
-            if entry.notice != TargetNotice::default() {
-                kept_notices.insert(entry.restart_id, (entry.notice, now));
-            }
+            let gone_target =
+                GoneTarget { notice: entry.notice, sequence: entry.listed.sequence, since: now };
+            gone.insert(entry.restart_id, gone_target);
             changes.push(if entry.is_leaving() {
                 DirectoryChange::Removed(target.clone())
             } else {
--- a/crates/tarragon-fleet/src/node.rs
+++ b/crates/tarragon-fleet/src/node.rs
@@ -23,7 +23,7 @@
     health::TargetHealth,
     member::{DigestRecipients, MemberTable},
     prelude::*,
-    published::{InstanceName, StoreRevision},
+    published::InstanceName,
     quota::{QuotaBounds, QuotaLedger},
 };
 
@@ -111,6 +111,9 @@
     operator_state: OperatorState,
     /// Services without streamed routes, whose calls end before a digest can report them.
     unstreamed_services: IndexSet<ServiceName>,
+    /// Data centres that stay out of service although the copy from which the store has come back lacks that,
+    /// and until when operators have time to write it again.
+    carried_evacuations: IndexMap<DataCentreName, Instant>,
     /// When the operator state was last confirmed to be the newest.
     operator_confirmed: Option<Instant>,
     directory: TargetDirectory,
@@ -138,6 +141,7 @@
             scheduler: Scheduler::new(settings.limits.clone(), seed).without_preemption(),
             operator_state: OperatorState::default(),
             unstreamed_services: IndexSet::new(),
+            carried_evacuations: IndexMap::new(),
             operator_confirmed: None,
             directory: TargetDirectory::default(),
             members: MemberTable::new(
@@ -202,9 +206,11 @@
         self.calls.len()
     }
 
-    /// Revision of the known operator state.
-    pub fn operator_revision(&self) -> StoreRevision {
-        self.operator_state.revision
+    /// Whether a peer has a newer operator state, by the history of the store or by the configuration's own
+    /// version: the store may have come back from a copy without the newest configuration.
+    pub fn has_older_operator_state(&self, digest: &PeerDigest) -> bool {
+        digest.operator_position > self.operator_state.position()
+            || digest.operator_version > self.operator_state.version()
     }
 
     /// Whether this process should read targets from the store. A few processes of each data centre do; the
@@ -250,6 +256,7 @@
         if self.members.expire(now) {
             self.update_retries();
         }
+        self.end_carried_evacuations(now, actions);
         self.end_backoffs(now, actions);
         self.end_pauses(now, actions);
         self.update_targets(now, actions);
--- a/crates/tarragon-fleet/src/node/updates.rs
+++ b/crates/tarragon-fleet/src/node/updates.rs
@@ -13,6 +13,7 @@
     member::{MAX_ANSWER_ADDRESSES, MAX_NAMED_ADDRESSES},
     node::{FleetNode, limits::SMALL_FLEET_SIZE},
     prelude::*,
+    published::StorePosition,
 };
 
 /// Most workspaces whose quota usage one digest reports.
@@ -32,6 +33,9 @@
 /// rotation.
 const MAX_LEAVING: usize = 32;
 
+/// Time for which operators write again what the store has lost by coming back from a copy.
+const REWRITE_TIME: Duration = Duration::from_secs(5);
+
 /// Time for which digests report that a target names no rate any more. A peer that still reports the limit
 /// later is told again.
 const RATE_END_REPORT_TIME: Duration = Duration::from_secs(10);
@@ -64,13 +68,16 @@
         source: &str,
         actions: &mut Vec<SchedulerAction>,
     ) -> bool {
+        let (known, position) = (self.operator_state.position(), state.position());
         let (known_version, version) = (self.operator_state.version(), state.version());
-        if state.revision <= self.operator_state.revision || version < known_version {
+        if !self.operator_state.is_outdated_by(&state) {
             return false;
         }
+        let state = self.merge_operator_state(state, now);
         tracing::info!(
-            source, version = version, known_version = known_version, revision = state.revision,
-            evacuated = ?state.evacuated, "operator state is active"
+            source, version, known_version, active_version = state.version(),
+            revision = position.revision, era = position.era, known_revision = known.revision,
+            known_era = known.era, evacuated = ?state.evacuated, "operator state is active"
         );
         let configuration = state.configuration.as_deref();
         self.unstreamed_services =
@@ -82,6 +89,55 @@
         true
     }
 
+    /// Combines the known operator state with another one that has a later position in the history of the store,
+    /// a newer configuration, or both. A configuration never goes back to an older version. If the store has
+    /// come back from a copy, data centres stay out of service until operators have had time to write that
+    /// again.
+    fn merge_operator_state(&mut self, state: OperatorState, now: Instant) -> OperatorState {
+        let known = &self.operator_state;
+        let position = known.position().max(state.position());
+        let is_later = state.position() > known.position();
+        let is_other_era = state.era != known.era && known.configuration.is_some();
+        let newest = if known.version() > state.version() { known } else { &state };
+        let (configuration, configuration_era) =
+            (newest.configuration.clone(), newest.configuration_era);
+        let (mut evacuated, older) = match is_later {
+            true => (state.evacuated, &known.evacuated),
+            false => (known.evacuated.clone(), &state.evacuated),
+        };
+        self.carried_evacuations.retain(|name, until| !evacuated.contains(name) && *until > now);
+        if is_other_era {
+            for name in older.iter().filter(|name| !evacuated.contains(*name)) {
+                self.carried_evacuations.entry(name.clone()).or_insert(now + REWRITE_TIME);
+            }
+        }
+        evacuated.extend(self.carried_evacuations.keys().cloned());
+        let StorePosition { era, revision } = position;
+        OperatorState { era, revision, configuration, configuration_era, evacuated }
+    }
+
+    /// Returns data centres to service whose evacuation nobody has written again since the store has come back
+    /// from a copy.
+    pub(super) fn end_carried_evacuations(
+        &mut self,
+        now: Instant,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        let is_over = |_: &DataCentreName, until: &mut Instant| *until <= now;
+        let ended: Vec<DataCentreName> =
+            self.carried_evacuations.extract_if(.., is_over).map(|(name, _)| name).collect();
+        for name in &ended {
+            tracing::info!(
+                data_centre = &**name,
+                "evacuation was not written again after the store was restored; it is over"
+            );
+            self.operator_state.evacuated.shift_remove(name);
+        }
+        if !ended.is_empty() {
+            self.update_evacuations(now, actions);
+        }
+    }
+
     fn update_evacuations(&mut self, now: Instant, actions: &mut Vec<SchedulerAction>) {
         let operator_state = &self.operator_state;
         let is_evacuated = |name: &str| operator_state.evacuated.contains(name);
@@ -310,12 +366,12 @@
         let instant_before = |age_ms: Option<u32>| {
             age_ms.and_then(|age| now.checked_sub(Duration::from_millis(u64::from(age))))
         };
-        if digest.operator_revision == self.operator_state.revision {
+        if digest.operator_position == self.operator_state.position() {
             self.operator_confirmed =
                 self.operator_confirmed.max(instant_before(digest.operator_age_ms));
         }
         let mut follow_up = DigestFollowUp {
-            newer_operator_state: digest.operator_revision > self.operator_state.revision,
+            newer_operator_state: self.has_older_operator_state(digest),
             ..DigestFollowUp::default()
         };
         let Some(read_at) = instant_before(digest.listing_age_ms) else { return follow_up };
@@ -433,7 +489,8 @@
             data_centre: name_key(&self.settings.data_centre),
             incarnation: self.settings.incarnation,
             sequence: self.sequence,
-            operator_revision: self.operator_state.revision,
+            operator_position: self.operator_state.position(),
+            operator_version: self.operator_state.version(),
             operator_age_ms: self.operator_confirmed.map(age),
             listing_age_ms: self.directory.age(now).and_then(|age| age.as_millis().try_into().ok()),
             listing_hash: self.directory.hash(),
--- a/crates/tarragon-fleet/src/published.rs
+++ b/crates/tarragon-fleet/src/published.rs
@@ -11,6 +11,19 @@
 /// Revision of the store, which increases with each change of any value.
 pub type StoreRevision = u64;
 
+/// Number of times that the store has come back from an older copy of itself, which loses later changes and
+/// gives their revisions out again.
+pub type StoreEra = u64;
+
+/// Position in the history of the store. Revisions can only be compared within one era.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct StorePosition {
+    /// Era.
+    pub era: StoreEra,
+    /// Revision within the era.
+    pub revision: StoreRevision,
+}
+
 /// Name of a target instance: one start of a target's process.
 pub type InstanceName = Arc<str>;
 
@@ -139,15 +152,41 @@
 /// The state published by operators, as of one revision of the store.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct OperatorState {
+    /// Era of the store in which it was read.
+    pub era: StoreEra,
     /// Revision of the last change that it includes.
     pub revision: StoreRevision,
     /// Active configuration.
     pub configuration: Option<Arc<FleetConfiguration>>,
+    /// Era in which the configuration was read: an earlier one if the store has come back from a copy without it.
+    pub configuration_era: StoreEra,
     /// Data centres whose targets get no new work.
     pub evacuated: IndexSet<DataCentreName>,
 }
 
 impl OperatorState {
+    /// Position in the history of the store.
+    pub fn position(&self) -> StorePosition {
+        StorePosition { era: self.era, revision: self.revision }
+    }
+
+    /// Whether the store has come back from a copy that may lack the configuration.
+    fn has_carried_configuration(&self) -> bool {
+        self.configuration.is_some() && self.configuration_era < self.era
+    }
+
+    /// Whether another state has anything newer. Within one era its position in the history of the store
+    /// decides, and a configuration of an older version is refused.
+    pub fn is_outdated_by(&self, other: &OperatorState) -> bool {
+        let is_later = other.position() > self.position();
+        let carried = self.has_carried_configuration() || other.has_carried_configuration();
+        if self.era != other.era || carried {
+            is_later || other.version() > self.version()
+        } else {
+            is_later && other.version() >= self.version()
+        }
+    }
+
     /// Version of the active configuration; 0 before the first.
     pub fn version(&self) -> ConfigurationVersion {
         self.configuration.as_ref().map_or(0, |known| known.version)
@@ -185,11 +224,15 @@
     pub started_ms: u64,
     /// Revision of its entry.
     pub revision: StoreRevision,
+    /// Increases with each time that the target writes its entry.
+    pub sequence: u64,
 }
 
 /// All targets that are registered.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct TargetListing {
+    /// Era of the store in which it was read.
+    pub era: StoreEra,
     /// Revision at which the listing was read.
     pub revision: StoreRevision,
     /// Targets.
--- a/crates/tarragon-fleet/tests/fleet/node.rs
+++ b/crates/tarragon-fleet/tests/fleet/node.rs
@@ -1,6 +1,6 @@
 //! Nodes with their peers: configuration, cold targets, leaving targets and failing targets.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::support::*;
 
@@ -15,7 +15,69 @@
     assert!(!take(operator(8, 5)), "an older revision");
     assert!(!take(operator(10, 3)), "an older version");
     assert!(!take(operator(9, 4)), "the same again");
-    assert_eq!(fleet.nodes[0].operator_revision(), 9);
+    assert_eq!(fleet.nodes[0].operator_state().revision, 9);
+}
+
+struct EraCase {
+    name: &'static str,
+    /// Era, revision and version of the states in the order in which they arrive.
+    states: &'static [(u64, u64, u64)],
+    /// Version that is active at the end, whatever the order.
+    version: u64,
+}
+
+const ERA_CASES: &[EraCase] = &[
+    EraCase {
+        name: "revisions go back",
+        states: &[(0, 90, 4), (1, 20, 4), (1, 25, 7)],
+        version: 7,
+    },
+    EraCase { name: "the copy lacks the newest", states: &[(0, 90, 4), (1, 20, 2)], version: 4 },
+    EraCase { name: "the same revision again", states: &[(0, 20, 4), (1, 20, 5)], version: 5 },
+    EraCase {
+        name: "two restores",
+        states: &[(0, 90, 9), (1, 20, 2), (2, 10, 1), (2, 12, 11)],
+        version: 11,
+    },
+];
+
+/// Guards against processes that end in different states, or go back, because they hear of the eras of the store
+/// in different orders.
+#[test]
+fn operator_state_is_ordered_across_eras_whoever_speaks_first() {
+    for case in ERA_CASES {
+        let forward: Vec<_> = case.states.to_vec();
+        let backward: Vec<_> = case.states.iter().rev().copied().collect();
+        for states in [forward, backward] {
+            let now = Instant::now() + Duration::from_secs(100);
+            let mut node = node(1, true, now);
+            let mut highest = 0;
+            for (era, revision, version) in states {
+                let state =
+                    OperatorState { era, configuration_era: era, ..operator(revision, version) };
+                node.apply_operator_state(now, state, "peer", &mut Vec::new());
+                assert!(node.operator_state().version() >= highest, "{}: it went back", case.name);
+                highest = node.operator_state().version();
+            }
+            assert_eq!(highest, case.version, "{}", case.name);
+        }
+    }
+}
+
+/// Guards against a data centre that gets requests again since the copy lacks its evacuation, and against one
+/// that stays out for good because nobody writes its evacuation again.
+#[test]
+fn an_evacuation_is_carried_into_the_next_era_for_a_while() {
+    let mut fleet = Fleet::start(1, 1);
+    let now = fleet.now;
+    let evacuated = ["north".into()].into_iter().collect();
+    let state = OperatorState { evacuated, ..operator(9, 4) };
+    fleet.nodes[0].apply_operator_state(now, state, "store", &mut Vec::new());
+    let copy = OperatorState { era: 1, configuration_era: 1, ..operator(5, 4) };
+    fleet.nodes[0].apply_operator_state(now, copy, "store", &mut Vec::new());
+    assert!(dispatched(&fleet.ask(0, 100)).is_empty(), "its targets get nothing");
+    fleet.advance(Duration::from_secs(6));
+    assert!(fleet.nodes[0].operator_state().evacuated.is_empty(), "it isn't out for good");
 }
 
 /// Guards against a cold target that gets more starts per second from all processes together than its limit.
--- a/crates/tarragon-fleet/tests/fleet/support.rs
+++ b/crates/tarragon-fleet/tests/fleet/support.rs
@@ -81,11 +81,12 @@
         cold_left: Duration::ZERO,
         started_ms: 1_000,
         revision: 5,
+        sequence: 1,
     }
 }
 
 pub fn listing(revision: StoreRevision, targets: Vec<ListedTarget>) -> TargetListing {
-    TargetListing { revision, targets }
+    TargetListing { era: 0, revision, targets }
 }
 
 pub const BOUNDS: QuotaBounds =
--- a/crates/tarragon-gateway/src/peers.rs
+++ b/crates/tarragon-gateway/src/peers.rs
@@ -243,12 +243,11 @@
     if context.node.run(|node, now, _| node.reads_operator(now)) {
         sleep(PULL_DELAY).await;
     }
-    let (own, theirs) = context.node.view(|node| {
+    let is_behind = context.node.view(|node| {
         let member = node.members().iter().find(|(address, _)| **address == peer);
-        let theirs = member.map_or(0, |(_, member)| member.digest.operator_revision);
-        (node.operator_revision(), theirs)
+        member.is_some_and(|(_, member)| node.has_older_operator_state(&member.digest))
     });
-    if theirs <= own {
+    if !is_behind {
         return;
     }
     match pull::<D, OperatorState>(context, peer, OPERATOR_METHOD).await {
--- a/crates/tarragon-gateway/src/platform.rs
+++ b/crates/tarragon-gateway/src/platform.rs
@@ -4,7 +4,10 @@
 use std::{future::Future, sync::Arc, time::Duration};
 
 use http::{HeaderMap, StatusCode, request, response};
-use tarragon_fleet::{prelude::*, published::StoreRevision};
+use tarragon_fleet::{
+    prelude::*,
+    published::{StoreEra, StoreRevision},
+};
 
 /// An invalid head of a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -105,6 +108,8 @@
     Busy,
     /// Its history no longer holds the requested revision.
     Compacted,
+    /// It has come back from an older copy since the last call or page.
+    Restored,
     /// Its answer can't be decoded.
     Malformed,
 }
@@ -117,6 +122,7 @@
             StoreFault::TimedOut => "timed_out",
             StoreFault::Busy => "busy",
             StoreFault::Compacted => "compacted",
+            StoreFault::Restored => "restored",
             StoreFault::Malformed => "malformed",
         }
     }
@@ -138,6 +144,8 @@
 pub struct OperatorChanges {
     /// Changes, in order. Empty if the wait timed out.
     pub changes: Vec<OperatorChange>,
+    /// Era of the store in which they were made.
+    pub era: StoreEra,
     /// Revision of the last change, if any.
     pub revision: Option<StoreRevision>,
     /// Revision to pass to the next watch.
--- a/crates/tarragon-gateway/src/reader.rs
+++ b/crates/tarragon-gateway/src/reader.rs
@@ -26,6 +26,9 @@
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
 
+/// Longest delay before a complete read in place of a watch that can't continue.
+const MAX_REREAD_DELAY: Duration = Duration::from_millis(200);
+
 /// State of the watch on the operator state.
 #[derive(Default)]
 struct OperatorWatch {
@@ -40,7 +43,9 @@
     fn apply_snapshot(&mut self, snapshot: OperatorState) -> Option<OperatorState> {
         self.after = snapshot.revision;
         let same = self.state.as_ref().is_some_and(|known| {
-            known.configuration == snapshot.configuration && known.evacuated == snapshot.evacuated
+            known.era == snapshot.era
+                && known.configuration == snapshot.configuration
+                && known.evacuated == snapshot.evacuated
         });
         if same {
             return None;
@@ -130,12 +135,16 @@
             Err(fault) => fault,
         };
         context.metrics.store_calls.with_label_values(&["operator", fault.name()]).inc();
-        if fault == StoreFault::Compacted {
+        if matches!(fault, StoreFault::Compacted | StoreFault::Restored) {
             tracing::info!(
                 after = watch.after,
-                "watch history was compacted; reading the operator state again"
+                fault = fault.name(),
+                "watch can't continue; reading the operator state again"
             );
             watch.after = 0;
+            // All readers learn of it at the same time.
+            let delay = MAX_REREAD_DELAY.mul_f64(rand::rng().random_range(0.0..1.0));
+            sleep(delay).await;
             continue;
         }
         sleep(retry.record_failure(fault)).await;
@@ -155,6 +164,9 @@
     }
     let limit = WATCH_TIMEOUT + ANSWER_TIMEOUT;
     let changes = with_timeout(limit, store.watch_operator(watch.after, WATCH_TIMEOUT)).await?;
+    if watch.state.as_ref().is_some_and(|known| known.era != changes.era) {
+        return Err(StoreFault::Restored);
+    }
     Ok(watch.apply_changes(changes))
 }
 
