--- a/crates/tarragon-scheduler/src/scheduler/dispatch.rs
+++ b/crates/tarragon-scheduler/src/scheduler/dispatch.rs
@@ -22,7 +22,7 @@
 /// A request that no open target can take is deferred for this time, so that it doesn't block those behind it.
 const RECHECK_DELAY: Duration = Duration::from_millis(50);
 
-/// Longest time for which a request is held because of a part of its prompt. By then the crashes are confirmed
+/// Longest time for which a request that may crash targets is held. By then the crashes are confirmed
 /// or dismissed, or the caller is better off with an answer.
 const MAX_HOLD_TIME: Duration = Duration::from_secs(2);
 
