--- a/crates/tarragon-scheduler/src/suspect.rs
+++ b/crates/tarragon-scheduler/src/suspect.rs
@@ -59,7 +59,7 @@
     depth: u16,
     suspicion: Suspicion,
     /// Whether the conviction of a request holds whatever is learned later.
-    sentenced: bool,
+    conviction_is_final: bool,
     /// When a convicted or held part may run once more, to find out whether it is sound.
     trial_due: Option<Instant>,
     last_seen: Instant,
@@ -261,8 +261,8 @@
         self.merge_finish(entry, last, now);
         let state = self.state(entry.cause, now);
         let is_request = matches!(entry.cause, SuspectCause::Request(_));
-        if is_request && entry.convicted && !state.sentenced {
-            state.sentenced = true;
+        if is_request && entry.convicted && !state.conviction_is_final {
+            state.conviction_is_final = true;
             state.learned_at = now;
             self.changed = true;
         }
@@ -297,7 +297,7 @@
                 self.finished_parts.record(cause, now);
             }
             let Some(state) = self.entries.get_mut(&cause) else { continue };
-            if state.sentenced {
+            if state.conviction_is_final {
                 continue;
             }
             let counted = state.crashes.iter().any(|record| state.counts(record, now));
@@ -360,7 +360,7 @@
             finished,
             depth: 0,
             suspicion: Suspicion::None,
-            sentenced: false,
+            conviction_is_final: false,
             trial_due: None,
             last_seen: now,
             learned_at: now,
@@ -371,7 +371,7 @@
     /// Makes room for a new entry: removes the least suspected one with the fewest crashes, the oldest first.
     fn evict(&mut self) {
         let rank = |state: &SuspectState| {
-            (state.sentenced, state.suspicion, state.crashes.len(), state.last_seen)
+            (state.conviction_is_final, state.suspicion, state.crashes.len(), state.last_seen)
         };
         let least = self.entries.iter().min_by_key(|(_, state)| rank(state));
         if let Some(cause) = least.map(|(cause, _)| *cause) {
--- a/crates/tarragon-scheduler/src/suspect/assess.rs
+++ b/crates/tarragon-scheduler/src/suspect/assess.rs
@@ -7,11 +7,11 @@
 
 use std::{
     cmp::Reverse,
-    collections::{HashMap, HashSet},
     ops::RangeInclusive,
     time::{Duration, Instant},
 };
 
+use indexmap::{IndexMap, IndexSet};
 use tarragon_protocol::peer::SuspectCause;
 
 use crate::suspect::{CrashId, SuspectState, SuspectTable, Suspicion, SuspicionChange};
@@ -25,8 +25,9 @@
 /// Number of crashes from which on a cause explains them in place of others.
 const EXPLAINING_CRASHES: usize = 2;
 
-/// With more causes than this, they are assessed at intervals, since each time takes a millisecond.
-const MAX_PROMPT_ENTRIES: usize = 64;
+/// With more causes than this, they are assessed at intervals instead of after each change: each time takes about
+/// a millisecond.
+const MAX_IMMEDIATE_ENTRIES: usize = 64;
 const MIN_ASSESS_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Crashes that are no further apart than this may have one cause outside of the requests.
@@ -56,7 +57,7 @@
 /// Times of all known crashes, and the same in ascending order.
 #[derive(Debug, Default)]
 struct CrashTimeline {
-    times: HashMap<CrashId, Instant>,
+    times: IndexMap<CrashId, Instant>,
     sorted: Vec<Instant>,
 }
 
@@ -77,7 +78,7 @@
 impl SuspectTable {
     /// Assesses all causes again if anything has changed or `due` is set. Returns the changes.
     pub fn assess_changes(&mut self, due: bool, now: Instant) -> Vec<SuspicionChange> {
-        let is_large = self.entries.len() > MAX_PROMPT_ENTRIES;
+        let is_large = self.entries.len() > MAX_IMMEDIATE_ENTRIES;
         let is_recent = self
             .assessed
             .is_some_and(|last| now.saturating_duration_since(last) < MIN_ASSESS_INTERVAL);
@@ -115,7 +116,7 @@
             ));
         }
         order.sort_unstable();
-        let mut explained: HashSet<CrashId> = HashSet::new();
+        let mut explained: IndexSet<CrashId> = IndexSet::new();
         for (is_sound, Reverse(count), _, index) in order {
             let Some((cause, state)) = self.entries.get_index_mut(index) else { continue };
             if count == 0 {
@@ -133,7 +134,7 @@
     }
 
     fn timeline(&self) -> CrashTimeline {
-        let mut times: HashMap<CrashId, Instant> = HashMap::new();
+        let mut times: IndexMap<CrashId, Instant> = IndexMap::new();
         for record in self.entries.values().flat_map(|state| &state.crashes) {
             let known = times.entry(record.crash.clone()).or_insert(record.broken);
             *known = record.broken.min(*known);
@@ -154,7 +155,7 @@
     /// Counts the crashes against this cause that are not explained by another one.
     fn blame(
         &self,
-        explained: &HashSet<CrashId>,
+        explained: &IndexSet<CrashId>,
         timeline: &CrashTimeline,
         now: Instant,
     ) -> BlameCount {
@@ -196,8 +197,8 @@
             SuspectCause::Part(_) if is_sound => CONVICTING_FINISHED_CRASHES,
             SuspectCause::Part(_) => CONVICTING_PART_CRASHES,
         };
-        self.sentenced |= is_request && blame.confirmed >= convicting;
-        self.suspicion = if self.sentenced || blame.confirmed >= convicting {
+        self.conviction_is_final |= is_request && blame.confirmed >= convicting;
+        self.suspicion = if self.conviction_is_final || blame.confirmed >= convicting {
             Suspicion::Convicted
         } else if blame.crashes >= convicting {
             Suspicion::Held
