Hold whole requests until their crashes are resolved, as before

The limit of two seconds on holding came with blame for prompt parts and had been applied to whole requests, too. It is for parts only: a part may hold many requests at once.

--- a/crates/tarragon-scheduler/src/scheduler/dispatch.rs
+++ b/crates/tarragon-scheduler/src/scheduler/dispatch.rs
@@ -22,7 +22,7 @@
 /// A request that no open target can take is deferred for this time, so that it doesn't block those behind it.
 const RECHECK_DELAY: Duration = Duration::from_millis(50);
 
-/// Longest time for which a request that may crash targets is held. By then the crashes are confirmed
+/// Longest time for which a request is held because of a part of its prompt. By then the crashes are confirmed
 /// or dismissed, or the caller is better off with an answer.
 const MAX_HOLD_TIME: Duration = Duration::from_secs(2);
 
@@ -49,7 +49,7 @@
     Defer,
     /// Stop: no target is open to the lane.
     Closed,
-    /// Hold it: it may crash targets, and it isn't known yet whether some have crashed.
+    /// Hold it: a part of its prompt may crash targets, and it isn't known yet whether some have crashed.
     Hold,
     /// Refuse it: it has crashed targets.
     Convicted(SuspectCause),
@@ -148,7 +148,12 @@
         let is_trial = suspicion >= Suspicion::Held && self.suspects.may_try(&job.profile, now);
         let causes = match suspicion {
             Suspicion::None => CauseList::new(),
-            Suspicion::Held if !is_trial => return DispatchStep::Hold,
+            Suspicion::Held if !is_trial => {
+                return match cause {
+                    SuspectCause::Request(_) => DispatchStep::Defer,
+                    SuspectCause::Part(_) => DispatchStep::Hold,
+                };
+            }
             Suspicion::Convicted if !is_trial => return DispatchStep::Convicted(cause),
             _ => self.suspects.causes_with(&job.profile, suspicion, now),
         };
@@ -259,7 +264,7 @@
         usage.parked.push_back(request);
     }
 
-    /// Defers a request that may crash targets, or refuses it if that has taken too long.
+    /// Defers a request whose prompt may crash targets, or refuses it if that has taken too long.
     fn hold(&mut self, request: RequestId, now: Instant, actions: &mut Vec<SchedulerAction>) {
         let Some(job) = self.queue.get_mut(request) else { return };
         let since = *job.held_since.get_or_insert(now);
@@ -267,8 +272,7 @@
             return self.queue.set_state(request, WaitState::Deferred(now + RECHECK_DELAY));
         }
         let Some(job) = self.dequeue_unserved(request) else { return };
-        let message =
-            "targets may have crashed while they ran this request or a part of its prompt";
+        let message = "targets may have crashed while they ran requests with a part of this prompt";
         let refusal = Scheduler::refusal_of(&job, RefusalCode::CrashesTargets, message)
             .with_retry_after(RETRY_AFTER);
         self.refuse(request, job.tier(), refusal, actions);
