Let streams that have begun go on only at targets of the build that began them

Callers of services with targets of two software versions got streams whose first part came from one version and the rest from the other: each attempt chose among all targets of the service.

A registration now carries the build of its target's software. A request is bound to a build when it takes up a stream whose build is known, or when the first event of its answer is passed on (event StreamBegan). Bound requests wait in a lane of their own and go first within their tier; if no target in service is of their build they are refused at once.

Nothing sends the event yet and no take-up is bound: this commit holds the scheduler's part and the types.

--- a/crates/tarragon-fleet/src/call.rs
+++ b/crates/tarragon-fleet/src/call.rs
@@ -17,6 +17,8 @@
     pub generation: Option<GenerationHead>,
     /// Number of the last event that the caller already has, if it resumes a stream.
     pub resume_after: Option<u64>,
+    /// Tag of the transmission that brought the first event of the stream, if the caller takes one up.
+    pub resumes: Option<String>,
 }
 
 /// Properties that determine the cost of a generation.
--- a/crates/tarragon-fleet/src/directory.rs
+++ b/crates/tarragon-fleet/src/directory.rs
@@ -265,6 +265,7 @@
                 instance = &*listed.instance,
                 service = &*listed.service,
                 data_centre = &*listed.data_centre,
+                build = &*listed.build,
                 revision = listed.revision,
                 leaving = listed.leaving,
                 cold_ms = listed.cold_left.as_millis() as u64,
@@ -293,6 +294,7 @@
             && entry.listed.leaving == listed.leaving
             && entry.listed.slots == listed.slots
             && entry.listed.service == listed.service
+            && entry.listed.build == listed.build
             && reported_cold
                 .is_none_or(|until| entry.cold_until.is_some_and(|known| known >= until));
         if unchanged {
@@ -302,6 +304,7 @@
             target_address = &**target,
             instance = &*listed.instance,
             service = &*listed.service,
+            build = &*listed.build,
             revision = listed.revision,
             leaving = listed.leaving,
             restarted,
--- a/crates/tarragon-fleet/src/lib.rs
+++ b/crates/tarragon-fleet/src/lib.rs
@@ -3,6 +3,7 @@
 //! digests. `tarragon_scheduler` provides the request queue, the choice of targets and the retries. Nothing
 //! here does I/O.
 
+pub mod build;
 pub mod call;
 pub mod clock;
 pub mod digest;
--- a/crates/tarragon-fleet/src/node.rs
+++ b/crates/tarragon-fleet/src/node.rs
@@ -73,6 +73,8 @@
 pub struct SendGrant {
     /// Instance expected at the target's address.
     pub instance: InstanceName,
+    /// Build of its software.
+    pub build: BuildKey,
 }
 
 /// A request that has been admitted and has not ended.
--- a/crates/tarragon-fleet/src/node/admit.rs
+++ b/crates/tarragon-fleet/src/node/admit.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use crate::{
+    build::build_key,
     node::{FleetNode, OpenRequest},
     prelude::*,
     quota::PeerUsage,
@@ -30,6 +31,8 @@
     pub fingerprint: Fingerprint,
     /// Prompt and output sizes, if the request is a generation.
     pub generation: Option<GenerationHead>,
+    /// Build of the targets that may run it, if it takes up a stream.
+    pub build: Option<BuildKey>,
 }
 
 impl FleetNode {
@@ -96,7 +99,10 @@
     pub fn may_send(&self, target: &str, service: &str) -> Option<SendGrant> {
         let entry = self.directory.get(target)?;
         let granted = entry.in_service() && &*entry.listed.service == service;
-        granted.then(|| SendGrant { instance: entry.listed.instance.clone() })
+        granted.then(|| SendGrant {
+            instance: entry.listed.instance.clone(),
+            build: build_key(&entry.listed.build),
+        })
     }
 
     /// Charges the quota of the request's workspace. Returns what was charged, if the workspace has a quota.
@@ -176,7 +182,8 @@
 }
 
 fn request_profile(order: AdmissionRequest) -> RequestProfile {
-    let AdmissionRequest { request, routed, arrived, deadline, fingerprint, generation } = order;
+    let AdmissionRequest { request, routed, arrived, deadline, fingerprint, generation, build } =
+        order;
     let route = &routed.route;
     RequestProfile {
         request,
@@ -196,6 +203,7 @@
             rank: (Tier::COUNT - 1 - route.tier.index()) as u8,
             expected_output: generation.as_ref().and_then(|size| size.expected_tokens),
             rejection_means_not_run: true,
+            build,
         },
         kind: generation.map_or(CallKind::Plain, |generation| {
             CallKind::Model(ModelCall {
--- a/crates/tarragon-fleet/src/node/limits.rs
+++ b/crates/tarragon-fleet/src/node/limits.rs
@@ -8,6 +8,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
+    build::build_key,
     digest::{NameKey, name_key},
     node::{CachedRank, FleetNode},
     prelude::*,
@@ -285,6 +286,7 @@
             service: entry.listed.service.clone(),
             in_service: entry.in_service() && target_state.health.backoff_until.is_none(),
             remote: entry.listed.data_centre != self.settings.data_centre,
+            build: Some(build_key(&entry.listed.build)),
             process: Some(ListedProcess { restart: entry.restart_id, leaving: entry.is_leaving() }),
         });
         self.schedule(now, event, actions);
--- a/crates/tarragon-fleet/src/published.rs
+++ b/crates/tarragon-fleet/src/published.rs
@@ -214,6 +214,8 @@
     pub address: Arc<str>,
     /// Data centre.
     pub data_centre: DataCentreName,
+    /// Build of its software.
+    pub build: BuildName,
     /// Requests that it runs concurrently.
     pub slots: u32,
     /// Whether it is about to stop.
--- a/crates/tarragon-fleet/tests/fleet/support.rs
+++ b/crates/tarragon-fleet/tests/fleet/support.rs
@@ -76,6 +76,7 @@
         service: SERVICE.into(),
         address: format!("10.9.0.{index}:80").into(),
         data_centre: "north".into(),
+        build: "1.0".into(),
         slots: 4,
         leaving: false,
         cold_left: Duration::ZERO,
@@ -334,6 +335,7 @@
             expected_tokens: Some(20),
             parts: Vec::new(),
         }),
+        build: None,
     }
 }
 
--- a/crates/tarragon-gateway/src/caller.rs
+++ b/crates/tarragon-gateway/src/caller.rs
@@ -238,6 +238,7 @@
         deadline: call.deadline.instant.into_std(),
         fingerprint: fingerprint(call),
         generation: call.generation.clone(),
+        build: None,
     }
 }
 
--- a/crates/tarragon-node/src/node.rs
+++ b/crates/tarragon-node/src/node.rs
@@ -273,6 +273,7 @@
                     service: target.service.clone(),
                     in_service: *in_service,
                     remote: false,
+                    build: None,
                     process: None,
                 });
                 self.set_targets(now, entries.collect(), actions);
--- a/crates/tarragon-protocol/src/identity.rs
+++ b/crates/tarragon-protocol/src/identity.rs
@@ -47,6 +47,12 @@
 /// Identifies one run of a target's process; it changes at each restart.
 pub type RestartId = u64;
 
+/// Name of a build of a target's software. Builds have no order, and one may come back.
+pub type BuildName = Arc<str>;
+
+/// Hash of a [`BuildName`].
+pub type BuildKey = u64;
+
 /// Hash of a prompt prefix that ends at a block boundary, chained from the hash of the previous block.
 pub type BlockHash = u64;
 
--- a/crates/tarragon-protocol/src/prelude.rs
+++ b/crates/tarragon-protocol/src/prelude.rs
@@ -2,9 +2,9 @@
 
 pub use crate::finding::{Finding, FindingList, SourceLocation};
 pub use crate::identity::{
-    AttemptNumber, BlockHash, ConfigurationVersion, DataCentreName, FencingNumber, Fingerprint,
-    Incarnation, ModelName, PartId, RequestId, RestartId, ServiceName, TargetName, VmName,
-    WorkspaceName,
+    AttemptNumber, BlockHash, BuildKey, BuildName, ConfigurationVersion, DataCentreName,
+    FencingNumber, Fingerprint, Incarnation, ModelName, PartId, RequestId, RestartId, ServiceName,
+    TargetName, VmName, WorkspaceName,
 };
 pub use crate::load::{LoadReport, TargetState};
 pub use crate::outcome::{CallOutcome, Refusal, RefusalCode};
--- a/crates/tarragon-protocol/src/request.rs
+++ b/crates/tarragon-protocol/src/request.rs
@@ -53,6 +53,8 @@
     /// Whether a rejection by a target proves that the request did not run there, so that even a
     /// non-idempotent request may be sent to another target.
     pub rejection_means_not_run: bool,
+    /// Build of the targets that may run the request: the one that began the stream which it takes up.
+    pub build: Option<BuildKey>,
 }
 
 impl Default for CallOptions {
@@ -64,6 +66,7 @@
             rank: 0,
             expected_output: None,
             rejection_means_not_run: false,
+            build: None,
         }
     }
 }
@@ -91,6 +94,11 @@
 }
 
 impl RequestProfile {
+    /// Model that the target must hold, if this is a model call.
+    pub fn model(&self) -> Option<&ModelName> {
+        self.model_call().map(|call| &call.model)
+    }
+
     /// The model call, if this is one.
     pub fn model_call(&self) -> Option<&ModelCall> {
         match &self.kind {
--- a/crates/tarragon-scheduler/benches/decision.rs
+++ b/crates/tarragon-scheduler/benches/decision.rs
@@ -59,6 +59,7 @@
                 service,
                 in_service: true,
                 remote: false,
+                build: None,
                 process: None,
             };
             bench.handle(SchedulerEvent::TargetListed(entry));
--- a/crates/tarragon-scheduler/src/event.rs
+++ b/crates/tarragon-scheduler/src/event.rs
@@ -19,6 +19,9 @@
     /// The attempt's bytes are about to be written, or the attempt was abandoned because the check right
     /// before the write failed.
     AttemptStarted(RequestId, AttemptNumber),
+    /// The first event of a streamed answer is about to be passed on. From then on only targets of this build
+    /// may continue it.
+    StreamBegan(RequestId, AttemptNumber, BuildKey),
     /// Tokens arrived. The first event of an attempt carries its time to first token.
     AttemptProgress(AttemptProgress),
     /// The attempt is over.
@@ -143,6 +146,8 @@
     pub in_service: bool,
     /// Whether it is in another data centre, to which traffic is more expensive.
     pub remote: bool,
+    /// Build of its software, if it is published.
+    pub build: Option<BuildKey>,
     /// Its process, if the published entry names it. Otherwise the process is known from load reports.
     pub process: Option<ListedProcess>,
 }
--- a/crates/tarragon-scheduler/src/invariant.rs
+++ b/crates/tarragon-scheduler/src/invariant.rs
@@ -22,13 +22,15 @@
     FloorRespected,
     /// A suspect runs alone among suspects, and not beside work of a higher tier.
     SuspectAlone,
+    /// A stream goes on only at targets of the build that began it.
+    BuildKept,
     /// Usage counters never fall below zero.
     CountersBalanced,
 }
 
 impl SchedulerInvariant {
     /// All invariants, in the order of their counters.
-    pub const ALL: [SchedulerInvariant; 9] = [
+    pub const ALL: [SchedulerInvariant; 10] = [
         SchedulerInvariant::LowestTierShedFirst,
         SchedulerInvariant::SlotsRespected,
         SchedulerInvariant::DispatchedOnce,
@@ -37,6 +39,7 @@
         SchedulerInvariant::ColdShare,
         SchedulerInvariant::FloorRespected,
         SchedulerInvariant::SuspectAlone,
+        SchedulerInvariant::BuildKept,
         SchedulerInvariant::CountersBalanced,
     ];
 
@@ -51,6 +54,7 @@
             SchedulerInvariant::ColdShare => "cold_share",
             SchedulerInvariant::FloorRespected => "floor_respected",
             SchedulerInvariant::SuspectAlone => "suspect_alone",
+            SchedulerInvariant::BuildKept => "build_kept",
             SchedulerInvariant::CountersBalanced => "counters_balanced",
         }
     }
--- a/crates/tarragon-scheduler/src/job.rs
+++ b/crates/tarragon-scheduler/src/job.rs
@@ -34,6 +34,8 @@
     pub lane: usize,
     /// Bit of the model that the target must hold; all bits for a plain call.
     pub models: u64,
+    /// Build of the targets that may run it: that of the target which began its stream.
+    pub build: Option<BuildKey>,
     /// Position of its workspace in the share table.
     pub workspace: usize,
     /// Key of its workspace in tables that outlive the position.
@@ -75,6 +77,7 @@
         let JobKeys { pool, lane, models, workspace, workspace_key, sequence } = keys;
         Job {
             latest_start: profile.deadline,
+            build: profile.options.build,
             profile,
             pool,
             lane,
@@ -145,7 +148,7 @@
 
     /// Model that the target must hold.
     pub fn model(&self) -> Option<&ModelName> {
-        self.profile.model_call().map(|call| &call.model)
+        self.profile.model()
     }
 
     /// Hashes of the prompt's blocks.
--- a/crates/tarragon-scheduler/src/queue.rs
+++ b/crates/tarragon-scheduler/src/queue.rs
@@ -9,7 +9,7 @@
 
 use crate::{hash::NumberHash, job::Job, prelude::*, queue::lane::Lane};
 
-/// With this many lanes, further models of a service share one lane. Callers choose the model names, so the
+/// With this many lanes, further models and builds of a service share one lane. Callers choose the model names, so the
 /// number of lanes must be bounded.
 const MAX_MODEL_LANES: usize = 256;
 
@@ -31,13 +31,21 @@
     tokens: u64,
 }
 
+/// What the requests of one lane have in common.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct LaneKey {
+    pool: usize,
+    model: Option<ModelName>,
+    build: Option<BuildKey>,
+}
+
 /// All waiting requests. `arrivals` and `latest_starts` index all of `entries`, the lanes the ready ones and
 /// `deferred` the deferred ones.
 #[derive(Debug, Default)]
 pub struct Queue {
     entries: IndexMap<RequestId, Entry, NumberHash>,
     lanes: Vec<Lane>,
-    lane_keys: IndexMap<(usize, Option<ModelName>), usize>,
+    lane_keys: IndexMap<LaneKey, usize>,
     /// By tier: order of arrival.
     arrivals: [BTreeSet<(u64, RequestId)>; Tier::COUNT],
     /// By tier: order of the latest start.
@@ -72,16 +80,22 @@
         Tier::DESCENDING.into_iter().rev().find(|tier| self.tier_len(*tier) > 0)
     }
 
-    /// Position of the lane for a service's pool and a model; creates it if needed.
-    pub fn lane_index(&mut self, pool: usize, model: Option<&ModelName>) -> usize {
-        let mut key = (pool, model.cloned());
+    /// Position of the lane for a service's pool, a model and the build to which its requests are bound; creates
+    /// it if needed.
+    pub fn lane_index(
+        &mut self,
+        pool: usize,
+        model: Option<&ModelName>,
+        build: Option<BuildKey>,
+    ) -> usize {
+        let mut key = LaneKey { pool, model: model.cloned(), build };
         if self.lanes.len() >= MAX_MODEL_LANES && !self.lane_keys.contains_key(&key) {
-            key.1 = None;
+            key = LaneKey { pool, model: None, build: None };
         }
         if let Some(index) = self.lane_keys.get(&key) {
             return *index;
         }
-        self.lanes.push(Lane::new(pool));
+        self.lanes.push(Lane::new(pool, key.build));
         let index = self.lanes.len() - 1;
         self.lane_keys.insert(key, index);
         index
@@ -97,6 +111,11 @@
         self.lanes[lane].pool
     }
 
+    /// Build to which the requests of a lane are bound; `None` for a lane of any requests.
+    pub fn lane_build(&self, lane: usize) -> Option<BuildKey> {
+        self.lanes[lane].build
+    }
+
     /// Tokens of waiting requests of a pool, by tier.
     pub fn pool_tokens(&self, pool: usize) -> [u64; Tier::COUNT] {
         let mut tokens = [0; Tier::COUNT];
--- a/crates/tarragon-scheduler/src/queue/lane.rs
+++ b/crates/tarragon-scheduler/src/queue/lane.rs
@@ -1,4 +1,4 @@
-//! Start-time fair queueing for one service and model.
+//! Start-time fair queueing for one service, model and build.
 
 use std::collections::BTreeSet;
 
@@ -32,6 +32,8 @@
 pub struct Lane {
     /// Position of the service's pool.
     pub pool: usize,
+    /// Build to which its requests are bound.
+    pub build: Option<BuildKey>,
     /// Tokens of waiting requests by tier and rank, ready or not.
     pub tokens: [[u64; RANK_COUNT]; Tier::COUNT],
     tiers: [TierQueue; Tier::COUNT],
@@ -39,8 +41,9 @@
 
 impl Lane {
     /// An empty lane.
-    pub fn new(pool: usize) -> Lane {
-        Lane { pool, tokens: [[0; RANK_COUNT]; Tier::COUNT], tiers: Default::default() }
+    pub fn new(pool: usize, build: Option<BuildKey>) -> Lane {
+        let tokens = [[0; RANK_COUNT]; Tier::COUNT];
+        Lane { pool, build, tokens, tiers: Default::default() }
     }
 
     /// Assigns the start and finish tags of a new request.
--- a/crates/tarragon-scheduler/src/scheduler.rs
+++ b/crates/tarragon-scheduler/src/scheduler.rs
@@ -171,6 +171,9 @@
             SchedulerEvent::AttemptStarted(request, attempt) => {
                 self.start_attempt(request, attempt)
             }
+            SchedulerEvent::StreamBegan(request, attempt, build) => {
+                self.bind_stream(request, attempt, build)
+            }
             SchedulerEvent::AttemptProgress(progress) => {
                 self.progress_attempt(&progress, now, actions)
             }
--- a/crates/tarragon-scheduler/src/scheduler/arrival.rs
+++ b/crates/tarragon-scheduler/src/scheduler/arrival.rs
@@ -30,11 +30,15 @@
 pub(super) const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
 
 /// Retry-after time when no target can take a request: starting a target or loading a model takes seconds.
-const NO_TARGET_RETRY_AFTER: Duration = Duration::from_secs(2);
+pub(super) const NO_TARGET_RETRY_AFTER: Duration = Duration::from_secs(2);
 
 /// Refusal message while all targets of a service have asked to receive no requests.
 const ALL_PAUSED_MESSAGE: &str = "all targets of the service want no requests for a while";
 
+/// Refusal message of a stream that only targets of one build may continue, while none is in service.
+pub(super) const NO_BUILD_MESSAGE: &str =
+    "no target in service runs the software version that began this stream";
+
 /// Why a request with a convicted cause is refused.
 pub(super) fn conviction_message(cause: SuspectCause) -> &'static str {
     match cause {
@@ -107,11 +111,17 @@
             let refusal = Refusal::not_run(RefusalCode::CrashesTargets, conviction_message(cause));
             return Err(refusal.with_retry_after(SUSPECT_LIFETIME));
         }
-        let models = self.targets.models.find(profile.model_call().map(|call| &call.model));
+        let models = self.targets.models.find(profile.model());
         let pool = self.targets.find_pool(&profile.service);
-        if pool.is_some_and(|pool| self.targets.can_serve(pool, models)) {
+        let build = profile.options.build;
+        if pool.is_some_and(|pool| self.targets.can_serve(pool, models, build)) {
             return Ok(());
         }
+        let serves_others = |pool| build.is_some() && self.targets.can_serve(pool, models, None);
+        if pool.is_some_and(serves_others) {
+            let refusal = Refusal::not_run(RefusalCode::NoTarget, NO_BUILD_MESSAGE);
+            return Err(refusal.with_retry_after(NO_TARGET_RETRY_AFTER));
+        }
         Err(match pool.and_then(|pool| self.pause_left(pool, now)) {
             Some(pause) => {
                 Refusal::not_run(RefusalCode::NoTarget, ALL_PAUSED_MESSAGE).with_retry_after(pause)
@@ -126,8 +136,8 @@
 
     fn new_job(&mut self, profile: Box<RequestProfile>, now: Instant) -> Job {
         let pool = self.targets.pool_index(&profile.service);
-        let model = profile.model_call().map(|call| &call.model);
-        let lane = self.queue.lane_index(pool, model);
+        let model = profile.model();
+        let lane = self.queue.lane_index(pool, model, profile.options.build);
         let models = self.targets.models.find(model);
         let workspace = self.workspaces.index(&profile.workspace, &self.rules, now);
         let workspace_key = cost::workspace_key(&profile.workspace);
--- a/crates/tarragon-scheduler/src/scheduler/attempt.rs
+++ b/crates/tarragon-scheduler/src/scheduler/attempt.rs
@@ -11,7 +11,10 @@
     prelude::*,
     queue::WaitState,
     retry::backoff_delay,
-    scheduler::{RETRY_AFTER, Scheduler},
+    scheduler::{
+        RETRY_AFTER, Scheduler,
+        arrival::{NO_BUILD_MESSAGE, NO_TARGET_RETRY_AFTER},
+    },
     targets::window::FOREIGN_PREFILL,
 };
 
@@ -41,6 +44,19 @@
         }
     }
 
+    /// Binds a request to the build of the target that has brought the first event of its answer.
+    pub(super) fn bind_stream(
+        &mut self,
+        request: RequestId,
+        attempt: AttemptNumber,
+        build: BuildKey,
+    ) {
+        match self.in_flight.get_mut(request, attempt) {
+            Some(running) => running.job.build = Some(build),
+            None => self.statistics.stale_events += 1,
+        }
+    }
+
     pub(super) fn progress_attempt(
         &mut self,
         progress: &AttemptProgress,
@@ -322,6 +338,11 @@
                 self.retry_budget(job.pool).record_success();
                 self.statistics.finished[tier] += 1;
             }
+            AttemptEnd::Cancelled
+                if may_be_redispatched(&job, now) && !self.has_target_of_build(&job) =>
+            {
+                self.refuse_without_build(job, actions);
+            }
             AttemptEnd::Cancelled if may_be_redispatched(&job, now) => {
                 job.preemptions += u8::from(cancel == Some(CancelCause::Preempted));
                 if cancel != Some(CancelCause::Preempted) {
@@ -364,6 +385,9 @@
         if !allowed || !in_time || exhausted || paused {
             return self.refuse_failed(job, end, now, actions);
         }
+        if !self.has_target_of_build(&job) {
+            return self.refuse_without_build(job, actions);
+        }
         // A request that was not sent put no load on a target, so its retry is not charged to the budget.
         if !unsent && !self.retry_budget(job.pool).try_withdraw(now) {
             self.statistics.retries_denied += 1;
@@ -374,6 +398,19 @@
         self.requeue(job, WaitState::Deferred(now + delay), now);
     }
 
+    /// Whether a target may continue the stream of a request, if it has begun.
+    pub(super) fn has_target_of_build(&self, job: &Job) -> bool {
+        let models = self.targets.models_of(job);
+        job.build.is_none() || self.targets.can_serve(job.pool, models, job.build)
+    }
+
+    /// Refuses a request whose stream no target in service may continue.
+    pub(super) fn refuse_without_build(&mut self, job: Job, actions: &mut Vec<SchedulerAction>) {
+        let refusal = Scheduler::refusal_of(&job, RefusalCode::NoTarget, NO_BUILD_MESSAGE);
+        let refusal = refusal.with_retry_after(NO_TARGET_RETRY_AFTER);
+        self.refuse(job.request(), job.tier(), refusal, actions);
+    }
+
     fn refuse_failed(
         &mut self,
         job: Job,
@@ -400,12 +437,15 @@
         let others = self.targets.pool(job.pool).members.iter().any(|index| {
             let row = self.targets.row(*index);
             !job.avoid.contains(index)
-                && row.is_some_and(|row| row.accepts_work() && row.holds(models))
+                && row.is_some_and(|row| {
+                    row.accepts_work() && row.holds(models) && row.suits_build(job.build)
+                })
         });
         if !others {
             job.avoid.clear();
         }
         self.set_latest_start(&mut job, now);
+        job.lane = self.queue.lane_index(job.pool, job.profile.model(), job.build);
         self.enqueue(job, state);
     }
 }
--- a/crates/tarragon-scheduler/src/scheduler/candidate.rs
+++ b/crates/tarragon-scheduler/src/scheduler/candidate.rs
@@ -42,6 +42,10 @@
             if job.model().is_some() && summary.has_prefill_backlog(job.tier()) {
                 continue;
             }
+            let suits_build = |row: &TargetRow| row.suits_build(job.build);
+            if job.build.is_some() && !targets.row(*index).is_some_and(suits_build) {
+                continue;
+            }
             let suits = |row| may_run_suspect(row, job.tier());
             if bounds.suspect && !targets.row(*index).is_some_and(suits) {
                 continue;
--- a/crates/tarragon-scheduler/src/scheduler/dispatch.rs
+++ b/crates/tarragon-scheduler/src/scheduler/dispatch.rs
@@ -65,10 +65,14 @@
         let lanes = self.queue.lane_count();
         self.first_lane = self.first_lane.wrapping_add(1);
         for tier in Tier::DESCENDING.into_iter().take_while(|tier| *tier >= floor) {
-            for offset in 0..lanes {
-                let lane = self.first_lane.wrapping_add(offset) % lanes;
-                if self.queue.has_ready(lane, tier) {
-                    self.dispatch_lane(lane, tier, now, actions);
+            // Streams that have begun go first: their work is nearly done, and few targets may continue them.
+            for bound in [true, false] {
+                for offset in 0..lanes {
+                    let lane = self.first_lane.wrapping_add(offset) % lanes;
+                    let is_bound = self.queue.lane_build(lane).is_some();
+                    if is_bound == bound && self.queue.has_ready(lane, tier) {
+                        self.dispatch_lane(lane, tier, now, actions);
+                    }
                 }
             }
         }
@@ -164,7 +168,8 @@
         let bounds = ChoiceBounds { suspect, suspects_run: self.in_flight.suspect_count() > 0 };
         self.candidates.collect(&self.targets, job, bounds);
         if self.candidates.items.is_empty() {
-            let particular = suspect || !job.avoid.is_empty();
+            let shares_lane = job.build != self.queue.lane_build(job.lane);
+            let particular = suspect || !job.avoid.is_empty() || shares_lane;
             return if particular { DispatchStep::Defer } else { DispatchStep::Closed };
         }
         let pool = job.pool;
@@ -307,6 +312,7 @@
             (SchedulerInvariant::DispatchedOnce, job.profile.idempotent || !job.may_have_run),
             (SchedulerInvariant::BeforeDeadline, now <= job.profile.deadline),
             (SchedulerInvariant::FloorRespected, job.tier() >= floor),
+            (SchedulerInvariant::BuildKept, row.suits_build(job.build)),
             (SchedulerInvariant::SuspectAlone, !suspect || may_run_suspect(row, job.tier())),
         ];
         for (invariant, holds) in checks {
--- a/crates/tarragon-scheduler/src/scheduler/explain.rs
+++ b/crates/tarragon-scheduler/src/scheduler/explain.rs
@@ -92,7 +92,7 @@
     fn trial_job(&self, profile: &RequestProfile, pool: usize) -> Job {
         let workspace_key = cost::workspace_key(&profile.workspace);
         let prediction = self.costs.predict(pool, workspace_key, profile);
-        let models = self.targets.models.find(profile.model_call().map(|call| &call.model));
+        let models = self.targets.models.find(profile.model());
         // The job is in no queue and charged to no workspace.
         let (lane, workspace, sequence) = (0, usize::MAX, 0);
         let keys = JobKeys { pool, lane, models, workspace, workspace_key, sequence };
@@ -155,6 +155,8 @@
         "not in service"
     } else if !row.holds(job.models) {
         "does not hold the model"
+    } else if !row.suits_build(job.build) {
+        "another build began the stream"
     } else if row.window.slots() == 0 {
         "this process has no slot there"
     } else if row.in_flight >= row.window.size(now) {
--- a/crates/tarragon-scheduler/src/scheduler/preempt.rs
+++ b/crates/tarragon-scheduler/src/scheduler/preempt.rs
@@ -66,6 +66,7 @@
             let serves = running.job.pool == head.pool
                 && row.accepts_work()
                 && row.holds(head.models)
+                && row.suits_build(head.build)
                 && row.in_flight <= row.window.size(now);
             if !serves {
                 continue;
--- a/crates/tarragon-scheduler/src/scheduler/tick.rs
+++ b/crates/tarragon-scheduler/src/scheduler/tick.rs
@@ -28,6 +28,7 @@
         self.refuse_starved(now, actions);
         self.stop_attempts(now, actions);
         self.refuse_without_target(now, actions);
+        self.refuse_unbuilt(actions);
         self.dismiss_old_breaks(now);
         self.assess_suspects(true, None, now, actions);
         let waiting = self.queue.len() as u32;
@@ -68,7 +69,19 @@
         let closed = self.targets.row(running.target).and_then(|row| row.closed_since);
         running.cancel.is_none()
             && closed.is_some_and(|since| now.saturating_duration_since(since) >= MOVE_GRACE)
-            && self.targets.can_serve(running.job.pool, running.job.models)
+            && self.targets.can_serve(running.job.pool, running.job.models, running.job.build)
+    }
+
+    /// Refuses waiting requests that take up a stream which no target in service may continue.
+    fn refuse_unbuilt(&mut self, actions: &mut Vec<SchedulerAction>) {
+        let bound = self.queue.iter().filter(|job| job.build.is_some());
+        let hopeless = bound.filter(|job| !self.has_target_of_build(job));
+        let requests: Vec<RequestId> = hopeless.map(Job::request).collect();
+        for request in requests {
+            if let Some(job) = self.dequeue_unserved(request) {
+                self.refuse_without_build(job, actions);
+            }
+        }
     }
 
     /// Refuses waiting requests of services that have had no target in service for a while.
--- a/crates/tarragon-scheduler/src/targets.rs
+++ b/crates/tarragon-scheduler/src/targets.rs
@@ -94,6 +94,8 @@
     pub rates: RateEstimate,
     /// Whether it is in another data centre.
     pub remote: bool,
+    /// Build of its software, if it is published.
+    pub build: Option<BuildKey>,
     /// Limit on the requests started per second.
     pub starts: StartLimit,
     /// Window.
@@ -134,6 +136,7 @@
             pending_prefill: 0,
             rates,
             remote: entry.remote,
+            build: entry.build,
             starts: StartLimit::default(),
             window: TargetWindow::new(now),
             restart: None,
@@ -174,6 +177,11 @@
         self.model_set & models != 0
     }
 
+    /// Whether a stream that a build began may go on here.
+    pub fn suits_build(&self, build: Option<BuildKey>) -> bool {
+        build.is_none() || self.build == build
+    }
+
     /// Highest tier of own requests in flight.
     pub fn highest_tier(&self) -> Option<Tier> {
         Tier::DESCENDING.into_iter().find(|tier| self.by_tier[tier.index()] > 0)
@@ -360,6 +368,7 @@
         if let Some(row) = self.row_mut(index) {
             row.in_service = entry.in_service;
             row.remote = entry.remote;
+            row.build = entry.build;
             row.listed = true;
         }
         let ended = entry.process.and_then(|process| {
@@ -565,12 +574,12 @@
         self.pools[pool].processed += tokens;
     }
 
-    /// Whether a member of the pool accepts work and holds one of the models.
-    pub fn can_serve(&self, pool: usize, models: u64) -> bool {
+    /// Whether a member of the pool accepts work, holds one of the models and is of the given build, if any.
+    pub fn can_serve(&self, pool: usize, models: u64, build: Option<BuildKey>) -> bool {
         let members = self.pools[pool].members.iter();
         members
             .filter_map(|index| self.row(*index))
-            .any(|row| row.accepts_work() && row.holds(models))
+            .any(|row| row.accepts_work() && row.holds(models) && row.suits_build(build))
     }
 
     fn add(&mut self, entry: &TargetEntry, pool: usize, now: Instant) -> usize {
--- a/crates/tarragon-scheduler/tests/random/world.rs
+++ b/crates/tarragon-scheduler/tests/random/world.rs
@@ -271,6 +271,7 @@
             service: format!("s{}", target % 3).into(),
             in_service: *in_service || target % 2 == 0,
             remote: false,
+            build: None,
             process: None,
         }),
         Step::Remove(target) => SchedulerEvent::TargetRemoved(target_name(*target)),
--- a/crates/tarragon-scheduler/tests/rules/driver.rs
+++ b/crates/tarragon-scheduler/tests/rules/driver.rs
@@ -91,6 +91,7 @@
             service: service.into(),
             in_service,
             remote: false,
+            build: None,
             process: None,
         };
         self.handle(SchedulerEvent::TargetListed(entry));
--- a/crates/tarragon-scheduler/tests/rules/suspect.rs
+++ b/crates/tarragon-scheduler/tests/rules/suspect.rs
@@ -89,6 +89,7 @@
         service: "pool".into(),
         in_service: true,
         remote: false,
+        build: None,
         process: Some(ListedProcess { restart, leaving }),
     })
 }
--- a/crates/tarragon-scheduler/tests/rules/terms.rs
+++ b/crates/tarragon-scheduler/tests/rules/terms.rs
@@ -169,6 +169,7 @@
         service: "pool".into(),
         in_service: true,
         remote: true,
+        build: None,
         process: None,
     }));
     for _ in 0..6 {
