Record which build began each stream, and bind take-ups to it

Callers whose stream broke off and who took it up got a rest from any target: of the other software version as often as not, with nothing in the answer to show it.

Cause: no process knew which version had begun a stream, neither for its own next sending nor for a take-up at another process.

The process that passes on the first event of a stream that may be resumed records its build under a key of workspace, service and the caller's id, and sends the record to three peers chosen by the key before the event is passed on. With one build registered all the time no message is sent. A take-up whose build nobody knows is refused at once. Split routes choose the service of a take-up by the id of the first attempt.

--- a/crates/tarragon-config/src/settings/gateway.rs
+++ b/crates/tarragon-config/src/settings/gateway.rs
@@ -19,7 +19,7 @@
 /// Maximum duration in any setting, in seconds.
 const MAX_TIME_S: f64 = 3_600.0;
 /// Number of ports that a process needs for its peers and for metrics.
-const REQUIRED_PORTS: u16 = 3;
+const REQUIRED_PORTS: u16 = 4;
 const ADDRESS_EXAMPLE: &str = "\"10.0.0.1:8080\"";
 
 /// Settings of `serve` for a process that reads a shared store.
@@ -96,6 +96,11 @@
         self.address_with_port_offset(2)
     }
 
+    /// Address at which peers send messages about the streams that they pass on.
+    pub fn origin_address(&self) -> SocketAddr {
+        self.address_with_port_offset(3)
+    }
+
     /// Addresses at which the seed peers receive digests.
     pub fn seed_addresses(&self) -> Vec<SocketAddr> {
         self.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), self.peer_ports.0)).collect()
--- a/crates/tarragon-fleet/src/directory.rs
+++ b/crates/tarragon-fleet/src/directory.rs
@@ -7,6 +7,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
+    build::build_key,
     prelude::*,
     published::{InstanceName, StorePosition},
     rate::RateBelief,
@@ -90,6 +91,11 @@
         self.notice.rate?.limit()
     }
 
+    /// Build of its software.
+    pub fn build(&self) -> BuildKey {
+        build_key(&self.listed.service, &self.listed.build)
+    }
+
     /// Whether it counts as cold.
     pub fn is_cold(&self, now: Instant) -> bool {
         self.cold_until.is_some_and(|until| now < until)
--- a/crates/tarragon-fleet/src/member.rs
+++ b/crates/tarragon-fleet/src/member.rs
@@ -513,6 +513,24 @@
         self.members.keys().filter(|address| weight(**address, key) < own).count()
     }
 
+    /// The first few present peers in an order that depends on `key`. Processes that know the same peers agree
+    /// on it.
+    pub fn ranked(&self, key: u64, most: usize) -> Vec<SocketAddr> {
+        let mut peers: Vec<(u64, SocketAddr)> =
+            self.present().map(|(address, _)| (weight(*address, key), *address)).collect();
+        if peers.len() > most {
+            peers.select_nth_unstable(most);
+            peers.truncate(most);
+        }
+        peers.sort_unstable();
+        peers.into_iter().map(|(_, address)| address).collect()
+    }
+
+    /// Whether at least half of the known peers are present.
+    pub fn hears_most(&self) -> bool {
+        2 * self.present().count() >= self.members.len() && !self.is_alone()
+    }
+
     /// Position of this process among those outside a data centre, in an order that depends on `key`.
     pub fn rank_outside(&self, data_centre: NameKey, key: u64) -> usize {
         let own = weight(self.own, key);
--- a/crates/tarragon-fleet/src/node.rs
+++ b/crates/tarragon-fleet/src/node.rs
@@ -3,10 +3,12 @@
 
 mod admit;
 mod limits;
+mod origins;
 mod pacing;
 mod updates;
 
 pub use admit::{AdmissionRequest, wait_limit};
+pub use origins::{OriginSource, stream_span};
 pub use updates::DigestFollowUp;
 
 use std::{
@@ -21,7 +23,9 @@
     digest::NameKey,
     directory::TargetDirectory,
     health::TargetHealth,
+    ledger::BuildLedger,
     member::{DigestRecipients, MemberTable},
+    origin::OriginTable,
     prelude::*,
     published::InstanceName,
     quota::{QuotaBounds, QuotaLedger},
@@ -129,6 +133,10 @@
     /// Forecasts of starts by service, as last passed to the scheduler.
     forecasts: IndexMap<ServiceName, StartForecast>,
     calls: IndexMap<RequestId, OpenRequest>,
+    origins: OriginTable,
+    builds: BuildLedger,
+    /// Ticks since the start, for the reports of the registered builds.
+    ledger_ticks: u32,
     clock: FleetClock,
     started: Instant,
     sequence: u64,
@@ -157,6 +165,9 @@
             pauses: IndexMap::new(),
             forecasts: IndexMap::new(),
             calls: IndexMap::new(),
+            origins: OriginTable::default(),
+            builds: BuildLedger::default(),
+            ledger_ticks: 0,
             clock: FleetClock::new(now),
             started: now,
             sequence: 0,
--- a/crates/tarragon-fleet/src/node/admit.rs
+++ b/crates/tarragon-fleet/src/node/admit.rs
@@ -3,7 +3,6 @@
 use std::time::{Duration, Instant};
 
 use crate::{
-    build::build_key,
     node::{FleetNode, OpenRequest},
     prelude::*,
     quota::PeerUsage,
@@ -99,10 +98,7 @@
     pub fn may_send(&self, target: &str, service: &str) -> Option<SendGrant> {
         let entry = self.directory.get(target)?;
         let granted = entry.in_service() && &*entry.listed.service == service;
-        granted.then(|| SendGrant {
-            instance: entry.listed.instance.clone(),
-            build: build_key(&entry.listed.build),
-        })
+        granted.then(|| SendGrant { instance: entry.listed.instance.clone(), build: entry.build() })
     }
 
     /// Charges the quota of the request's workspace. Returns what was charged, if the workspace has a quota.
--- a/crates/tarragon-fleet/src/node/limits.rs
+++ b/crates/tarragon-fleet/src/node/limits.rs
@@ -8,7 +8,6 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    build::build_key,
     digest::{NameKey, name_key},
     node::{CachedRank, FleetNode},
     prelude::*,
@@ -126,7 +125,7 @@
     }
 
     /// Whether this process started so recently that it may not know its peers yet.
-    pub(super) fn is_settling(&self, now: Instant) -> bool {
+    pub fn is_settling(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.started) < SETTLING_TIME
     }
 
@@ -286,7 +285,7 @@
             service: entry.listed.service.clone(),
             in_service: entry.in_service() && target_state.health.backoff_until.is_none(),
             remote: entry.listed.data_centre != self.settings.data_centre,
-            build: Some(build_key(&entry.listed.build)),
+            build: Some(entry.build()),
             process: Some(ListedProcess { restart: entry.restart_id, leaving: entry.is_leaving() }),
         });
         self.schedule(now, event, actions);
--- /dev/null
+++ b/crates/tarragon-fleet/src/node/origins.rs
@@ -0,0 +1,183 @@
+//! Which build began a stream: records of this process and of its peers, and the builds that were registered.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    digest::{NameKey, name_key},
+    node::FleetNode,
+    origin::{OriginAnswer, OriginMessage, OriginQuery, StreamKey},
+    prelude::*,
+};
+
+/// Peers that keep the record of a stream, besides the process that passes it on.
+const RECORD_OWNERS: usize = 3;
+/// Peers that are asked for a stream's build: more than its owners, since not all processes know the same peers.
+const QUERIED_PEERS: usize = 8;
+/// Shortest time for which a stream may be taken up, whatever the route says now: its timeout may have been
+/// shortened since the stream began.
+const MIN_STREAM_TIME: Duration = Duration::from_secs(12);
+/// Time by which the end of a build's registrations may be later than its last stream began: processes hear late
+/// of it.
+const SIGHTING_MARGIN: Duration = Duration::from_secs(3);
+/// Time after its start in which a process tells its peers which builds it knows to have been registered.
+const LEDGER_REPORT_TIME: Duration = Duration::from_secs(10);
+/// Number of ticks between two such reports.
+const LEDGER_REPORT_TICKS: u32 = 5;
+
+/// How a process knows which build began a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OriginSource {
+    /// It has a record.
+    Record,
+    /// No other build was registered for long enough.
+    SoleBuild,
+}
+
+impl OriginSource {
+    /// Name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            OriginSource::Record => "record",
+            OriginSource::SoleBuild => "sole_build",
+        }
+    }
+}
+
+/// Time before now in which only one build may have been registered if it is to be the one that began a stream.
+pub fn stream_span(route: &CallRoute) -> Duration {
+    route.timeout.max(MIN_STREAM_TIME) + SIGHTING_MARGIN
+}
+
+impl FleetNode {
+    /// Records that targets of a build began a stream, and has a few peers told unless the build is the only one.
+    /// Returns whether messages are queued.
+    pub fn record_origin(
+        &mut self,
+        now: Instant,
+        service: &str,
+        stream: StreamKey,
+        build: BuildKey,
+    ) -> bool {
+        self.origins.record(stream, build, true, now);
+        if self.sole_build(name_key(service), MIN_STREAM_TIME + SIGHTING_MARGIN, now).is_some() {
+            return false;
+        }
+        self.tell_origin(stream, build);
+        true
+    }
+
+    fn tell_origin(&mut self, stream: StreamKey, build: BuildKey) {
+        for owner in self.members.ranked(stream, RECORD_OWNERS) {
+            self.origins.tell(owner, stream, build);
+        }
+    }
+
+    /// The build that began a stream, as far as this process knows.
+    pub fn find_origin(
+        &self,
+        now: Instant,
+        service: NameKey,
+        stream: StreamKey,
+        span: Duration,
+    ) -> Option<(BuildKey, OriginSource)> {
+        let record = self.origins.get(stream).map(|build| (build, OriginSource::Record));
+        let sole = || Some((self.sole_build(service, span, now)?, OriginSource::SoleBuild));
+        record.or_else(sole)
+    }
+
+    /// The only build of a service within a span of time. A process that hears neither from the store nor from
+    /// most of its peers can't tell.
+    fn sole_build(&self, service: NameKey, span: Duration, now: Instant) -> Option<BuildKey> {
+        let age = self.directory.age(now)?;
+        let in_touch = age <= SIGHTING_MARGIN || self.members.hears_most();
+        self.builds.sole_build(service, span, now).filter(|_| in_touch)
+    }
+
+    /// Peers that may know which build began a stream, the most likely first.
+    pub fn origin_peers(&self, stream: StreamKey) -> Vec<SocketAddr> {
+        self.members.ranked(stream, QUERIED_PEERS)
+    }
+
+    /// Removes and returns the messages that are queued for peers.
+    pub fn take_origin_messages(&mut self) -> Vec<(SocketAddr, OriginMessage)> {
+        self.origins.take_messages()
+    }
+
+    /// Handles a message from a peer. Returns the answer to a query.
+    pub fn receive_origin(
+        &mut self,
+        now: Instant,
+        message: OriginMessage,
+    ) -> Option<OriginMessage> {
+        match message {
+            OriginMessage::Began(builds) => {
+                for one in builds {
+                    for stream in one.streams {
+                        self.origins.record(stream, one.build, false, now);
+                    }
+                }
+                None
+            }
+            OriginMessage::Query(query) => {
+                let OriginQuery { id, stream, service, span_ms } = query;
+                let span = Duration::from_millis(span_ms.into());
+                let build = self.find_origin(now, service, stream, span).map(|(build, _)| build);
+                Some(OriginMessage::Answer(OriginAnswer { id, stream, build }))
+            }
+            OriginMessage::Answer(answer) => {
+                if let Some(build) = answer.build {
+                    self.origins.record(answer.stream, build, false, now);
+                }
+                None
+            }
+            OriginMessage::Builds(notice) => {
+                self.builds.merge(&notice, now);
+                None
+            }
+        }
+    }
+
+    /// Which builds this process knows to have been registered, for a peer that has just started.
+    pub fn ledger_message(&self, now: Instant) -> Option<OriginMessage> {
+        self.builds.notice(now).map(OriginMessage::Builds)
+    }
+
+    /// Which builds were registered before this process started, for peers that have started with it and may not
+    /// read the store.
+    pub fn next_ledger_report(&mut self, now: Instant) -> Option<OriginMessage> {
+        if now.saturating_duration_since(self.started) > LEDGER_REPORT_TIME {
+            return None;
+        }
+        self.ledger_ticks = self.ledger_ticks.wrapping_add(1);
+        let is_due = self.ledger_ticks.is_multiple_of(LEDGER_REPORT_TICKS);
+        is_due.then(|| self.ledger_message(now)).flatten()
+    }
+
+    /// Records the builds of a new listing. If a service has a second build now, peers are told of the streams
+    /// that the first one began.
+    pub(super) fn record_builds(&mut self, listing: &TargetListing, read_at: Instant) {
+        let span = MIN_STREAM_TIME + SIGHTING_MARGIN;
+        let services: indexmap::IndexSet<NameKey> =
+            listing.targets.iter().map(|listed| name_key(&listed.service)).collect();
+        let builds = &self.builds;
+        let before: Vec<NameKey> = services
+            .into_iter()
+            .filter(|service| builds.sole_build(*service, span, read_at).is_some())
+            .collect();
+        self.builds.record_listing(listing.targets.iter(), read_at);
+        let is_new = |service: &NameKey| self.builds.sole_build(*service, span, read_at).is_none();
+        if before.iter().any(is_new) {
+            let own: Vec<(StreamKey, BuildKey)> = self.origins.own().collect();
+            tracing::info!(
+                streams = own.len(),
+                "a service has a second build; telling peers which build began the streams"
+            );
+            for (stream, build) in own {
+                self.tell_origin(stream, build);
+            }
+        }
+    }
+}
--- a/crates/tarragon-fleet/src/node/updates.rs
+++ b/crates/tarragon-fleet/src/node/updates.rs
@@ -161,6 +161,7 @@
         let operator_state = &self.operator_state;
         let cold_time = |service: &str| operator_state.cold_time(service);
         let changes = self.directory.apply_listing(listing, read_at, cold_time);
+        self.record_builds(listing, read_at);
         if !changes.is_empty() {
             let targets = self.directory.iter().map(|(target, _)| target);
             self.target_names = targets.map(|target| (name_key(target), target.clone())).collect();
--- /dev/null
+++ b/crates/tarragon-fleet/src/origin.rs
@@ -0,0 +1,185 @@
+//! Records of which build began each stream. The process that passes on the first event tells a few peers, chosen
+//! by the stream's key, so that any process can find out when the caller takes the stream up elsewhere.
+
+use std::{
+    collections::VecDeque,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::{digest::NameKey, ledger::LedgerNotice, prelude::*};
+
+/// Time for which a record is kept: longer than a caller waits for one answer.
+const RECORD_LIFETIME: Duration = Duration::from_secs(60);
+/// Most records. At 80 streams a second a process keeps 20,000 of its own and of its peers.
+const MAX_RECORDS: usize = 1 << 16;
+/// Most streams in one datagram.
+const MAX_TOLD_STREAMS: usize = 800;
+
+/// Identifies a stream by its caller's workspace, its service and the tag of the transmission that brought its
+/// first event. Callers of other workspaces can't name it.
+pub type StreamKey = u64;
+
+/// Computes the key of a stream.
+pub fn stream_key(workspace: Option<&str>, service: &str, tag: &str) -> StreamKey {
+    let mut hasher = Xxh3::new();
+    for field in [workspace.unwrap_or(""), service, tag] {
+        hasher.update(&(field.len() as u64).to_le_bytes());
+        hasher.update(field.as_bytes());
+    }
+    hasher.digest()
+}
+
+/// Streams that one build began.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BuildStreams {
+    /// Build.
+    pub build: BuildKey,
+    /// Streams.
+    pub streams: Vec<StreamKey>,
+}
+
+/// Asks a peer which build began a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginQuery {
+    /// Number of the query at its sender.
+    pub id: u64,
+    /// Stream.
+    pub stream: StreamKey,
+    /// Key of the service's name.
+    pub service: NameKey,
+    /// Milliseconds for which one build must have been the only one, if the peer has no record.
+    pub span_ms: u32,
+}
+
+/// Answers a query.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginAnswer {
+    /// Number of the query.
+    pub id: u64,
+    /// Stream.
+    pub stream: StreamKey,
+    /// Build that began it, if the peer knows.
+    pub build: Option<BuildKey>,
+}
+
+/// Messages about the builds of streams, each in one datagram.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OriginMessage {
+    /// Streams that the sender has begun to pass on.
+    Began(Vec<BuildStreams>),
+    /// A query.
+    Query(OriginQuery),
+    /// The answer to a query.
+    Answer(OriginAnswer),
+    /// Builds that the sender knows to have been registered.
+    Builds(LedgerNotice),
+}
+
+impl OriginMessage {
+    /// Encodes the message as a datagram.
+    pub fn to_bytes(&self) -> Result<Vec<u8>, postcard::Error> {
+        postcard::to_stdvec(self)
+    }
+
+    /// Decodes a datagram.
+    pub fn from_bytes(bytes: &[u8]) -> Result<OriginMessage, postcard::Error> {
+        postcard::from_bytes(bytes)
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+struct OriginRecord {
+    build: BuildKey,
+    /// Whether this process has passed the stream on.
+    is_own: bool,
+    recorded: Instant,
+}
+
+/// Records of streams, and those that peers have yet to be told.
+#[derive(Debug, Default)]
+pub struct OriginTable {
+    records: IndexMap<StreamKey, OriginRecord>,
+    /// Streams in the order in which they were recorded.
+    order: VecDeque<(Instant, StreamKey)>,
+    untold: IndexMap<SocketAddr, IndexMap<BuildKey, Vec<StreamKey>>>,
+}
+
+impl OriginTable {
+    /// Build that began a stream.
+    pub fn get(&self, stream: StreamKey) -> Option<BuildKey> {
+        self.records.get(&stream).map(|record| record.build)
+    }
+
+    /// Number of records.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether there are no records.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Records a stream. The build of a known stream stays: only one can have begun it.
+    pub fn record(&mut self, stream: StreamKey, build: BuildKey, is_own: bool, now: Instant) {
+        self.expire(now);
+        let record = OriginRecord { build, is_own, recorded: now };
+        let known = self.records.entry(stream).or_insert(record);
+        if known.build != build {
+            tracing::warn!(
+                stream,
+                build,
+                known = known.build,
+                "a stream is told to have two builds"
+            );
+            return;
+        }
+        known.is_own |= is_own;
+        known.recorded = now;
+        self.order.push_back((now, stream));
+    }
+
+    fn expire(&mut self, now: Instant) {
+        while let Some((recorded, stream)) = self.order.front().copied() {
+            let is_old = now.saturating_duration_since(recorded) > RECORD_LIFETIME;
+            if !is_old && self.order.len() < MAX_RECORDS {
+                return;
+            }
+            self.order.pop_front();
+            // A stream that was taken up is in the order once more.
+            if self.records.get(&stream).is_some_and(|record| record.recorded == recorded) {
+                self.records.swap_remove(&stream);
+            }
+        }
+    }
+
+    /// Streams that this process has passed on, with their builds.
+    pub fn own(&self) -> impl Iterator<Item = (StreamKey, BuildKey)> {
+        let own = self.records.iter().filter(|(_, record)| record.is_own);
+        own.map(|(stream, record)| (*stream, record.build))
+    }
+
+    /// Queues a stream to be told to a peer.
+    pub fn tell(&mut self, peer: SocketAddr, stream: StreamKey, build: BuildKey) {
+        self.untold.entry(peer).or_default().entry(build).or_default().push(stream);
+    }
+
+    /// Removes and returns the messages that are queued.
+    pub fn take_messages(&mut self) -> Vec<(SocketAddr, OriginMessage)> {
+        let mut messages = Vec::new();
+        for (peer, builds) in self.untold.drain(..) {
+            for (build, streams) in builds {
+                for part in streams.chunks(MAX_TOLD_STREAMS) {
+                    let streams = BuildStreams { build, streams: part.to_vec() };
+                    messages.push((peer, OriginMessage::Began(vec![streams])));
+                }
+            }
+        }
+        messages
+    }
+}
--- a/crates/tarragon-fleet/src/route.rs
+++ b/crates/tarragon-fleet/src/route.rs
@@ -18,7 +18,9 @@
 ) -> Result<RoutedCall, CallFault> {
     let route = find_route(configuration, host, path).ok_or(CallFault::UnknownRoute)?;
     let workspace = find_workspace(configuration, &route, head)?;
-    let service = choose_service(&route, &head.tag).ok_or(CallFault::UnknownRoute)?;
+    // A stream that is taken up stays with the service that began it.
+    let tag = head.resumes.as_ref().unwrap_or(&head.tag);
+    let service = choose_service(&route, tag).ok_or(CallFault::UnknownRoute)?;
     let terms = workspace.as_ref().and_then(|name| configuration.workspaces.get(name));
     let tier = terms.and_then(|terms| terms.tier).unwrap_or(route.tier);
     Ok(RoutedCall { route, workspace, service, tier, version: configuration.version })
--- a/crates/tarragon-gateway/src/caller.rs
+++ b/crates/tarragon-gateway/src/caller.rs
@@ -6,7 +6,8 @@
 use http::{HeaderMap, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use tarragon_fleet::{
-    node::{AdmissionRequest, wait_limit},
+    node::{AdmissionRequest, stream_span, wait_limit},
+    origin::{StreamKey, stream_key},
     prelude::*,
 };
 use tarragon_server::{
@@ -24,12 +25,16 @@
 use crate::{
     context::GatewayContext,
     forward::{ForwardAnswer, ForwardCall, ForwardRunner, whole_response},
+    origins::{StreamLookup, find_build},
     platform::CallProtocol,
     shared_node::SharedNodeLink,
 };
 
 /// Longest wait for the next part of a caller's body.
 const BODY_PART_TIMEOUT: Duration = Duration::from_secs(5);
+/// Retry-after time for callers who take up a stream right after the start of a process, which has yet to hear
+/// from its peers.
+const ORIGIN_KNOWN_SOON: Duration = Duration::from_millis(500);
 /// Most prompt parts in the log line of a request.
 const MAX_LOGGED_PARTS: usize = 8;
 
@@ -58,6 +63,10 @@
         let terms = node.operator_state().service_configuration(&routed.service);
         terms.map_or(1, |terms| terms.event_tokens.max(1))
     });
+    let (build, stream) = match find_origin(&context, &call_head, &routed).await {
+        Ok(origin) => origin,
+        Err(answer) => return Ok(*answer),
+    };
     let call = ForwardCall {
         request: context.ids.next(),
         tag: call_head.tag.clone(),
@@ -70,6 +79,8 @@
         deadline,
         resume_after: call_head.resume_after,
         event_tokens,
+        build,
+        stream,
         generation: call_head.generation,
     };
     Ok(serve_call(context, call).await)
@@ -112,6 +123,51 @@
     }
 }
 
+/// Finds the build to which a request is bound because it takes up a stream, and the key of its stream, if that may
+/// be resumed. A stream whose build nobody knows can't go on: its parts might not fit together.
+async fn find_origin<D>(
+    context: &GatewayContext<D>,
+    head: &CallHead,
+    routed: &RoutedCall,
+) -> Result<(Option<BuildKey>, Option<StreamKey>), Box<CallerAnswer>>
+where
+    D: CallProtocol,
+{
+    let RoutedCall { route, workspace, service, .. } = routed;
+    if route.repeat != RepeatRule::Resumable || !route.streamed {
+        return Ok((None, None));
+    }
+    let key = |tag: &str| stream_key(workspace.as_deref(), service, tag);
+    let is_new = head.resumes.is_none() && head.resume_after.is_none_or(|number| number == 0);
+    if is_new {
+        return Ok((None, Some(key(&head.tag))));
+    }
+    let asked = Instant::now();
+    let stream = head.resumes.as_deref().map(key);
+    let lookup = StreamLookup { stream, service, span: stream_span(route) };
+    let found = find_build(context, lookup).await;
+    let source = found.map_or("unknown", |(_, source)| source);
+    tracing::info!(
+        request = head.tag,
+        resumes = head.resumes,
+        position = head.resume_after,
+        build = found.map(|(build, _)| build),
+        source,
+        asked_ms = asked.elapsed().as_millis() as u64,
+        "caller takes up a stream"
+    );
+    context.metrics.take_ups.with_label_values(&[source]).inc();
+    if let Some((build, _)) = found {
+        return Ok((Some(build), stream.or_else(|| Some(key(&head.tag)))));
+    }
+    let message = "the software version that began the stream is not known; begin the request anew";
+    let refusal = Refusal::not_run(RefusalCode::NoTarget, message);
+    let is_settling = context.node.run(|node, now, _| node.is_settling(now));
+    let refusal = if is_settling { refusal.with_retry_after(ORIGIN_KNOWN_SOON) } else { refusal };
+    context.metrics.count_answer("not_run", "unknown_origin");
+    Err(Box::new(refusal_answer(context, &refusal)))
+}
+
 fn fault_name(fault: CallFault) -> &'static str {
     match fault {
         CallFault::NotConfigured => "not_configured",
@@ -238,7 +294,7 @@
         deadline: call.deadline.instant.into_std(),
         fingerprint: fingerprint(call),
         generation: call.generation.clone(),
-        build: None,
+        build: call.build,
     }
 }
 
--- a/crates/tarragon-gateway/src/forward.rs
+++ b/crates/tarragon-gateway/src/forward.rs
@@ -12,7 +12,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
-use tarragon_fleet::prelude::*;
+use tarragon_fleet::{origin::StreamKey, prelude::*};
 use tarragon_server::{
     caller::answer::CallerAnswer,
     process::Deadline,
@@ -73,6 +73,10 @@
     pub resume_after: Option<u64>,
     /// Tokens in one event of a stream.
     pub event_tokens: u32,
+    /// Build of the targets that may run it, if it takes up a stream.
+    pub build: Option<BuildKey>,
+    /// Key of its stream, if that may be resumed.
+    pub stream: Option<StreamKey>,
     /// Sizes of prompt and answer, if the call generates text.
     pub generation: Option<GenerationHead>,
 }
@@ -104,6 +108,8 @@
     sink: StreamSink,
     /// A server error that a target answered. It is returned to the caller if no later attempt succeeds.
     pub failed_answer: Option<WholeAnswer>,
+    /// Build that began the stream, once that is known. Only its targets may get the call.
+    build: Option<BuildKey>,
     sent: u32,
 }
 
@@ -169,7 +175,7 @@
         head: oneshot::Sender<CallerAnswer>,
     ) -> ForwardRunner<'a, D> {
         let sink = StreamSink::new(head, call.resume_after, call.arrived);
-        ForwardRunner { context, call, sink, failed_answer: None, sent: 0 }
+        ForwardRunner { context, call, sink, failed_answer: None, build: call.build, sent: 0 }
     }
 
     /// Returns the sink of the caller's answer.
@@ -186,6 +192,8 @@
         // The target may have been taken out of service while the connection was made.
         let service = &self.call.routed.service;
         let grant = self.context.node.view(|node| node.may_send(&order.target, service));
+        // A process of another build may have taken its place, too.
+        let grant = grant.filter(|grant| self.build.is_none_or(|build| build == grant.build));
         let Some(grant) = grant else { return ended(AttemptEnd::NotSent) };
         let remaining = self.call.deadline.remaining(&self.context.clock);
         if remaining < MIN_REMAINING_TIME {
@@ -202,6 +210,7 @@
             attempt = order.attempt,
             target_address = &*order.target,
             instance = &*grant.instance,
+            build = grant.build,
             service = &*self.call.routed.service,
             tier = self.call.routed.tier.name(),
             prompt_tokens = self.call.generation.as_ref().map(|size| size.prompt_tokens),
@@ -454,7 +463,7 @@
             }
         }
         if self.call.routed.route.streamed && answer.head.status.is_success() {
-            return self.relay_stream(order, answer).await;
+            return self.relay_stream(order, grant, answer).await;
         }
         self.read_whole_answer(order, answer).await
     }
--- a/crates/tarragon-gateway/src/forward/stream.rs
+++ b/crates/tarragon-gateway/src/forward/stream.rs
@@ -19,6 +19,7 @@
 use super::{ForwardAnswer, ForwardRunner, IncomingAnswer};
 use crate::{
     events::{EventSplitter, RawEvent},
+    origins::record_origin,
     platform::CallProtocol,
 };
 
@@ -108,6 +109,7 @@
     pub(super) async fn relay_stream(
         &mut self,
         order: &DispatchOrder,
+        grant: &SendGrant,
         answer: IncomingAnswer,
     ) -> AttemptReport<ForwardAnswer> {
         let IncomingAnswer { connection, head, mut body, sent } = answer;
@@ -124,6 +126,9 @@
                 return self.end_stream(order, &mut progress, AttemptEnd::Garbled);
             }
             while let Some(event) = splitter.next_event() {
+                if progress.events == 0 {
+                    self.record_begin(order, grant.build).await;
+                }
                 self.sink.begin(head.status, headers.clone());
                 if self.forward_event(event).await.is_err() {
                     return caller_not_reading();
@@ -146,6 +151,15 @@
         AttemptReport::Answered(ForwardAnswer::Streamed)
     }
 
+    /// Records that targets of a build began the stream, before its first event is passed on.
+    async fn record_begin(&mut self, order: &DispatchOrder, build: BuildKey) {
+        let Some(stream) = self.call.stream else { return };
+        self.build = Some(build);
+        let event = SchedulerEvent::StreamBegan(order.request, order.attempt, build);
+        self.context.node.run(|node, now, actions| node.handle(now, event, actions));
+        record_origin(self.context, &self.call.routed.service, stream, build).await;
+    }
+
     /// Reads the next bytes of a target's answer; `None` at its end.
     async fn next_data(&self, body: &mut TargetBody) -> Result<Option<Bytes>, AttemptEnd> {
         let remaining = self.call.deadline.remaining(&self.context.clock);
--- a/crates/tarragon-gateway/src/lib.rs
+++ b/crates/tarragon-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod forward;
 pub mod listener;
 pub mod metrics;
+pub mod origins;
 pub mod peers;
 pub mod platform;
 pub mod reader;
--- a/crates/tarragon-gateway/src/metrics.rs
+++ b/crates/tarragon-gateway/src/metrics.rs
@@ -50,6 +50,8 @@
     pub suspects: IntGauge,
     /// Suspects that the last digest left out.
     pub unannounced_suspects: IntGauge,
+    /// Streams that callers have taken up, by how the build that began them became known.
+    pub take_ups: IntCounterVec,
 }
 
 impl GatewayMetrics {
@@ -88,6 +90,11 @@
                 "untold_suspects",
                 "Suspects that the last digest left out",
             )?,
+            take_ups: counter_vec(
+                "take_ups_total",
+                "Streams that callers take up by how the build that began them is known",
+                &["source"],
+            )?,
             registry,
         };
         metrics.register()?;
@@ -112,7 +119,8 @@
         registry.register(Box::new(self.rate_statements.clone()))?;
         registry.register(Box::new(self.limited_targets.clone()))?;
         registry.register(Box::new(self.suspects.clone()))?;
-        registry.register(Box::new(self.unannounced_suspects.clone()))
+        registry.register(Box::new(self.unannounced_suspects.clone()))?;
+        registry.register(Box::new(self.take_ups.clone()))
     }
 
     /// Encodes all metrics in the Prometheus text format.
--- a/crates/tarragon-gateway/src/peers.rs
+++ b/crates/tarragon-gateway/src/peers.rs
@@ -27,6 +27,7 @@
 
 use crate::{
     context::GatewayContext,
+    origins::{report_ledger, send_ledger, send_messages},
     reader::{apply_listing, apply_operator_state},
 };
 
@@ -141,6 +142,11 @@
         .unannounced_suspects
         .set(gauge_value(suspects.saturating_sub(digest.suspects.len())));
     send_digest(context, socket, &digest, &recipients.full).await;
+    if !urgent {
+        let peers = [&recipients.full[..], &recipients.subscribers].concat();
+        report_ledger(context, &peers).await;
+        send_messages(context).await;
+    }
     if !recipients.relays.is_empty() {
         let sums_request = PeerDigest { requests_sums: true, ..digest.clone() };
         send_digest(context, socket, &sums_request, &recipients.relays).await;
@@ -211,6 +217,7 @@
         if news.newcomer {
             let answer = context.node.run(|node, now, _| node.answer_digest(from, now));
             send_digest(&context, &socket, &answer, &[from]).await;
+            send_ledger(&context, from).await;
         }
         if news.answered {
             let introduction = context.node.run(|node, now, _| {
--- a/crates/tarragon-gateway/src/serve.rs
+++ b/crates/tarragon-gateway/src/serve.rs
@@ -26,6 +26,7 @@
     context::{ForwardLimits, GatewayContext},
     listener::{ListenerSignals, PageAnswer, listen, serve_page},
     metrics::GatewayMetrics,
+    origins::{self, OriginLink},
     peers,
     platform::{CallProtocol, PublishedStore},
     reader,
@@ -96,12 +97,17 @@
     let socket = UdpSocket::bind(peer_address)
         .await
         .with_context(|| format!("peer_ports: {peer_address} can't be bound"))?;
+    let origin_address = settings.origin_address();
+    let origin_socket = UdpSocket::bind(origin_address)
+        .await
+        .with_context(|| format!("peer_ports: {origin_address} can't be bound"))?;
     let caller_address = caller_listener.local_addr()?;
     let node =
         FleetNode::new(node_settings(&settings), options.seed.unwrap_or_else(rand::random), now());
     let context = Arc::new(GatewayContext {
         protocol,
         node: Arc::new(SharedNode::new(node)),
+        origins: OriginLink::new(origin_socket),
         pool: ConnectionPool::default(),
         metrics: GatewayMetrics::new()?,
         clock: options.clock,
@@ -119,6 +125,7 @@
     let (socket, store) = (Arc::new(socket), Arc::new(store));
     context.spawn_background(peers::run_ticks(context.clone(), socket.clone()));
     context.spawn_background(peers::receive_digests(context.clone(), socket));
+    context.spawn_background(origins::receive_messages(context.clone()));
     context.spawn_background(peers::refresh_listing_from_peers(context.clone()));
     context.spawn_background(reader::follow_operator(context.clone(), store.clone()));
     context.spawn_background(reader::follow_targets(context.clone(), store));
--- a/crates/tarragon-scheduler/tests/rules/main.rs
+++ b/crates/tarragon-scheduler/tests/rules/main.rs
@@ -1,5 +1,6 @@
 //! Table-driven tests: each rule of the scheduler, with the failure that it guards against.
 
+mod build;
 mod choice;
 mod driver;
 mod paced;
