Dispatch streams that have begun before new requests

Bound requests now go first in all tiers, and their expected wait counts only other bound work. They are few: each belongs to a stream that had a slot.

--- a/crates/tarragon-scheduler/src/queue.rs
+++ b/crates/tarragon-scheduler/src/queue.rs
@@ -127,6 +127,12 @@
         tokens
     }
 
+    /// Tokens of waiting requests of a pool that are bound to a build.
+    pub fn bound_tokens(&self, pool: usize) -> u64 {
+        let lanes = self.lanes.iter().filter(|lane| lane.pool == pool && lane.build.is_some());
+        lanes.map(|lane| lane.tokens.iter().flatten().sum::<u64>()).sum()
+    }
+
     /// Tokens of waiting requests of a pool and tier, by rank.
     pub fn ranked_tokens(&self, pool: usize, tier: Tier) -> [u64; RANK_COUNT] {
         let mut tokens = [0; RANK_COUNT];
--- a/crates/tarragon-scheduler/src/scheduler/arrival.rs
+++ b/crates/tarragon-scheduler/src/scheduler/arrival.rs
@@ -26,6 +26,9 @@
 /// Time by which a permit may come later than forecast: permits come with ticks.
 const FORECAST_MARGIN: Duration = Duration::from_millis(200);
 
+/// Longest wait that is computed, in seconds.
+const MAX_WAIT_S: f64 = 3_600.0;
+
 /// Upper bound of the retry-after time derived from the expected wait.
 pub(super) const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
 
@@ -262,18 +265,23 @@
         waiting.filter(|waiting| waiting.urgency() < job.urgency()).count()
     }
 
-    /// Expected wait of a new job. Ahead of it are all waiting work of higher tiers and of lower ranks in its
-    /// own tier, and, of its own rank, at most the queue of its workspace times the number of workspaces, as
-    /// fair queueing guarantees. The pool's rate is reduced by the new work of higher tiers that keeps
-    /// arriving.
+    /// Expected wait of a new job. Streams that have begun go ahead of all others. Ahead of another job are all
+    /// waiting work of higher tiers and of lower ranks in its own tier, and, of its own rank, at most the queue
+    /// of its workspace times the number of workspaces, as fair queueing guarantees. The pool's rate is reduced
+    /// by the new work of higher tiers that keeps arriving.
     pub(super) fn expected_wait(&self, job: &Job) -> Duration {
         let pool = self.targets.pool(job.pool);
-        let rate = pool.rate_for(job.tier());
+        let is_bound = job.build.is_some();
+        let rate = if is_bound { pool.throughput() } else { pool.rate_for(job.tier()) };
         // Until enough requests have been served, the measured rate is that of a pool waiting for slots;
         // using it would refuse work that can be served at once.
         if pool.fastest.is_none() || rate < 1.0 {
             return Duration::ZERO;
         }
+        if is_bound {
+            let ahead = self.queue.bound_tokens(job.pool);
+            return Duration::from_secs_f64((ahead as f64 / rate).min(MAX_WAIT_S));
+        }
         let tokens = self.queue.pool_tokens(job.pool);
         let tier = job.tier().index();
         let higher: u64 = tokens[tier + 1..].iter().sum();
@@ -282,6 +290,6 @@
         let own = self.workspaces.row(job.workspace).map_or(0, |usage| usage.queued_tokens);
         let flows = self.queue.lane_flows(job.lane, job.tier()) as u64;
         let ahead = higher + before + ranked[job.rank()].min(own.saturating_mul(flows.max(1)));
-        Duration::from_secs_f64((ahead as f64 / rate).min(3_600.0))
+        Duration::from_secs_f64((ahead as f64 / rate).min(MAX_WAIT_S))
     }
 }
--- a/crates/tarragon-scheduler/src/scheduler/dispatch.rs
+++ b/crates/tarragon-scheduler/src/scheduler/dispatch.rs
@@ -64,9 +64,9 @@
         let floor = self.pressure.floor(now);
         let lanes = self.queue.lane_count();
         self.first_lane = self.first_lane.wrapping_add(1);
-        for tier in Tier::DESCENDING.into_iter().take_while(|tier| *tier >= floor) {
-            // Streams that have begun go first: their work is nearly done, and few targets may continue them.
-            for bound in [true, false] {
+        // Streams that have begun go first: their work is nearly done, and few targets may continue them.
+        for bound in [true, false] {
+            for tier in Tier::DESCENDING.into_iter().take_while(|tier| *tier >= floor) {
                 for offset in 0..lanes {
                     let lane = self.first_lane.wrapping_add(offset) % lanes;
                     let is_bound = self.queue.lane_build(lane).is_some();
--- a/crates/tarragon-scheduler/tests/rules/build.rs
+++ b/crates/tarragon-scheduler/tests/rules/build.rs
@@ -132,3 +132,16 @@
     assert_eq!(targets_of(&driver, new), ["t0".into()]);
     assert_eq!(targets_of(&driver, waiting), Vec::<TargetName>::new());
 }
+
+/// Guards against take-ups that wait behind new requests of higher tiers until their callers give up.
+#[test]
+fn take_ups_go_before_new_requests_of_higher_tiers() {
+    let mut driver = driver_of(&[("t0", OLD)]);
+    let running = driver.send(Call::tier(Tier::Urgent));
+    let new = driver.send(Call::tier(Tier::Urgent));
+    let taken_up = driver.send(Call { tier: Tier::Routine, ..bound_to(OLD) });
+    driver.end(running, 1, AttemptEnd::Finished);
+    assert_eq!(targets_of(&driver, taken_up), ["t0".into()]);
+    driver.end(taken_up, 1, AttemptEnd::Finished);
+    assert_eq!(targets_of(&driver, new), ["t0".into()]);
+}
