Ask engines for the build of a stream after a power loss of the fleet

Going on anyway breaks ORDER.

The target that began a stream has read the request's own part of the prompt and holds it in its cache. A process that started less than the time of a stream ago asks the listed targets of the service which parts they hold, all at once, for 400 ms at most, each at most every 2 s, and not where there are more than 128. If all that hold the part are of one build, it is the one that began the stream; otherwise the take-up is refused as before.

--- a/crates/tarragon-fleet/src/node/origins.rs
+++ b/crates/tarragon-fleet/src/node/origins.rs
@@ -96,6 +96,11 @@
         self.builds.sole_build(service, span, now).filter(|_| in_touch)
     }
 
+    /// Whether this process started so recently that streams from before its start may still be taken up.
+    pub fn may_lack_records(&self, span: Duration, now: Instant) -> bool {
+        now.saturating_duration_since(self.started) < span
+    }
+
     /// Peers that may know which build began a stream, the most likely first.
     pub fn origin_peers(&self, stream: StreamKey) -> Vec<SocketAddr> {
         self.members.ranked(stream, QUERIED_PEERS)
--- a/crates/tarragon-gateway/src/caller.rs
+++ b/crates/tarragon-gateway/src/caller.rs
@@ -24,6 +24,7 @@
 
 use crate::{
     context::GatewayContext,
+    evidence::find_build_by_part,
     forward::{ForwardAnswer, ForwardCall, ForwardRunner, whole_response},
     origins::{StreamLookup, find_build},
     platform::CallProtocol,
@@ -35,6 +36,8 @@
 /// Retry-after time for callers who take up a stream right after the start of a process, which has yet to hear
 /// from its peers.
 const ORIGIN_KNOWN_SOON: Duration = Duration::from_millis(500);
+/// Source of the build of a stream in logs and metrics, if engines have told it.
+const EVIDENCE_SOURCE: &str = "cached_part";
 /// Most prompt parts in the log line of a request.
 const MAX_LOGGED_PARTS: usize = 8;
 
@@ -126,7 +129,7 @@
 /// Finds the build to which a request is bound because it takes up a stream, and the key of its stream, if that may
 /// be resumed. A stream whose build nobody knows can't go on: its parts might not fit together.
 async fn find_origin<D>(
-    context: &GatewayContext<D>,
+    context: &Arc<GatewayContext<D>>,
     head: &CallHead,
     routed: &RoutedCall,
 ) -> Result<(Option<BuildKey>, Option<StreamKey>), Box<CallerAnswer>>
@@ -145,7 +148,10 @@
     let asked = Instant::now();
     let stream = head.resumes.as_deref().map(key);
     let lookup = StreamLookup { stream, service, span: stream_span(route) };
-    let found = find_build(context, lookup).await;
+    let mut found = find_build(context, lookup).await;
+    if found.is_none() {
+        found = find_evidence(context, head, routed).await;
+    }
     let source = found.map_or("unknown", |(_, source)| source);
     tracing::info!(
         request = head.tag,
@@ -168,6 +174,26 @@
     Err(Box::new(refusal_answer(context, &refusal)))
 }
 
+/// Asks the engines for the build of a stream that may have begun before this process and its peers started.
+async fn find_evidence<D>(
+    context: &Arc<GatewayContext<D>>,
+    head: &CallHead,
+    routed: &RoutedCall,
+) -> Option<(BuildKey, &'static str)>
+where
+    D: CallProtocol,
+{
+    let span = stream_span(&routed.route);
+    if head.resumes.is_none() || !context.node.run(|node, now, _| node.may_lack_records(span, now))
+    {
+        return None;
+    }
+    // The last part belongs to the request alone.
+    let (part, _) = head.generation.as_ref()?.parts.last()?;
+    let build = find_build_by_part(context, &routed.service, *part).await?;
+    Some((build, EVIDENCE_SOURCE))
+}
+
 fn fault_name(fault: CallFault) -> &'static str {
     match fault {
         CallFault::NotConfigured => "not_configured",
--- a/crates/tarragon-gateway/src/context.rs
+++ b/crates/tarragon-gateway/src/context.rs
@@ -11,7 +11,9 @@
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use crate::{metrics::GatewayMetrics, origins::OriginLink, shared_node::SharedNode};
+use crate::{
+    evidence::CacheEvidence, metrics::GatewayMetrics, origins::OriginLink, shared_node::SharedNode,
+};
 
 /// Time limits of calls to targets and of answers to callers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -55,6 +57,8 @@
     pub node: Arc<SharedNode>,
     /// Messages with peers about which build began a stream.
     pub origins: OriginLink,
+    /// What the engines' caches hold, for streams that nobody has a record of.
+    pub evidence: CacheEvidence,
     /// Pool of connections to targets.
     pub pool: ConnectionPool,
     /// Metrics.
--- a/crates/tarragon-gateway/src/serve.rs
+++ b/crates/tarragon-gateway/src/serve.rs
@@ -24,6 +24,7 @@
 
 use crate::{
     context::{ForwardLimits, GatewayContext},
+    evidence::CacheEvidence,
     listener::{ListenerSignals, PageAnswer, listen, serve_page},
     metrics::GatewayMetrics,
     origins::{self, OriginLink},
@@ -108,6 +109,7 @@
         protocol,
         node: Arc::new(SharedNode::new(node)),
         origins: OriginLink::new(origin_socket),
+        evidence: CacheEvidence::default(),
         pool: ConnectionPool::default(),
         metrics: GatewayMetrics::new()?,
         clock: options.clock,
