Read from the store which builds were registered of late

A process that starts after all processes have lost power knows no stream and no target that has left meanwhile, so it can't tell whether a stream that a caller takes up began at a build that no longer serves. The store's history of registrations tells a part of it.

PublishedStore gets read_build_history: the listing, and the changes before it as far back as the store gives them (fewer revisions after each 410, at most two refinements, parts of a limited answer joined, one era). BuildHistory names the builds and the time for which they are complete.

Counting one revision a heartbeat would have claimed far too long a span or none. The time comes from sequence numbers and start times instead.

The stand-in for the store now tells when a key was created, splits long answers to watches and drops its history up to a revision. Nothing calls read_build_history yet.

--- a/crates/tarragon-command/src/command/serve/gateway.rs
+++ b/crates/tarragon-command/src/command/serve/gateway.rs
@@ -32,7 +32,7 @@
 }
 
 async fn run(path: PathBuf, settings: GatewaySettings) -> anyhow::Result<ExitCode> {
-    let store = PlatformStore::new(settings.store_address);
+    let store = PlatformStore::new(settings.store_address).with_heartbeat(settings.heartbeat);
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut reload = signal(SignalKind::hangup())?;
--- a/crates/tarragon-config/src/settings/gateway.rs
+++ b/crates/tarragon-config/src/settings/gateway.rs
@@ -45,6 +45,8 @@
     pub log_format: LogFormat,
     /// Time from the shutdown signal until the process is killed.
     pub grace: Duration,
+    /// Interval between two heartbeats of a target's registration.
+    pub heartbeat: Duration,
     /// Limits that apply to the fleet as a whole.
     pub bounds: GatewayBounds,
 }
@@ -79,6 +81,8 @@
 
 /// Default of [`GatewaySettings::grace`]. Most platforms allow this time or more.
 const DEFAULT_GRACE: Duration = Duration::from_secs(8);
+/// Default of [`GatewaySettings::heartbeat`].
+const DEFAULT_HEARTBEAT: Duration = Duration::from_millis(1_200);
 
 impl GatewaySettings {
     /// Address at which peers send digests.
@@ -145,6 +149,7 @@
         let first_start = self.first_start();
         let log_format = self.log_format();
         let grace = self.duration("grace_s", DEFAULT_GRACE);
+        let heartbeat = self.milliseconds("heartbeat_ms", DEFAULT_HEARTBEAT);
         let bounds = self.bounds();
         Some(GatewaySettings {
             vm: vm?,
@@ -157,6 +162,7 @@
             first_start,
             log_format,
             grace,
+            heartbeat,
             bounds,
         })
     }
@@ -178,6 +184,11 @@
         address_value(self.document, value)
     }
 
+    fn milliseconds(&mut self, name: &'static str, default: Duration) -> Duration {
+        let milliseconds = self.non_negative(name, default.as_secs_f64() * 1_000.0);
+        Duration::from_secs_f64((milliseconds / 1_000.0).min(MAX_TIME_S))
+    }
+
     fn duration(&mut self, name: &'static str, default: Duration) -> Duration {
         let seconds = self.non_negative(name, default.as_secs_f64());
         Duration::from_secs_f64(seconds.min(MAX_TIME_S))
--- a/crates/tarragon-config/tests/settings.rs
+++ b/crates/tarragon-config/tests/settings.rs
@@ -117,7 +117,7 @@
   "seeds": ["10.1.0.25:8229",],
   "store_address": "10.200.1.7:8225",
   "first_start": true,
-  "grace_s": 8.5,
+  "grace_s": 8.5, "heartbeat_ms": 900,
   "bounds": { "retry_ratio": 0.2, "retry_slack": 56, "quota_window_s": 8, },
 }"#;
 
@@ -132,6 +132,7 @@
     assert_eq!(settings.seed_addresses(), ["10.1.0.25:7600".parse().unwrap()]);
     assert_eq!(settings.metrics_address(), "10.1.0.7:7602".parse().unwrap());
     assert_eq!(settings.grace, Duration::from_millis(8_500));
+    assert_eq!(settings.heartbeat, Duration::from_millis(900));
     assert_eq!(settings.bounds.retry_slack, 56.0);
     let example = std::fs::read_to_string(Path::new(EXAMPLES).join("settings.jsonc")).unwrap();
     assert!(!is_gateway_settings(&example));
--- a/crates/tarragon-fleet/src/build.rs
+++ b/crates/tarragon-fleet/src/build.rs
@@ -5,6 +5,8 @@
 
 use crate::prelude::*;
 
+pub mod history;
+
 /// Computes the key of a build.
 pub fn build_key(name: &str) -> BuildKey {
     xxh3_64(name.as_bytes())
--- a/crates/tarragon-gateway/src/platform.rs
+++ b/crates/tarragon-gateway/src/platform.rs
@@ -5,6 +5,7 @@
 
 use http::{HeaderMap, StatusCode, request, response};
 use tarragon_fleet::{
+    build::history::BuildHistory,
     prelude::*,
     published::{StoreEra, StoreRevision},
 };
@@ -166,4 +167,7 @@
 
     /// Reads the listing of all targets.
     fn read_targets(&self) -> impl Future<Output = Result<TargetListing, StoreFault>> + Send;
+
+    /// Reads which builds of each service were registered in the recent past.
+    fn read_build_history(&self) -> impl Future<Output = Result<BuildHistory, StoreFault>> + Send;
 }
--- a/crates/tarragon-standin/src/shared_store.rs
+++ b/crates/tarragon-standin/src/shared_store.rs
@@ -17,6 +17,8 @@
 
 /// Items of one page.
 const PAGE: usize = 50;
+/// Changes in one answer to a watch.
+const WATCH_PAGE: usize = 100;
 
 /// How the store treats calls.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -30,13 +32,29 @@
     Silent,
 }
 
+#[derive(Debug, Clone)]
+struct StoredItem {
+    value: Vec<u8>,
+    revision: u64,
+    /// Revision at which the key was created.
+    created: u64,
+}
+
+#[derive(Debug, Clone)]
+struct StoredChange {
+    key: String,
+    revision: u64,
+    /// `None` if the key was deleted.
+    item: Option<StoredItem>,
+}
+
 #[derive(Debug, Clone, Default)]
 struct StoreState {
     mode: StoreMode,
     revision: u64,
-    items: IndexMap<String, (Vec<u8>, u64)>,
-    /// Changes by revision: key, and value unless the key was deleted.
-    history: Vec<(u64, String, Option<Vec<u8>>)>,
+    items: IndexMap<String, StoredItem>,
+    /// Changes in order.
+    history: Vec<StoredChange>,
     /// Watches from before this revision are refused.
     compacted: u64,
     /// Number of times that the store has come back from a copy, as each answer tells.
@@ -76,8 +94,10 @@
         self.state.send_modify(|state| {
             state.revision += 1;
             let revision = state.revision;
-            state.items.insert(key.to_owned(), (value.to_vec(), revision));
-            state.history.push((revision, key.to_owned(), Some(value.to_vec())));
+            let created = state.items.get(key).map_or(revision, |item| item.created);
+            let item = StoredItem { value: value.to_vec(), revision, created };
+            state.items.insert(key.to_owned(), item.clone());
+            state.history.push(StoredChange { key: key.to_owned(), revision, item: Some(item) });
         });
     }
 
@@ -91,7 +111,8 @@
         self.state.send_modify(|state| {
             state.revision += 1;
             state.items.shift_remove(key);
-            state.history.push((state.revision, key.to_owned(), None));
+            let revision = state.revision;
+            state.history.push(StoredChange { key: key.to_owned(), revision, item: None });
         });
     }
 
@@ -115,6 +136,19 @@
         self.control.reset_connections();
     }
 
+    /// Revision of the last change.
+    pub fn revision(&self) -> u64 {
+        self.state.borrow().revision
+    }
+
+    /// Drops the history up to a revision.
+    pub fn compact_until(&self, revision: u64) {
+        self.state.send_modify(|state| {
+            state.history.retain(|change| change.revision > revision);
+            state.compacted = revision + 1;
+        });
+    }
+
     /// Drops the history: watches have to start anew.
     pub fn compact(&self) {
         self.state.send_modify(|state| {
@@ -175,10 +209,7 @@
         keys.sort();
         let more = keys.len() > PAGE;
         keys.truncate(PAGE);
-        let items: Vec<Value> = keys
-            .into_iter()
-            .map(|key| item(key, Some(&state.items[key].0), state.items[key].1))
-            .collect();
+        let items: Vec<Value> = keys.into_iter().map(|key| item(key, &state.items[key])).collect();
         answer(&json!({"items": items, "has-more": more, "at": state.revision}))
     }
 
@@ -191,31 +222,37 @@
             return empty(StatusCode::GONE);
         }
         let mut changes = self.state.subscribe();
-        let events_in = |state: &StoreState| -> Vec<Value> {
-            let matching = state
-                .history
-                .iter()
-                .filter(|(revision, key, _)| *revision > after && key.starts_with(prefix));
-            matching.map(|(revision, key, value)| item(key, value.as_ref(), *revision)).collect()
-        };
-        let changed = changes.wait_for(|state| !events_in(state).is_empty());
+        let matches =
+            |change: &&StoredChange| change.revision > after && change.key.starts_with(prefix);
+        let changed = changes.wait_for(|state| state.history.iter().any(|change| matches(&change)));
         // The time is over without a change if this fails.
         let _ = timeout(wait, changed).await;
         let state = self.state.borrow();
-        answer(&json!({"events": events_in(&state), "at": state.revision}))
+        let mut matching: Vec<&StoredChange> = state.history.iter().filter(matches).collect();
+        let at = match matching.get(WATCH_PAGE) {
+            Some(_) => matching[WATCH_PAGE - 1].revision,
+            None => state.revision,
+        };
+        matching.truncate(WATCH_PAGE);
+        let events: Vec<Value> = matching.into_iter().map(event).collect();
+        answer(&json!({"events": events, "at": at}))
     }
 }
 
-fn item(key: &str, value: Option<&Vec<u8>>, revision: u64) -> Value {
-    match value {
-        Some(value) => json!({
-            "key": key,
-            "value": STANDARD.encode(value),
-            "revision": revision,
-            "created-at": revision,
-            "lease": 0,
-        }),
-        None => json!({"key": key, "revision": revision, "deleted": true}),
+fn item(key: &str, item: &StoredItem) -> Value {
+    json!({
+        "key": key,
+        "value": STANDARD.encode(&item.value),
+        "revision": item.revision,
+        "created-at": item.created,
+        "lease": 0,
+    })
+}
+
+fn event(change: &StoredChange) -> Value {
+    match &change.item {
+        Some(stored) => item(&change.key, stored),
+        None => json!({"key": change.key, "revision": change.revision, "deleted": true}),
     }
 }
 
