--- a/crates/tarragon-fleet/src/build.rs
+++ b/crates/tarragon-fleet/src/build.rs
@@ -1,6 +1,8 @@
 //! Builds of the targets' software. What two builds write for one request doesn't fit together, so a stream may
 //! only go on at targets of the build that began it.
 
+pub mod history;
+
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::prelude::*;
--- a/crates/tarragon-fleet/src/ledger.rs
+++ b/crates/tarragon-fleet/src/ledger.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    build::build_key,
+    build::{build_key, history::BuildHistory},
     digest::{NameKey, name_key},
     prelude::*,
 };
@@ -94,6 +94,22 @@
         }
     }
 
+    /// Adds the builds that the store's history shows. When each was last registered isn't known.
+    pub fn merge_history(&mut self, history: &BuildHistory, now: Instant) {
+        let sightings = history.sightings.iter().map(|sighting| SightingNotice {
+            service: name_key(&sighting.service),
+            build: build_key(&sighting.service, &sighting.build),
+            age_ms: 0,
+        });
+        let span_ms = u32::try_from(history.span.as_millis()).unwrap_or(u32::MAX);
+        self.merge(&LedgerNotice { span_ms, sightings: sightings.collect() }, now);
+    }
+
+    /// Whether the sightings are complete for a span of time before `now`.
+    pub fn covers(&self, span: Duration, now: Instant) -> bool {
+        self.complete_since.is_some_and(|since| now.saturating_duration_since(since) >= span)
+    }
+
     /// What is known, for a peer. `None` before the first listing.
     pub fn notice(&self, now: Instant) -> Option<LedgerNotice> {
         let age = |at: Instant| {
@@ -109,8 +125,7 @@
 
     /// The build that was the only one of a service for the whole span before `now`.
     pub fn sole_build(&self, service: NameKey, span: Duration, now: Instant) -> Option<BuildKey> {
-        let covered = now.saturating_duration_since(self.complete_since?);
-        if covered < span {
+        if !self.covers(span, now) {
             return None;
         }
         let is_recent = |at: Instant| now.saturating_duration_since(at) <= span;
--- a/crates/tarragon-fleet/src/node/origins.rs
+++ b/crates/tarragon-fleet/src/node/origins.rs
@@ -6,6 +6,7 @@
 };
 
 use crate::{
+    build::history::BuildHistory,
     digest::{NameKey, name_key},
     node::FleetNode,
     origin::{OriginAnswer, OriginMessage, OriginQuery, StreamKey},
@@ -22,6 +23,8 @@
 /// Time by which the end of a build's registrations may be later than its last stream began: processes hear late
 /// of it.
 const SIGHTING_MARGIN: Duration = Duration::from_secs(3);
+/// Time before now for which a process should know which builds were registered.
+const HISTORY_SPAN: Duration = Duration::from_secs(18);
 /// Time after its start in which a process tells its peers which builds it knows to have been registered.
 const LEDGER_REPORT_TIME: Duration = Duration::from_secs(10);
 /// Number of ticks between two such reports.
@@ -96,6 +99,17 @@
         self.builds.sole_build(service, span, now).filter(|_| in_touch)
     }
 
+    /// Whether this process has a listing, but may not know all builds that were registered while the oldest
+    /// streams began.
+    pub fn lacks_builds(&self, now: Instant) -> bool {
+        self.directory.age(now).is_some() && !self.builds.covers(HISTORY_SPAN, now)
+    }
+
+    /// Adds the builds that the store's history shows.
+    pub fn merge_build_history(&mut self, now: Instant, history: &BuildHistory) {
+        self.builds.merge_history(history, now);
+    }
+
     /// Whether this process started so recently that streams from before its start may still be taken up.
     pub fn may_lack_records(&self, span: Duration, now: Instant) -> bool {
         now.saturating_duration_since(self.started) < span
--- a/crates/tarragon-gateway/src/reader.rs
+++ b/crates/tarragon-gateway/src/reader.rs
@@ -26,6 +26,11 @@
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
 
+/// Time after the start for which the builds of the past are of interest, and for which peers may tell them
+/// before the store is asked.
+const HISTORY_TIME: Duration = Duration::from_secs(15);
+const PEER_TIME: Duration = Duration::from_millis(250);
+
 /// Longest delay before a complete read in place of a watch that can't continue.
 const MAX_REREAD_DELAY: Duration = Duration::from_millis(200);
 
@@ -211,6 +216,39 @@
     }
 }
 
+/// Reads which builds were registered before the start of this process, unless peers tell it.
+pub async fn read_build_history<D, S>(context: Arc<GatewayContext<D>>, store: Arc<S>)
+where
+    S: PublishedStore,
+{
+    let end = Instant::now() + HISTORY_TIME;
+    let mut retry = StoreRetry::new("build_history");
+    let mut pause = PEER_TIME;
+    while Instant::now() < end {
+        sleep(pause).await;
+        pause = STANDBY_CHECK_INTERVAL;
+        if !context.node.run(|node, now, _| node.lacks_builds(now) && node.reads_targets(now)) {
+            continue;
+        }
+        match with_timeout(ANSWER_TIMEOUT, store.read_build_history()).await {
+            Ok(history) => {
+                context.metrics.store_calls.with_label_values(&["build_history", "answered"]).inc();
+                retry.record_success();
+                context.node.run(|node, now, _| node.merge_build_history(now, &history));
+                return;
+            }
+            Err(fault) => {
+                context
+                    .metrics
+                    .store_calls
+                    .with_label_values(&["build_history", fault.name()])
+                    .inc();
+                pause = retry.record_failure(fault);
+            }
+        }
+    }
+}
+
 /// Applies a listing that was read `age` ago, and closes idle connections to targets that it no longer has.
 pub fn apply_listing<D>(context: &GatewayContext<D>, listing: &TargetListing, age: Duration) {
     context.node.run(|node, now, actions| node.apply_listing(now, listing, age, actions));
--- a/crates/tarragon-gateway/src/serve.rs
+++ b/crates/tarragon-gateway/src/serve.rs
@@ -130,6 +130,7 @@
     context.spawn_background(origins::receive_messages(context.clone()));
     context.spawn_background(peers::refresh_listing_from_peers(context.clone()));
     context.spawn_background(reader::follow_operator(context.clone(), store.clone()));
+    context.spawn_background(reader::read_build_history(context.clone(), store.clone()));
     context.spawn_background(reader::follow_targets(context.clone(), store));
     tokio::spawn(listen(caller_listener, context.clone(), signals.clone()));
     let (pages, abort) = (context.clone(), context.abort.clone());
