Ask engines which build began a stream that nobody has a record of

After a power loss of all processes nobody knows which build began a stream that a caller takes up, and the history of registrations decides few cases. The engine that began it has read the request's own part of the prompt and lists it (CallProtocol::cache_list_path, read_cache_list).

evidence::find_build_by_part asks all known targets of the service at once, 300 ms at most, one list for each start of a target in 2 s, 64 targets at most. It names a build only if all targets answered with a list that can be read to the end and all holders are of one build; otherwise None. Log line "asked targets for a part of a prompt", counter evidence_total{outcome}.

Not covered: the target that began the stream has left and another build's target got the request before or after it; then that one is the only holder. Nothing calls find_build_by_part yet.

--- a/crates/tarragon-gateway/src/context.rs
+++ b/crates/tarragon-gateway/src/context.rs
@@ -11,7 +11,7 @@
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use crate::{metrics::GatewayMetrics, shared_node::SharedNode};
+use crate::{evidence::CacheEvidence, metrics::GatewayMetrics, shared_node::SharedNode};
 
 /// Time limits of calls to targets and of answers to callers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -53,6 +53,8 @@
     pub protocol: D,
     /// The fleet's node, which decides where requests go.
     pub node: Arc<SharedNode>,
+    /// What the engines' caches hold, for streams that nobody has a record of.
+    pub evidence: CacheEvidence,
     /// Pool of connections to targets.
     pub pool: ConnectionPool,
     /// Metrics.
--- a/crates/tarragon-gateway/src/lib.rs
+++ b/crates/tarragon-gateway/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod caller;
 pub mod context;
 pub mod events;
+pub mod evidence;
 pub mod forward;
 pub mod listener;
 pub mod metrics;
--- a/crates/tarragon-gateway/src/metrics.rs
+++ b/crates/tarragon-gateway/src/metrics.rs
@@ -30,6 +30,8 @@
     pub answer_time: HistogramVec,
     /// Calls to the store by call and result.
     pub store_calls: IntCounterVec,
+    /// Questions to engines for the build that began a stream, by outcome.
+    pub evidence: IntCounterVec,
     /// Bytes of digests by direction.
     pub peer_bytes: IntCounterVec,
     /// Version of the active configuration.
@@ -68,6 +70,11 @@
                 "Calls to the store",
                 &["call", "result"],
             )?,
+            evidence: counter_vec(
+                "evidence_total",
+                "Questions to engines for the build that began a stream",
+                &["outcome"],
+            )?,
             peer_bytes: counter_vec("peer_bytes_total", "Bytes between peers", &["direction"])?,
             configuration_version: gauge("configuration_version", "Configuration in force")?,
             connections: gauge("connections", "Open connections of callers")?,
@@ -103,6 +110,7 @@
         registry.register(Box::new(self.event_gap.clone()))?;
         registry.register(Box::new(self.answer_time.clone()))?;
         registry.register(Box::new(self.store_calls.clone()))?;
+        registry.register(Box::new(self.evidence.clone()))?;
         registry.register(Box::new(self.peer_bytes.clone()))?;
         registry.register(Box::new(self.configuration_version.clone()))?;
         registry.register(Box::new(self.connections.clone()))?;
--- a/crates/tarragon-gateway/src/platform.rs
+++ b/crates/tarragon-gateway/src/platform.rs
@@ -4,6 +4,7 @@
 use std::{future::Future, sync::Arc, time::Duration};
 
 use http::{HeaderMap, StatusCode, request, response};
+use indexmap::IndexSet;
 use tarragon_fleet::{
     build::history::BuildHistory,
     prelude::*,
@@ -88,6 +89,12 @@
     /// Reads the head of a target's answer to the request with the caller's id `tag`.
     fn read_answer(&self, tag: &str, head: &response::Parts) -> AnswerHead;
 
+    /// Path at which an engine lists the parts of prompts that it holds.
+    fn cache_list_path(&self) -> &'static str;
+
+    /// Reads an engine's list of the parts that it holds. `None` if any of it can't be read.
+    fn read_cache_list(&self, body: &[u8]) -> Option<IndexSet<PartId>>;
+
     /// Filters the headers of a target's answer for the caller.
     fn answer_headers(&self, target: &HeaderMap) -> HeaderMap;
 
--- a/crates/tarragon-gateway/src/serve.rs
+++ b/crates/tarragon-gateway/src/serve.rs
@@ -24,6 +24,7 @@
 
 use crate::{
     context::{ForwardLimits, GatewayContext},
+    evidence::CacheEvidence,
     listener::{ListenerSignals, PageAnswer, listen, serve_page},
     metrics::GatewayMetrics,
     peers,
@@ -102,6 +103,7 @@
     let context = Arc::new(GatewayContext {
         protocol,
         node: Arc::new(SharedNode::new(node)),
+        evidence: CacheEvidence::default(),
         pool: ConnectionPool::default(),
         metrics: GatewayMetrics::new()?,
         clock: options.clock,
