--- a/crates/tarragon-fleet/src/build/history.rs
+++ b/crates/tarragon-fleet/src/build/history.rs
@@ -107,6 +107,12 @@
             }
         }
         sightings.extend(open.into_values());
+        if log.is_whole(listing) {
+            return BuildHistory {
+                span: Duration::MAX,
+                sightings: sightings.into_iter().collect(),
+            };
+        }
         let writes = log.writes_with(listing);
         let span =
             span_by_sequence(&writes, start, clock).max(span_by_clock(&writes, start, clock));
@@ -126,6 +132,13 @@
 }
 
 impl RegistrationLog {
+    /// Whether the log goes back to the store's first revision, and explains all entries of the listing: there
+    /// have never been other registrations.
+    fn is_whole(&self, listing: &[ListedTarget]) -> bool {
+        let logged: IndexSet<&str> = self.changes.iter().map(|change| &*change.instance).collect();
+        self.after == 0 && listing.iter().all(|target| logged.contains(&*target.instance))
+    }
+
     /// Revision of the last change of an entry whose content before it is unknown.
     pub fn last_unexplained(&self) -> Option<StoreRevision> {
         let mut known: IndexSet<&str> = IndexSet::new();
--- a/crates/tarragon-fleet/src/ledger.rs
+++ b/crates/tarragon-fleet/src/ledger.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -51,6 +51,12 @@
 }
 
 impl BuildLedger {
+    /// The ledger of a process that starts with a new fleet: there were no streams before.
+    pub fn of_new_fleet(now: Instant) -> BuildLedger {
+        let since = now.checked_sub(SIGHTING_LIFETIME).unwrap_or(now);
+        BuildLedger { told: Some((since, now)), ..BuildLedger::default() }
+    }
+
     /// Records a listing that was read at `read_at`.
     pub fn record_listing<'a, T>(&mut self, targets: T, read_at: Instant)
     where
@@ -134,4 +140,12 @@
         let ((_, build), _) = builds.next()?;
         builds.next().is_none().then_some(*build)
     }
+
+    /// Services with only one build for the whole span before `now`.
+    pub fn services_with_sole_build(&self, span: Duration, now: Instant) -> IndexSet<NameKey> {
+        let services: IndexSet<NameKey> =
+            self.sightings.keys().map(|(service, _)| *service).collect();
+        let is_sole = |service: &NameKey| self.sole_build(*service, span, now).is_some();
+        services.into_iter().filter(is_sole).collect()
+    }
 }
--- a/crates/tarragon-fleet/src/node.rs
+++ b/crates/tarragon-fleet/src/node.rs
@@ -147,6 +147,10 @@
     /// Creates a node without any published state or peers. `seed` determines all random choices.
     pub fn new(settings: FleetSettings, seed: u64, now: Instant) -> FleetNode {
         let started = (!settings.first_start).then_some(now);
+        let builds = match settings.first_start {
+            true => BuildLedger::of_new_fleet(now),
+            false => BuildLedger::default(),
+        };
         FleetNode {
             scheduler: Scheduler::new(settings.limits.clone(), seed).without_preemption(),
             operator_state: OperatorState::default(),
@@ -166,7 +170,7 @@
             forecasts: IndexMap::new(),
             calls: IndexMap::new(),
             origins: OriginTable::default(),
-            builds: BuildLedger::default(),
+            builds,
             ledger_ticks: 0,
             clock: FleetClock::new(now),
             started: now,
--- a/crates/tarragon-fleet/src/node/origins.rs
+++ b/crates/tarragon-fleet/src/node/origins.rs
@@ -5,9 +5,12 @@
     time::{Duration, Instant},
 };
 
+use indexmap::IndexSet;
+
 use crate::{
     build::history::BuildHistory,
     digest::{NameKey, name_key},
+    ledger::BuildLedger,
     node::FleetNode,
     origin::{OriginAnswer, OriginMessage, OriginQuery, StreamKey},
     prelude::*,
@@ -107,7 +110,7 @@
 
     /// Adds the builds that the store's history shows.
     pub fn merge_build_history(&mut self, now: Instant, history: &BuildHistory) {
-        self.builds.merge_history(history, now);
+        self.update_builds(now, |builds| builds.merge_history(history, now));
     }
 
     /// Whether this process started so recently that streams from before its start may still be taken up.
@@ -153,7 +156,7 @@
                 None
             }
             OriginMessage::Builds(notice) => {
-                self.builds.merge(&notice, now);
+                self.update_builds(now, |builds| builds.merge(&notice, now));
                 None
             }
         }
@@ -175,28 +178,33 @@
         is_due.then(|| self.ledger_message(now)).flatten()
     }
 
-    /// Records the builds of a new listing. If a service has a second build now, peers are told of the streams
-    /// that the first one began.
+    /// Records the builds of a new listing.
     pub(super) fn record_builds(&mut self, listing: &TargetListing, read_at: Instant) {
+        self.update_builds(read_at, |builds| {
+            builds.record_listing(listing.targets.iter(), read_at);
+        });
+    }
+
+    /// Changes what is known of the registered builds. If a service has a second build now, peers are told of the
+    /// streams that the first one began.
+    fn update_builds<W>(&mut self, now: Instant, work: W)
+    where
+        W: FnOnce(&mut BuildLedger),
+    {
         let span = MIN_STREAM_TIME + SIGHTING_MARGIN;
-        let services: indexmap::IndexSet<NameKey> =
-            listing.targets.iter().map(|listed| name_key(&listed.service)).collect();
-        let builds = &self.builds;
-        let before: Vec<NameKey> = services
-            .into_iter()
-            .filter(|service| builds.sole_build(*service, span, read_at).is_some())
-            .collect();
-        self.builds.record_listing(listing.targets.iter(), read_at);
-        let is_new = |service: &NameKey| self.builds.sole_build(*service, span, read_at).is_none();
-        if before.iter().any(is_new) {
-            let own: Vec<(StreamKey, BuildKey)> = self.origins.own().collect();
-            tracing::info!(
-                streams = own.len(),
-                "a service has a second build; telling peers which build began the streams"
-            );
-            for (stream, build) in own {
-                self.tell_origin(stream, build);
-            }
+        let before: IndexSet<NameKey> = self.builds.services_with_sole_build(span, now);
+        work(&mut self.builds);
+        let after = self.builds.services_with_sole_build(span, now);
+        if before.is_subset(&after) {
+            return;
+        }
+        let own: Vec<(StreamKey, BuildKey)> = self.origins.own().collect();
+        tracing::info!(
+            streams = own.len(),
+            "a service has a second build; telling peers which build began the streams"
+        );
+        for (stream, build) in own {
+            self.tell_origin(stream, build);
         }
     }
 }
--- a/crates/tarragon-gateway/src/caller.rs
+++ b/crates/tarragon-gateway/src/caller.rs
@@ -184,8 +184,7 @@
     D: CallProtocol,
 {
     let span = stream_span(&routed.route);
-    if head.resumes.is_none() || !context.node.run(|node, now, _| node.may_lack_records(span, now))
-    {
+    if !context.node.run(|node, now, _| node.may_lack_records(span, now)) {
         return None;
     }
     // The last part belongs to the request alone.
--- a/crates/tarragon-gateway/src/evidence.rs
+++ b/crates/tarragon-gateway/src/evidence.rs
@@ -16,9 +16,9 @@
 use crate::{context::GatewayContext, platform::CallProtocol};
 
 /// Longest wait for the list of one target.
-const LIST_TIMEOUT: Duration = Duration::from_millis(400);
-/// Largest list, in bytes.
-const MAX_LIST_BYTES: usize = 4 << 20;
+const LIST_TIMEOUT: Duration = Duration::from_millis(300);
+/// Largest list, in bytes. Lists of many targets are kept at once.
+const MAX_LIST_BYTES: usize = 1 << 20;
 /// Age up to which a list is used again. Listing delays the work of a target.
 const MAX_LIST_AGE: Duration = Duration::from_secs(2);
 /// Most targets of a service that are asked.
@@ -33,18 +33,18 @@
     parts: OnceCell<HeldParts>,
 }
 
-/// Lists of the targets, by address.
+/// Lists of the targets, by start of their processes.
 #[derive(Default)]
 pub struct CacheEvidence {
-    slots: Guarded<IndexMap<TargetName, Arc<ListSlot>>>,
+    slots: Guarded<IndexMap<(TargetName, RestartId), Arc<ListSlot>>>,
 }
 
 impl CacheEvidence {
     /// The slot for a target's list, a new one if the last is too old.
-    fn slot(&self, target: &TargetName) -> Arc<ListSlot> {
+    fn slot(&self, target: &AskedTarget) -> Arc<ListSlot> {
         self.slots.with(|slots| {
             slots.retain(|_, slot| slot.requested.elapsed() < MAX_LIST_AGE);
-            let slot = slots.entry(target.clone()).or_insert_with(|| {
+            let slot = slots.entry((target.address.clone(), target.restart)).or_insert_with(|| {
                 Arc::new(ListSlot { requested: Instant::now(), parts: OnceCell::new() })
             });
             slot.clone()
@@ -52,24 +52,73 @@
     }
 }
 
+#[derive(Clone)]
+struct AskedTarget {
+    address: TargetName,
+    restart: RestartId,
+    build: BuildKey,
+}
+
 /// What a target holds of a stream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct HolderFinding {
+    /// Target.
+    pub target: TargetName,
     /// Build of the target.
     pub build: BuildKey,
     /// Whether it holds the request's own part; `None` if it did not tell.
     pub holds: Option<bool>,
 }
 
-/// The build that began a stream: that of all targets which hold the request's own part. Targets of two builds hold
-/// it if the request was sent again before its first event, or if other requests have the same part.
+/// What the caches of all targets tell about a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EvidenceOutcome {
+    /// All holders of the part are of this build.
+    Build(BuildKey),
+    /// Targets of several builds hold the part, as if the request was sent again before its first event.
+    SeveralBuilds,
+    /// No target holds the part.
+    NoHolder,
+    /// A target did not tell what it holds.
+    Incomplete,
+}
+
+impl EvidenceOutcome {
+    /// Judges the findings at all targets of a service. A target that did not tell may hold the part, which
+    /// matters if it is of another build.
+    pub fn judge(findings: &[HolderFinding]) -> EvidenceOutcome {
+        let holders = findings.iter().filter(|finding| finding.holds == Some(true));
+        let builds: IndexSet<BuildKey> = holders.map(|finding| finding.build).collect();
+        let is_silent =
+            |finding: &HolderFinding| finding.holds.is_none() && !builds.contains(&finding.build);
+        match (builds.first(), builds.len()) {
+            _ if findings.iter().any(is_silent) => EvidenceOutcome::Incomplete,
+            (None, _) => EvidenceOutcome::NoHolder,
+            (Some(build), 1) => EvidenceOutcome::Build(*build),
+            _ => EvidenceOutcome::SeveralBuilds,
+        }
+    }
+
+    /// Name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            EvidenceOutcome::Build(_) => "build",
+            EvidenceOutcome::SeveralBuilds => "several_builds",
+            EvidenceOutcome::NoHolder => "no_holder",
+            EvidenceOutcome::Incomplete => "incomplete",
+        }
+    }
+}
+
+/// The build that began a stream, if the caches of the targets prove it.
 pub fn build_of_holders(findings: &[HolderFinding]) -> Option<BuildKey> {
-    let mut holders = findings.iter().filter(|one| one.holds == Some(true)).map(|one| one.build);
-    let build = holders.next()?;
-    holders.all(|other| other == build).then_some(build)
+    match EvidenceOutcome::judge(findings) {
+        EvidenceOutcome::Build(build) => Some(build),
+        _ => None,
+    }
 }
 
-/// Asks all listed targets of a service whether they hold a part.
+/// Asks all known targets of a service whether they hold a part, and names the build that began its stream.
 pub async fn find_build_by_part<D>(
     context: &Arc<GatewayContext<D>>,
     service: &str,
@@ -78,47 +127,73 @@
 where
     D: CallProtocol,
 {
-    let targets: Vec<(TargetName, BuildKey)> = context.node.view(|node| {
+    let asked = Instant::now();
+    let Some(findings) = find_holders(context, service, part).await else {
+        context.metrics.evidence.with_label_values(&["too_many_targets"]).inc();
+        return None;
+    };
+    let outcome = EvidenceOutcome::judge(&findings);
+    context.metrics.evidence.with_label_values(&[outcome.name()]).inc();
+    let count = |holds| findings.iter().filter(|finding| finding.holds == holds).count();
+    tracing::info!(
+        service,
+        part = format!("{part:x}"),
+        holders = count(Some(true)),
+        others = count(Some(false)),
+        silent = count(None),
+        build = build_of_holders(&findings),
+        outcome = outcome.name(),
+        spent_ms = asked.elapsed().as_millis() as u64,
+        "asked targets for a part of a prompt"
+    );
+    build_of_holders(&findings)
+}
+
+/// Asks all known targets of a service at once whether they hold a part. `None` if there are too many.
+pub async fn find_holders<D>(
+    context: &Arc<GatewayContext<D>>,
+    service: &str,
+    part: PartId,
+) -> Option<Vec<HolderFinding>>
+where
+    D: CallProtocol,
+{
+    // A target whose entry is gone is asked, too: it may have begun the stream.
+    let targets: Vec<AskedTarget> = context.node.view(|node| {
         let entries =
-            node.directory().iter().filter(|(_, entry)| &*entry.listed.service == service);
-        entries.map(|(target, entry)| (target.clone(), entry.build())).collect()
+            node.directory().iter().filter(|(_, known)| *known.listed.service == *service);
+        let asked = entries.map(|(address, known)| AskedTarget {
+            address: address.clone(),
+            restart: known.restart_id,
+            build: known.build(),
+        });
+        asked.collect()
     });
     if targets.len() > MAX_LISTED_TARGETS {
         tracing::info!(service, targets = targets.len(), "too many targets to ask for a part");
         return None;
     }
     let mut lists = JoinSet::new();
-    for (target, build) in targets {
+    for target in targets {
         let context = context.clone();
         lists.spawn(async move {
             let parts = listed_parts(&context, &target).await;
-            HolderFinding { build, holds: parts.map(|parts| parts.contains(&part)) }
+            let holds = parts.map(|parts| parts.contains(&part));
+            HolderFinding { target: target.address, build: target.build, holds }
         });
     }
-    let findings = lists.join_all().await;
-    let build = build_of_holders(&findings);
-    let count = |holds| findings.iter().filter(|one| one.holds == holds).count();
-    tracing::info!(
-        service,
-        part = format!("{part:x}"),
-        holders = count(Some(true)),
-        others = count(Some(false)),
-        silent = count(None),
-        build,
-        "asked targets for a part of a prompt"
-    );
-    build
+    Some(lists.join_all().await)
 }
 
-async fn listed_parts<D>(context: &GatewayContext<D>, target: &TargetName) -> HeldParts
+async fn listed_parts<D>(context: &GatewayContext<D>, target: &AskedTarget) -> HeldParts
 where
     D: CallProtocol,
 {
     let slot = context.evidence.slot(target);
     let fetch = async {
-        let list = timeout(LIST_TIMEOUT, fetch_parts(context, target)).await;
+        let list = timeout(LIST_TIMEOUT, fetch_parts(context, &target.address)).await;
         list.unwrap_or_else(|_| {
-            tracing::info!(target_address = &**target, "the target's list of parts is late");
+            tracing::info!(target_address = &*target.address, "the target's list of parts is late");
             None
         })
     };
@@ -144,12 +219,12 @@
     let mut connection = connection.inspect_err(|error| failed(error)).ok()?;
     let response = connection.send_repeatable(target, connect, request, LIST_TIMEOUT).await;
     let (head, body) = response.inspect_err(|fault| failed(fault)).ok()?.into_parts();
-    let body = context.answers.collect(body, MAX_LIST_BYTES, LIST_TIMEOUT).await;
-    let body = body.inspect_err(|_| failed(&"the list is incomplete")).ok()?;
     if head.status != StatusCode::OK {
         failed(&head.status);
         return None;
     }
+    let body = context.answers.collect(body, MAX_LIST_BYTES, LIST_TIMEOUT).await;
+    let body = body.inspect_err(|fault| failed(&format_args!("{fault:?}"))).ok()?;
     let parts = context.protocol.read_cache_list(&body);
     if parts.is_none() {
         failed(&"the list can't be decoded");
--- a/crates/tarragon-gateway/src/peers.rs
+++ b/crates/tarragon-gateway/src/peers.rs
@@ -281,6 +281,7 @@
     match pull::<D, AgedListing>(context, peer, TARGETS_METHOD).await {
         Ok(AgedListing { listing, age_ms }) => {
             apply_listing(context, &listing, Duration::from_millis(age_ms));
+            send_messages(context).await;
         }
         Err(error) => tracing::info!(%peer, %error, "failed to get the target listing from a peer"),
     }
--- a/crates/tarragon-gateway/src/platform.rs
+++ b/crates/tarragon-gateway/src/platform.rs
@@ -92,7 +92,7 @@
     /// Path at which an engine lists the parts of prompts that it holds.
     fn cache_list_path(&self) -> &'static str;
 
-    /// Reads an engine's list of the parts that it holds. `None` if it is no such list.
+    /// Reads an engine's list of the parts that it holds. `None` if any of it can't be read.
     fn read_cache_list(&self, body: &[u8]) -> Option<IndexSet<PartId>>;
 
     /// Filters the headers of a target's answer for the caller.
--- a/crates/tarragon-gateway/src/reader.rs
+++ b/crates/tarragon-gateway/src/reader.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     context::GatewayContext,
+    origins::send_messages,
     platform::{OperatorChange, OperatorChanges, PublishedStore, StoreFault},
 };
 
@@ -205,6 +206,7 @@
                 retry.record_success();
                 // The listing may be as old as the start of the call.
                 apply_listing(&context, &listing, started.elapsed());
+                send_messages(&context).await;
                 LISTING_INTERVAL.mul_f64(rand::rng().random_range(0.9..1.1))
             }
             Err(fault) => {
