Ignore notices in answers that name another request

What callers saw: a target wrote an answer to an earlier request once more when the next request had arrived on the same connection. The answer names the earlier request, so it was not returned, but its head was believed: a pause that it asks for, an announcement of leaving or a rate limit took the target out of use. The next request was refused with 502 or 504, later ones with 503.

Cause: the head of an answer was applied to the target's state before it was checked which request the answer is for.

Notices are now read only from answers that belong to the request. A notice is part of each answer of the target, so none is lost. The scripted target can write text when the next request of a connection arrives, and tells on which connection a request came.

--- a/crates/tarragon-gateway/src/forward.rs
+++ b/crates/tarragon-gateway/src/forward.rs
@@ -346,7 +346,7 @@
             });
         }
         // Only a success of this target shows that its limit has ended: an error may come from a part of the
-        // target that knows nothing of it, and other answers from another instance or time.
+        // target that knows nothing of it, and other answers from another instance.
         let is_own_success = head.kind == AnswerKind::Answered && answer.head.status.is_success();
         if is_own_success || head.rate.limit().is_some() {
             let request = &self.call.tag;
@@ -422,7 +422,9 @@
         answer: IncomingAnswer,
     ) -> AttemptReport<ForwardAnswer> {
         let head = self.context.protocol.read_answer(&self.call.tag, &answer.head);
-        self.apply_answer_head(order, grant, &head, &answer);
+        if head.kind != AnswerKind::OtherRequest {
+            self.apply_answer_head(order, grant, &head, &answer);
+        }
         match head.kind {
             AnswerKind::Answered => {}
             AnswerKind::NotRun => {
--- a/crates/tarragon-standin/src/scripted_target.rs
+++ b/crates/tarragon-standin/src/scripted_target.rs
@@ -18,6 +18,9 @@
 pub enum TargetStep {
     /// Writes text; `{id}` stands for the id of the request.
     Write(String),
+    /// Writes text when the next request on the same connection has arrived, before its own answer; `{id}`
+    /// stands for the id of the request that has this step.
+    WriteLate(String),
     /// Waits.
     Pause(Duration),
     /// Closes the connection.
@@ -37,6 +40,8 @@
     pub head: String,
     /// Body.
     pub body: Vec<u8>,
+    /// Number of the connection on which it came, in the order in which they were accepted.
+    pub connection: usize,
 }
 
 impl SeenRequest {
@@ -73,7 +78,7 @@
         let (log, stop) = (target.log.clone(), target.stop.clone());
         tokio::spawn(async move {
             let scripts = Arc::new(scripts);
-            loop {
+            for connection in 0.. {
                 let accepted = tokio::select! {
                     () = stop.cancelled() => return,
                     accepted = listener.accept() => accepted,
@@ -83,7 +88,7 @@
                 tokio::spawn(async move {
                     tokio::select! {
                         () = stop.cancelled() => {}
-                        () = serve(stream, &scripts, &log) => {}
+                        () = serve(stream, connection, &scripts, &log) => {}
                     }
                 });
             }
@@ -117,17 +122,28 @@
     log.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-async fn serve(mut stream: TcpStream, scripts: &[Vec<TargetStep>], log: &Mutex<TargetLog>) {
+async fn serve(
+    mut stream: TcpStream,
+    connection: usize,
+    scripts: &[Vec<TargetStep>],
+    log: &Mutex<TargetLog>,
+) {
     let mut buffer = Vec::new();
+    let mut late = String::new();
     while let Some(request) = read_request(&mut stream, &mut buffer).await {
+        let request = SeenRequest { connection, ..request };
         let id = request.header("request-id").unwrap_or("").to_owned();
         let index = {
             let mut log = lock(log);
             log.seen.push(request);
             (log.seen.len() - 1).min(scripts.len().saturating_sub(1))
         };
+        if stream.write_all(std::mem::take(&mut late).as_bytes()).await.is_err() {
+            return;
+        }
         for step in scripts.get(index).into_iter().flatten() {
             match step {
+                TargetStep::WriteLate(text) => late.push_str(&text.replace("{id}", &id)),
                 TargetStep::Write(text) => {
                     if stream.write_all(text.replace("{id}", &id).as_bytes()).await.is_err() {
                         return;
@@ -161,7 +177,7 @@
     loop {
         if let Some(end) = buffer.windows(4).position(|bytes| bytes == b"\r\n\r\n") {
             let head = String::from_utf8_lossy(&buffer[..end]).to_ascii_lowercase();
-            let request = SeenRequest { head, body: Vec::new() };
+            let request = SeenRequest { head, body: Vec::new(), connection: 0 };
             let length: usize =
                 request.header("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
             let whole = end + 4 + length;
