Attribute answers on reused connections by the echoed id

What callers saw: a target wrote an earlier rejection without an id once more on a kept connection. The next request got 503, "not run, try again", while the target worked on it, and was sent again on the same connection, behind itself. A pause that the rejection asked for took the target out of use; a 421 marked it as replaced. A success without an id was returned to the caller of the next request.

Cause: an answer without an id counted as the answer to the request that was sent last, also on connections that had carried others. Only the first of several ids was read.

An answer belongs to a call if all its ids are the call's, or if it has none and the call is the first on its connection. Any other answer leaves the outcome unknown: its connection is closed, so that the target stops working on the request, and only a call that may be repeated is sent again. Targets echo the id in each answer, so no connection is closed that could have been kept.

--- a/crates/tarragon-gateway/src/forward.rs
+++ b/crates/tarragon-gateway/src/forward.rs
@@ -33,7 +33,7 @@
 
 use crate::{
     context::GatewayContext,
-    platform::{AnswerHead, AnswerKind, CallMetadata, CallProtocol},
+    platform::{AnswerEcho, AnswerHead, AnswerKind, CallMetadata, CallProtocol},
 };
 
 /// Share of the remaining time that a target gets to answer while the call can still be retried.
@@ -421,10 +421,19 @@
         grant: &SendGrant,
         answer: IncomingAnswer,
     ) -> AttemptReport<ForwardAnswer> {
-        let head = self.context.protocol.read_answer(&self.call.tag, &answer.head);
-        if head.kind != AnswerKind::OtherRequest {
-            self.apply_answer_head(order, grant, &head, &answer);
+        let echo = self.context.protocol.read_echo(&self.call.tag, &answer.head.headers);
+        if !answers_the_call(echo, &answer.connection) {
+            tracing::warn!(
+                request = self.call.tag,
+                target_address = &*order.target,
+                ?echo,
+                status = answer.head.status.as_u16(),
+                "answer belongs to another request"
+            );
+            return AttemptReport::Ended(AttemptEnd::Garbled);
         }
+        let head = self.context.protocol.read_answer(&answer.head);
+        self.apply_answer_head(order, grant, &head, &answer);
         match head.kind {
             AnswerKind::Answered => {}
             AnswerKind::NotRun => {
@@ -437,14 +446,6 @@
                 });
                 return AttemptReport::Ended(AttemptEnd::Rejected);
             }
-            AnswerKind::OtherRequest => {
-                tracing::warn!(
-                    request = self.call.tag,
-                    target_address = &*order.target,
-                    "answer belongs to another request"
-                );
-                return AttemptReport::Ended(AttemptEnd::Garbled);
-            }
             AnswerKind::Unusable(cause) => {
                 tracing::warn!(
                     request = self.call.tag,
@@ -510,6 +511,16 @@
     }
 }
 
+/// Whether an answer belongs to the call that was sent last on its connection. An answer without an id on a
+/// connection that has carried other calls may belong to one of these.
+fn answers_the_call(echo: AnswerEcho, connection: &TargetConnection) -> bool {
+    match echo {
+        AnswerEcho::Own => true,
+        AnswerEcho::Missing => !connection.is_reused(),
+        AnswerEcho::Other => false,
+    }
+}
+
 /// Tells the node that a target is about to stop, and closes the idle connections to it.
 fn report_leaving<D>(context: &GatewayContext<D>, target: &TargetName, instance: &str) {
     context.node.run(|node, now, actions| node.mark_target_leaving(now, target, instance, actions));
--- a/crates/tarragon-gateway/src/platform.rs
+++ b/crates/tarragon-gateway/src/platform.rs
@@ -34,7 +34,7 @@
 /// The parsed head of a target's answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct AnswerHead {
-    /// Whether the answer is for this request, and whether the request has run.
+    /// Whether the request has run, and whether the answer can be forwarded.
     pub kind: AnswerKind,
     /// Load of the target, if it reports it.
     pub load: Option<AnswerLoad>,
@@ -55,7 +55,18 @@
     pub waiting: u16,
 }
 
-/// How the gateway has to treat an answer.
+/// Which request an answer names.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerEcho {
+    /// The request that was sent.
+    Own,
+    /// Another request, or several.
+    Other,
+    /// None.
+    Missing,
+}
+
+/// How the gateway has to treat an answer to the request that was sent.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum AnswerKind {
     /// It is the target's answer to this request.
@@ -64,8 +75,6 @@
     NotRun,
     /// Another instance now has the target's address; it has not run the request.
     OtherInstance,
-    /// It answers another request. The outcome of this one is not known.
-    OtherRequest,
     /// It is a success that can't be forwarded, for the given reason. The request has run.
     Unusable(&'static str),
 }
@@ -84,8 +93,11 @@
     /// Reads what the headers of a final or interim (1xx) answer say about the rate that the target accepts.
     fn read_rate(&self, headers: &HeaderMap) -> RateStatement;
 
-    /// Reads the head of a target's answer to the request with the caller's id `tag`.
-    fn read_answer(&self, tag: &str, head: &response::Parts) -> AnswerHead;
+    /// Whether the headers of an answer name the request with the caller's id `tag`.
+    fn read_echo(&self, tag: &str, headers: &HeaderMap) -> AnswerEcho;
+
+    /// Reads the head of a target's answer.
+    fn read_answer(&self, head: &response::Parts) -> AnswerHead;
 
     /// Filters the headers of a target's answer for the caller.
     fn answer_headers(&self, target: &HeaderMap) -> HeaderMap;
