Send a request again on a connection that has not carried it

What callers saw: a target rejected a request and wrote the rejection once more when the same request came to it again on the same connection, as it does if the service has no other target. The caller got 503, "not run, try again", while the target ran the second sending. A failure that was written again was returned in the same way.

Cause: all sendings of a request bear the caller's id, so the echo doesn't tell a repeated answer to an earlier sending from the answer to a later one. The pool returned the connection that was used last, which had carried the first sending.

A request that is sent again takes an idle connection that hasn't carried it, or a new one. The id then occurs once on each connection, so that its echo proves which sending is answered. New connections are made only if the request goes to the same target again and no other idle connection is left.

--- a/crates/tarragon-gateway/src/forward.rs
+++ b/crates/tarragon-gateway/src/forward.rs
@@ -20,7 +20,7 @@
     target::{
         body::collect_body,
         metered::TargetBody,
-        pool::{CallBody, CallFault, TargetConnection},
+        pool::{CallBody, CallFault, ConnectionId, TargetConnection},
     },
 };
 use tokio::{
@@ -105,6 +105,8 @@
     /// A server error that a target answered. It is returned to the caller if no later attempt succeeds.
     pub failed_answer: Option<WholeAnswer>,
     sent: u32,
+    /// Connections that have carried the call. A repeated answer on one of them bears the call's id.
+    carriers: Vec<ConnectionId>,
 }
 
 /// An answer whose head has arrived, with the connection from which its body is read.
@@ -169,7 +171,7 @@
         head: oneshot::Sender<CallerAnswer>,
     ) -> ForwardRunner<'a, D> {
         let sink = StreamSink::new(head, call.resume_after, call.arrived);
-        ForwardRunner { context, call, sink, failed_answer: None, sent: 0 }
+        ForwardRunner { context, call, sink, failed_answer: None, sent: 0, carriers: Vec::new() }
     }
 
     /// Returns the sink of the caller's answer.
@@ -230,12 +232,12 @@
         }
     }
 
-    /// Takes a pooled connection, or opens a new one for a call that must not be repeated: if the target had
-    /// just closed a pooled connection, the outcome of the call would be unknown.
+    /// Takes a pooled connection that has not carried the call, or opens a new one for a call that must not be
+    /// repeated: if the target had just closed a pooled connection, the outcome of the call would be unknown.
     async fn connect(&self, order: &DispatchOrder) -> Result<TargetConnection, AttemptEnd> {
         let limit = self.context.limits.connect;
         let connection = if self.is_repeatable() {
-            self.context.pool.checkout(&order.address, limit).await
+            self.context.pool.checkout_other(&order.address, limit, &self.carriers).await
         } else {
             TargetConnection::open(&order.address, limit).await
         };
@@ -387,6 +389,7 @@
         } else {
             connection.send(request, answer_timeout).await
         };
+        self.carriers.push(connection.id());
         let response = answer.map_err(|fault| {
             tracing::info!(
                 request = self.call.tag, target_address = &*order.target, %fault, "no answer from the target"
--- a/crates/tarragon-server/src/target/pool.rs
+++ b/crates/tarragon-server/src/target/pool.rs
@@ -2,7 +2,14 @@
 //! must not be repeated gets a connection of its own, so that a connection that the target has just
 //! closed can't make its outcome uncertain.
 
-use std::{io, sync::Arc, time::Duration};
+use std::{
+    io,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{Request, Response};
@@ -34,6 +41,9 @@
 /// Wait for a pooled connection whose last answer was read a moment ago and whose task has yet to run.
 const READY_WAIT: Duration = Duration::from_millis(10);
 
+/// Number of a connection, unique in its process.
+pub type ConnectionId = u64;
+
 /// Why a call got no answer.
 #[derive(Debug)]
 pub enum CallFault {
@@ -57,6 +67,7 @@
 
 /// A connection that is ready to take one call.
 pub struct TargetConnection {
+    id: ConnectionId,
     sender: http1::SendRequest<CallBody>,
     allowance: ReadAllowance,
     reused: bool,
@@ -82,7 +93,14 @@
                 tracing::debug!(%error, "connection to a target ended");
             }
         });
-        Ok(TargetConnection { sender, allowance, reused: false, idle_until: Instant::now() })
+        static NEXT_ID: AtomicU64 = AtomicU64::new(0);
+        let id = NEXT_ID.fetch_add(1, Ordering::Relaxed);
+        Ok(TargetConnection { id, sender, allowance, reused: false, idle_until: Instant::now() })
+    }
+
+    /// Its number.
+    pub fn id(&self) -> ConnectionId {
+        self.id
     }
 
     /// Whether it has carried a call before.
@@ -141,7 +159,17 @@
 impl ConnectionPool {
     /// An idle connection that is still open, or a new one.
     pub async fn checkout(&self, address: &str, limit: Duration) -> io::Result<TargetConnection> {
-        while let Some(mut connection) = self.pop(address) {
+        self.checkout_other(address, limit, &[]).await
+    }
+
+    /// Like [`checkout`](Self::checkout), but none of the connections in `carriers`.
+    pub async fn checkout_other(
+        &self,
+        address: &str,
+        limit: Duration,
+        carriers: &[ConnectionId],
+    ) -> io::Result<TargetConnection> {
+        while let Some(mut connection) = self.pop(address, carriers) {
             if Instant::now() >= connection.idle_until {
                 continue;
             }
@@ -184,7 +212,12 @@
         self.idle.with(|idle| idle.retain(|address, _| keep(address)));
     }
 
-    fn pop(&self, address: &str) -> Option<TargetConnection> {
-        self.idle.with(|idle| idle.get_mut(address).and_then(Vec::pop))
+    /// Takes the connection that was used last, except `carriers`.
+    fn pop(&self, address: &str, carriers: &[ConnectionId]) -> Option<TargetConnection> {
+        self.idle.with(|idle| {
+            let connections = idle.get_mut(address)?;
+            let is_other = |connection: &TargetConnection| !carriers.contains(&connection.id);
+            connections.iter().rposition(is_other).map(|place| connections.remove(place))
+        })
     }
 }
