Ignore interim answers that name another request

What callers saw: an interim answer to an earlier request, written once more while a target worked on the next request of the connection, took the target out of use: it announced leaving, or named a limit that no longer held. Later requests were refused with 503.

Cause: notices in interim answers were read without a look at the id.

Interim answers that name another request are ignored, and their connection is not used again. One without an id still announces leaving, which a process never takes back, but names a limit only on a connection that has carried no other call; the final answer names it in any case.

--- a/crates/tarragon-gateway/src/forward.rs
+++ b/crates/tarragon-gateway/src/forward.rs
@@ -5,7 +5,7 @@
 use std::{
     sync::{
         Arc,
-        atomic::{AtomicU32, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
     time::Duration,
 };
@@ -109,6 +109,15 @@
     carriers: Vec<ConnectionId>,
 }
 
+/// What the interim answers of one attempt have shown.
+#[derive(Debug, Clone, Default)]
+struct InterimWatch {
+    /// Cancelled when there are too many of them.
+    too_many: CancellationToken,
+    /// Whether one of them belongs to another request.
+    misplaced: Arc<AtomicBool>,
+}
+
 /// An answer whose head has arrived, with the connection from which its body is read.
 struct IncomingAnswer {
     connection: TargetConnection,
@@ -196,7 +205,7 @@
         let Some(mut request) = self.build_request(order, &grant, remaining) else {
             return ended(AttemptEnd::Withheld);
         };
-        let too_many_interim = self.watch_interim_answers(order, &grant, &mut request);
+        let interim = self.watch_interim_answers(order, &grant, &connection, &mut request);
         self.context.node.start_attempt(order);
         tracing::info!(
             request = self.call.tag,
@@ -217,7 +226,7 @@
         );
         let answer = tokio::select! {
             answer = self.exchange(order, connection, request, remaining) => answer,
-            () = too_many_interim.cancelled() => {
+            () = interim.too_many.cancelled() => {
                 tracing::warn!(
                     request = self.call.tag,
                     target_address = &*order.target,
@@ -227,7 +236,12 @@
             }
         };
         match answer {
-            Ok(answer) => self.handle_answer(order, &grant, answer).await,
+            Ok(mut answer) => {
+                if interim.misplaced.load(Ordering::Relaxed) {
+                    answer.connection.retire();
+                }
+                self.handle_answer(order, &grant, answer).await
+            }
             Err(end) => ended(end),
         }
     }
@@ -294,35 +308,50 @@
         Some(request)
     }
 
-    /// Checks interim answers for a notice that the target is about to stop. The returned token is cancelled
-    /// when there are too many of them.
+    /// Checks interim answers for notices of the target about itself.
     fn watch_interim_answers(
         &self,
         order: &DispatchOrder,
         grant: &SendGrant,
+        connection: &TargetConnection,
         request: &mut Request<CallBody>,
-    ) -> CancellationToken {
+    ) -> InterimWatch {
         let context = self.context.clone();
         let (target, instance) = (order.target.clone(), grant.instance.clone());
         let (tag, sent) = (self.call.tag.clone(), Instant::now().into_std());
-        let too_many_interim = CancellationToken::new();
-        let (token, count) = (too_many_interim.clone(), AtomicU32::new(0));
+        let is_reused = connection.is_reused();
+        let watch = InterimWatch::default();
+        let InterimWatch { too_many, misplaced } = watch.clone();
+        let count = AtomicU32::new(0);
         hyper::ext::on_informational(request, move |interim| {
-            if context.protocol.is_leaving(interim.headers()) {
+            if count.fetch_add(1, Ordering::Relaxed) >= MAX_INTERIM_ANSWERS {
+                too_many.cancel();
+            }
+            let headers = interim.headers();
+            let echo = context.protocol.read_echo(&tag, headers);
+            if echo == AnswerEcho::Other {
+                let target_address = &*target;
+                tracing::warn!(
+                    request = tag,
+                    target_address,
+                    "interim answer belongs to another request"
+                );
+                misplaced.store(true, Ordering::Relaxed);
+                return;
+            }
+            // An answer without an id may be that of an earlier call, but a process doesn't take leaving back.
+            if context.protocol.is_leaving(headers) {
                 report_leaving(&context, &target, &instance);
             }
             // Interim answers may lack headers that the final one has, so they don't end a limit.
-            let rate = context.protocol.read_rate(interim.headers());
-            if rate != RateStatement::Unlimited {
+            let rate = context.protocol.read_rate(headers);
+            if rate != RateStatement::Unlimited && answers_the_call(echo, is_reused) {
                 let answer =
                     RateAnswer { request: &tag, instance: &instance, sent, statement: rate };
                 report_rate(&context, &target, &answer);
             }
-            if count.fetch_add(1, Ordering::Relaxed) >= MAX_INTERIM_ANSWERS {
-                token.cancel();
-            }
         });
-        too_many_interim
+        watch
     }
 
     /// Reports to the node what the head of an answer says about the target itself.
@@ -425,7 +454,7 @@
         answer: IncomingAnswer,
     ) -> AttemptReport<ForwardAnswer> {
         let echo = self.context.protocol.read_echo(&self.call.tag, &answer.head.headers);
-        if !answers_the_call(echo, &answer.connection) {
+        if !answers_the_call(echo, answer.connection.is_reused()) {
             tracing::warn!(
                 request = self.call.tag,
                 target_address = &*order.target,
@@ -515,11 +544,11 @@
 }
 
 /// Whether an answer belongs to the call that was sent last on its connection. An answer without an id on a
-/// connection that has carried other calls may belong to one of these.
-fn answers_the_call(echo: AnswerEcho, connection: &TargetConnection) -> bool {
+/// reused connection may belong to an earlier call.
+fn answers_the_call(echo: AnswerEcho, is_reused: bool) -> bool {
     match echo {
         AnswerEcho::Own => true,
-        AnswerEcho::Missing => !connection.is_reused(),
+        AnswerEcho::Missing => !is_reused,
         AnswerEcho::Other => false,
     }
 }
--- a/crates/tarragon-server/src/target/pool.rs
+++ b/crates/tarragon-server/src/target/pool.rs
@@ -71,6 +71,7 @@
     sender: http1::SendRequest<CallBody>,
     allowance: ReadAllowance,
     reused: bool,
+    retired: bool,
     /// When it must not be used again without another answer.
     idle_until: Instant,
 }
@@ -95,7 +96,14 @@
         });
         static NEXT_ID: AtomicU64 = AtomicU64::new(0);
         let id = NEXT_ID.fetch_add(1, Ordering::Relaxed);
-        Ok(TargetConnection { id, sender, allowance, reused: false, idle_until: Instant::now() })
+        Ok(TargetConnection {
+            id,
+            sender,
+            allowance,
+            reused: false,
+            retired: false,
+            idle_until: Instant::now(),
+        })
     }
 
     /// Its number.
@@ -108,6 +116,11 @@
         self.reused
     }
 
+    /// Keeps it out of the pool: the target has sent something on it that belongs to no call.
+    pub fn retire(&mut self) {
+        self.retired = true;
+    }
+
     /// Sends a call that may be repeated. A pooled connection that proves closed before a byte was written
     /// is replaced once; a call that may have been written is not sent again here.
     pub async fn send_repeatable(
@@ -189,7 +202,7 @@
 
     /// Keeps a connection for a time that its target allows.
     pub fn give_back_for(&self, address: &str, mut connection: TargetConnection, idle: Duration) {
-        if connection.sender.is_closed() {
+        if connection.retired || connection.sender.is_closed() {
             return;
         }
         connection.idle_until = Instant::now() + idle;
