Check for bytes on a connection right before a call is written

What callers saw: bytes that a target had written to an idle connection, such as an earlier answer once more, were read as the answer to the next call. If the target had closed the connection, the call counted as possibly run.

Cause: the HTTP library closes an idle connection on which something arrives, but learns of it only when the runtime polls the socket. A call that is sent before that, on a busy process, is written first.

Evidence: what_arrives_just_before_a_call_replaces_the_connection and a_call_that_was_not_written_counts_as_not_sent failed on the code before this commit: a call got the 503 that had arrived before it was sent.

The socket is asked itself right before the first byte of each call. If anything has arrived, or the target has closed the connection, nothing is written, the call counts as not sent, and one that may be repeated takes a new connection. A replaced connection is logged and counted among the new ones.

--- a/crates/tarragon-gateway/src/forward.rs
+++ b/crates/tarragon-gateway/src/forward.rs
@@ -412,6 +412,7 @@
         self.sent += 1;
         let answer_timeout = self.answer_timeout(remaining);
         let sent = Instant::now();
+        let was_reused = connection.is_reused();
         let answer = if self.is_repeatable() {
             let limit = self.context.limits.connect;
             connection.send_repeatable(&order.address, limit, request, answer_timeout).await
@@ -419,6 +420,14 @@
             connection.send(request, answer_timeout).await
         };
         self.carriers.push(connection.id());
+        if was_reused && !connection.is_reused() {
+            self.context.metrics.target_connections.inc();
+            tracing::info!(
+                request = self.call.tag,
+                target_address = &*order.target,
+                "connection was replaced before the call was written"
+            );
+        }
         let response = answer.map_err(|fault| {
             tracing::info!(
                 request = self.call.tag, target_address = &*order.target, %fault, "no answer from the target"
--- a/crates/tarragon-server/src/target/metered.rs
+++ b/crates/tarragon-server/src/target/metered.rs
@@ -1,18 +1,23 @@
 //! A connection to a target that is cut if the target sends many bytes which are no part of an answer: a line
-//! that never ends, for example. Such bytes bring neither a head nor a part of a body.
+//! that never ends, for example. Such bytes bring neither a head nor a part of a body. It is also cut if the
+//! target has sent anything, or has closed it, before a call is written.
 
 use std::{
     io,
     pin::Pin,
     sync::{
         Arc,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     task::{Context, Poll, ready},
 };
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
+use rustix::{
+    io::Errno,
+    net::{RecvFlags, recv},
+};
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -46,17 +51,58 @@
     }
 }
 
-/// A connection whose reads are counted.
+/// Whether bytes of the connection's current call may have been written.
+#[derive(Debug, Clone, Default)]
+pub struct WriteMark(Arc<AtomicBool>);
+
+impl WriteMark {
+    /// A call is about to be written.
+    pub fn begin_call(&self) {
+        self.0.store(false, Ordering::Release);
+    }
+
+    /// Whether bytes of the call may have been written.
+    pub fn is_written(&self) -> bool {
+        self.0.load(Ordering::Acquire)
+    }
+}
+
+/// A connection whose reads are counted and whose calls are written only while the target is silent.
 #[derive(Debug)]
 pub struct MeteredStream {
     stream: TcpStream,
     allowance: ReadAllowance,
+    mark: WriteMark,
 }
 
 impl MeteredStream {
-    /// Counts the reads of a connection.
-    pub fn new(stream: TcpStream, allowance: ReadAllowance) -> MeteredStream {
-        MeteredStream { stream, allowance }
+    /// Counts the reads of a connection and checks it before each call.
+    pub fn new(stream: TcpStream, allowance: ReadAllowance, mark: WriteMark) -> MeteredStream {
+        MeteredStream { stream, allowance, mark }
+    }
+
+    /// Fails before the first byte of a call if something has arrived. The socket is asked itself, since the
+    /// runtime may learn of it only after the call has been written.
+    fn check_silence(&self) -> io::Result<()> {
+        if self.mark.is_written() {
+            return Ok(());
+        }
+        let mut byte = [0_u8];
+        match recv(&self.stream, &mut byte, RecvFlags::PEEK | RecvFlags::DONTWAIT) {
+            Err(Errno::WOULDBLOCK) => {
+                self.mark.0.store(true, Ordering::Release);
+                Ok(())
+            }
+            Ok((_, 0)) => {
+                let message = "the target closed the connection before the call";
+                Err(io::Error::new(io::ErrorKind::UnexpectedEof, message))
+            }
+            Ok(_) => {
+                let message = "the target sent bytes before the call";
+                Err(io::Error::new(io::ErrorKind::InvalidData, message))
+            }
+            Err(errno) => Err(errno.into()),
+        }
     }
 }
 
@@ -82,6 +128,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.check_silence()?;
         Pin::new(&mut self.stream).poll_write(context, bytes)
     }
 
@@ -90,6 +137,7 @@
         context: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.check_silence()?;
         Pin::new(&mut self.stream).poll_write_vectored(context, parts)
     }
 
--- a/crates/tarragon-server/src/target/pool.rs
+++ b/crates/tarragon-server/src/target/pool.rs
@@ -24,7 +24,7 @@
 
 use crate::{
     guarded::Guarded,
-    target::metered::{MeteredStream, ReadAllowance, TargetBody},
+    target::metered::{MeteredStream, ReadAllowance, TargetBody, WriteMark},
 };
 
 /// Body of a call to a target. It is whole, so that its length is known.
@@ -70,6 +70,7 @@
     id: ConnectionId,
     sender: http1::SendRequest<CallBody>,
     allowance: ReadAllowance,
+    mark: WriteMark,
     reused: bool,
     retired: bool,
     /// When it must not be used again without another answer.
@@ -83,10 +84,11 @@
         let stream =
             timeout(limit, TcpStream::connect(address)).await.map_err(|_| timed_out())??;
         stream.set_nodelay(true)?;
-        let allowance = ReadAllowance::default();
+        let (allowance, mark) = (ReadAllowance::default(), WriteMark::default());
+        let stream = MeteredStream::new(stream, allowance.clone(), mark.clone());
         let handshake = http1::Builder::new()
             .max_header_size(MAX_HEAD_BYTES)
-            .handshake(TokioIo::new(MeteredStream::new(stream, allowance.clone())))
+            .handshake(TokioIo::new(stream))
             .await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         tokio::spawn(async move {
@@ -100,6 +102,7 @@
             id,
             sender,
             allowance,
+            mark,
             reused: false,
             retired: false,
             idle_until: Instant::now(),
@@ -136,18 +139,20 @@
             Err(fault) => fault,
         };
         let (CallFault::NotSent(_), Some(request)) = (&fault, spare) else { return Err(fault) };
+        tracing::debug!(target_address = address, %fault, "replacing a connection to a target");
         *self = TargetConnection::open(address, connect).await.map_err(CallFault::NotSent)?;
         self.send(request, limit).await
     }
 
-    /// Sends a call and waits for the head of its answer. A call that hyper returns unwritten, because
-    /// the connection was closed, counts as not sent.
+    /// Sends a call and waits for the head of its answer. A call of which no byte was written, because the
+    /// connection was closed or something had arrived on it, counts as not sent.
     pub async fn send(
         &mut self,
         request: Request<CallBody>,
         limit: Duration,
     ) -> Result<Response<TargetBody>, CallFault> {
         self.allowance.renew();
+        self.mark.begin_call();
         let answer = timeout(limit, self.sender.try_send_request(request)).await;
         match answer {
             Err(_) => Err(CallFault::TimedOut),
@@ -155,10 +160,15 @@
                 self.allowance.renew();
                 Ok(response.map(|body| TargetBody::new(body, self.allowance.clone())))
             }
-            Ok(Err(mut error)) => match error.take_message() {
-                Some(_) => Err(CallFault::NotSent(io::Error::other(error.into_error()))),
-                None => Err(CallFault::Broken(error.into_error())),
-            },
+            Ok(Err(mut error)) => {
+                let unwritten = error.take_message().is_some() || !self.mark.is_written();
+                let error = error.into_error();
+                Err(if unwritten {
+                    CallFault::NotSent(io::Error::other(error))
+                } else {
+                    CallFault::Broken(error)
+                })
+            }
         }
     }
 }
