--- a/crates/tarragon-gateway/src/forward.rs
+++ b/crates/tarragon-gateway/src/forward.rs
@@ -5,7 +5,7 @@
 use std::{
     sync::{
         Arc,
-        atomic::{AtomicU32, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
     time::Duration,
 };
@@ -20,7 +20,7 @@
     target::{
         body::collect_body,
         metered::TargetBody,
-        pool::{CallBody, CallFault, TargetConnection},
+        pool::{CallBody, CallFault, ConnectionId, TargetConnection},
     },
 };
 use tokio::{
@@ -33,7 +33,7 @@
 
 use crate::{
     context::GatewayContext,
-    platform::{AnswerHead, AnswerKind, CallMetadata, CallProtocol},
+    platform::{AnswerEcho, AnswerHead, AnswerKind, CallMetadata, CallProtocol},
 };
 
 /// Share of the remaining time that a target gets to answer while the call can still be retried.
@@ -111,6 +111,17 @@
     /// Build that began the stream, once that is known. Only its targets may get the call.
     build: Option<BuildKey>,
     sent: u32,
+    /// Connections that have carried the call. A repeated answer on one of them bears the call's id.
+    carriers: Vec<ConnectionId>,
+}
+
+/// What the interim answers of one attempt have shown.
+#[derive(Debug, Clone, Default)]
+struct InterimWatch {
+    /// Cancelled when there are too many of them.
+    too_many: CancellationToken,
+    /// Whether one of them belongs to another request.
+    misplaced: Arc<AtomicBool>,
 }
 
 /// An answer whose head has arrived, with the connection from which its body is read.
@@ -175,7 +186,15 @@
         head: oneshot::Sender<CallerAnswer>,
     ) -> ForwardRunner<'a, D> {
         let sink = StreamSink::new(head, call.resume_after, call.arrived);
-        ForwardRunner { context, call, sink, failed_answer: None, build: call.build, sent: 0 }
+        ForwardRunner {
+            context,
+            call,
+            sink,
+            failed_answer: None,
+            build: call.build,
+            sent: 0,
+            carriers: Vec::new(),
+        }
     }
 
     /// Returns the sink of the caller's answer.
@@ -202,7 +221,7 @@
         let Some(mut request) = self.build_request(order, &grant, remaining) else {
             return ended(AttemptEnd::Withheld);
         };
-        let too_many_interim = self.watch_interim_answers(order, &grant, &mut request);
+        let interim = self.watch_interim_answers(order, &grant, &connection, &mut request);
         self.context.node.start_attempt(order);
         tracing::info!(
             request = self.call.tag,
@@ -224,7 +243,7 @@
         );
         let answer = tokio::select! {
             answer = self.exchange(order, connection, request, remaining) => answer,
-            () = too_many_interim.cancelled() => {
+            () = interim.too_many.cancelled() => {
                 tracing::warn!(
                     request = self.call.tag,
                     target_address = &*order.target,
@@ -234,17 +253,22 @@
             }
         };
         match answer {
-            Ok(answer) => self.handle_answer(order, &grant, answer).await,
+            Ok(mut answer) => {
+                if interim.misplaced.load(Ordering::Relaxed) {
+                    answer.connection.retire();
+                }
+                self.handle_answer(order, &grant, answer).await
+            }
             Err(end) => ended(end),
         }
     }
 
-    /// Takes a pooled connection, or opens a new one for a call that must not be repeated: if the target had
-    /// just closed a pooled connection, the outcome of the call would be unknown.
+    /// Takes a pooled connection that has not carried the call, or opens a new one for a call that must not be
+    /// repeated: if the target had just closed a pooled connection, the outcome of the call would be unknown.
     async fn connect(&self, order: &DispatchOrder) -> Result<TargetConnection, AttemptEnd> {
         let limit = self.context.limits.connect;
         let connection = if self.is_repeatable() {
-            self.context.pool.checkout(&order.address, limit).await
+            self.context.pool.checkout_other(&order.address, limit, &self.carriers).await
         } else {
             TargetConnection::open(&order.address, limit).await
         };
@@ -301,35 +325,50 @@
         Some(request)
     }
 
-    /// Checks interim answers for a notice that the target is about to stop. The returned token is cancelled
-    /// when there are too many of them.
+    /// Checks interim answers for notices of the target about itself.
     fn watch_interim_answers(
         &self,
         order: &DispatchOrder,
         grant: &SendGrant,
+        connection: &TargetConnection,
         request: &mut Request<CallBody>,
-    ) -> CancellationToken {
+    ) -> InterimWatch {
         let context = self.context.clone();
         let (target, instance) = (order.target.clone(), grant.instance.clone());
         let (tag, sent) = (self.call.tag.clone(), Instant::now().into_std());
-        let too_many_interim = CancellationToken::new();
-        let (token, count) = (too_many_interim.clone(), AtomicU32::new(0));
+        let is_reused = connection.is_reused();
+        let watch = InterimWatch::default();
+        let InterimWatch { too_many, misplaced } = watch.clone();
+        let count = AtomicU32::new(0);
         hyper::ext::on_informational(request, move |interim| {
-            if context.protocol.is_leaving(interim.headers()) {
+            if count.fetch_add(1, Ordering::Relaxed) >= MAX_INTERIM_ANSWERS {
+                too_many.cancel();
+            }
+            let headers = interim.headers();
+            let echo = context.protocol.read_echo(&tag, headers);
+            if echo == AnswerEcho::Other {
+                let target_address = &*target;
+                tracing::warn!(
+                    request = tag,
+                    target_address,
+                    "interim answer belongs to another request"
+                );
+                misplaced.store(true, Ordering::Relaxed);
+                return;
+            }
+            // An answer without an id may be that of an earlier call, but a process doesn't take leaving back.
+            if context.protocol.is_leaving(headers) {
                 report_leaving(&context, &target, &instance);
             }
             // Interim answers may lack headers that the final one has, so they don't end a limit.
-            let rate = context.protocol.read_rate(interim.headers());
-            if rate != RateStatement::Unlimited {
+            let rate = context.protocol.read_rate(headers);
+            if rate != RateStatement::Unlimited && answers_the_call(echo, is_reused) {
                 let answer =
                     RateAnswer { request: &tag, instance: &instance, sent, statement: rate };
                 report_rate(&context, &target, &answer);
             }
-            if count.fetch_add(1, Ordering::Relaxed) >= MAX_INTERIM_ANSWERS {
-                token.cancel();
-            }
         });
-        too_many_interim
+        watch
     }
 
     /// Reports to the node what the head of an answer says about the target itself.
@@ -355,7 +394,7 @@
             });
         }
         // Only a success of this target shows that its limit has ended: an error may come from a part of the
-        // target that knows nothing of it, and other answers from another instance or time.
+        // target that knows nothing of it, and other answers from another instance.
         let is_own_success = head.kind == AnswerKind::Answered && answer.head.status.is_success();
         if is_own_success || head.rate.limit().is_some() {
             let request = &self.call.tag;
@@ -390,12 +429,22 @@
         self.sent += 1;
         let answer_timeout = self.answer_timeout(remaining);
         let sent = Instant::now();
+        let was_reused = connection.is_reused();
         let answer = if self.is_repeatable() {
             let limit = self.context.limits.connect;
             connection.send_repeatable(&order.address, limit, request, answer_timeout).await
         } else {
             connection.send(request, answer_timeout).await
         };
+        self.carriers.push(connection.id());
+        if was_reused && !connection.is_reused() {
+            self.context.metrics.target_connections.inc();
+            tracing::info!(
+                request = self.call.tag,
+                target_address = &*order.target,
+                "connection was replaced before the call was written"
+            );
+        }
         let response = answer.map_err(|fault| {
             tracing::info!(
                 request = self.call.tag, target_address = &*order.target, %fault, "no answer from the target"
@@ -430,7 +479,18 @@
         grant: &SendGrant,
         answer: IncomingAnswer,
     ) -> AttemptReport<ForwardAnswer> {
-        let head = self.context.protocol.read_answer(&self.call.tag, &answer.head);
+        let echo = self.context.protocol.read_echo(&self.call.tag, &answer.head.headers);
+        if !answers_the_call(echo, answer.connection.is_reused()) {
+            tracing::warn!(
+                request = self.call.tag,
+                target_address = &*order.target,
+                ?echo,
+                status = answer.head.status.as_u16(),
+                "answer belongs to another request"
+            );
+            return AttemptReport::Ended(AttemptEnd::Garbled);
+        }
+        let head = self.context.protocol.read_answer(&answer.head);
         self.apply_answer_head(order, grant, &head, &answer);
         match head.kind {
             AnswerKind::Answered => {}
@@ -444,14 +504,6 @@
                 });
                 return AttemptReport::Ended(AttemptEnd::Rejected);
             }
-            AnswerKind::OtherRequest => {
-                tracing::warn!(
-                    request = self.call.tag,
-                    target_address = &*order.target,
-                    "answer belongs to another request"
-                );
-                return AttemptReport::Ended(AttemptEnd::Garbled);
-            }
             AnswerKind::Unusable(cause) => {
                 tracing::warn!(
                     request = self.call.tag,
@@ -517,6 +569,16 @@
     }
 }
 
+/// Whether an answer belongs to the call that was sent last on its connection. An answer without an id on a
+/// reused connection may belong to an earlier call.
+fn answers_the_call(echo: AnswerEcho, is_reused: bool) -> bool {
+    match echo {
+        AnswerEcho::Own => true,
+        AnswerEcho::Missing => !is_reused,
+        AnswerEcho::Other => false,
+    }
+}
+
 /// Tells the node that a target is about to stop, and closes the idle connections to it.
 fn report_leaving<D>(context: &GatewayContext<D>, target: &TargetName, instance: &str) {
     context.node.run(|node, now, actions| node.mark_target_leaving(now, target, instance, actions));
--- a/crates/tarragon-server/src/target/pool.rs
+++ b/crates/tarragon-server/src/target/pool.rs
@@ -2,7 +2,14 @@
 //! must not be repeated gets a connection of its own, so that a connection that the target has just
 //! closed can't make its outcome uncertain.
 
-use std::{io, sync::Arc, time::Duration};
+use std::{
+    io,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{Request, Response};
@@ -17,7 +24,7 @@
 
 use crate::{
     guarded::Guarded,
-    target::metered::{MeteredStream, ReadAllowance, TargetBody},
+    target::metered::{MeteredStream, ReadAllowance, TargetBody, WriteMark},
 };
 
 /// Body of a call to a target. It is whole, so that its length is known.
@@ -34,6 +41,9 @@
 /// Wait for a pooled connection whose last answer was read a moment ago and whose task has yet to run.
 const READY_WAIT: Duration = Duration::from_millis(10);
 
+/// Number of a connection, unique in its process.
+pub type ConnectionId = u64;
+
 /// Why a call got no answer.
 #[derive(Debug)]
 pub enum CallFault {
@@ -57,9 +67,12 @@
 
 /// A connection that is ready to take one call.
 pub struct TargetConnection {
+    id: ConnectionId,
     sender: http1::SendRequest<CallBody>,
     allowance: ReadAllowance,
+    mark: WriteMark,
     reused: bool,
+    retired: bool,
     /// When it must not be used again without another answer.
     idle_until: Instant,
 }
@@ -71,10 +84,11 @@
         let stream =
             timeout(limit, TcpStream::connect(address)).await.map_err(|_| timed_out())??;
         stream.set_nodelay(true)?;
-        let allowance = ReadAllowance::default();
+        let (allowance, mark) = (ReadAllowance::default(), WriteMark::default());
+        let stream = MeteredStream::new(stream, allowance.clone(), mark.clone());
         let handshake = http1::Builder::new()
             .max_header_size(MAX_HEAD_BYTES)
-            .handshake(TokioIo::new(MeteredStream::new(stream, allowance.clone())))
+            .handshake(TokioIo::new(stream))
             .await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         tokio::spawn(async move {
@@ -82,7 +96,22 @@
                 tracing::debug!(%error, "connection to a target ended");
             }
         });
-        Ok(TargetConnection { sender, allowance, reused: false, idle_until: Instant::now() })
+        static NEXT_ID: AtomicU64 = AtomicU64::new(0);
+        let id = NEXT_ID.fetch_add(1, Ordering::Relaxed);
+        Ok(TargetConnection {
+            id,
+            sender,
+            allowance,
+            mark,
+            reused: false,
+            retired: false,
+            idle_until: Instant::now(),
+        })
+    }
+
+    /// Its number.
+    pub fn id(&self) -> ConnectionId {
+        self.id
     }
 
     /// Whether it has carried a call before.
@@ -90,6 +119,11 @@
         self.reused
     }
 
+    /// Keeps it out of the pool: the target has sent something on it that belongs to no call.
+    pub fn retire(&mut self) {
+        self.retired = true;
+    }
+
     /// Sends a call that may be repeated. A pooled connection that proves closed before a byte was written
     /// is replaced once; a call that may have been written is not sent again here.
     pub async fn send_repeatable(
@@ -105,18 +139,20 @@
             Err(fault) => fault,
         };
         let (CallFault::NotSent(_), Some(request)) = (&fault, spare) else { return Err(fault) };
+        tracing::debug!(target_address = address, %fault, "replacing a connection to a target");
         *self = TargetConnection::open(address, connect).await.map_err(CallFault::NotSent)?;
         self.send(request, limit).await
     }
 
-    /// Sends a call and waits for the head of its answer. A call that hyper returns unwritten, because
-    /// the connection was closed, counts as not sent.
+    /// Sends a call and waits for the head of its answer. A call of which no byte was written, because the
+    /// connection was closed or something had arrived on it, counts as not sent.
     pub async fn send(
         &mut self,
         request: Request<CallBody>,
         limit: Duration,
     ) -> Result<Response<TargetBody>, CallFault> {
         self.allowance.renew();
+        self.mark.begin_call();
         let answer = timeout(limit, self.sender.try_send_request(request)).await;
         match answer {
             Err(_) => Err(CallFault::TimedOut),
@@ -124,10 +160,15 @@
                 self.allowance.renew();
                 Ok(response.map(|body| TargetBody::new(body, self.allowance.clone())))
             }
-            Ok(Err(mut error)) => match error.take_message() {
-                Some(_) => Err(CallFault::NotSent(io::Error::other(error.into_error()))),
-                None => Err(CallFault::Broken(error.into_error())),
-            },
+            Ok(Err(mut error)) => {
+                let unwritten = error.take_message().is_some() || !self.mark.is_written();
+                let error = error.into_error();
+                Err(if unwritten {
+                    CallFault::NotSent(io::Error::other(error))
+                } else {
+                    CallFault::Broken(error)
+                })
+            }
         }
     }
 }
@@ -141,7 +182,17 @@
 impl ConnectionPool {
     /// An idle connection that is still open, or a new one.
     pub async fn checkout(&self, address: &str, limit: Duration) -> io::Result<TargetConnection> {
-        while let Some(mut connection) = self.pop(address) {
+        self.checkout_other(address, limit, &[]).await
+    }
+
+    /// Like [`checkout`](Self::checkout), but none of the connections in `carriers`.
+    pub async fn checkout_other(
+        &self,
+        address: &str,
+        limit: Duration,
+        carriers: &[ConnectionId],
+    ) -> io::Result<TargetConnection> {
+        while let Some(mut connection) = self.pop(address, carriers) {
             if Instant::now() >= connection.idle_until {
                 continue;
             }
@@ -161,7 +212,7 @@
 
     /// Keeps a connection for a time that its target allows.
     pub fn give_back_for(&self, address: &str, mut connection: TargetConnection, idle: Duration) {
-        if connection.sender.is_closed() {
+        if connection.retired || connection.sender.is_closed() {
             return;
         }
         connection.idle_until = Instant::now() + idle;
@@ -184,7 +235,12 @@
         self.idle.with(|idle| idle.retain(|address, _| keep(address)));
     }
 
-    fn pop(&self, address: &str) -> Option<TargetConnection> {
-        self.idle.with(|idle| idle.get_mut(address).and_then(Vec::pop))
+    /// Takes the connection that was used last, except `carriers`.
+    fn pop(&self, address: &str, carriers: &[ConnectionId]) -> Option<TargetConnection> {
+        self.idle.with(|idle| {
+            let connections = idle.get_mut(address)?;
+            let is_other = |connection: &TargetConnection| !carriers.contains(&connection.id);
+            connections.iter().rposition(is_other).map(|place| connections.remove(place))
+        })
     }
 }
