Let the stand-in for the store hold items with any fields

Tests could write values only, so an item whose own fields are odd (a key of another type, a revision beyond u64, deep nesting) could not be played. `SharedStore::put_raw` puts the text of a whole item into pages and watches. The stand-in now also decodes percent-encoded queries, as HTTP servers do.

--- a/crates/tarragon-standin/src/shared_store.rs
+++ b/crates/tarragon-standin/src/shared_store.rs
@@ -8,7 +8,12 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use indexmap::IndexMap;
-use serde_json::{Value, json};
+use percent_encoding::percent_decode_str;
+use serde::Serialize;
+use serde_json::{
+    Value, json,
+    value::{RawValue, to_raw_value},
+};
 use tokio::{sync::watch, time::timeout};
 
 use crate::listener::{
@@ -30,13 +35,30 @@
     Silent,
 }
 
+/// A page of items.
+#[derive(Serialize)]
+#[serde(rename_all = "kebab-case")]
+struct ItemPage<'a> {
+    items: Vec<&'a RawValue>,
+    has_more: bool,
+    at: u64,
+}
+
+/// The events of a watch.
+#[derive(Serialize)]
+struct EventPage<'a> {
+    events: Vec<&'a RawValue>,
+    at: u64,
+}
+
 #[derive(Debug, Clone, Default)]
 struct StoreState {
     mode: StoreMode,
     revision: u64,
-    items: IndexMap<String, (Vec<u8>, u64)>,
-    /// Changes by revision: key, and value unless the key was deleted.
-    history: Vec<(u64, String, Option<Vec<u8>>)>,
+    /// Items by key, in the form in which pages have them.
+    items: IndexMap<String, Box<RawValue>>,
+    /// Changes by revision: key, and event.
+    history: Vec<(u64, String, Box<RawValue>)>,
     /// Watches from before this revision are refused.
     compacted: u64,
     /// Number of times that the store has come back from a copy, as each answer tells.
@@ -73,11 +95,26 @@
 
     /// Writes a value.
     pub fn put(&self, key: &str, value: &[u8]) {
+        self.put_item(key, |revision| item(key, value, revision));
+    }
+
+    /// Writes an item with any fields, as the JSON text that pages and watches have in its place. It is in the
+    /// place of `key`.
+    pub fn put_raw(&self, key: &str, text: &str) -> serde_json::Result<()> {
+        let item = RawValue::from_string(text.to_owned())?;
+        self.put_item(key, |_| item);
+        Ok(())
+    }
+
+    fn put_item<I>(&self, key: &str, item: I)
+    where
+        I: FnOnce(u64) -> Box<RawValue>,
+    {
         self.state.send_modify(|state| {
             state.revision += 1;
-            let revision = state.revision;
-            state.items.insert(key.to_owned(), (value.to_vec(), revision));
-            state.history.push((revision, key.to_owned(), Some(value.to_vec())));
+            let item = item(state.revision);
+            state.items.insert(key.to_owned(), item.clone());
+            state.history.push((state.revision, key.to_owned(), item));
         });
     }
 
@@ -91,7 +128,8 @@
         self.state.send_modify(|state| {
             state.revision += 1;
             state.items.shift_remove(key);
-            state.history.push((state.revision, key.to_owned(), None));
+            let event = json!({"key": key, "revision": state.revision, "deleted": true});
+            state.history.push((state.revision, key.to_owned(), raw(&event)));
         });
     }
 
@@ -150,8 +188,9 @@
         }
         let query = request.uri().query().unwrap_or("");
         let field = |name: &str| {
-            let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-            pairs.filter(|(key, _)| *key == name).map(|(_, value)| value.to_owned()).next()
+            let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+            let (_, value) = pairs.find(|(key, _)| *key == name)?;
+            Some(percent_decode_str(value).decode_utf8_lossy().into_owned())
         };
         let prefix = field("path-prefix").unwrap_or_default();
         match request.uri().path() {
@@ -175,11 +214,8 @@
         keys.sort();
         let more = keys.len() > PAGE;
         keys.truncate(PAGE);
-        let items: Vec<Value> = keys
-            .into_iter()
-            .map(|key| item(key, Some(&state.items[key].0), state.items[key].1))
-            .collect();
-        answer(&json!({"items": items, "has-more": more, "at": state.revision}))
+        let items = keys.into_iter().map(|key| &*state.items[key]).collect();
+        answer(&ItemPage { items, has_more: more, at: state.revision })
     }
 
     async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Response<StandinBody> {
@@ -191,36 +227,43 @@
             return empty(StatusCode::GONE);
         }
         let mut changes = self.state.subscribe();
-        let events_in = |state: &StoreState| -> Vec<Value> {
-            let matching = state
-                .history
-                .iter()
-                .filter(|(revision, key, _)| *revision > after && key.starts_with(prefix));
-            matching.map(|(revision, key, value)| item(key, value.as_ref(), *revision)).collect()
+        let is_event = |(revision, key, _): &&(u64, String, Box<RawValue>)| {
+            *revision > after && key.starts_with(prefix)
         };
-        let changed = changes.wait_for(|state| !events_in(state).is_empty());
+        let changed = changes.wait_for(|state| state.history.iter().any(|one| is_event(&one)));
         // The time is over without a change if this fails.
         let _ = timeout(wait, changed).await;
         let state = self.state.borrow();
-        answer(&json!({"events": events_in(&state), "at": state.revision}))
+        let events = state.history.iter().filter(is_event).map(|(.., event)| &**event).collect();
+        answer(&EventPage { events, at: state.revision })
     }
 }
 
-fn item(key: &str, value: Option<&Vec<u8>>, revision: u64) -> Value {
-    match value {
-        Some(value) => json!({
-            "key": key,
-            "value": STANDARD.encode(value),
-            "revision": revision,
-            "created-at": revision,
-            "lease": 0,
-        }),
-        None => json!({"key": key, "revision": revision, "deleted": true}),
-    }
+fn item(key: &str, value: &[u8], revision: u64) -> Box<RawValue> {
+    raw(&json!({
+        "key": key,
+        "value": STANDARD.encode(value),
+        "revision": revision,
+        "created-at": revision,
+        "lease": 0,
+    }))
 }
 
-fn answer(body: &Value) -> Response<StandinBody> {
-    Response::new(Full::new(Bytes::from(body.to_string())).boxed_unsync())
+fn raw(value: &Value) -> Box<RawValue> {
+    to_raw_value(value).unwrap_or_else(|_| RawValue::NULL.to_owned())
+}
+
+fn answer<T>(body: &T) -> Response<StandinBody>
+where
+    T: Serialize,
+{
+    match serde_json::to_vec(body) {
+        Ok(body) => Response::new(Full::new(Bytes::from(body)).boxed_unsync()),
+        Err(error) => {
+            tracing::error!(%error, "failed to encode an answer");
+            empty(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
 }
 
 fn empty(status: StatusCode) -> Response<StandinBody> {
