Move a peer whose address passes to another data centre between the sums

A process whose peer's address passed to a process of another data centre (or that got a digest with another data centre's key) counted the peer in the new data centre without ever having added it, and kept it in the old one. When it became silent, `present` of the new one went below zero: a panic in the task of the ticks in debug builds, and in release builds a count of 2^64 - 1 processes, by which quotas are computed.

The new test failed before: `attempt to subtract with overflow` at member.rs:278.

A peer whose data centre has changed is now removed from the old one, with its usage, before it is added to the new one.

--- a/crates/tarragon-fleet/src/member.rs
+++ b/crates/tarragon-fleet/src/member.rs
@@ -192,6 +192,9 @@
 
     /// Replaces a peer's last digest, also in the sums of its data centre.
     fn update_sums(&mut self, from: SocketAddr, digest: PeerDigest, now: Instant) {
+        if self.members.get(&from).is_some_and(|one| one.digest.data_centre != digest.data_centre) {
+            self.remove_member(from);
+        }
         let centre = self.centres.entry(digest.data_centre).or_default();
         match self.members.get(&from) {
             Some(known) if known.counted => {
@@ -220,6 +223,19 @@
         self.members.insert(from, Member { heard: now, digest, counted: true });
     }
 
+    /// Removes a peer, also from the sums of its data centre. Its address may have passed to a process of
+    /// another one.
+    fn remove_member(&mut self, address: SocketAddr) {
+        let Some(member) = self.members.swap_remove(&address) else { return };
+        if let Some(centre) = self.centres.get_mut(&member.digest.data_centre) {
+            centre.known -= 1;
+            if member.counted {
+                centre.sums.remove(&member.digest.target_uses, &member.digest.quota_usage);
+                centre.present -= 1;
+            }
+        }
+    }
+
     /// If a peer has restarted, keeps the quota usage that it had reported before, to be sent back to it.
     fn keep_former_usage(&mut self, from: SocketAddr, digest: &PeerDigest, now: Instant) {
         let Some(known) = self.members.get(&from) else { return };
--- a/crates/tarragon-fleet/tests/fleet/member.rs
+++ b/crates/tarragon-fleet/tests/fleet/member.rs
@@ -173,3 +173,23 @@
     let leaving = fleet.nodes[1].directory().iter().filter(|(_, entry)| entry.is_leaving());
     assert_eq!(leaving.count(), 100);
 }
+
+/// Guards against sums of a data centre that still count a process whose address has passed to a process of
+/// another one.
+#[test]
+fn an_address_that_passes_to_another_data_centre_counts_there_alone() {
+    let now = Instant::now() + Duration::from_secs(100);
+    let mut node = node_in("north", 1, true, now);
+    for (incarnation, centre) in [(1, "north"), (2, "south"), (3, "north"), (4, "south")] {
+        let mut sender = node_in(centre, 2, true, now);
+        let digest = PeerDigest { incarnation, ..sender.next_digest(now) };
+        node.receive_digest(now, address(2), digest, &mut Vec::new());
+        let counts: Vec<(usize, usize)> =
+            node.members().centres().map(|one| (one.known, one.present)).collect();
+        let sums = counts.iter().fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
+        assert_eq!((sums, node.members().met()), ((1, 1), 2), "{centre}: {counts:?}");
+    }
+    node.tick(now + Duration::from_secs(40), &mut Vec::new());
+    node.tick(now + Duration::from_secs(80), &mut Vec::new());
+    assert!(node.members().centres().all(|one| (one.known, one.present) == (0, 0)));
+}
