Add figures of peers without overflow

Figures in digests are added up: requests in flight (u32), quota units (u64), milliseconds. With figures near the ends of their ranges the sums overflowed. In debug builds the task that reads digests ended and the process heard from no peer any more; in release builds sums wrapped, so that a workspace far over its quota seemed to have used nothing. A workspace without a rate whose requests count 2^64 - 1 tokens by the configuration did the same to the own window.

The fuzz test failed before: `attempt to add with overflow` at digest.rs:67 and :69 and quota.rs:250, and `attempt to subtract with overflow` at suspect.rs:437 for a finish that is told as 2^63 ms before the last crash.

After the peers are gone, their figures cost nothing: the test asks for a request that is dispatched.

--- a/crates/tarragon-fleet/src/digest.rs
+++ b/crates/tarragon-fleet/src/digest.rs
@@ -63,10 +63,10 @@
 
     /// Adds the usage at another process.
     pub fn add(&mut self, other: &UsageSum) {
-        self.units += other.units;
-        self.latest += other.latest;
+        self.units = self.units.saturating_add(other.units);
+        self.latest = self.latest.saturating_add(other.latest);
         for (sum, part) in self.recent.iter_mut().zip(other.recent) {
-            *sum += part;
+            *sum = sum.saturating_add(part);
         }
     }
 
--- a/crates/tarragon-fleet/src/member.rs
+++ b/crates/tarragon-fleet/src/member.rs
@@ -344,7 +344,8 @@
 
     /// Requests of all peers in flight at a target.
     pub fn in_flight(&self, target: NameKey, now: Instant) -> u32 {
-        self.centres().map(|centre| centre.in_flight(target, now)).sum()
+        let each = self.centres().map(|centre| centre.in_flight(target, now));
+        each.fold(0, u32::saturating_add)
     }
 
     /// For each peer that doesn't know its usage before its start: the span of the quota window before the
--- a/crates/tarragon-fleet/src/quota.rs
+++ b/crates/tarragon-fleet/src/quota.rs
@@ -47,10 +47,12 @@
 impl UsageWindow {
     fn add(&mut self, units: u64, now: Instant) {
         match self.steps.back_mut() {
-            Some((start, sum)) if now.saturating_duration_since(*start) < STEP => *sum += units,
+            Some((start, sum)) if now.saturating_duration_since(*start) < STEP => {
+                *sum = sum.saturating_add(units);
+            }
             _ => self.steps.push_back((now, units)),
         }
-        self.sum += units;
+        self.sum = self.sum.saturating_add(units);
     }
 
     /// Units used in the last one, two and three spans of the window.
@@ -69,7 +71,7 @@
             let units = until.saturating_sub(later);
             let end = now.checked_sub(span * age).unwrap_or(now);
             self.steps.push_back((end, units));
-            self.sum += units;
+            self.sum = self.sum.saturating_add(units);
         }
         self.steps.make_contiguous().sort_by_key(|(start, _)| *start);
     }
@@ -78,7 +80,7 @@
     fn recent(&self, span: Duration, now: Instant) -> u64 {
         let recent = |start: &Instant| now.saturating_duration_since(*start) < span;
         let steps = self.steps.iter().rev().take_while(|(start, _)| recent(start));
-        steps.map(|(_, units)| units).sum()
+        steps.map(|(_, units)| *units).fold(0, u64::saturating_add)
     }
 
     /// Removes the steps that have left the window.
@@ -235,19 +237,20 @@
             let reserved = limit / sharing * ((peers.silent + peers.unmet) as f64 + presumed);
             let tolerance_share = (limit * overage + slack) * RESTART_FRACTION / sharing;
             let tolerance = tolerance_share * accrued;
-            let unreported = estimate_unreported(usage, peers, limit, now) + units;
-            let used = (usage.sum + peers.reported + unreported) as f64 + reserved;
+            let unreported = estimate_unreported(usage, peers, limit, now).saturating_add(units);
+            let used = usage.sum.saturating_add(peers.reported).saturating_add(unreported) as f64
+                + reserved;
             let own_recent = usage.span_sums(window, now);
             let mut excess = used - limit - tolerance;
             if peers.unmet > 0 && !unknown_span.is_zero() {
                 // Other processes, which know of these peers too, may use those peers' shares of the tolerance.
                 let own_share =
                     tolerance_share * own_accrued + limit / sharing * (1.0 - own_presumed);
-                excess = excess.max((usage.sum + units) as f64 - own_share);
+                excess = excess.max(usage.sum.saturating_add(units) as f64 - own_share);
             }
             for (spans, (own, reported)) in (1..).zip(own_recent.iter().zip(peers.reported_recent))
             {
-                let recent = (own + reported + unreported) as f64;
+                let recent = own.saturating_add(reported).saturating_add(unreported) as f64;
                 excess = excess.max(recent - bounds.allowed(terms, spans).max(units as f64));
             }
             if excess > 0.0 {
--- a/crates/tarragon-fleet/src/sums.rs
+++ b/crates/tarragon-fleet/src/sums.rs
@@ -67,7 +67,8 @@
     /// Adds the usage that a process reported.
     pub fn add(&mut self, uses: &[TargetUse], usage: &[UsageSum]) {
         for one in uses {
-            *self.in_flight.entry(one.target).or_default() += u32::from(one.in_flight);
+            let sum = self.in_flight.entry(one.target).or_default();
+            *sum = sum.saturating_add(one.in_flight.into());
         }
         for one in usage {
             self.usage
--- a/crates/tarragon-fleet/tests/fleet/main.rs
+++ b/crates/tarragon-fleet/tests/fleet/main.rs
@@ -10,6 +10,7 @@
 mod limits;
 mod member;
 mod node;
+mod odd_values;
 mod quota;
 mod route;
 mod sums;
--- a/crates/tarragon-scheduler/src/suspect.rs
+++ b/crates/tarragon-scheduler/src/suspect.rs
@@ -442,12 +442,15 @@
     }
 }
 
+/// Longest time from a finish to a later crash that a peer's entry can tell. No crash counts for so long.
+const MAX_FINISH_AGE: Duration = Duration::from_secs(24 * 3_600);
+
 /// An instant some milliseconds later, or earlier if they are negative.
 fn shifted(instant: Instant, milliseconds: i64) -> Instant {
     let span = Duration::from_millis(milliseconds.unsigned_abs());
     match milliseconds {
         0.. => instant + span.min(SUSPECT_LIFETIME),
-        _ => instant.checked_sub(span).unwrap_or(instant),
+        _ => instant.checked_sub(span.min(MAX_FINISH_AGE)).unwrap_or(instant),
     }
 }
 
