Count a state without a readable configuration, and take one from peers

If the newest configuration in the store couldn't be decoded, a complete read had none, and the whole state was refused as one of an older version: evacuations beside it were ignored until the next configuration that could be read. A process that started at that time took the state, and then refused the configuration of its peers, whose position in the history was the same: it answered 503 to each request.

A later state without a configuration now counts, and keeps the known configuration; a process without one takes the one of a peer at any position.

--- a/crates/tarragon-fleet/src/published.rs
+++ b/crates/tarragon-fleet/src/published.rs
@@ -183,7 +183,11 @@
         if self.era != other.era || carried {
             is_later || other.version() > self.version()
         } else {
-            is_later && other.version() >= self.version()
+            // The newest configuration in the store may be one that can't be read. The rest of the state
+            // counts nevertheless, and peers may have an older configuration.
+            let is_first = self.configuration.is_none() && other.configuration.is_some();
+            let is_newer = other.configuration.is_none() || other.version() >= self.version();
+            (is_later && is_newer) || is_first
         }
     }
 
--- a/crates/tarragon-fleet/tests/fleet/odd_values.rs
+++ b/crates/tarragon-fleet/tests/fleet/odd_values.rs
@@ -217,3 +217,33 @@
         fleet.advance(Duration::from_millis(200));
     }
 }
+
+/// Guards against evacuations that are ignored, and a process that stays without a configuration, since the
+/// newest one in the store can't be read.
+#[test]
+fn a_state_without_a_readable_configuration_still_counts() {
+    let fleet = Fleet::start(1, 1);
+    let now = fleet.now;
+    let apply = |node: &mut FleetNode, state: OperatorState, source: &str| {
+        node.apply_operator_state(now, state, source, &mut Vec::new())
+    };
+    let unreadable = || OperatorState {
+        revision: 9,
+        evacuated: ["north".into()].into_iter().collect(),
+        ..OperatorState::default()
+    };
+    let mut known = node(1, true, now);
+    assert!(apply(&mut known, operator(5, 3), "store"));
+    assert!(apply(&mut known, unreadable(), "store"));
+    assert_eq!((known.operator_state().version(), known.operator_state().revision), (3, 9));
+    assert!(known.operator_state().evacuated.contains("north"));
+    assert!(!apply(&mut known, operator(8, 2), "peer"), "an older version");
+
+    let mut started = node(2, false, now);
+    assert!(apply(&mut started, unreadable(), "store"));
+    let digest = known.next_digest(now);
+    assert!(started.has_older_operator_state(&digest));
+    assert!(apply(&mut started, known.operator_state().clone(), "peer"));
+    assert_eq!(started.operator_state().version(), 3);
+    assert!(!started.has_older_operator_state(&digest));
+}
