Prefer targets of named services among entries for one address

An entry of another writer with the address of a sound target, a service that the configuration doesn't name and a later start took the address: the sound target got no requests. Of the entries for one address, those of services that the configuration names now come first. The new test failed before (no grant for the sound target).

--- a/crates/tarragon-fleet/src/directory.rs
+++ b/crates/tarragon-fleet/src/directory.rs
@@ -3,7 +3,7 @@
 
 use std::time::{Duration, Instant};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
@@ -137,6 +137,8 @@
     hash: u64,
     /// Targets whose entries are gone, by restart id.
     gone: IndexMap<u64, GoneTarget>,
+    /// Services that the configuration names; empty if there is none.
+    named_services: IndexSet<ServiceName>,
 }
 
 impl TargetDirectory {
@@ -179,6 +181,12 @@
         (!self.returned.is_some_and(recent)).then_some(read_at)
     }
 
+    /// Sets the services that the configuration names. Their targets are preferred to others at the same
+    /// address.
+    pub fn set_named_services(&mut self, services: IndexSet<ServiceName>) {
+        self.named_services = services;
+    }
+
     /// Applies a listing that was read at `read_at`, unless it is older than the current one. `cold_time`
     /// returns for how long targets of a service are cold after a start.
     pub fn apply_listing<C>(
@@ -206,7 +214,7 @@
         self.hash = listing_hash(&listing.targets);
         self.listed.clone_from(&listing.targets);
         let mut changes = Vec::new();
-        let mut newest = newest_by_address(&listing.targets);
+        let mut newest = newest_by_address(&self.listed, &self.named_services);
         newest.retain(|_, listed| !self.is_lost_removal(listed, read_at));
         for (target, listed) in &newest {
             let cold_time = cold_time(&listed.service);
@@ -578,11 +586,17 @@
     }
 }
 
-/// Selects one entry for each address: that of the process that started last.
-fn newest_by_address(targets: &[ListedTarget]) -> IndexMap<TargetName, ListedTarget> {
+/// Selects one entry for each address: of those with a service that is named, that of the process that started
+/// last.
+fn newest_by_address(
+    targets: &[ListedTarget],
+    named: &IndexSet<ServiceName>,
+) -> IndexMap<TargetName, ListedTarget> {
     let mut newest: IndexMap<TargetName, ListedTarget> = IndexMap::new();
     for listed in targets {
-        let order = |one: &ListedTarget| (one.started_ms, !one.leaving, one.revision);
+        let order = |one: &ListedTarget| {
+            (named.contains(&one.service), one.started_ms, !one.leaving, one.revision)
+        };
         match newest.get_mut(&listed.address) {
             Some(known) if order(known) >= order(listed) => {}
             Some(known) => *known = listed.clone(),
--- a/crates/tarragon-fleet/src/node/updates.rs
+++ b/crates/tarragon-fleet/src/node/updates.rs
@@ -82,6 +82,9 @@
         let configuration = state.configuration.as_deref();
         self.unstreamed_services =
             configuration.map(FleetConfiguration::unstreamed_services).unwrap_or_default();
+        self.directory.set_named_services(
+            configuration.map(FleetConfiguration::named_services).unwrap_or_default(),
+        );
         self.operator_state = state;
         self.update_retries();
         self.update_evacuations(now, actions);
--- a/crates/tarragon-fleet/src/published.rs
+++ b/crates/tarragon-fleet/src/published.rs
@@ -138,6 +138,12 @@
 }
 
 impl FleetConfiguration {
+    /// Services that have a configuration or that routes lead to.
+    pub fn named_services(&self) -> IndexSet<ServiceName> {
+        let routed = self.routes.iter().flat_map(|route| &route.services);
+        self.services.keys().chain(routed.map(|(service, _)| service)).cloned().collect()
+    }
+
     /// Services that only routes without streams lead to. Their calls take milliseconds.
     pub fn unstreamed_services(&self) -> IndexSet<ServiceName> {
         let services = |streamed: bool| {
--- a/crates/tarragon-fleet/tests/fleet/odd_values.rs
+++ b/crates/tarragon-fleet/tests/fleet/odd_values.rs
@@ -218,6 +218,27 @@
     }
 }
 
+/// Guards against a sound target without requests since another writer's entry of a service that is not named
+/// has its address and seems newer.
+#[test]
+fn an_entry_of_an_unknown_service_does_not_displace_a_sound_target() {
+    let mut fleet = Fleet::start(1, 1);
+    let odd = ListedTarget {
+        instance: "i-odd".into(),
+        service: "unknown".into(),
+        started_ms: u64::MAX,
+        revision: 90,
+        ..listed(1)
+    };
+    fleet.publish(2, 1, vec![odd.clone(), listed(1)]);
+    fleet.advance(Duration::from_secs(1));
+    fleet.publish(3, 1, vec![listed(1), odd]);
+    fleet.advance(Duration::from_secs(1));
+    let grant = fleet.nodes[0].may_send(&listed(1).address, SERVICE);
+    assert_eq!(grant.map(|grant| grant.instance), Some(listed(1).instance));
+    assert!(is_dispatched(&fleet.ask(0, 100)));
+}
+
 /// Guards against evacuations that are ignored, and a process that stays without a configuration, since the
 /// newest one in the store can't be read.
 #[test]
