Decode each item of the store on its own

One item whose own fields were odd (a key or value of another type, no revision, a revision of 1e400 or, deep nesting, `null`) made serde reject the whole page or the whole answer to a watch. Listings failed with it, so that the process never got ready, or went on with its last listing: leaving targets got requests and new ones got none. The watch asked for the same events again and again and no longer followed the operators.

--- a/crates/tarragon-gateway/src/metrics.rs
+++ b/crates/tarragon-gateway/src/metrics.rs
@@ -30,6 +30,8 @@
     pub answer_time: HistogramVec,
     /// Calls to the store by call and result.
     pub store_calls: IntCounterVec,
+    /// Entries of the store that were left out because they can't be read, by call.
+    pub skipped_entries: IntCounterVec,
     /// Bytes of digests by direction.
     pub peer_bytes: IntCounterVec,
     /// Version of the active configuration.
@@ -68,6 +70,11 @@
                 "Calls to the store",
                 &["call", "result"],
             )?,
+            skipped_entries: counter_vec(
+                "skipped_entries_total",
+                "Entries of the store that can't be read",
+                &["call"],
+            )?,
             peer_bytes: counter_vec("peer_bytes_total", "Bytes between peers", &["direction"])?,
             configuration_version: gauge("configuration_version", "Configuration in force")?,
             connections: gauge("connections", "Open connections of callers")?,
@@ -103,6 +110,7 @@
         registry.register(Box::new(self.event_gap.clone()))?;
         registry.register(Box::new(self.answer_time.clone()))?;
         registry.register(Box::new(self.store_calls.clone()))?;
+        registry.register(Box::new(self.skipped_entries.clone()))?;
         registry.register(Box::new(self.peer_bytes.clone()))?;
         registry.register(Box::new(self.configuration_version.clone()))?;
         registry.register(Box::new(self.connections.clone()))?;
@@ -127,6 +135,11 @@
         self.answers.with_label_values(&[outcome, cause]).inc();
     }
 
+    /// Counts the entries that a read of the store has left out.
+    pub fn count_skipped_entries(&self, call: &str, skipped: usize) {
+        self.skipped_entries.with_label_values(&[call]).inc_by(skipped as u64);
+    }
+
     /// Records the time to the first part of an answer.
     pub fn observe_first_part(&self, streamed: bool, time: Duration) {
         self.first_part.with_label_values(&[answer_form(streamed)]).observe(time.as_secs_f64());
--- a/crates/tarragon-gateway/src/platform.rs
+++ b/crates/tarragon-gateway/src/platform.rs
@@ -128,6 +128,15 @@
     }
 }
 
+/// A value that was read from the store.
+#[derive(Debug, Clone, PartialEq)]
+pub struct StoreRead<T> {
+    /// Value.
+    pub value: T,
+    /// Number of entries that were left out because they can't be read.
+    pub skipped: usize,
+}
+
 /// One change of the values that operators publish.
 #[derive(Debug, Clone, PartialEq)]
 pub enum OperatorChange {
@@ -155,15 +164,19 @@
 /// The store of the values that operators and targets publish.
 pub trait PublishedStore: Send + Sync + 'static {
     /// Reads all values that operators publish. The revision of the result is that of the store.
-    fn read_operator(&self) -> impl Future<Output = Result<OperatorState, StoreFault>> + Send;
+    fn read_operator(
+        &self,
+    ) -> impl Future<Output = Result<StoreRead<OperatorState>, StoreFault>> + Send;
 
     /// Waits up to `limit` for changes after a revision.
     fn watch_operator(
         &self,
         after: StoreRevision,
         limit: Duration,
-    ) -> impl Future<Output = Result<OperatorChanges, StoreFault>> + Send;
+    ) -> impl Future<Output = Result<StoreRead<OperatorChanges>, StoreFault>> + Send;
 
     /// Reads the listing of all targets.
-    fn read_targets(&self) -> impl Future<Output = Result<TargetListing, StoreFault>> + Send;
+    fn read_targets(
+        &self,
+    ) -> impl Future<Output = Result<StoreRead<TargetListing>, StoreFault>> + Send;
 }
--- a/crates/tarragon-gateway/src/reader.rs
+++ b/crates/tarragon-gateway/src/reader.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     context::GatewayContext,
-    platform::{OperatorChange, OperatorChanges, PublishedStore, StoreFault},
+    platform::{OperatorChange, OperatorChanges, PublishedStore, StoreFault, StoreRead},
 };
 
 /// Longest wait of a watch. A dead connection is detected after this time plus [`ANSWER_TIMEOUT`], within the
@@ -123,8 +123,9 @@
             continue;
         }
         let fault = match next_change(&mut watch, &*store).await {
-            Ok(state) => {
+            Ok(StoreRead { value: state, skipped }) => {
                 context.metrics.store_calls.with_label_values(&["operator", "answered"]).inc();
+                context.metrics.count_skipped_entries("operator", skipped);
                 retry.record_success();
                 if let Some(state) = state {
                     apply_operator_state(&context, state, "store");
@@ -147,6 +148,10 @@
             sleep(delay).await;
             continue;
         }
+        if fault == StoreFault::Malformed {
+            // Events that can't be read may be in each answer until the watch starts after them.
+            watch.after = 0;
+        }
         sleep(retry.record_failure(fault)).await;
     }
 }
@@ -154,20 +159,22 @@
 async fn next_change<S>(
     watch: &mut OperatorWatch,
     store: &S,
-) -> Result<Option<OperatorState>, StoreFault>
+) -> Result<StoreRead<Option<OperatorState>>, StoreFault>
 where
     S: PublishedStore,
 {
     if watch.after == 0 || watch.state.is_none() {
-        let snapshot = with_timeout(ANSWER_TIMEOUT, store.read_operator()).await?;
-        return Ok(watch.apply_snapshot(snapshot));
+        let StoreRead { value: snapshot, skipped } =
+            with_timeout(ANSWER_TIMEOUT, store.read_operator()).await?;
+        return Ok(StoreRead { value: watch.apply_snapshot(snapshot), skipped });
     }
     let limit = WATCH_TIMEOUT + ANSWER_TIMEOUT;
-    let changes = with_timeout(limit, store.watch_operator(watch.after, WATCH_TIMEOUT)).await?;
+    let StoreRead { value: changes, skipped } =
+        with_timeout(limit, store.watch_operator(watch.after, WATCH_TIMEOUT)).await?;
     if watch.state.as_ref().is_some_and(|known| known.era != changes.era) {
         return Err(StoreFault::Restored);
     }
-    Ok(watch.apply_changes(changes))
+    Ok(StoreRead { value: watch.apply_changes(changes), skipped })
 }
 
 /// Makes an operator state active.
@@ -195,8 +202,9 @@
         }
         let started = Instant::now();
         let pause = match with_timeout(ANSWER_TIMEOUT, store.read_targets()).await {
-            Ok(listing) => {
+            Ok(StoreRead { value: listing, skipped }) => {
                 context.metrics.store_calls.with_label_values(&["targets", "answered"]).inc();
+                context.metrics.count_skipped_entries("targets", skipped);
                 retry.record_success();
                 // The listing may be as old as the start of the call.
                 apply_listing(&context, &listing, started.elapsed());
