Leave out registrations that name no target to connect to

A peer's listing was not checked at all; a cold time beyond the range of the clock ended the task that applies it ("overflow when adding duration to instant").

Ports above 65535, numbers beyond u64 and f64, and `born` or other fields of another type were already left out alone.

`ListedTarget::fault` holds the checks for entries of the store and of peers: address and port, a name that a header can carry, service and data centre, at most 65535 slots (digests count up to that) and an hour of cold time.

--- a/crates/tarragon-fleet/src/directory.rs
+++ b/crates/tarragon-fleet/src/directory.rs
@@ -211,8 +211,10 @@
         }
         self.read_at = Some(read_at);
         self.position = position;
-        self.hash = listing_hash(&listing.targets);
-        self.listed.clone_from(&listing.targets);
+        // A peer may have read entries that this process doesn't use.
+        let usable = listing.targets.iter().filter(|listed| listed.fault().is_none());
+        self.listed = usable.cloned().collect();
+        self.hash = listing_hash(&self.listed);
         let mut changes = Vec::new();
         let mut newest = newest_by_address(&self.listed, &self.named_services);
         newest.retain(|_, listed| !self.is_lost_removal(listed, read_at));
--- a/crates/tarragon-fleet/src/published.rs
+++ b/crates/tarragon-fleet/src/published.rs
@@ -1,12 +1,14 @@
 //! The state that operators and targets publish in the store, independent of the store's format. Entry VMs
 //! pass it on to peers that can't reach the store, so all of it can be serialised.
 
+mod validity;
+
 use std::{sync::Arc, time::Duration};
 
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
-use crate::prelude::*;
+use crate::{prelude::*, published::validity::MAX_COLD_TIME};
 
 /// Revision of the store, which increases with each change of any value.
 pub type StoreRevision = u64;
@@ -209,7 +211,8 @@
 
     /// Time for which targets of a service are cold after a start.
     pub fn cold_time(&self, service: &str) -> Duration {
-        self.service_configuration(service).map_or(Duration::ZERO, |terms| terms.cold_time)
+        let terms = self.service_configuration(service);
+        terms.map_or(Duration::ZERO, |terms| terms.cold_time.min(MAX_COLD_TIME))
     }
 }
 
--- a/crates/tarragon-fleet/tests/fleet/odd_values.rs
+++ b/crates/tarragon-fleet/tests/fleet/odd_values.rs
@@ -158,6 +158,34 @@
             ..sound.clone()
         }
     }
+
+    fn listed(&mut self) -> ListedTarget {
+        const ADDRESSES: [&str; 8] = [
+            "10.9.9.1:80",
+            "10.9.9.2:0",
+            "10.9.9.3:65536",
+            "0.0.0.0:80",
+            "224.0.0.1:80",
+            "[::]:80",
+            "nowhere",
+            "",
+        ];
+        const NAMES: [&str; 4] = ["i-odd", "", "i odd", "i-\u{fc}\n"];
+        let service = if self.coin() { SERVICE } else { ["", "unknown"][self.below(2)] };
+        ListedTarget {
+            instance: NAMES[self.below(4)].into(),
+            service: service.into(),
+            address: ADDRESSES[self.below(8)].into(),
+            data_centre: ["north", ""][self.below(2)].into(),
+            slots: self.medium(),
+            leaving: self.coin(),
+            cold_left: Duration::from_secs(self.wide()),
+            started_ms: self.wide(),
+            revision: self.wide(),
+            sequence: self.wide(),
+            ..listed(9)
+        }
+    }
 }
 
 /// Lets time pass, and finishes the attempts that begin meanwhile.
@@ -216,6 +244,26 @@
         }
         fleet.advance(Duration::from_millis(200));
     }
+
+    /// Guards against a process that ends because of an entry in a listing of a peer, and against a sound target
+    /// that gets no requests beside it.
+    #[test]
+    fn no_odd_entry_costs_a_sound_target(numbers in numbers()) {
+        let mut draw = NumberDraw { numbers, next: 0 };
+        let mut fleet = Fleet::start(1, 1);
+        for revision in 2..8 {
+            let odd = (0..4).map(|_| draw.listed());
+            let targets = Vec::from_iter(odd.chain([listed(1)]));
+            fleet.publish(revision, 1, targets);
+            fleet.advance(Duration::from_millis(300));
+            prop_assert!(fleet.nodes[0].may_send(&listed(1).address, SERVICE).is_some());
+            for (_, entry) in fleet.nodes[0].directory().iter() {
+                prop_assert_eq!(entry.listed.fault(), None);
+            }
+        }
+        fleet.publish(8, 1, vec![listed(1)]);
+        prop_assert!(is_dispatched(&fleet.ask(0, 100)));
+    }
 }
 
 /// Guards against a sound target without requests since another writer's entry of a service that is not named
