Start tasks that panic again

A panic in a task that reads the store, exchanges digests or runs the ticks ended that task for good, while the process went on to report that it was ready: it followed no listing, no configuration or no peer any more. A panic in a pull from a peer kept all later pulls from starting.

Such tasks are now started again after a second, with an error in the log and a count in `restarted_tasks_total{task}`; whether a pull runs is known by a permit that a panic gives back.

--- a/crates/tarragon-gateway/src/context.rs
+++ b/crates/tarragon-gateway/src/context.rs
@@ -9,10 +9,14 @@
     process::RequestIds,
     target::{body::AnswerRoom, pool::ConnectionPool},
 };
+use tokio::time::sleep;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{metrics::GatewayMetrics, shared_node::SharedNode};
 
+/// Delay before a task that has panicked is started again, so that one that keeps failing uses little.
+const RESTART_DELAY: Duration = Duration::from_secs(1);
+
 /// Time limits of calls to targets and of answers to callers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ForwardLimits {
@@ -88,11 +92,22 @@
         self.tasks.spawn(self.abort.clone().run_until_cancelled_owned(work));
     }
 
-    /// Spawns a task that shutdown doesn't wait for, and that is cancelled when the process aborts.
-    pub fn spawn_background<F>(&self, work: F)
+    /// Spawns a task that shutdown doesn't wait for, and that is cancelled when the process aborts. If it
+    /// panics, it is started again.
+    pub fn spawn_background<W, F>(&self, name: &'static str, work: W)
     where
+        W: Fn() -> F + Send + 'static,
         F: Future<Output = ()> + Send + 'static,
     {
-        tokio::spawn(self.abort.clone().run_until_cancelled_owned(work));
+        let (abort, restarts) = (self.abort.clone(), self.metrics.restarted_tasks.clone());
+        tokio::spawn(async move {
+            loop {
+                let task = tokio::spawn(abort.clone().run_until_cancelled_owned(work()));
+                let Err(error) = task.await else { return };
+                tracing::error!(task = name, %error, "task ended by a panic; starting it again");
+                restarts.with_label_values(&[name]).inc();
+                sleep(RESTART_DELAY).await;
+            }
+        });
     }
 }
--- a/crates/tarragon-gateway/src/metrics.rs
+++ b/crates/tarragon-gateway/src/metrics.rs
@@ -32,6 +32,8 @@
     pub store_calls: IntCounterVec,
     /// Entries of the store that were left out because they can't be read, by call.
     pub skipped_entries: IntCounterVec,
+    /// Tasks of the process that ended by a panic and were started again, by task.
+    pub restarted_tasks: IntCounterVec,
     /// Bytes of digests by direction.
     pub peer_bytes: IntCounterVec,
     /// Version of the active configuration.
@@ -75,6 +77,11 @@
                 "Entries of the store that can't be read",
                 &["call"],
             )?,
+            restarted_tasks: counter_vec(
+                "restarted_tasks_total",
+                "Tasks that ended by a panic",
+                &["task"],
+            )?,
             peer_bytes: counter_vec("peer_bytes_total", "Bytes between peers", &["direction"])?,
             configuration_version: gauge("configuration_version", "Configuration in force")?,
             connections: gauge("connections", "Open connections of callers")?,
@@ -111,6 +118,7 @@
         registry.register(Box::new(self.answer_time.clone()))?;
         registry.register(Box::new(self.store_calls.clone()))?;
         registry.register(Box::new(self.skipped_entries.clone()))?;
+        registry.register(Box::new(self.restarted_tasks.clone()))?;
         registry.register(Box::new(self.peer_bytes.clone()))?;
         registry.register(Box::new(self.configuration_version.clone()))?;
         registry.register(Box::new(self.connections.clone()))?;
--- a/crates/tarragon-gateway/src/peers.rs
+++ b/crates/tarragon-gateway/src/peers.rs
@@ -1,14 +1,7 @@
 //! Communication between the processes of the fleet: digests by UDP, and pulls of newer published values from
 //! peers by JSON-RPC.
 
-use std::{
-    net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
-    time::Duration,
-};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use jsonrpsee::{
     RpcModule,
@@ -22,6 +15,7 @@
 use tarragon_server::clock::BootClock;
 use tokio::{
     net::UdpSocket,
+    sync::Semaphore,
     time::{Instant, MissedTickBehavior, interval, sleep},
 };
 
@@ -188,7 +182,7 @@
     D: Send + Sync + 'static,
 {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
-    let pulling = Arc::new(AtomicBool::new(false));
+    let pulls = Arc::new(Semaphore::new(1));
     loop {
         let (length, from) = match socket.recv_from(&mut buffer).await {
             Ok(received) => received,
@@ -222,17 +216,17 @@
             }
         }
         if (news.newer_operator_state || news.newer_listing)
-            && !pulling.swap(true, Ordering::Relaxed)
+            && let Ok(permit) = pulls.clone().try_acquire_owned()
         {
-            let (context, pulling) = (context.clone(), pulling.clone());
+            let context = context.clone();
             tokio::spawn(async move {
+                let _permit = permit;
                 if news.newer_operator_state {
                     pull_operator(&context, from).await;
                 }
                 if news.newer_listing {
                     pull_listing(&context, from).await;
                 }
-                pulling.store(false, Ordering::Relaxed);
             });
         }
     }
--- a/crates/tarragon-gateway/src/serve.rs
+++ b/crates/tarragon-gateway/src/serve.rs
@@ -116,12 +116,7 @@
         .await
         .context("the server for pulls can't be started")?;
     let signals = ListenerSignals::default();
-    let (socket, store) = (Arc::new(socket), Arc::new(store));
-    context.spawn_background(peers::run_ticks(context.clone(), socket.clone()));
-    context.spawn_background(peers::receive_digests(context.clone(), socket));
-    context.spawn_background(peers::refresh_listing_from_peers(context.clone()));
-    context.spawn_background(reader::follow_operator(context.clone(), store.clone()));
-    context.spawn_background(reader::follow_targets(context.clone(), store));
+    spawn_followers(&context, &Arc::new(socket), &Arc::new(store));
     tokio::spawn(listen(caller_listener, context.clone(), signals.clone()));
     let (pages, abort) = (context.clone(), context.abort.clone());
     tokio::spawn(serve_page(ready_listener, move |_| readiness_page(pages.clone()), abort.clone()));
@@ -140,6 +135,31 @@
     Ok(GatewayHandle { caller_address, context, signals, pull_server })
 }
 
+/// Starts the tasks that exchange digests and read published values.
+fn spawn_followers<D, S>(context: &Arc<GatewayContext<D>>, socket: &Arc<UdpSocket>, store: &Arc<S>)
+where
+    D: CallProtocol,
+    S: PublishedStore,
+{
+    let (shared, udp) = (context.clone(), socket.clone());
+    context.spawn_background("ticks", move || peers::run_ticks(shared.clone(), udp.clone()));
+    let (shared, udp) = (context.clone(), socket.clone());
+    context
+        .spawn_background("digests", move || peers::receive_digests(shared.clone(), udp.clone()));
+    let shared = context.clone();
+    context.spawn_background("peer_listings", move || {
+        peers::refresh_listing_from_peers(shared.clone())
+    });
+    let (shared, reader) = (context.clone(), store.clone());
+    context.spawn_background("operator", move || {
+        reader::follow_operator(shared.clone(), reader.clone())
+    });
+    let (shared, reader) = (context.clone(), store.clone());
+    context.spawn_background("targets", move || {
+        reader::follow_targets(shared.clone(), reader.clone())
+    });
+}
+
 fn node_settings(settings: &GatewaySettings) -> FleetSettings {
     FleetSettings {
         vm: settings.vm.clone(),
