Delay retries also while only watches can't be decoded

The complete read that follows a watch which can't be decoded succeeded, which reset the delay: read and watch took turns ten times a second, with two log lines each time.

--- a/crates/tarragon-gateway/src/reader.rs
+++ b/crates/tarragon-gateway/src/reader.rs
@@ -115,6 +115,8 @@
 {
     let mut watch = OperatorWatch::default();
     let mut retry = StoreRetry::new("operator");
+    // Whether the last watch couldn't be decoded. The read after it doesn't end that.
+    let mut unreadable = false;
     loop {
         if !context.node.run(|node, now, _| node.reads_operator(now)) {
             // Meanwhile changes come from peers; the next watch starts with a complete read.
@@ -122,11 +124,15 @@
             sleep(STANDBY_CHECK_INTERVAL).await;
             continue;
         }
+        let is_watch = watch.after != 0;
         let fault = match next_change(&mut watch, &*store).await {
             Ok(StoreRead { value: state, skipped }) => {
                 context.metrics.store_calls.with_label_values(&["operator", "answered"]).inc();
                 context.metrics.count_skipped_entries("operator", skipped);
-                retry.record_success();
+                if is_watch || !unreadable {
+                    retry.record_success();
+                    unreadable = false;
+                }
                 if let Some(state) = state {
                     apply_operator_state(&context, state, "store");
                 }
@@ -151,6 +157,7 @@
         if fault == StoreFault::Malformed {
             // Events that can't be read may be in each answer until the watch starts after them.
             watch.after = 0;
+            unreadable |= is_watch;
         }
         sleep(retry.record_failure(fault)).await;
     }
