--- a/crates/tarragon-fleet/src/directory.rs
+++ b/crates/tarragon-fleet/src/directory.rs
@@ -3,7 +3,7 @@
 
 use std::time::{Duration, Instant};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
@@ -143,6 +143,8 @@
     hash: u64,
     /// Targets whose entries are gone, by restart id.
     gone: IndexMap<u64, GoneTarget>,
+    /// Services that the configuration names; empty if there is none.
+    named_services: IndexSet<ServiceName>,
 }
 
 impl TargetDirectory {
@@ -185,6 +187,12 @@
         (!self.returned.is_some_and(recent)).then_some(read_at)
     }
 
+    /// Sets the services that the configuration names. Their targets are preferred to others at the same
+    /// address.
+    pub fn set_named_services(&mut self, services: IndexSet<ServiceName>) {
+        self.named_services = services;
+    }
+
     /// Applies a listing that was read at `read_at`, unless it is older than the current one. `cold_time`
     /// returns for how long targets of a service are cold after a start.
     pub fn apply_listing<C>(
@@ -209,10 +217,12 @@
         }
         self.read_at = Some(read_at);
         self.position = position;
-        self.hash = listing_hash(&listing.targets);
-        self.listed.clone_from(&listing.targets);
+        // A peer may have read entries that this process doesn't use.
+        let usable = listing.targets.iter().filter(|listed| listed.fault().is_none());
+        self.listed = usable.cloned().collect();
+        self.hash = listing_hash(&self.listed);
         let mut changes = Vec::new();
-        let mut newest = newest_by_address(&listing.targets);
+        let mut newest = newest_by_address(&self.listed, &self.named_services);
         newest.retain(|_, listed| !self.is_lost_removal(listed, read_at));
         for (target, listed) in &newest {
             let cold_time = cold_time(&listed.service);
@@ -584,11 +594,17 @@
     }
 }
 
-/// Selects one entry for each address: that of the process that started last.
-fn newest_by_address(targets: &[ListedTarget]) -> IndexMap<TargetName, ListedTarget> {
+/// Selects one entry for each address: of those with a service that is named, that of the process that started
+/// last.
+fn newest_by_address(
+    targets: &[ListedTarget],
+    named: &IndexSet<ServiceName>,
+) -> IndexMap<TargetName, ListedTarget> {
     let mut newest: IndexMap<TargetName, ListedTarget> = IndexMap::new();
     for listed in targets {
-        let order = |one: &ListedTarget| (one.started_ms, !one.leaving, one.revision);
+        let order = |one: &ListedTarget| {
+            (named.contains(&one.service), one.started_ms, !one.leaving, one.revision)
+        };
         match newest.get_mut(&listed.address) {
             Some(known) if order(known) >= order(listed) => {}
             Some(known) => *known = listed.clone(),
--- a/crates/tarragon-fleet/src/published.rs
+++ b/crates/tarragon-fleet/src/published.rs
@@ -1,12 +1,14 @@
 //! The state that operators and targets publish in the store, independent of the store's format. Entry VMs
 //! pass it on to peers that can't reach the store, so all of it can be serialised.
 
+mod validity;
+
 use std::{sync::Arc, time::Duration};
 
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
-use crate::prelude::*;
+use crate::{prelude::*, published::validity::MAX_COLD_TIME};
 
 /// Revision of the store, which increases with each change of any value.
 pub type StoreRevision = u64;
@@ -138,6 +140,12 @@
 }
 
 impl FleetConfiguration {
+    /// Services that have a configuration or that routes lead to.
+    pub fn named_services(&self) -> IndexSet<ServiceName> {
+        let routed = self.routes.iter().flat_map(|route| &route.services);
+        self.services.keys().chain(routed.map(|(service, _)| service)).cloned().collect()
+    }
+
     /// Services that only routes without streams lead to. Their calls take milliseconds.
     pub fn unstreamed_services(&self) -> IndexSet<ServiceName> {
         let services = |streamed: bool| {
@@ -183,7 +191,11 @@
         if self.era != other.era || carried {
             is_later || other.version() > self.version()
         } else {
-            is_later && other.version() >= self.version()
+            // The newest configuration in the store may be one that can't be read. The rest of the state
+            // counts nevertheless, and peers may have an older configuration.
+            let is_first = self.configuration.is_none() && other.configuration.is_some();
+            let is_newer = other.configuration.is_none() || other.version() >= self.version();
+            (is_later && is_newer) || is_first
         }
     }
 
@@ -199,7 +211,8 @@
 
     /// Time for which targets of a service are cold after a start.
     pub fn cold_time(&self, service: &str) -> Duration {
-        self.service_configuration(service).map_or(Duration::ZERO, |terms| terms.cold_time)
+        let terms = self.service_configuration(service);
+        terms.map_or(Duration::ZERO, |terms| terms.cold_time.min(MAX_COLD_TIME))
     }
 }
 
--- a/crates/tarragon-fleet/tests/fleet/main.rs
+++ b/crates/tarragon-fleet/tests/fleet/main.rs
@@ -11,6 +11,7 @@
 mod limits;
 mod member;
 mod node;
+mod odd_values;
 mod origins;
 mod quota;
 mod route;
--- a/crates/tarragon-gateway/src/metrics.rs
+++ b/crates/tarragon-gateway/src/metrics.rs
@@ -32,6 +32,10 @@
     pub store_calls: IntCounterVec,
     /// Questions to engines for the build that began a stream, by outcome.
     pub evidence: IntCounterVec,
+    /// Entries of the store that were left out because they can't be read, by call.
+    pub skipped_entries: IntCounterVec,
+    /// Tasks of the process that ended by a panic and were started again, by task.
+    pub restarted_tasks: IntCounterVec,
     /// Bytes of digests by direction.
     pub peer_bytes: IntCounterVec,
     /// Version of the active configuration.
@@ -77,6 +81,16 @@
                 "Questions to engines for the build that began a stream",
                 &["outcome"],
             )?,
+            skipped_entries: counter_vec(
+                "skipped_entries_total",
+                "Entries of the store that can't be read",
+                &["call"],
+            )?,
+            restarted_tasks: counter_vec(
+                "restarted_tasks_total",
+                "Tasks that ended by a panic",
+                &["task"],
+            )?,
             peer_bytes: counter_vec("peer_bytes_total", "Bytes between peers", &["direction"])?,
             configuration_version: gauge("configuration_version", "Configuration in force")?,
             connections: gauge("connections", "Open connections of callers")?,
@@ -118,6 +132,8 @@
         registry.register(Box::new(self.answer_time.clone()))?;
         registry.register(Box::new(self.store_calls.clone()))?;
         registry.register(Box::new(self.evidence.clone()))?;
+        registry.register(Box::new(self.skipped_entries.clone()))?;
+        registry.register(Box::new(self.restarted_tasks.clone()))?;
         registry.register(Box::new(self.peer_bytes.clone()))?;
         registry.register(Box::new(self.configuration_version.clone()))?;
         registry.register(Box::new(self.connections.clone()))?;
@@ -143,6 +159,11 @@
         self.answers.with_label_values(&[outcome, cause]).inc();
     }
 
+    /// Counts the entries that a read of the store has left out.
+    pub fn count_skipped_entries(&self, call: &str, skipped: usize) {
+        self.skipped_entries.with_label_values(&[call]).inc_by(skipped as u64);
+    }
+
     /// Records the time to the first part of an answer.
     pub fn observe_first_part(&self, streamed: bool, time: Duration) {
         self.first_part.with_label_values(&[answer_form(streamed)]).observe(time.as_secs_f64());
--- a/crates/tarragon-gateway/src/reader.rs
+++ b/crates/tarragon-gateway/src/reader.rs
@@ -10,7 +10,7 @@
 use crate::{
     context::GatewayContext,
     origins::send_messages,
-    platform::{OperatorChange, OperatorChanges, PublishedStore, StoreFault},
+    platform::{OperatorChange, OperatorChanges, PublishedStore, StoreFault, StoreRead},
 };
 
 /// Longest wait of a watch. A dead connection is detected after this time plus [`ANSWER_TIMEOUT`], within the
@@ -121,6 +121,8 @@
 {
     let mut watch = OperatorWatch::default();
     let mut retry = StoreRetry::new("operator");
+    // Whether the last watch couldn't be decoded. The read after it doesn't end that.
+    let mut unreadable = false;
     loop {
         if !context.node.run(|node, now, _| node.reads_operator(now)) {
             // Meanwhile changes come from peers; the next watch starts with a complete read.
@@ -128,10 +130,15 @@
             sleep(STANDBY_CHECK_INTERVAL).await;
             continue;
         }
+        let is_watch = watch.after != 0;
         let fault = match next_change(&mut watch, &*store).await {
-            Ok(state) => {
+            Ok(StoreRead { value: state, skipped }) => {
                 context.metrics.store_calls.with_label_values(&["operator", "answered"]).inc();
-                retry.record_success();
+                context.metrics.count_skipped_entries("operator", skipped);
+                if is_watch || !unreadable {
+                    retry.record_success();
+                    unreadable = false;
+                }
                 if let Some(state) = state {
                     apply_operator_state(&context, state, "store");
                 }
@@ -153,6 +160,11 @@
             sleep(delay).await;
             continue;
         }
+        if fault == StoreFault::Malformed {
+            // Events that can't be read may be in each answer until the watch starts after them.
+            watch.after = 0;
+            unreadable |= is_watch;
+        }
         sleep(retry.record_failure(fault)).await;
     }
 }
@@ -160,20 +172,22 @@
 async fn next_change<S>(
     watch: &mut OperatorWatch,
     store: &S,
-) -> Result<Option<OperatorState>, StoreFault>
+) -> Result<StoreRead<Option<OperatorState>>, StoreFault>
 where
     S: PublishedStore,
 {
     if watch.after == 0 || watch.state.is_none() {
-        let snapshot = with_timeout(ANSWER_TIMEOUT, store.read_operator()).await?;
-        return Ok(watch.apply_snapshot(snapshot));
+        let StoreRead { value: snapshot, skipped } =
+            with_timeout(ANSWER_TIMEOUT, store.read_operator()).await?;
+        return Ok(StoreRead { value: watch.apply_snapshot(snapshot), skipped });
     }
     let limit = WATCH_TIMEOUT + ANSWER_TIMEOUT;
-    let changes = with_timeout(limit, store.watch_operator(watch.after, WATCH_TIMEOUT)).await?;
+    let StoreRead { value: changes, skipped } =
+        with_timeout(limit, store.watch_operator(watch.after, WATCH_TIMEOUT)).await?;
     if watch.state.as_ref().is_some_and(|known| known.era != changes.era) {
         return Err(StoreFault::Restored);
     }
-    Ok(watch.apply_changes(changes))
+    Ok(StoreRead { value: watch.apply_changes(changes), skipped })
 }
 
 /// Makes an operator state active.
@@ -201,8 +215,9 @@
         }
         let started = Instant::now();
         let pause = match with_timeout(ANSWER_TIMEOUT, store.read_targets()).await {
-            Ok(listing) => {
+            Ok(StoreRead { value: listing, skipped }) => {
                 context.metrics.store_calls.with_label_values(&["targets", "answered"]).inc();
+                context.metrics.count_skipped_entries("targets", skipped);
                 retry.record_success();
                 // The listing may be as old as the start of the call.
                 apply_listing(&context, &listing, started.elapsed());
--- a/crates/tarragon-standin/src/shared_store.rs
+++ b/crates/tarragon-standin/src/shared_store.rs
@@ -8,7 +8,12 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use indexmap::IndexMap;
-use serde_json::{Value, json};
+use percent_encoding::percent_decode_str;
+use serde::Serialize;
+use serde_json::{
+    Value, json,
+    value::{RawValue, to_raw_value},
+};
 use tokio::{sync::watch, time::timeout};
 
 use crate::listener::{
@@ -32,10 +37,10 @@
     Silent,
 }
 
+/// An item in the form in which pages and watches have it.
 #[derive(Debug, Clone)]
 struct StoredItem {
-    value: Vec<u8>,
-    revision: u64,
+    text: Box<RawValue>,
     /// Revision at which the key was created.
     created: u64,
 }
@@ -44,8 +49,24 @@
 struct StoredChange {
     key: String,
     revision: u64,
-    /// `None` if the key was deleted.
-    item: Option<StoredItem>,
+    /// The event that a watch has.
+    text: Box<RawValue>,
+}
+
+/// A page of items.
+#[derive(Serialize)]
+#[serde(rename_all = "kebab-case")]
+struct ItemPage<'a> {
+    items: Vec<&'a RawValue>,
+    has_more: bool,
+    at: u64,
+}
+
+/// The events of a watch.
+#[derive(Serialize)]
+struct EventPage<'a> {
+    events: Vec<&'a RawValue>,
+    at: u64,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -91,13 +112,28 @@
 
     /// Writes a value.
     pub fn put(&self, key: &str, value: &[u8]) {
+        self.put_item(key, |revision, created| item(key, value, revision, created));
+    }
+
+    /// Writes an item with any fields, as the JSON text that pages and watches have in its place. It is in the
+    /// place of `key`.
+    pub fn put_raw(&self, key: &str, text: &str) -> serde_json::Result<()> {
+        let item = RawValue::from_string(text.to_owned())?;
+        self.put_item(key, |_, _| item);
+        Ok(())
+    }
+
+    fn put_item<I>(&self, key: &str, item: I)
+    where
+        I: FnOnce(u64, u64) -> Box<RawValue>,
+    {
         self.state.send_modify(|state| {
             state.revision += 1;
             let revision = state.revision;
             let created = state.items.get(key).map_or(revision, |item| item.created);
-            let item = StoredItem { value: value.to_vec(), revision, created };
-            state.items.insert(key.to_owned(), item.clone());
-            state.history.push(StoredChange { key: key.to_owned(), revision, item: Some(item) });
+            let text = item(revision, created);
+            state.items.insert(key.to_owned(), StoredItem { text: text.clone(), created });
+            state.history.push(StoredChange { key: key.to_owned(), revision, text });
         });
     }
 
@@ -112,7 +148,8 @@
             state.revision += 1;
             state.items.shift_remove(key);
             let revision = state.revision;
-            state.history.push(StoredChange { key: key.to_owned(), revision, item: None });
+            let text = raw(&json!({"key": key, "revision": revision, "deleted": true}));
+            state.history.push(StoredChange { key: key.to_owned(), revision, text });
         });
     }
 
@@ -184,8 +221,9 @@
         }
         let query = request.uri().query().unwrap_or("");
         let field = |name: &str| {
-            let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-            pairs.filter(|(key, _)| *key == name).map(|(_, value)| value.to_owned()).next()
+            let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+            let (_, value) = pairs.find(|(key, _)| *key == name)?;
+            Some(percent_decode_str(value).decode_utf8_lossy().into_owned())
         };
         let prefix = field("path-prefix").unwrap_or_default();
         match request.uri().path() {
@@ -209,8 +247,8 @@
         keys.sort();
         let more = keys.len() > PAGE;
         keys.truncate(PAGE);
-        let items: Vec<Value> = keys.into_iter().map(|key| item(key, &state.items[key])).collect();
-        answer(&json!({"items": items, "has-more": more, "at": state.revision}))
+        let items = keys.into_iter().map(|key| &*state.items[key].text).collect();
+        answer(&ItemPage { items, has_more: more, at: state.revision })
     }
 
     async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Response<StandinBody> {
@@ -234,30 +272,36 @@
             None => state.revision,
         };
         matching.truncate(WATCH_PAGE);
-        let events: Vec<Value> = matching.into_iter().map(event).collect();
-        answer(&json!({"events": events, "at": at}))
+        let events = matching.into_iter().map(|change| &*change.text).collect();
+        answer(&EventPage { events, at })
     }
 }
 
-fn item(key: &str, item: &StoredItem) -> Value {
-    json!({
+fn item(key: &str, value: &[u8], revision: u64, created: u64) -> Box<RawValue> {
+    raw(&json!({
         "key": key,
-        "value": STANDARD.encode(&item.value),
-        "revision": item.revision,
-        "created-at": item.created,
+        "value": STANDARD.encode(value),
+        "revision": revision,
+        "created-at": created,
         "lease": 0,
-    })
+    }))
 }
 
-fn event(change: &StoredChange) -> Value {
-    match &change.item {
-        Some(stored) => item(&change.key, stored),
-        None => json!({"key": change.key, "revision": change.revision, "deleted": true}),
-    }
+fn raw(value: &Value) -> Box<RawValue> {
+    to_raw_value(value).unwrap_or_else(|_| RawValue::NULL.to_owned())
 }
 
-fn answer(body: &Value) -> Response<StandinBody> {
-    Response::new(Full::new(Bytes::from(body.to_string())).boxed_unsync())
+fn answer<T>(body: &T) -> Response<StandinBody>
+where
+    T: Serialize,
+{
+    match serde_json::to_vec(body) {
+        Ok(body) => Response::new(Full::new(Bytes::from(body)).boxed_unsync()),
+        Err(error) => {
+            tracing::error!(%error, "failed to encode an answer");
+            empty(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
 }
 
 fn empty(status: StatusCode) -> Response<StandinBody> {
