Retry at the same target if this process may use no other one

Cause: a failed request avoids the target that failed as long as another target of the service is in service. In a large fleet a process has slots at few distant targets, and cold targets leave no start to most processes. Such a target counted as another one, so the request waited for a slot or a start that never comes. The list of targets to avoid is now forgotten if no other target is usable for this process.

--- a/crates/tarragon-scheduler/src/scheduler/attempt.rs
+++ b/crates/tarragon-scheduler/src/scheduler/attempt.rs
@@ -393,14 +393,14 @@
         self.refuse(job.request(), job.tier(), refusal, actions);
     }
 
-    /// Returns a dispatched request to the queue with its old tags. Forgets the targets to avoid if no others
-    /// are left.
+    /// Returns a dispatched request to the queue with its old tags. Forgets the targets to avoid if this process
+    /// may use no others.
     fn requeue(&mut self, mut job: Job, state: WaitState, now: Instant) {
         let models = self.targets.models_of(&job);
         let others = self.targets.pool(job.pool).members.iter().any(|index| {
             let row = self.targets.row(*index);
             !job.avoid.contains(index)
-                && row.is_some_and(|row| row.accepts_work() && row.holds(models))
+                && row.is_some_and(|row| row.is_usable() && row.holds(models))
         });
         if !others {
             job.avoid.clear();
--- a/crates/tarragon-scheduler/src/targets.rs
+++ b/crates/tarragon-scheduler/src/targets.rs
@@ -153,6 +153,12 @@
         self.listed && self.in_service && !self.leaving
     }
 
+    /// Whether this process may send requests here at some time: it has slots, and part of the starts if those
+    /// are limited.
+    pub fn is_usable(&self) -> bool {
+        self.accepts_work() && self.window.slots() > 0 && !self.starts.is_barred()
+    }
+
     /// Whether load measured at `taken` is no older than the last report.
     fn is_current(&self, taken: Instant) -> bool {
         self.report.as_ref().is_none_or(|known| known.taken <= taken)
--- a/crates/tarragon-scheduler/src/targets/starts.rs
+++ b/crates/tarragon-scheduler/src/targets/starts.rs
@@ -46,6 +46,11 @@
         self.limit = limit;
     }
 
+    /// Whether the limit leaves this process no start at all.
+    pub fn is_barred(&self) -> bool {
+        self.limit == Some(0)
+    }
+
     /// Sets whether starts need permits. Permits from before are void.
     pub fn set_paced(&mut self, paced: bool) {
         self.permits = paced.then(VecDeque::new);
--- a/crates/tarragon-scheduler/tests/rules/retry.rs
+++ b/crates/tarragon-scheduler/tests/rules/retry.rs
@@ -71,3 +71,36 @@
     driver.end(request, 2, AttemptEnd::Finished);
     assert_eq!(driver.scheduler.in_flight(), 0);
 }
+
+struct SecondTargetCase {
+    name: &'static str,
+    prepare: fn(&mut Driver),
+}
+
+const UNUSABLE_TARGETS: &[SecondTargetCase] = &[
+    SecondTargetCase {
+        name: "without slots for this process",
+        prepare: |driver| driver.set_slots("t1", 0, false),
+    },
+    SecondTargetCase {
+        name: "cold, without a start for this process",
+        prepare: |driver| {
+            driver.set_slots("t1", 4, true);
+            driver.handle(SchedulerEvent::StartLimitSet("t1".into(), Some(0)));
+        },
+    },
+];
+
+/// Guards against a failed request that waits until its deadline for a target that this process may not use.
+#[test]
+fn retries_do_not_wait_for_targets_that_this_process_may_not_use() {
+    for case in UNUSABLE_TARGETS {
+        let mut driver = Driver::with_targets(2, 4);
+        (case.prepare)(&mut driver);
+        let request = driver.send(Call { deadline: Duration::from_secs(2), ..Call::default() });
+        assert_eq!(driver.dispatched(), [(request, 1, "t0".into())], "{}", case.name);
+        driver.end(request, 1, AttemptEnd::Failed);
+        driver.advance(Duration::from_millis(200));
+        assert_eq!(driver.dispatched(), [(request, 2, "t0".into())], "{}", case.name);
+    }
+}
