Refuse waiting requests before their deadline instead of after it

Cause: a waiting request is refused when an event comes after its latest start. On a machine with little traffic the next event is the next tick, up to 100 ms later, and the latest start is only some milliseconds before the deadline where calls are short. A tick now refuses those whose latest start comes before the next tick and the time that the answer takes. Requests that can be sent at once are not affected, since the check follows the dispatch.

--- a/crates/tarragon-scheduler/src/scheduler.rs
+++ b/crates/tarragon-scheduler/src/scheduler.rs
@@ -67,6 +67,10 @@
 /// 100 ms.
 const MAX_REFRESH_AGE: Duration = Duration::from_millis(250);
 
+/// A request that waits is refused this long before its latest start at the latest: the next tick may come after
+/// its deadline, and the answer takes some time to reach the caller.
+const REFUSAL_LEAD: Duration = Duration::from_millis(120);
+
 /// Decides when each request is dispatched and to which target.
 pub struct Scheduler {
     limits: SchedulerLimits,
@@ -162,6 +166,7 @@
         event: SchedulerEvent,
         actions: &mut Vec<SchedulerAction>,
     ) {
+        let is_tick = matches!(event, SchedulerEvent::Tick);
         self.refresh_if_late(now);
         // Requests that can no longer be served must not cause others to be shed or pre-empted.
         self.refuse_past_latest_start(now, actions);
@@ -226,6 +231,9 @@
         self.refuse_past_latest_start(now, actions);
         self.dispatch(now, actions);
         self.refuse_beyond_forecast(now, actions);
+        if is_tick {
+            self.refuse_past_latest_start(now + REFUSAL_LEAD, actions);
+        }
         self.update_floor(now, actions);
     }
 
--- a/crates/tarragon-scheduler/tests/rules/shed.rs
+++ b/crates/tarragon-scheduler/tests/rules/shed.rs
@@ -156,3 +156,24 @@
     driver.end(1, 1, AttemptEnd::Finished);
     assert_eq!(driver.dispatched().len(), 1);
 }
+
+/// Time that a refusal takes to reach its caller.
+const ANSWER_TIME: Duration = Duration::from_millis(20);
+
+/// Guards against a refusal that comes at the deadline or after it, when its caller has left.
+#[test]
+fn waiting_requests_are_refused_before_their_deadline() {
+    for offset in [0, 1, 19, 50, 99] {
+        let mut driver = Driver::with_targets(1, 1);
+        driver.send(Call::default());
+        let limit = Duration::from_millis(1_000 + offset);
+        let waiting = driver.send(Call { deadline: limit, ..Call::default() });
+        let deadline = driver.now + limit;
+        while driver.waiting() > 0 && driver.now < deadline + limit {
+            driver.advance(Duration::from_millis(100));
+        }
+        let refused = driver.refused();
+        assert_eq!(refused, [(waiting, RefusalCode::DeadlineExceeded, CallOutcome::NotRun)]);
+        assert!(driver.now + ANSWER_TIME <= deadline, "deadline at {limit:?}");
+    }
+}
