Write the parts of a stream before its connection is closed as cut short

A caller could get a closed connection without a single byte, neither an answer nor a refusal, for a request that a target had run and whose first events were ready: when the head, the events and the end of the channel were all there at the connection's next poll, the HTTP library got the error of the body in that poll and dropped what it hadn't flushed, the head included. That needs a connection that isn't polled between the first event and the end, as on a machine that is busy with a large configuration while the deadline passes or the target breaks off.

A body that is cut short is now pending once before it fails, so that its parts are flushed. Without the fix parts_are_written_before_a_broken_answer_ends_its_connection gets no bytes. The test over whole processes passes without it too, since tasks take turns there.

--- a/crates/tarragon-server/src/caller/answer.rs
+++ b/crates/tarragon-server/src/caller/answer.rs
@@ -2,7 +2,7 @@
 
 use std::{
     pin::Pin,
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
     time::Duration,
 };
 
@@ -41,6 +41,8 @@
         /// Tells by its drop that the caller has gone.
         guard: Option<DropGuard>,
     },
+    /// A stream whose channel has closed too early.
+    CutShort,
 }
 
 /// A streamed body ended before it was complete.
@@ -63,15 +65,23 @@
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyCutShort>>> {
-        match self.get_mut() {
+        let body = self.get_mut();
+        match body {
             AnswerBody::Whole(bytes) => {
                 Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes))))
             }
-            AnswerBody::Stream { parts, .. } => parts.poll_recv(context).map(|part| match part {
-                Some(BodyPart::Data(bytes)) => Some(Ok(Frame::data(bytes))),
-                Some(BodyPart::End) => None,
-                None => Some(Err(BodyCutShort)),
-            }),
+            AnswerBody::Stream { parts, .. } => match ready!(parts.poll_recv(context)) {
+                Some(BodyPart::Data(bytes)) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
+                Some(BodyPart::End) => Poll::Ready(None),
+                None => {
+                    // The HTTP library drops what it has not flushed when a body fails, and flushes when
+                    // one is pending.
+                    *body = AnswerBody::CutShort;
+                    context.waker().wake_by_ref();
+                    Poll::Pending
+                }
+            },
+            AnswerBody::CutShort => Poll::Ready(Some(Err(BodyCutShort))),
         }
     }
 
@@ -84,7 +94,7 @@
             AnswerBody::Whole(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
-            AnswerBody::Stream { .. } => SizeHint::default(),
+            AnswerBody::Stream { .. } | AnswerBody::CutShort => SizeHint::default(),
         }
     }
 }
--- a/crates/tarragon-server/tests/serve/main.rs
+++ b/crates/tarragon-server/tests/serve/main.rs
@@ -1,6 +1,7 @@
 //! Tests of a whole process over real sockets on loopback addresses.
 
 mod administration;
+mod answer;
 mod caller;
 mod chat;
 mod drain;
