Count and log each request whose connection ends without a whole answer

A connection that ended with a request in hand was logged at level debug only, and without the request, so hypotheses about requests that get neither an answer nor a refusal couldn't be told apart. Each such request is now counted (cut_requests_total{state,cause}) and logged once, also after an abort of the process or a panic of the connection's task. Lines are new for a request whose task ended without an answer, for one that the node wants to relay, for an answer whose caller has left, and for a decision that finds the request's queue full. A stream whose caller has disconnected is no longer logged as one that wasn't read in time.

--- a/crates/tarragon-gateway/src/caller.rs
+++ b/crates/tarragon-gateway/src/caller.rs
@@ -1,6 +1,6 @@
 //! Handles the requests of callers, from arrival to answer.
 
-use std::{convert::Infallible, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode, header};
@@ -22,6 +22,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
+    connection::{AnswerState, ConnectionWatch},
     context::GatewayContext,
     forward::{ForwardAnswer, ForwardCall, ForwardRunner, whole_response},
     platform::CallProtocol,
@@ -37,7 +38,8 @@
 pub async fn handle<D>(
     context: Arc<GatewayContext<D>>,
     message: Request<Incoming>,
-) -> Result<CallerAnswer, Infallible>
+    watch: &ConnectionWatch,
+) -> CallerAnswer
 where
     D: CallProtocol,
 {
@@ -45,15 +47,17 @@
     let (head, body) = message.into_parts();
     let (call_head, routed) = match route(&context, &head) {
         Ok(routed) => routed,
-        Err(answer) => return Ok(*answer),
+        Err(answer) => return *answer,
     };
+    watch.set_tag(&call_head.tag);
     let wait = wait_limit(&routed.route, call_head.time_left);
     let deadline = Deadline::after(&context.clock, wait);
     let limits = body_limits(context.caller_limits(), wait);
     let body = match read_body(body, limits).await {
         Ok(body) => body,
-        Err(fault) => return Ok(body_fault_answer(&context, &call_head.tag, fault)),
+        Err(fault) => return body_fault_answer(&context, &call_head.tag, fault),
     };
+    watch.set_state(AnswerState::Waiting);
     let event_tokens = context.node.view(|node| {
         let terms = node.operator_state().service_configuration(&routed.service);
         terms.map_or(1, |terms| terms.event_tokens.max(1))
@@ -72,7 +76,7 @@
         event_tokens,
         generation: call_head.generation,
     };
-    Ok(serve_call(context, call).await)
+    serve_call(context, call).await
 }
 
 /// Parses the head of a request and finds its route and service.
@@ -145,6 +149,7 @@
             && !call.routed.route.streamed,
         token: Some(abandoned.clone().drop_guard()),
     };
+    let tag = call.tag.clone();
     let (sender, head) = oneshot::channel();
     let task = run_call(context.clone(), call, abandoned, sender);
     context.spawn(task);
@@ -158,6 +163,8 @@
         Err(_) => {
             let message = "the process ended before the answer";
             let refusal = Refusal::unknown(RefusalCode::ShuttingDown, message);
+            tracing::error!(request = tag, "the task of the request ended without an answer");
+            context.metrics.count_answer(refusal.outcome.name(), refusal_cause(refusal.code));
             refusal_answer(&context, &refusal)
         }
     }
@@ -318,12 +325,16 @@
         // Processes of this fleet don't relay requests to each other.
         RequestEnd::Relay(_) => {
             let message = "the process can't serve this request";
-            refusal_answer(context, &Refusal::not_run(RefusalCode::NoTarget, message))
+            let refusal = Refusal::not_run(RefusalCode::NoTarget, message);
+            tracing::warn!(request, spent_ms, cause = refusal.message, "refused");
+            context.metrics.count_answer(refusal.outcome.name(), refusal_cause(refusal.code));
+            refusal_answer(context, &refusal)
         }
     };
-    // This fails only if the caller has disconnected.
-    if let Some(head) = sink.into_head() {
-        let _ = head.send(answer);
+    if let Some(head) = sink.into_head()
+        && head.send(answer).is_err()
+    {
+        tracing::info!(request, spent_ms, "caller disconnected before its answer");
     }
 }
 
--- /dev/null
+++ b/crates/tarragon-gateway/src/connection.rs
@@ -0,0 +1,207 @@
+//! What becomes of the requests on one connection of a caller: whether each one got its whole answer, and if
+//! not, why.
+
+use std::{
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+use tarragon_server::{
+    caller::answer::{AnswerBody, BodyCutShort},
+    guarded::Guarded,
+};
+use tokio::time::Instant;
+
+use crate::metrics::GatewayMetrics;
+
+/// How far the current request of a connection has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerState {
+    /// Its body is being read.
+    Reading,
+    /// It has been read whole, and no answer has begun.
+    Waiting,
+    /// Its answer has begun and isn't complete.
+    Answering,
+}
+
+impl AnswerState {
+    fn name(self) -> &'static str {
+        match self {
+            AnswerState::Reading => "reading",
+            AnswerState::Waiting => "waiting",
+            AnswerState::Answering => "answering",
+        }
+    }
+}
+
+#[derive(Debug)]
+struct OpenRequest {
+    /// The caller's id of the request, once its head has been read.
+    tag: String,
+    state: AnswerState,
+    received: Instant,
+}
+
+/// Follows the current request of a connection. Clones follow the same one.
+#[derive(Debug, Clone, Default)]
+pub struct ConnectionWatch {
+    open: Arc<Guarded<Option<OpenRequest>>>,
+}
+
+impl ConnectionWatch {
+    /// The head of a request has arrived.
+    pub fn open_request(&self) {
+        let received = Instant::now();
+        let opened = OpenRequest { tag: String::new(), state: AnswerState::Reading, received };
+        self.open.with(|open| *open = Some(opened));
+    }
+
+    /// The id of the request is known.
+    pub fn set_tag(&self, tag: &str) {
+        self.open.with(|open| open.iter_mut().for_each(|open| open.tag = tag.to_owned()));
+    }
+
+    /// The request has come so far.
+    pub fn set_state(&self, state: AnswerState) {
+        self.open.with(|open| open.iter_mut().for_each(|open| open.state = state));
+    }
+
+    /// The answer is complete.
+    fn complete(&self) {
+        self.open.with(|open| *open = None);
+    }
+}
+
+/// The body of an answer that tells the watch when it is complete.
+#[derive(Debug)]
+pub struct WatchedBody {
+    body: AnswerBody,
+    watch: ConnectionWatch,
+}
+
+impl WatchedBody {
+    /// Watches a body whose head is about to be written.
+    pub fn new(body: AnswerBody, watch: ConnectionWatch) -> WatchedBody {
+        match body.is_end_stream() {
+            true => watch.complete(),
+            false => watch.set_state(AnswerState::Answering),
+        }
+        WatchedBody { body, watch }
+    }
+}
+
+impl Body for WatchedBody {
+    type Data = Bytes;
+    type Error = BodyCutShort;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyCutShort>>> {
+        let watched = self.get_mut();
+        let frame = Pin::new(&mut watched.body).poll_frame(context);
+        if matches!(frame, Poll::Ready(None)) || watched.body.is_end_stream() {
+            watched.watch.complete();
+        }
+        frame
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// Why a connection ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionEnd {
+    /// The caller closed it.
+    CallerClosed,
+    /// A streamed answer ended before it was complete.
+    AnswerCutShort,
+    /// The caller was idle, or read nothing, for too long.
+    TimedOut,
+    /// The caller's bytes are no HTTP.
+    InvalidBytes,
+    /// Reading or writing failed.
+    Failed,
+    /// The process ends.
+    Aborted,
+    /// Its task panicked or was dropped.
+    TaskEnded,
+}
+
+impl ConnectionEnd {
+    /// The end that the result of serving the connection shows.
+    pub fn of(ended: &Result<(), hyper::Error>) -> ConnectionEnd {
+        match ended {
+            Ok(()) => ConnectionEnd::CallerClosed,
+            Err(error) if error.is_user() => ConnectionEnd::AnswerCutShort,
+            Err(error) if error.is_timeout() => ConnectionEnd::TimedOut,
+            Err(error) if error.is_parse() => ConnectionEnd::InvalidBytes,
+            Err(error) if error.is_incomplete_message() || error.is_canceled() => {
+                ConnectionEnd::CallerClosed
+            }
+            Err(_) => ConnectionEnd::Failed,
+        }
+    }
+
+    fn name(self) -> &'static str {
+        match self {
+            ConnectionEnd::CallerClosed => "caller_closed",
+            ConnectionEnd::AnswerCutShort => "answer_cut_short",
+            ConnectionEnd::TimedOut => "timed_out",
+            ConnectionEnd::InvalidBytes => "invalid_bytes",
+            ConnectionEnd::Failed => "failed",
+            ConnectionEnd::Aborted => "aborted",
+            ConnectionEnd::TaskEnded => "task_ended",
+        }
+    }
+}
+
+/// Counts and logs, when it is dropped, a request that the end of its connection leaves without a whole answer.
+pub struct ConnectionReport {
+    watch: ConnectionWatch,
+    metrics: GatewayMetrics,
+    /// Why the connection ends.
+    pub end: ConnectionEnd,
+}
+
+impl ConnectionReport {
+    /// A report on a connection that has just been accepted.
+    pub fn new(watch: ConnectionWatch, metrics: GatewayMetrics) -> ConnectionReport {
+        ConnectionReport { watch, metrics, end: ConnectionEnd::TaskEnded }
+    }
+}
+
+impl Drop for ConnectionReport {
+    fn drop(&mut self) {
+        let Some(open) = self.watch.open.with(Option::take) else { return };
+        let (state, cause) = (open.state.name(), self.end.name());
+        self.metrics.cut_requests.with_label_values(&[state, cause]).inc();
+        let open_ms = open.received.elapsed().as_millis() as u64;
+        match self.end {
+            ConnectionEnd::CallerClosed => tracing::info!(
+                request = open.tag,
+                state,
+                cause,
+                open_ms,
+                "connection ended before the answer was complete"
+            ),
+            _ => tracing::warn!(
+                request = open.tag,
+                state,
+                cause,
+                open_ms,
+                "connection ended before the answer was complete"
+            ),
+        }
+    }
+}
--- a/crates/tarragon-gateway/src/forward/stream.rs
+++ b/crates/tarragon-gateway/src/forward/stream.rs
@@ -27,8 +27,13 @@
 /// Shortest interval between progress reports of one stream.
 const PROGRESS_INTERVAL: Duration = Duration::from_millis(200);
 
-/// The caller has disconnected or does not read its answer.
-struct CallerNotReading;
+/// The caller does not get a part of its answer.
+enum PartNotTaken {
+    /// It has disconnected.
+    Disconnected,
+    /// It has read nothing for too long.
+    Stalled,
+}
 
 /// Sends the parts of a streamed answer to the caller.
 pub struct StreamSink {
@@ -85,10 +90,11 @@
         let _ = head.send(answer);
     }
 
-    async fn send(&mut self, part: BodyPart, limit: Duration) -> Result<(), CallerNotReading> {
+    async fn send(&mut self, part: BodyPart, limit: Duration) -> Result<(), PartNotTaken> {
         match timeout(limit, self.sender.send(part)).await {
             Ok(Ok(())) => Ok(()),
-            Ok(Err(_)) | Err(_) => Err(CallerNotReading),
+            Ok(Err(_)) => Err(PartNotTaken::Disconnected),
+            Err(_) => Err(PartNotTaken::Stalled),
         }
     }
 }
@@ -125,8 +131,8 @@
             }
             while let Some(event) = splitter.next_event() {
                 self.sink.begin(head.status, headers.clone());
-                if self.forward_event(event).await.is_err() {
-                    return caller_not_reading();
+                if let Err(fault) = self.forward_event(event).await {
+                    return part_not_taken(fault);
                 }
                 progress.events += 1;
                 progress.first_event.get_or_insert_with(|| sent.elapsed());
@@ -139,8 +145,9 @@
             return self.end_stream(order, &mut progress, AttemptEnd::Broken);
         }
         self.sink.begin(head.status, headers);
-        if self.sink.send(BodyPart::End, self.context.limits.caller_stall).await.is_err() {
-            return caller_not_reading();
+        let limit = self.context.limits.caller_stall;
+        if let Err(fault) = self.sink.send(BodyPart::End, limit).await {
+            return part_not_taken(fault);
         }
         self.keep_connection(order, connection, &head.headers);
         AttemptReport::Answered(ForwardAnswer::Streamed)
@@ -168,7 +175,7 @@
     }
 
     /// Sends an event to the caller, unless the caller has it from an earlier attempt.
-    async fn forward_event(&mut self, event: RawEvent) -> Result<(), CallerNotReading> {
+    async fn forward_event(&mut self, event: RawEvent) -> Result<(), PartNotTaken> {
         if let (Some(number), Some(position)) = (event.number, self.sink.position)
             && number <= position
         {
@@ -226,8 +233,11 @@
 }
 
 /// Ends a stream whose caller does not read it: it would occupy a slot at the target that others wait for.
-fn caller_not_reading() -> AttemptReport<ForwardAnswer> {
-    let message = "the caller did not take its answer in time";
+fn part_not_taken(fault: PartNotTaken) -> AttemptReport<ForwardAnswer> {
+    let message = match fault {
+        PartNotTaken::Disconnected => "the caller has disconnected",
+        PartNotTaken::Stalled => "the caller did not take its answer in time",
+    };
     let refusal = Refusal::unknown(RefusalCode::DeadlineExceeded, message);
     AttemptReport::Refused(AttemptEnd::Cancelled, refusal)
 }
--- a/crates/tarragon-gateway/src/lib.rs
+++ b/crates/tarragon-gateway/src/lib.rs
@@ -2,6 +2,7 @@
 //! crate does the I/O. The platform's headers, status codes and store are behind the traits of [`platform`].
 
 pub mod caller;
+pub mod connection;
 pub mod context;
 pub mod events;
 pub mod forward;
--- a/crates/tarragon-gateway/src/listener.rs
+++ b/crates/tarragon-gateway/src/listener.rs
@@ -16,7 +16,12 @@
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use crate::{caller, context::GatewayContext, platform::CallProtocol};
+use crate::{
+    caller,
+    connection::{ConnectionEnd, ConnectionReport, ConnectionWatch, WatchedBody},
+    context::GatewayContext,
+    platform::CallProtocol,
+};
 
 /// Most concurrent connections of callers, below the limit of file descriptors on a small VM.
 const MAX_CONNECTIONS: usize = 3_000;
@@ -109,9 +114,16 @@
         .max_headers(MAX_HEADERS)
         .max_buf_size(limits.header_bytes.max(MIN_HEADER_BUFFER_BYTES));
     let request_received = CancellationToken::new();
+    let watch = ConnectionWatch::default();
+    let mut report = ConnectionReport::new(watch.clone(), context.metrics.clone());
     let service = service_fn(|message: Request<Incoming>| {
         request_received.cancel();
-        caller::handle(context.clone(), message)
+        watch.open_request();
+        let (context, watch) = (context.clone(), watch.clone());
+        async move {
+            let answer = caller::handle(context, message, &watch).await;
+            Ok::<_, Infallible>(answer.map(|body| WatchedBody::new(body, watch)))
+        }
     });
     let stream = TokioIo::new(WriteLimit::new(stream, context.limits.caller_stall));
     let connection = builder.serve_connection(stream, service);
@@ -126,13 +138,17 @@
     let ended = loop {
         tokio::select! {
             ended = connection.as_mut() => break ended,
-            () = context.abort.cancelled() => return,
+            () = context.abort.cancelled() => {
+                report.end = ConnectionEnd::Aborted;
+                return;
+            }
             () = &mut drain, if !draining => {
                 draining = true;
                 connection.as_mut().graceful_shutdown();
             }
         }
     };
+    report.end = ConnectionEnd::of(&ended);
     if let Err(error) = ended {
         tracing::debug!(%error, "a connection ended early");
     }
--- a/crates/tarragon-gateway/src/metrics.rs
+++ b/crates/tarragon-gateway/src/metrics.rs
@@ -18,6 +18,8 @@
     registry: Registry,
     /// Answers to callers by outcome and cause.
     pub answers: IntCounterVec,
+    /// Requests that the end of their connection left without a whole answer, by state and cause.
+    pub cut_requests: IntCounterVec,
     /// Attempts by how they ended.
     pub attempts: IntCounterVec,
     /// Time from arrival to the dispatch of the first attempt.
@@ -58,6 +60,11 @@
         let registry = Registry::new();
         let metrics = GatewayMetrics {
             answers: counter_vec("answers_total", "Answers to callers", &["outcome", "cause"])?,
+            cut_requests: counter_vec(
+                "cut_requests_total",
+                "Requests whose connection ended before the answer was complete",
+                &["state", "cause"],
+            )?,
             attempts: counter_vec("attempts_total", "Ends of attempts at targets", &["end"])?,
             queue_time: histogram("queue_seconds", "Time from the arrival to the first dispatch")?,
             first_part: histogram_vec("first_part_seconds", "Time to the first part of an answer")?,
@@ -97,6 +104,7 @@
     fn register(&self) -> prometheus::Result<()> {
         let registry = &self.registry;
         registry.register(Box::new(self.answers.clone()))?;
+        registry.register(Box::new(self.cut_requests.clone()))?;
         registry.register(Box::new(self.attempts.clone()))?;
         registry.register(Box::new(self.queue_time.clone()))?;
         registry.register(Box::new(self.first_part.clone()))?;
--- a/crates/tarragon-gateway/src/shared_node.rs
+++ b/crates/tarragon-gateway/src/shared_node.rs
@@ -9,7 +9,10 @@
     guarded::Guarded,
     request::{Decision, DecisionLink, DispatchOrder},
 };
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{
+    Notify,
+    mpsc::{self, error::TrySendError},
+};
 
 /// Decisions that can be queued for the task of one request.
 const DECISION_QUEUE_LENGTH: usize = 8;
@@ -165,7 +168,12 @@
                     }
                     None
                 }
-                Err(_) => attempt,
+                Err(fault) => {
+                    if matches!(fault, TrySendError::Full(_)) {
+                        tracing::error!(request = known.tag, "decision on the request was lost");
+                    }
+                    attempt
+                }
             }
         });
         if let Some(attempt) = undelivered {
