Read the body of a request that is refused for its head

Callers that were still sending the body of a request without a route, or with an unknown key, got a reset connection and no byte of the 404 or 401: neither an answer nor a refusal. After a configuration that removes a route or a key, that happens to each request whose body doesn't arrive together with its head.

Cause: the answer to such a head was given without reading the body. The HTTP library then closes the connection, and the kernel resets one that is closed with unread bytes. The body is now read, within the limits of all bodies, before the answer is written, and the connection can be used for further requests.

Evidence: refusals_reach_callers_that_are_still_sending failed before (no route: read Ok(0), write BrokenPipe, no status) and passes now.

--- a/crates/tarragon-gateway/src/caller.rs
+++ b/crates/tarragon-gateway/src/caller.rs
@@ -47,7 +47,10 @@
     let (head, body) = message.into_parts();
     let (call_head, routed) = match route(&context, &head) {
         Ok(routed) => routed,
-        Err(answer) => return *answer,
+        Err(answer) => {
+            discard_body(&context, body).await;
+            return *answer;
+        }
     };
     watch.set_tag(&call_head.tag);
     let wait = wait_limit(&routed.route, call_head.time_left);
@@ -128,6 +131,15 @@
     BodyLimits { bytes: limits.body_bytes, part: BODY_PART_TIMEOUT, whole: wait }
 }
 
+/// Reads the body of a request that is refused for its head. A connection that is closed while its caller is
+/// still sending is reset, and the answer is lost.
+async fn discard_body<D>(context: &GatewayContext<D>, body: Incoming) {
+    let limits = body_limits(context.caller_limits(), BODY_PART_TIMEOUT);
+    if let Err(fault) = read_body(body, limits).await {
+        tracing::info!(?fault, "body of a refused request was not read to its end");
+    }
+}
+
 fn body_fault_answer<D>(context: &GatewayContext<D>, tag: &str, fault: BodyFault) -> CallerAnswer {
     tracing::info!(request = tag, ?fault, "refused: request body could not be read");
     context.metrics.count_answer("not_run", "invalid_body");
