Read the body of a call that is refused for its headers

The listener for calls of our own API has the fault that the gateway had: a call that is refused for its headers, or for lack of room, was answered before its body was read. A caller that was still sending a body larger than the read buffer got a reset connection instead of the refusal. The body is now read within the limits of all bodies first; it isn't kept, there and in the gateway.

--- a/crates/tarragon-gateway/src/caller.rs
+++ b/crates/tarragon-gateway/src/caller.rs
@@ -12,7 +12,7 @@
 use tarragon_server::{
     caller::{
         answer::{AnswerBody, CallerAnswer, ErrorBody},
-        body::{BodyFault, BodyLimits, read_body},
+        body::{BodyFault, BodyLimits, discard_body, read_body},
     },
     process::Deadline,
     request::{RequestDriver, RequestEnd},
@@ -48,7 +48,7 @@
     let (call_head, routed) = match route(&context, &head) {
         Ok(routed) => routed,
         Err(answer) => {
-            discard_body(&context, body).await;
+            discard_refused(&context, body).await;
             return *answer;
         }
     };
@@ -131,11 +131,9 @@
     BodyLimits { bytes: limits.body_bytes, part: BODY_PART_TIMEOUT, whole: wait }
 }
 
-/// Reads the body of a request that is refused for its head. A connection that is closed while its caller is
-/// still sending is reset, and the answer is lost.
-async fn discard_body<D>(context: &GatewayContext<D>, body: Incoming) {
+async fn discard_refused<D>(context: &GatewayContext<D>, body: Incoming) {
     let limits = body_limits(context.caller_limits(), BODY_PART_TIMEOUT);
-    if let Err(fault) = read_body(body, limits).await {
+    if let Err(fault) = discard_body(body, limits).await {
         tracing::info!(?fault, "body of a refused request was not read to its end");
     }
 }
--- a/crates/tarragon-server/src/caller/body.rs
+++ b/crates/tarragon-server/src/caller/body.rs
@@ -54,26 +54,47 @@
 pub async fn read_body<B>(body: B, limits: BodyLimits) -> Result<Bytes, BodyFault>
 where
     B: Body<Data = Bytes> + Unpin,
+{
+    let mut whole = BytesMut::new();
+    read_parts(body, limits, |data| whole.extend_from_slice(&data)).await?;
+    Ok(whole.freeze())
+}
+
+/// Reads the whole body without keeping it, before a request is refused for its head. A connection that is closed
+/// while its caller is still sending is reset, and the answer is lost.
+pub async fn discard_body<B>(body: B, limits: BodyLimits) -> Result<(), BodyFault>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    read_parts(body, limits, drop).await
+}
+
+async fn read_parts<B, K>(body: B, limits: BodyLimits, keep: K) -> Result<(), BodyFault>
+where
+    B: Body<Data = Bytes> + Unpin,
+    K: FnMut(Bytes),
 {
     let announced = body.size_hint().lower();
     if announced > limits.bytes as u64 {
         return Err(BodyFault::TooLarge);
     }
-    timeout(limits.whole, read_parts(body, limits)).await.unwrap_or(Err(BodyFault::TooSlow))
+    timeout(limits.whole, pass_parts(body, limits, keep)).await.unwrap_or(Err(BodyFault::TooSlow))
 }
 
-async fn read_parts<B>(mut body: B, limits: BodyLimits) -> Result<Bytes, BodyFault>
+async fn pass_parts<B, K>(mut body: B, limits: BodyLimits, mut keep: K) -> Result<(), BodyFault>
 where
     B: Body<Data = Bytes> + Unpin,
+    K: FnMut(Bytes),
 {
-    let mut whole = BytesMut::new();
+    let mut length = 0;
     loop {
         let frame = timeout(limits.part, body.frame()).await.map_err(|_| BodyFault::TooSlow)?;
-        let Some(frame) = frame else { return Ok(whole.freeze()) };
+        let Some(frame) = frame else { return Ok(()) };
         let Ok(data) = frame.map_err(|_| BodyFault::CutShort)?.into_data() else { continue };
-        if whole.len() + data.len() > limits.bytes {
+        length += data.len();
+        if length > limits.bytes {
             return Err(BodyFault::TooLarge);
         }
-        whole.extend_from_slice(&data);
+        keep(data);
     }
 }
--- a/crates/tarragon-server/src/caller/router.rs
+++ b/crates/tarragon-server/src/caller/router.rs
@@ -3,7 +3,7 @@
 use std::{convert::Infallible, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderValue, Method, Request, StatusCode};
+use http::{HeaderMap, HeaderValue, Method, Request, StatusCode};
 use hyper::body::Incoming;
 use serde_json::json;
 use tarragon_cluster::{event::PeerAddress, signing::MessageSigner};
@@ -17,7 +17,7 @@
         CallerAnswer, error_answer, header_fault_answer, json_answer, refusal_answer, set_outcome,
     },
     arrival::{Arrival, CallerCall},
-    body::{BodyFault, BodyLimits, read_body},
+    body::{BodyFault, BodyLimits, discard_body, read_body},
     chat::{ServedChat, prepare_chat, serve_chat},
     header::{CallerHeaders, forwarded_headers},
     layer::AssignedId,
@@ -150,9 +150,15 @@
     message: Request<Incoming>,
 ) -> Result<CallerCall, CallerAnswer> {
     let (head, body) = message.into_parts();
-    let headers =
-        CallerHeaders::parse(&head.headers).map_err(|faults| header_fault_answer(&faults))?;
-    check_room(process, headers.tier).map_err(|refusal| refusal_answer(&refusal))?;
+    let headers = match check_head(process, &head.headers) {
+        Ok(headers) => headers,
+        Err(answer) => {
+            if let Err(fault) = discard_body(body, body_limits(process)).await {
+                tracing::info!(?fault, "body of a refused request was not read to its end");
+            }
+            return Err(*answer);
+        }
+    };
     let deadline = Deadline::after(&process.clock, headers.deadline);
     let request = head.extensions.get::<AssignedId>().map_or_else(|| process.ids.next(), |id| id.0);
     let body = read_body(body, body_limits(process)).await.map_err(body_fault_answer)?;
@@ -166,6 +172,15 @@
     })
 }
 
+fn check_head(
+    process: &ProcessContext,
+    headers: &HeaderMap,
+) -> Result<CallerHeaders, Box<CallerAnswer>> {
+    let headers = CallerHeaders::parse(headers).map_err(|faults| header_fault_answer(&faults))?;
+    check_room(process, headers.tier).map_err(|refusal| refusal_answer(&refusal))?;
+    Ok(headers)
+}
+
 /// Refuses a request if too many are open. Each tier leaves a part of the room to the tiers above it, so
 /// that a higher tier is not refused while a lower one is still taken.
 fn check_room(process: &ProcessContext, tier: Tier) -> Result<(), Refusal> {
--- a/crates/tarragon-server/tests/serve/caller.rs
+++ b/crates/tarragon-server/tests/serve/caller.rs
@@ -157,3 +157,28 @@
     })
     .await;
 }
+
+/// Guards against a refusal that its caller never sees because the connection is reset while the body is sent.
+#[tokio::test]
+async fn refusals_reach_callers_that_are_still_sending() {
+    const HALF: usize = 300_000;
+    bounded(async {
+        let handle = start(settings("sending", Vec::new())).await;
+        let mut stream = TcpStream::connect(handle.caller_address).await.unwrap();
+        let length = 2 * HALF;
+        let head = format!(
+            "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\ncontent-length: {length}\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).await.unwrap();
+        for _ in 0..2 {
+            stream.write_all(&[b'x'; HALF]).await.unwrap();
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        let mut answer = vec![0; 4_096];
+        let read = timeout(Duration::from_secs(5), stream.read(&mut answer)).await.unwrap();
+        let answer = String::from_utf8_lossy(&answer[..read.unwrap()]).into_owned();
+        assert!(answer.starts_with("HTTP/1.1 400"), "{answer:?}");
+        handle.shutdown().await.unwrap();
+    })
+    .await;
+}
