Don't count answers without a body as cut

Each answer without a body was counted and logged as a request without a whole answer when its connection was closed later: the HTTP library never polls an empty body, so the connection's watch didn't learn that the answer was complete.

--- a/crates/tarragon-gateway/src/connection.rs
+++ b/crates/tarragon-gateway/src/connection.rs
@@ -84,9 +84,10 @@
 }
 
 impl WatchedBody {
-    /// Watches a body whose head is about to be written.
-    pub fn new(body: AnswerBody, watch: ConnectionWatch) -> WatchedBody {
-        match body.is_end_stream() {
+    /// Watches a body whose head is about to be written. Without `has_body` only the head is written.
+    pub fn new(body: AnswerBody, has_body: bool, watch: ConnectionWatch) -> WatchedBody {
+        // The HTTP library never polls an empty body.
+        match !has_body || body.size_hint().exact() == Some(0) {
             true => watch.complete(),
             false => watch.set_state(AnswerState::Answering),
         }
--- a/crates/tarragon-gateway/src/listener.rs
+++ b/crates/tarragon-gateway/src/listener.rs
@@ -4,7 +4,7 @@
 use std::{convert::Infallible, future::Future, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{Method, Request, Response};
 use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -120,9 +120,10 @@
         request_received.cancel();
         watch.open_request();
         let (context, watch) = (context.clone(), watch.clone());
+        let has_body = message.method() != Method::HEAD;
         async move {
             let answer = caller::handle(context, message, &watch).await;
-            Ok::<_, Infallible>(answer.map(|body| WatchedBody::new(body, watch)))
+            Ok::<_, Infallible>(answer.map(|body| WatchedBody::new(body, has_body, watch)))
         }
     });
     let stream = TokioIo::new(WriteLimit::new(stream, context.limits.caller_stall));
