--- a/crates/tarragon-gateway/src/caller.rs
+++ b/crates/tarragon-gateway/src/caller.rs
@@ -1,6 +1,6 @@
 //! Handles the requests of callers, from arrival to answer.
 
-use std::{convert::Infallible, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode, header};
@@ -13,7 +13,7 @@
 use tarragon_server::{
     caller::{
         answer::{AnswerBody, CallerAnswer, ErrorBody},
-        body::{BodyFault, BodyLimits, read_body},
+        body::{BodyFault, BodyLimits, discard_body, read_body},
     },
     process::Deadline,
     request::{RequestDriver, RequestEnd},
@@ -23,6 +23,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
+    connection::{AnswerState, ConnectionWatch},
     context::GatewayContext,
     evidence::find_build_by_part,
     forward::{ForwardAnswer, ForwardCall, ForwardRunner, whole_response},
@@ -45,7 +46,8 @@
 pub async fn handle<D>(
     context: Arc<GatewayContext<D>>,
     message: Request<Incoming>,
-) -> Result<CallerAnswer, Infallible>
+    watch: &ConnectionWatch,
+) -> CallerAnswer
 where
     D: CallProtocol,
 {
@@ -53,22 +55,27 @@
     let (head, body) = message.into_parts();
     let (call_head, routed) = match route(&context, &head) {
         Ok(routed) => routed,
-        Err(answer) => return Ok(*answer),
+        Err(answer) => {
+            discard_refused(&context, body).await;
+            return *answer;
+        }
     };
+    watch.set_tag(&call_head.tag);
     let wait = wait_limit(&routed.route, call_head.time_left);
     let deadline = Deadline::after(&context.clock, wait);
     let limits = body_limits(context.caller_limits(), wait);
     let body = match read_body(body, limits).await {
         Ok(body) => body,
-        Err(fault) => return Ok(body_fault_answer(&context, &call_head.tag, fault)),
+        Err(fault) => return body_fault_answer(&context, &call_head.tag, fault),
     };
+    watch.set_state(AnswerState::Waiting);
     let event_tokens = context.node.view(|node| {
         let terms = node.operator_state().service_configuration(&routed.service);
         terms.map_or(1, |terms| terms.event_tokens.max(1))
     });
     let (build, stream) = match find_origin(&context, &call_head, &routed).await {
         Ok(origin) => origin,
-        Err(answer) => return Ok(*answer),
+        Err(answer) => return *answer,
     };
     let call = ForwardCall {
         request: context.ids.next(),
@@ -86,7 +93,7 @@
         stream,
         generation: call_head.generation,
     };
-    Ok(serve_call(context, call).await)
+    serve_call(context, call).await
 }
 
 /// Parses the head of a request and finds its route and service.
@@ -205,6 +212,13 @@
     BodyLimits { bytes: limits.body_bytes, part: BODY_PART_TIMEOUT, whole: wait }
 }
 
+async fn discard_refused<D>(context: &GatewayContext<D>, body: Incoming) {
+    let limits = body_limits(context.caller_limits(), BODY_PART_TIMEOUT);
+    if let Err(fault) = discard_body(body, limits).await {
+        tracing::info!(?fault, "body of a refused request was not read to its end");
+    }
+}
+
 fn body_fault_answer<D>(context: &GatewayContext<D>, tag: &str, fault: BodyFault) -> CallerAnswer {
     tracing::info!(request = tag, ?fault, "refused: request body could not be read");
     context.metrics.count_answer("not_run", "invalid_body");
@@ -226,6 +240,7 @@
             && !call.routed.route.streamed,
         token: Some(abandoned.clone().drop_guard()),
     };
+    let tag = call.tag.clone();
     let (sender, head) = oneshot::channel();
     let task = run_call(context.clone(), call, abandoned, sender);
     context.spawn(task);
@@ -239,6 +254,8 @@
         Err(_) => {
             let message = "the process ended before the answer";
             let refusal = Refusal::unknown(RefusalCode::ShuttingDown, message);
+            tracing::error!(request = tag, "the task of the request ended without an answer");
+            context.metrics.count_answer(refusal.outcome.name(), refusal_cause(refusal.code));
             refusal_answer(&context, &refusal)
         }
     }
@@ -400,12 +417,16 @@
         // Processes of this fleet don't relay requests to each other.
         RequestEnd::Relay(_) => {
             let message = "the process can't serve this request";
-            refusal_answer(context, &Refusal::not_run(RefusalCode::NoTarget, message))
+            let refusal = Refusal::not_run(RefusalCode::NoTarget, message);
+            tracing::warn!(request, spent_ms, cause = refusal.message, "refused");
+            context.metrics.count_answer(refusal.outcome.name(), refusal_cause(refusal.code));
+            refusal_answer(context, &refusal)
         }
     };
-    // This fails only if the caller has disconnected.
-    if let Some(head) = sink.into_head() {
-        let _ = head.send(answer);
+    if let Some(head) = sink.into_head()
+        && head.send(answer).is_err()
+    {
+        tracing::info!(request, spent_ms, "caller disconnected before its answer");
     }
 }
 
