--- a/crates/tarragon-gateway/src/platform.rs
+++ b/crates/tarragon-gateway/src/platform.rs
@@ -75,7 +75,7 @@
     NotRun,
     /// Another instance now has the target's address; it has not run the request.
     OtherInstance,
-    /// It is a success that can't be forwarded, for the given reason. The request has run.
+    /// It can't be forwarded, for the given reason. The request may have run.
     Unusable(&'static str),
 }
 
