--- a/crates/tarragon-fleet/src/directory.rs
+++ b/crates/tarragon-fleet/src/directory.rs
@@ -628,7 +628,9 @@
 
 fn target_hash(target: &ListedTarget) -> u64 {
     let mut hasher = Xxh3::new();
-    for text in [&target.instance, &target.service, &target.address, &target.data_centre] {
+    let texts =
+        [&target.instance, &target.service, &target.address, &target.data_centre, &target.build];
+    for text in texts {
         hasher.update(&(text.len() as u64).to_le_bytes());
         hasher.update(text.as_bytes());
     }
--- a/crates/tarragon-fleet/src/node.rs
+++ b/crates/tarragon-fleet/src/node.rs
@@ -8,7 +8,7 @@
 mod updates;
 
 pub use admit::{AdmissionRequest, wait_limit};
-pub use origins::{OriginSource, stream_span};
+pub use origins::stream_span;
 pub use updates::DigestFollowUp;
 
 use std::{
@@ -79,6 +79,8 @@
     pub instance: InstanceName,
     /// Build of its software.
     pub build: BuildKey,
+    /// Start of its process.
+    pub restart: RestartId,
 }
 
 /// A request that has been admitted and has not ended.
@@ -135,6 +137,8 @@
     calls: IndexMap<RequestId, OpenRequest>,
     origins: OriginTable,
     builds: BuildLedger,
+    /// Whether the time to meet the peers after the start is over.
+    is_settled: bool,
     /// Ticks since the start, for the reports of the registered builds.
     ledger_ticks: u32,
     clock: FleetClock,
@@ -171,6 +175,7 @@
             calls: IndexMap::new(),
             origins: OriginTable::default(),
             builds,
+            is_settled: false,
             ledger_ticks: 0,
             clock: FleetClock::new(now),
             started: now,
@@ -273,6 +278,7 @@
         if self.members.expire(now) {
             self.update_retries();
         }
+        self.announce_early_origins(now);
         self.end_carried_evacuations(now, actions);
         self.end_backoffs(now, actions);
         self.end_pauses(now, actions);
--- a/crates/tarragon-fleet/src/node/admit.rs
+++ b/crates/tarragon-fleet/src/node/admit.rs
@@ -98,7 +98,16 @@
     pub fn may_send(&self, target: &str, service: &str) -> Option<SendGrant> {
         let entry = self.directory.get(target)?;
         let granted = entry.in_service() && &*entry.listed.service == service;
-        granted.then(|| SendGrant { instance: entry.listed.instance.clone(), build: entry.build() })
+        granted.then(|| SendGrant {
+            instance: entry.listed.instance.clone(),
+            build: entry.build(),
+            restart: entry.restart_id,
+        })
+    }
+
+    /// Whether the process to which an attempt was sent is still the one at its address, as far as is known.
+    pub fn is_same_process(&self, target: &str, grant: &SendGrant) -> bool {
+        self.directory.get(target).is_none_or(|entry| entry.restart_id == grant.restart)
     }
 
     /// Charges the quota of the request's workspace. Returns what was charged, if the workspace has a quota.
--- a/crates/tarragon-fleet/src/node/origins.rs
+++ b/crates/tarragon-fleet/src/node/origins.rs
@@ -5,14 +5,12 @@
     time::{Duration, Instant},
 };
 
-use indexmap::IndexSet;
-
 use crate::{
     build::history::BuildHistory,
     digest::{NameKey, name_key},
     ledger::BuildLedger,
     node::FleetNode,
-    origin::{OriginAnswer, OriginMessage, OriginQuery, StreamKey},
+    origin::{OriginAnswer, OriginMessage, OriginQuery, OriginSource, StreamKey},
     prelude::*,
 };
 
@@ -33,51 +31,33 @@
 /// Number of ticks between two such reports.
 const LEDGER_REPORT_TICKS: u32 = 5;
 
-/// How a process knows which build began a stream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum OriginSource {
-    /// It has a record.
-    Record,
-    /// No other build was registered for long enough.
-    SoleBuild,
-}
-
-impl OriginSource {
-    /// Name in logs and metrics.
-    pub fn name(self) -> &'static str {
-        match self {
-            OriginSource::Record => "record",
-            OriginSource::SoleBuild => "sole_build",
-        }
-    }
-}
-
 /// Time before now in which only one build may have been registered if it is to be the one that began a stream.
 pub fn stream_span(route: &CallRoute) -> Duration {
     route.timeout.max(MIN_STREAM_TIME) + SIGHTING_MARGIN
 }
 
 impl FleetNode {
-    /// Records that targets of a build began a stream, and has a few peers told unless the build is the only one.
+    /// Records that targets of a build began a stream, and announces it to a few peers unless the build is the only one.
     /// Returns whether messages are queued.
     pub fn record_origin(
         &mut self,
         now: Instant,
-        service: &str,
+        call: &RoutedCall,
         stream: StreamKey,
         build: BuildKey,
     ) -> bool {
         self.origins.record(stream, build, true, now);
-        if self.sole_build(name_key(service), MIN_STREAM_TIME + SIGHTING_MARGIN, now).is_some() {
+        let span = stream_span(&call.route);
+        if self.sole_build(name_key(&call.service), span, now).is_some() {
             return false;
         }
-        self.tell_origin(stream, build);
+        self.announce_origin(stream, build);
         true
     }
 
-    fn tell_origin(&mut self, stream: StreamKey, build: BuildKey) {
+    fn announce_origin(&mut self, stream: StreamKey, build: BuildKey) {
         for owner in self.members.ranked(stream, RECORD_OWNERS) {
-            self.origins.tell(owner, stream, build);
+            self.origins.announce(owner, stream, build);
         }
     }
 
@@ -86,10 +66,11 @@
         &self,
         now: Instant,
         service: NameKey,
-        stream: StreamKey,
+        stream: Option<StreamKey>,
         span: Duration,
     ) -> Option<(BuildKey, OriginSource)> {
-        let record = self.origins.get(stream).map(|build| (build, OriginSource::Record));
+        let record = stream.and_then(|stream| self.origins.get(stream));
+        let record = record.map(|build| (build, OriginSource::Record));
         let sole = || Some((self.sole_build(service, span, now)?, OriginSource::SoleBuild));
         record.or_else(sole)
     }
@@ -118,6 +99,19 @@
         now.saturating_duration_since(self.started) < span
     }
 
+    /// Records what a peer's record of a stream says.
+    pub fn learn_origin(&mut self, now: Instant, stream: StreamKey, build: BuildKey) {
+        self.origins.record(stream, build, false, now);
+    }
+
+    /// Announces the streams that began while this process had yet to meet its peers.
+    pub(super) fn announce_early_origins(&mut self, now: Instant) {
+        if !self.is_settled && !self.is_settling(now) {
+            self.is_settled = true;
+            self.announce_own();
+        }
+    }
+
     /// Peers that may know which build began a stream, the most likely first.
     pub fn origin_peers(&self, stream: StreamKey) -> Vec<SocketAddr> {
         self.members.ranked(stream, QUERIED_PEERS)
@@ -146,15 +140,11 @@
             OriginMessage::Query(query) => {
                 let OriginQuery { id, stream, service, span_ms } = query;
                 let span = Duration::from_millis(span_ms.into());
-                let build = self.find_origin(now, service, stream, span).map(|(build, _)| build);
-                Some(OriginMessage::Answer(OriginAnswer { id, stream, build }))
-            }
-            OriginMessage::Answer(answer) => {
-                if let Some(build) = answer.build {
-                    self.origins.record(answer.stream, build, false, now);
-                }
-                None
+                let found = self.find_origin(now, service, stream, span);
+                Some(OriginMessage::Answer(OriginAnswer { id, stream, found }))
             }
+            // Answers go to the query that waits for them.
+            OriginMessage::Answer(_) => None,
             OriginMessage::Builds(notice) => {
                 self.update_builds(now, |builds| builds.merge(&notice, now));
                 None
@@ -192,19 +182,20 @@
         W: FnOnce(&mut BuildLedger),
     {
         let span = MIN_STREAM_TIME + SIGHTING_MARGIN;
-        let before: IndexSet<NameKey> = self.builds.services_with_sole_build(span, now);
+        let before = self.builds.services_with_sole_build(span, now);
         work(&mut self.builds);
         let after = self.builds.services_with_sole_build(span, now);
         if before.is_subset(&after) {
             return;
         }
+        tracing::info!("a service has a second build; announcing which build began the streams");
+        self.announce_own();
+    }
+
+    fn announce_own(&mut self) {
         let own: Vec<(StreamKey, BuildKey)> = self.origins.own().collect();
-        tracing::info!(
-            streams = own.len(),
-            "a service has a second build; telling peers which build began the streams"
-        );
         for (stream, build) in own {
-            self.tell_origin(stream, build);
+            self.announce_origin(stream, build);
         }
     }
 }
--- a/crates/tarragon-fleet/src/node/updates.rs
+++ b/crates/tarragon-fleet/src/node/updates.rs
@@ -385,6 +385,7 @@
         }
         if own.is_some() && digest.listing_hash == self.directory.hash() {
             self.directory.confirm(read_at);
+            self.builds.confirm(read_at);
         } else {
             follow_up.newer_listing = !self.reads_targets(now) || own.is_none();
         }
--- a/crates/tarragon-fleet/src/origin.rs
+++ b/crates/tarragon-fleet/src/origin.rs
@@ -15,10 +15,10 @@
 
 /// Time for which a record is kept: longer than a caller waits for one answer.
 const RECORD_LIFETIME: Duration = Duration::from_secs(60);
-/// Most records. At 80 streams a second a process keeps 20,000 of its own and of its peers.
+/// Most records.
 const MAX_RECORDS: usize = 1 << 16;
 /// Most streams in one datagram.
-const MAX_TOLD_STREAMS: usize = 800;
+const MAX_ANNOUNCED_STREAMS: usize = 800;
 
 /// Identifies a stream by its caller's workspace, its service and the tag of the transmission that brought its
 /// first event. Callers of other workspaces can't name it.
@@ -48,8 +48,8 @@
 pub struct OriginQuery {
     /// Number of the query at its sender.
     pub id: u64,
-    /// Stream.
-    pub stream: StreamKey,
+    /// Stream; `None` if the caller doesn't name it.
+    pub stream: Option<StreamKey>,
     /// Key of the service's name.
     pub service: NameKey,
     /// Milliseconds for which one build must have been the only one, if the peer has no record.
@@ -61,10 +61,29 @@
 pub struct OriginAnswer {
     /// Number of the query.
     pub id: u64,
-    /// Stream.
-    pub stream: StreamKey,
-    /// Build that began it, if the peer knows.
-    pub build: Option<BuildKey>,
+    /// Stream of the query.
+    pub stream: Option<StreamKey>,
+    /// Build that began it, and how the peer knows.
+    pub found: Option<(BuildKey, OriginSource)>,
+}
+
+/// How a process knows which build began a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OriginSource {
+    /// It has a record.
+    Record,
+    /// No other build was registered for long enough.
+    SoleBuild,
+}
+
+impl OriginSource {
+    /// Name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            OriginSource::Record => "record",
+            OriginSource::SoleBuild => "sole_build",
+        }
+    }
 }
 
 /// Messages about the builds of streams, each in one datagram.
@@ -100,13 +119,13 @@
     recorded: Instant,
 }
 
-/// Records of streams, and those that peers have yet to be told.
+/// Records of streams, and those that are yet to be announced to peers.
 #[derive(Debug, Default)]
 pub struct OriginTable {
     records: IndexMap<StreamKey, OriginRecord>,
     /// Streams in the order in which they were recorded.
     order: VecDeque<(Instant, StreamKey)>,
-    untold: IndexMap<SocketAddr, IndexMap<BuildKey, Vec<StreamKey>>>,
+    unannounced: IndexMap<SocketAddr, IndexMap<BuildKey, Vec<StreamKey>>>,
 }
 
 impl OriginTable {
@@ -135,7 +154,7 @@
                 stream,
                 build,
                 known = known.build,
-                "a stream is told to have two builds"
+                "conflicting builds are reported for a stream"
             );
             return;
         }
@@ -164,17 +183,17 @@
         own.map(|(stream, record)| (*stream, record.build))
     }
 
-    /// Queues a stream to be told to a peer.
-    pub fn tell(&mut self, peer: SocketAddr, stream: StreamKey, build: BuildKey) {
-        self.untold.entry(peer).or_default().entry(build).or_default().push(stream);
+    /// Queues a stream to be announced to a peer.
+    pub fn announce(&mut self, peer: SocketAddr, stream: StreamKey, build: BuildKey) {
+        self.unannounced.entry(peer).or_default().entry(build).or_default().push(stream);
     }
 
     /// Removes and returns the messages that are queued.
     pub fn take_messages(&mut self) -> Vec<(SocketAddr, OriginMessage)> {
         let mut messages = Vec::new();
-        for (peer, builds) in self.untold.drain(..) {
+        for (peer, builds) in self.unannounced.drain(..) {
             for (build, streams) in builds {
-                for part in streams.chunks(MAX_TOLD_STREAMS) {
+                for part in streams.chunks(MAX_ANNOUNCED_STREAMS) {
                     let streams = BuildStreams { build, streams: part.to_vec() };
                     messages.push((peer, OriginMessage::Began(vec![streams])));
                 }
--- a/crates/tarragon-gateway/src/caller.rs
+++ b/crates/tarragon-gateway/src/caller.rs
@@ -194,7 +194,7 @@
     if !context.node.run(|node, now, _| node.may_lack_records(span, now)) {
         return None;
     }
-    // The last part belongs to the request alone.
+    // The last part belongs to the request, or to its session.
     let (part, _) = head.generation.as_ref()?.parts.last()?;
     let build = find_build_by_part(context, &routed.service, *part).await?;
     Some((build, EVIDENCE_SOURCE))
--- a/crates/tarragon-gateway/src/evidence.rs
+++ b/crates/tarragon-gateway/src/evidence.rs
@@ -19,10 +19,15 @@
 const LIST_TIMEOUT: Duration = Duration::from_millis(300);
 /// Largest list, in bytes. Lists of many targets are kept at once.
 const MAX_LIST_BYTES: usize = 1 << 20;
-/// Age up to which a list is used again. Listing delays the work of a target.
-const MAX_LIST_AGE: Duration = Duration::from_secs(2);
+/// Age up to which a list is used again. Listing delays the work of a target, and streams that begin after the
+/// start of this process have records.
+const MAX_LIST_AGE: Duration = Duration::from_secs(15);
+/// Time after which a target that did not answer is asked again.
+const RETRY_TIME: Duration = Duration::from_millis(500);
 /// Most targets of a service that are asked.
 const MAX_LISTED_TARGETS: usize = 128;
+/// Most processes in a fleet whose processes ask targets: each of them may ask each target.
+const MAX_ASKING_PROCESSES: usize = 100;
 
 /// Parts of prompts that a target holds; `None` if it did not tell.
 type HeldParts = Option<Arc<IndexSet<PartId>>>;
@@ -43,7 +48,10 @@
     /// The slot for a target's list, a new one if the last is too old.
     fn slot(&self, target: &AskedTarget) -> Arc<ListSlot> {
         self.slots.with(|slots| {
-            slots.retain(|_, slot| slot.requested.elapsed() < MAX_LIST_AGE);
+            slots.retain(|_, slot| {
+                let is_failed = matches!(slot.parts.get(), Some(None));
+                slot.requested.elapsed() < if is_failed { RETRY_TIME } else { MAX_LIST_AGE }
+            });
             let slot = slots.entry((target.address.clone(), target.restart)).or_insert_with(|| {
                 Arc::new(ListSlot { requested: Instant::now(), parts: OnceCell::new() })
             });
@@ -158,7 +166,6 @@
 where
     D: CallProtocol,
 {
-    // A target whose entry is gone is asked, too: it may have begun the stream.
     let targets: Vec<AskedTarget> = context.node.view(|node| {
         let entries =
             node.directory().iter().filter(|(_, known)| *known.listed.service == *service);
@@ -169,8 +176,10 @@
         });
         asked.collect()
     });
-    if targets.len() > MAX_LISTED_TARGETS {
-        tracing::info!(service, targets = targets.len(), "too many targets to ask for a part");
+    let processes = context.node.view(|node| node.members().sharing());
+    if targets.len() > MAX_LISTED_TARGETS || processes > MAX_ASKING_PROCESSES {
+        let targets = targets.len();
+        tracing::info!(service, targets, processes, "too many targets to ask for a part");
         return None;
     }
     let mut lists = JoinSet::new();
--- a/crates/tarragon-gateway/src/forward/stream.rs
+++ b/crates/tarragon-gateway/src/forward/stream.rs
@@ -133,6 +133,11 @@
             }
             while let Some(event) = splitter.next_event() {
                 if progress.events == 0 {
+                    let is_same = |node: &FleetNode| node.is_same_process(&order.target, grant);
+                    if !self.context.node.view(is_same) {
+                        // A process of another build may have answered.
+                        return self.end_stream(order, &mut progress, AttemptEnd::Broken);
+                    }
                     self.record_begin(order, grant.build).await;
                 }
                 self.sink.begin(head.status, headers.clone());
@@ -164,7 +169,7 @@
         self.build = Some(build);
         let event = SchedulerEvent::StreamBegan(order.request, order.attempt, build);
         self.context.node.run(|node, now, actions| node.handle(now, event, actions));
-        record_origin(self.context, &self.call.routed.service, stream, build).await;
+        record_origin(self.context, &self.call.routed, stream, build).await;
     }
 
     /// Reads the next bytes of a target's answer; `None` at its end.
--- a/crates/tarragon-gateway/src/origins.rs
+++ b/crates/tarragon-gateway/src/origins.rs
@@ -10,10 +10,10 @@
     time::Duration,
 };
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use tarragon_fleet::{
     digest::name_key,
-    origin::{OriginAnswer, OriginMessage, OriginQuery, StreamKey},
+    origin::{OriginAnswer, OriginMessage, OriginQuery, OriginSource, StreamKey},
     prelude::*,
 };
 use tarragon_server::guarded::Guarded;
@@ -39,7 +39,7 @@
 pub struct OriginLink {
     socket: UdpSocket,
     next_query: AtomicU64,
-    queries: Guarded<IndexMap<u64, mpsc::UnboundedSender<Option<BuildKey>>>>,
+    queries: Guarded<IndexMap<u64, mpsc::UnboundedSender<OriginAnswer>>>,
 }
 
 /// A stream that a caller takes up.
@@ -49,11 +49,36 @@
     pub stream: Option<StreamKey>,
     /// Service.
     pub service: &'a str,
-    /// Time for which one build must have been the only one to be the one that began the stream, if there is no
-    /// record of it.
+    /// Period for which a single build must have been registered to prove that it began a stream without a
+    /// record.
     pub span: Duration,
 }
 
+/// What peers have answered to one query.
+#[derive(Debug, Default)]
+struct OriginPoll {
+    sole_builds: IndexSet<BuildKey>,
+}
+
+impl OriginPoll {
+    /// Adds an answer. Returns the build if the peer has a record of the stream.
+    fn add(&mut self, found: Option<(BuildKey, OriginSource)>) -> Option<BuildKey> {
+        match found? {
+            (build, OriginSource::Record) => Some(build),
+            (build, OriginSource::SoleBuild) => {
+                self.sole_builds.insert(build);
+                None
+            }
+        }
+    }
+
+    /// The build that was the only one, unless peers disagree.
+    fn sole_build(&self) -> Option<BuildKey> {
+        let build = self.sole_builds.first().copied();
+        build.filter(|_| self.sole_builds.len() == 1)
+    }
+}
+
 /// Removes a query when its wait ends, also if the caller disconnects.
 struct QueryGuard<'a> {
     link: &'a OriginLink,
@@ -69,7 +94,11 @@
 impl OriginLink {
     /// Uses a socket that is bound to the process's address for these messages.
     pub fn new(socket: UdpSocket) -> OriginLink {
-        OriginLink { socket, next_query: AtomicU64::new(1), queries: Guarded::default() }
+        OriginLink {
+            socket,
+            next_query: AtomicU64::new(rand::random()),
+            queries: Guarded::default(),
+        }
     }
 
     async fn send(&self, to: SocketAddr, message: &OriginMessage) {
@@ -90,7 +119,7 @@
         self.queries.with(|queries| {
             if let Some(sender) = queries.get(&answer.id) {
                 // This fails only if the wait has just ended.
-                let _ = sender.send(answer.build);
+                let _ = sender.send(*answer);
             }
         });
     }
@@ -105,11 +134,11 @@
 /// after that.
 pub async fn record_origin<D>(
     context: &GatewayContext<D>,
-    service: &str,
+    call: &RoutedCall,
     stream: StreamKey,
     build: BuildKey,
 ) {
-    let queued = context.node.run(|node, now, _| node.record_origin(now, service, stream, build));
+    let queued = context.node.run(|node, now, _| node.record_origin(now, call, stream, build));
     if queued {
         send_messages(context).await;
     }
@@ -175,13 +204,12 @@
 ) -> Option<(BuildKey, &'static str)> {
     let StreamLookup { stream, service, span } = lookup;
     let service = name_key(service);
-    let stream = stream.unwrap_or_default();
     let known = context.node.run(|node, now, _| node.find_origin(now, service, stream, span));
     if let Some((build, source)) = known {
         return Some((build, source.name()));
     }
     let link = &context.origins;
-    let peers = context.node.view(|node| node.origin_peers(stream));
+    let peers = context.node.view(|node| node.origin_peers(stream.unwrap_or_default()));
     let id = link.next_query.fetch_add(1, Ordering::Relaxed);
     let (sender, mut answers) = mpsc::unbounded_channel();
     link.queries.with(|queries| queries.insert(id, sender));
@@ -191,14 +219,24 @@
     for peer in &peers {
         link.send(origin_address(context, *peer), &query).await;
     }
-    let first_known = async {
-        for _ in &peers {
-            if let Some(build) = answers.recv().await.flatten() {
+    let mut poll = OriginPoll::default();
+    let recorded = async {
+        let mut left = peers.len();
+        while left > 0 {
+            let answer = answers.recv().await?;
+            if answer.stream != stream {
+                continue;
+            }
+            left -= 1;
+            if let Some(build) = poll.add(answer.found) {
                 return Some(build);
             }
         }
         None
     };
-    let build = timeout(QUERY_TIMEOUT, first_known).await.ok().flatten();
-    build.map(|build| (build, PEER_SOURCE))
+    let recorded = timeout(QUERY_TIMEOUT, recorded).await.ok().flatten();
+    if let (Some(build), Some(stream)) = (recorded, stream) {
+        context.node.run(|node, now, _| node.learn_origin(now, stream, build));
+    }
+    recorded.or_else(|| poll.sole_build()).map(|build| (build, PEER_SOURCE))
 }
--- a/crates/tarragon-scheduler/src/queue.rs
+++ b/crates/tarragon-scheduler/src/queue.rs
@@ -127,10 +127,10 @@
         tokens
     }
 
-    /// Tokens of waiting requests of a pool that are bound to a build.
-    pub fn bound_tokens(&self, pool: usize) -> u64 {
+    /// Tokens of waiting requests of a pool and tier that are bound to a build.
+    pub fn bound_tokens(&self, pool: usize, tier: Tier) -> u64 {
         let lanes = self.lanes.iter().filter(|lane| lane.pool == pool && lane.build.is_some());
-        lanes.map(|lane| lane.tokens.iter().flatten().sum::<u64>()).sum()
+        lanes.map(|lane| lane.tokens[tier.index()].iter().sum::<u64>()).sum()
     }
 
     /// Tokens of waiting requests of a pool and tier, by rank.
--- a/crates/tarragon-scheduler/src/scheduler/arrival.rs
+++ b/crates/tarragon-scheduler/src/scheduler/arrival.rs
@@ -117,7 +117,11 @@
         let models = self.targets.models.find(profile.model());
         let pool = self.targets.find_pool(&profile.service);
         let build = profile.options.build;
-        if pool.is_some_and(|pool| self.targets.can_serve(pool, models, build)) {
+        let may_serve = |pool| match build {
+            Some(build) => self.targets.may_serve_build(pool, models, build, now),
+            None => self.targets.can_serve(pool, models, None),
+        };
+        if pool.is_some_and(may_serve) {
             return Ok(());
         }
         let serves_others = |pool| build.is_some() && self.targets.can_serve(pool, models, None);
@@ -265,23 +269,19 @@
         waiting.filter(|waiting| waiting.urgency() < job.urgency()).count()
     }
 
-    /// Expected wait of a new job. Streams that have begun go ahead of all others. Ahead of another job are all
-    /// waiting work of higher tiers and of lower ranks in its own tier, and, of its own rank, at most the queue
-    /// of its workspace times the number of workspaces, as fair queueing guarantees. The pool's rate is reduced
-    /// by the new work of higher tiers that keeps arriving.
+    /// Expected wait of a new job. Ahead of a stream that has begun are all waiting work of higher tiers and the
+    /// other such streams of its own. Ahead of another job are the work of higher tiers and of lower ranks in its
+    /// own tier, and, of its own rank, at most the queue of its workspace times the number of workspaces, as fair
+    /// queueing guarantees. The pool's rate is reduced by the new work of higher tiers that keeps arriving.
     pub(super) fn expected_wait(&self, job: &Job) -> Duration {
         let pool = self.targets.pool(job.pool);
         let is_bound = job.build.is_some();
-        let rate = if is_bound { pool.throughput() } else { pool.rate_for(job.tier()) };
+        let rate = pool.rate_for(job.tier());
         // Until enough requests have been served, the measured rate is that of a pool waiting for slots;
         // using it would refuse work that can be served at once.
         if pool.fastest.is_none() || rate < 1.0 {
             return Duration::ZERO;
         }
-        if is_bound {
-            let ahead = self.queue.bound_tokens(job.pool);
-            return Duration::from_secs_f64((ahead as f64 / rate).min(MAX_WAIT_S));
-        }
         let tokens = self.queue.pool_tokens(job.pool);
         let tier = job.tier().index();
         let higher: u64 = tokens[tier + 1..].iter().sum();
@@ -289,7 +289,12 @@
         let before: u64 = ranked[..job.rank()].iter().sum();
         let own = self.workspaces.row(job.workspace).map_or(0, |usage| usage.queued_tokens);
         let flows = self.queue.lane_flows(job.lane, job.tier()) as u64;
-        let ahead = higher + before + ranked[job.rank()].min(own.saturating_mul(flows.max(1)));
+        let ahead = higher
+            + if is_bound {
+                self.queue.bound_tokens(job.pool, job.tier())
+            } else {
+                before + ranked[job.rank()].min(own.saturating_mul(flows.max(1)))
+            };
         Duration::from_secs_f64((ahead as f64 / rate).min(MAX_WAIT_S))
     }
 }
--- a/crates/tarragon-scheduler/src/scheduler/attempt.rs
+++ b/crates/tarragon-scheduler/src/scheduler/attempt.rs
@@ -339,7 +339,7 @@
                 self.statistics.finished[tier] += 1;
             }
             AttemptEnd::Cancelled
-                if may_be_redispatched(&job, now) && !self.has_target_of_build(&job) =>
+                if may_be_redispatched(&job, now) && !self.has_target_of_build(&job, now) =>
             {
                 self.refuse_without_build(job, actions);
             }
@@ -385,7 +385,7 @@
         if !allowed || !in_time || exhausted || paused {
             return self.refuse_failed(job, end, now, actions);
         }
-        if !self.has_target_of_build(&job) {
+        if !self.has_target_of_build(&job, now) {
             return self.refuse_without_build(job, actions);
         }
         // A request that was not sent put no load on a target, so its retry is not charged to the budget.
@@ -399,9 +399,9 @@
     }
 
     /// Whether a target may continue the stream of a request, if it has begun.
-    pub(super) fn has_target_of_build(&self, job: &Job) -> bool {
+    pub(super) fn has_target_of_build(&self, job: &Job, now: Instant) -> bool {
         let models = self.targets.models_of(job);
-        job.build.is_none() || self.targets.can_serve(job.pool, models, job.build)
+        job.build.is_none_or(|build| self.targets.may_serve_build(job.pool, models, build, now))
     }
 
     /// Refuses a request whose stream no target in service may continue.
--- a/crates/tarragon-scheduler/src/scheduler/dispatch.rs
+++ b/crates/tarragon-scheduler/src/scheduler/dispatch.rs
@@ -64,9 +64,9 @@
         let floor = self.pressure.floor(now);
         let lanes = self.queue.lane_count();
         self.first_lane = self.first_lane.wrapping_add(1);
-        // Streams that have begun go first: their work is nearly done, and few targets may continue them.
-        for bound in [true, false] {
-            for tier in Tier::DESCENDING.into_iter().take_while(|tier| *tier >= floor) {
+        for tier in Tier::DESCENDING.into_iter().take_while(|tier| *tier >= floor) {
+            // Streams that have begun go first: their work is nearly done, and few targets may continue them.
+            for bound in [true, false] {
                 for offset in 0..lanes {
                     let lane = self.first_lane.wrapping_add(offset) % lanes;
                     let is_bound = self.queue.lane_build(lane).is_some();
@@ -168,6 +168,7 @@
         let bounds = ChoiceBounds { suspect, suspects_run: self.in_flight.suspect_count() > 0 };
         self.candidates.collect(&self.targets, job, bounds);
         if self.candidates.items.is_empty() {
+            // Beyond the limit of lanes, bound requests share one with others.
             let shares_lane = job.build != self.queue.lane_build(job.lane);
             let particular = suspect || !job.avoid.is_empty() || shares_lane;
             return if particular { DispatchStep::Defer } else { DispatchStep::Closed };
--- a/crates/tarragon-scheduler/src/scheduler/shed.rs
+++ b/crates/tarragon-scheduler/src/scheduler/shed.rs
@@ -163,7 +163,7 @@
     /// The request of a tier with the earliest latest start, if the waiting work of higher tiers takes longer
     /// than that.
     fn find_starved(&self, tier: Tier, now: Instant) -> Option<RequestId> {
-        let job = self.queue.earliest_start(tier).filter(|job| job.build.is_none())?;
+        let job = self.queue.earliest_start(tier)?;
         (job.latest_start < now + self.delay_by_higher_tiers(job.pool, tier)).then(|| job.request())
     }
 
--- a/crates/tarragon-scheduler/src/scheduler/tick.rs
+++ b/crates/tarragon-scheduler/src/scheduler/tick.rs
@@ -28,7 +28,7 @@
         self.refuse_starved(now, actions);
         self.stop_attempts(now, actions);
         self.refuse_without_target(now, actions);
-        self.refuse_unbuilt(actions);
+        self.refuse_unbuilt(now, actions);
         self.dismiss_old_breaks(now);
         self.assess_suspects(true, None, now, actions);
         let waiting = self.queue.len() as u32;
@@ -73,9 +73,9 @@
     }
 
     /// Refuses waiting requests that take up a stream which no target in service may continue.
-    fn refuse_unbuilt(&mut self, actions: &mut Vec<SchedulerAction>) {
+    fn refuse_unbuilt(&mut self, now: Instant, actions: &mut Vec<SchedulerAction>) {
         let bound = self.queue.iter().filter(|job| job.build.is_some());
-        let hopeless = bound.filter(|job| !self.has_target_of_build(job));
+        let hopeless = bound.filter(|job| !self.has_target_of_build(job, now));
         let requests: Vec<RequestId> = hopeless.map(Job::request).collect();
         for request in requests {
             if let Some(job) = self.dequeue_unserved(request) {
--- a/crates/tarragon-scheduler/src/targets.rs
+++ b/crates/tarragon-scheduler/src/targets.rs
@@ -39,6 +39,10 @@
 /// seconds, so that short bursts of a higher tier have little effect.
 const ARRIVAL_GAIN: f64 = 0.05;
 
+/// Time for which requests wait for a target that is briefly out of service, as in a back-off, if only its build
+/// may continue their streams.
+const BUILD_RETURN_TIME: Duration = Duration::from_secs(2);
+
 /// Minimum fraction of the throughput that is assumed for a tier, even if work of higher tiers arrives faster
 /// than it is processed.
 const MIN_RATE_FRACTION: f64 = 0.05;
@@ -580,6 +584,17 @@
         self.pools[pool].processed += tokens;
     }
 
+    /// Whether a member of the pool is of a build and accepts work, or may do so again soon: it is neither gone nor
+    /// leaving, and not out of service for long.
+    pub fn may_serve_build(&self, pool: usize, models: u64, build: BuildKey, now: Instant) -> bool {
+        let members = self.pools[pool].members.iter().filter_map(|index| self.row(*index));
+        let mut suitable = members.filter(|row| {
+            row.listed && !row.leaving && row.holds(models) && row.build == Some(build)
+        });
+        let is_brief = |since| now.saturating_duration_since(since) < BUILD_RETURN_TIME;
+        suitable.any(|row| row.closed_since.is_none_or(is_brief))
+    }
+
     /// Whether a member of the pool accepts work, holds one of the models and is of the given build, if any.
     pub fn can_serve(&self, pool: usize, models: u64, build: Option<BuildKey>) -> bool {
         let members = self.pools[pool].members.iter();
