--- a/crates/tarragon-fleet/src/directory.rs
+++ b/crates/tarragon-fleet/src/directory.rs
@@ -3,10 +3,11 @@
 
 use std::time::{Duration, Instant};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
+    build::build_key,
     prelude::*,
     published::{InstanceName, StorePosition},
     rate::RateBelief,
@@ -90,6 +91,11 @@
         self.notice.rate?.limit()
     }
 
+    /// Build of its software.
+    pub fn build(&self) -> BuildKey {
+        build_key(&self.listed.service, &self.listed.build)
+    }
+
     /// Whether it counts as cold.
     pub fn is_cold(&self, now: Instant) -> bool {
         self.cold_until.is_some_and(|until| now < until)
@@ -137,6 +143,8 @@
     hash: u64,
     /// Targets whose entries are gone, by restart id.
     gone: IndexMap<u64, GoneTarget>,
+    /// Services that the configuration names; empty if there is none.
+    named_services: IndexSet<ServiceName>,
 }
 
 impl TargetDirectory {
@@ -179,6 +187,12 @@
         (!self.returned.is_some_and(recent)).then_some(read_at)
     }
 
+    /// Sets the services that the configuration names. Their targets are preferred to others at the same
+    /// address.
+    pub fn set_named_services(&mut self, services: IndexSet<ServiceName>) {
+        self.named_services = services;
+    }
+
     /// Applies a listing that was read at `read_at`, unless it is older than the current one. `cold_time`
     /// returns for how long targets of a service are cold after a start.
     pub fn apply_listing<C>(
@@ -203,10 +217,12 @@
         }
         self.read_at = Some(read_at);
         self.position = position;
-        self.hash = listing_hash(&listing.targets);
-        self.listed.clone_from(&listing.targets);
+        // A peer may have read entries that this process doesn't use.
+        let usable = listing.targets.iter().filter(|listed| listed.fault().is_none());
+        self.listed = usable.cloned().collect();
+        self.hash = listing_hash(&self.listed);
         let mut changes = Vec::new();
-        let mut newest = newest_by_address(&listing.targets);
+        let mut newest = newest_by_address(&self.listed, &self.named_services);
         newest.retain(|_, listed| !self.is_lost_removal(listed, read_at));
         for (target, listed) in &newest {
             let cold_time = cold_time(&listed.service);
@@ -265,6 +281,7 @@
                 instance = &*listed.instance,
                 service = &*listed.service,
                 data_centre = &*listed.data_centre,
+                build = &*listed.build,
                 revision = listed.revision,
                 leaving = listed.leaving,
                 cold_ms = listed.cold_left.as_millis() as u64,
@@ -293,6 +310,7 @@
             && entry.listed.leaving == listed.leaving
             && entry.listed.slots == listed.slots
             && entry.listed.service == listed.service
+            && entry.listed.build == listed.build
             && reported_cold
                 .is_none_or(|until| entry.cold_until.is_some_and(|known| known >= until));
         if unchanged {
@@ -302,6 +320,7 @@
             target_address = &**target,
             instance = &*listed.instance,
             service = &*listed.service,
+            build = &*listed.build,
             revision = listed.revision,
             leaving = listed.leaving,
             restarted,
@@ -575,11 +594,17 @@
     }
 }
 
-/// Selects one entry for each address: that of the process that started last.
-fn newest_by_address(targets: &[ListedTarget]) -> IndexMap<TargetName, ListedTarget> {
+/// Selects one entry for each address: of those with a service that is named, that of the process that started
+/// last.
+fn newest_by_address(
+    targets: &[ListedTarget],
+    named: &IndexSet<ServiceName>,
+) -> IndexMap<TargetName, ListedTarget> {
     let mut newest: IndexMap<TargetName, ListedTarget> = IndexMap::new();
     for listed in targets {
-        let order = |one: &ListedTarget| (one.started_ms, !one.leaving, one.revision);
+        let order = |one: &ListedTarget| {
+            (named.contains(&one.service), one.started_ms, !one.leaving, one.revision)
+        };
         match newest.get_mut(&listed.address) {
             Some(known) if order(known) >= order(listed) => {}
             Some(known) => *known = listed.clone(),
@@ -603,7 +628,9 @@
 
 fn target_hash(target: &ListedTarget) -> u64 {
     let mut hasher = Xxh3::new();
-    for text in [&target.instance, &target.service, &target.address, &target.data_centre] {
+    let texts =
+        [&target.instance, &target.service, &target.address, &target.data_centre, &target.build];
+    for text in texts {
         hasher.update(&(text.len() as u64).to_le_bytes());
         hasher.update(text.as_bytes());
     }
--- a/crates/tarragon-fleet/src/lib.rs
+++ b/crates/tarragon-fleet/src/lib.rs
@@ -3,13 +3,16 @@
 //! digests. `tarragon_scheduler` provides the request queue, the choice of targets and the retries. Nothing
 //! here does I/O.
 
+pub mod build;
 pub mod call;
 pub mod clock;
 pub mod digest;
 pub mod directory;
 pub mod health;
+pub mod ledger;
 pub mod member;
 pub mod node;
+pub mod origin;
 pub mod prelude;
 pub mod published;
 pub mod quota;
--- a/crates/tarragon-fleet/src/node.rs
+++ b/crates/tarragon-fleet/src/node.rs
@@ -3,10 +3,12 @@
 
 mod admit;
 mod limits;
+mod origins;
 mod pacing;
 mod updates;
 
 pub use admit::{AdmissionRequest, wait_limit};
+pub use origins::stream_span;
 pub use updates::DigestFollowUp;
 
 use std::{
@@ -21,7 +23,9 @@
     digest::NameKey,
     directory::TargetDirectory,
     health::TargetHealth,
+    ledger::BuildLedger,
     member::{DigestRecipients, MemberTable},
+    origin::OriginTable,
     prelude::*,
     published::InstanceName,
     quota::{QuotaBounds, QuotaLedger},
@@ -73,6 +77,10 @@
 pub struct SendGrant {
     /// Instance expected at the target's address.
     pub instance: InstanceName,
+    /// Build of its software.
+    pub build: BuildKey,
+    /// Start of its process.
+    pub restart: RestartId,
 }
 
 /// A request that has been admitted and has not ended.
@@ -127,6 +135,12 @@
     /// Forecasts of starts by service, as last passed to the scheduler.
     forecasts: IndexMap<ServiceName, StartForecast>,
     calls: IndexMap<RequestId, OpenRequest>,
+    origins: OriginTable,
+    builds: BuildLedger,
+    /// Whether the time to meet the peers after the start is over.
+    is_settled: bool,
+    /// Ticks since the start, for the reports of the registered builds.
+    ledger_ticks: u32,
     clock: FleetClock,
     started: Instant,
     sequence: u64,
@@ -137,6 +151,10 @@
     /// Creates a node without any published state or peers. `seed` determines all random choices.
     pub fn new(settings: FleetSettings, seed: u64, now: Instant) -> FleetNode {
         let started = (!settings.first_start).then_some(now);
+        let builds = match settings.first_start {
+            true => BuildLedger::of_new_fleet(now),
+            false => BuildLedger::default(),
+        };
         FleetNode {
             scheduler: Scheduler::new(settings.limits.clone(), seed).without_preemption(),
             operator_state: OperatorState::default(),
@@ -155,6 +173,10 @@
             pauses: IndexMap::new(),
             forecasts: IndexMap::new(),
             calls: IndexMap::new(),
+            origins: OriginTable::default(),
+            builds,
+            is_settled: false,
+            ledger_ticks: 0,
             clock: FleetClock::new(now),
             started: now,
             sequence: 0,
@@ -256,6 +278,7 @@
         if self.members.expire(now) {
             self.update_retries();
         }
+        self.announce_early_origins(now);
         self.end_carried_evacuations(now, actions);
         self.end_backoffs(now, actions);
         self.end_pauses(now, actions);
--- a/crates/tarragon-fleet/src/node/admit.rs
+++ b/crates/tarragon-fleet/src/node/admit.rs
@@ -30,6 +30,8 @@
     pub fingerprint: Fingerprint,
     /// Prompt and output sizes, if the request is a generation.
     pub generation: Option<GenerationHead>,
+    /// Build of the targets that may run it, if it takes up a stream.
+    pub build: Option<BuildKey>,
 }
 
 impl FleetNode {
@@ -96,7 +98,16 @@
     pub fn may_send(&self, target: &str, service: &str) -> Option<SendGrant> {
         let entry = self.directory.get(target)?;
         let granted = entry.in_service() && &*entry.listed.service == service;
-        granted.then(|| SendGrant { instance: entry.listed.instance.clone() })
+        granted.then(|| SendGrant {
+            instance: entry.listed.instance.clone(),
+            build: entry.build(),
+            restart: entry.restart_id,
+        })
+    }
+
+    /// Whether the process to which an attempt was sent is still the one at its address, as far as is known.
+    pub fn is_same_process(&self, target: &str, grant: &SendGrant) -> bool {
+        self.directory.get(target).is_none_or(|entry| entry.restart_id == grant.restart)
     }
 
     /// Charges the quota of the request's workspace. Returns what was charged, if the workspace has a quota.
@@ -176,7 +187,8 @@
 }
 
 fn request_profile(order: AdmissionRequest) -> RequestProfile {
-    let AdmissionRequest { request, routed, arrived, deadline, fingerprint, generation } = order;
+    let AdmissionRequest { request, routed, arrived, deadline, fingerprint, generation, build } =
+        order;
     let route = &routed.route;
     RequestProfile {
         request,
@@ -196,6 +208,7 @@
             rank: (Tier::COUNT - 1 - route.tier.index()) as u8,
             expected_output: generation.as_ref().and_then(|size| size.expected_tokens),
             rejection_means_not_run: true,
+            build,
         },
         kind: generation.map_or(CallKind::Plain, |generation| {
             CallKind::Model(ModelCall {
--- a/crates/tarragon-fleet/src/node/updates.rs
+++ b/crates/tarragon-fleet/src/node/updates.rs
@@ -82,6 +82,9 @@
         let configuration = state.configuration.as_deref();
         self.unstreamed_services =
             configuration.map(FleetConfiguration::unstreamed_services).unwrap_or_default();
+        self.directory.set_named_services(
+            configuration.map(FleetConfiguration::named_services).unwrap_or_default(),
+        );
         self.operator_state = state;
         self.update_retries();
         self.update_evacuations(now, actions);
@@ -161,6 +164,7 @@
         let operator_state = &self.operator_state;
         let cold_time = |service: &str| operator_state.cold_time(service);
         let changes = self.directory.apply_listing(listing, read_at, cold_time);
+        self.record_builds(listing, read_at);
         if !changes.is_empty() {
             let targets = self.directory.iter().map(|(target, _)| target);
             self.target_names = targets.map(|target| (name_key(target), target.clone())).collect();
@@ -381,6 +385,7 @@
         }
         if own.is_some() && digest.listing_hash == self.directory.hash() {
             self.directory.confirm(read_at);
+            self.builds.confirm(read_at);
         } else {
             follow_up.newer_listing = !self.reads_targets(now) || own.is_none();
         }
--- a/crates/tarragon-fleet/tests/fleet/main.rs
+++ b/crates/tarragon-fleet/tests/fleet/main.rs
@@ -1,6 +1,7 @@
 //! Tests of single components and of small simulated fleets, without I/O. Each test names the failure that it
 //! guards against.
 
+mod build_history;
 mod crash_world;
 mod crashing;
 mod crashing_parts;
@@ -10,6 +11,8 @@
 mod limits;
 mod member;
 mod node;
+mod odd_values;
+mod origins;
 mod quota;
 mod route;
 mod sums;
--- a/crates/tarragon-gateway/src/caller.rs
+++ b/crates/tarragon-gateway/src/caller.rs
@@ -1,18 +1,19 @@
 //! Handles the requests of callers, from arrival to answer.
 
-use std::{convert::Infallible, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use tarragon_fleet::{
-    node::{AdmissionRequest, wait_limit},
+    node::{AdmissionRequest, stream_span, wait_limit},
+    origin::{StreamKey, stream_key},
     prelude::*,
 };
 use tarragon_server::{
     caller::{
         answer::{AnswerBody, CallerAnswer, ErrorBody},
-        body::{BodyFault, BodyLimits, read_body},
+        body::{BodyFault, BodyLimits, discard_body, read_body},
     },
     process::Deadline,
     request::{RequestDriver, RequestEnd},
@@ -22,14 +23,22 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
+    connection::{AnswerState, ConnectionWatch},
     context::GatewayContext,
+    evidence::find_build_by_part,
     forward::{ForwardAnswer, ForwardCall, ForwardRunner, whole_response},
+    origins::{StreamLookup, find_build},
     platform::CallProtocol,
     shared_node::SharedNodeLink,
 };
 
 /// Longest wait for the next part of a caller's body.
 const BODY_PART_TIMEOUT: Duration = Duration::from_secs(5);
+/// Retry-after time for callers who take up a stream right after the start of a process, which has yet to hear
+/// from its peers.
+const ORIGIN_KNOWN_SOON: Duration = Duration::from_millis(500);
+/// Source of the build of a stream in logs and metrics, if engines have told it.
+const EVIDENCE_SOURCE: &str = "cached_part";
 /// Most prompt parts in the log line of a request.
 const MAX_LOGGED_PARTS: usize = 8;
 
@@ -37,7 +46,8 @@
 pub async fn handle<D>(
     context: Arc<GatewayContext<D>>,
     message: Request<Incoming>,
-) -> Result<CallerAnswer, Infallible>
+    watch: &ConnectionWatch,
+) -> CallerAnswer
 where
     D: CallProtocol,
 {
@@ -45,19 +55,28 @@
     let (head, body) = message.into_parts();
     let (call_head, routed) = match route(&context, &head) {
         Ok(routed) => routed,
-        Err(answer) => return Ok(*answer),
+        Err(answer) => {
+            discard_refused(&context, body).await;
+            return *answer;
+        }
     };
+    watch.set_tag(&call_head.tag);
     let wait = wait_limit(&routed.route, call_head.time_left);
     let deadline = Deadline::after(&context.clock, wait);
     let limits = body_limits(context.caller_limits(), wait);
     let body = match read_body(body, limits).await {
         Ok(body) => body,
-        Err(fault) => return Ok(body_fault_answer(&context, &call_head.tag, fault)),
+        Err(fault) => return body_fault_answer(&context, &call_head.tag, fault),
     };
+    watch.set_state(AnswerState::Waiting);
     let event_tokens = context.node.view(|node| {
         let terms = node.operator_state().service_configuration(&routed.service);
         terms.map_or(1, |terms| terms.event_tokens.max(1))
     });
+    let (build, stream) = match find_origin(&context, &call_head, &routed).await {
+        Ok(origin) => origin,
+        Err(answer) => return *answer,
+    };
     let call = ForwardCall {
         request: context.ids.next(),
         tag: call_head.tag.clone(),
@@ -70,9 +89,11 @@
         deadline,
         resume_after: call_head.resume_after,
         event_tokens,
+        build,
+        stream,
         generation: call_head.generation,
     };
-    Ok(serve_call(context, call).await)
+    serve_call(context, call).await
 }
 
 /// Parses the head of a request and finds its route and service.
@@ -112,6 +133,73 @@
     }
 }
 
+/// Finds the build to which a request is bound because it takes up a stream, and the key of its stream, if that may
+/// be resumed. A stream whose build nobody knows can't go on: its parts might not fit together.
+async fn find_origin<D>(
+    context: &Arc<GatewayContext<D>>,
+    head: &CallHead,
+    routed: &RoutedCall,
+) -> Result<(Option<BuildKey>, Option<StreamKey>), Box<CallerAnswer>>
+where
+    D: CallProtocol,
+{
+    let RoutedCall { route, workspace, service, .. } = routed;
+    if route.repeat != RepeatRule::Resumable || !route.streamed {
+        return Ok((None, None));
+    }
+    let key = |tag: &str| stream_key(workspace.as_deref(), service, tag);
+    let is_new = head.resumes.is_none() && head.resume_after.is_none_or(|number| number == 0);
+    if is_new {
+        return Ok((None, Some(key(&head.tag))));
+    }
+    let asked = Instant::now();
+    let stream = head.resumes.as_deref().map(key);
+    let lookup = StreamLookup { stream, service, span: stream_span(route) };
+    let mut found = find_build(context, lookup).await;
+    if found.is_none() {
+        found = find_evidence(context, head, routed).await;
+    }
+    let source = found.map_or("unknown", |(_, source)| source);
+    tracing::info!(
+        request = head.tag,
+        resumes = head.resumes,
+        position = head.resume_after,
+        build = found.map(|(build, _)| build),
+        source,
+        asked_ms = asked.elapsed().as_millis() as u64,
+        "caller takes up a stream"
+    );
+    context.metrics.take_ups.with_label_values(&[source]).inc();
+    if let Some((build, _)) = found {
+        return Ok((Some(build), stream.or_else(|| Some(key(&head.tag)))));
+    }
+    let message = "the software version that began the stream is not known; begin the request anew";
+    let refusal = Refusal::not_run(RefusalCode::NoTarget, message);
+    let is_settling = context.node.run(|node, now, _| node.is_settling(now));
+    let refusal = if is_settling { refusal.with_retry_after(ORIGIN_KNOWN_SOON) } else { refusal };
+    context.metrics.count_answer("not_run", "unknown_origin");
+    Err(Box::new(refusal_answer(context, &refusal)))
+}
+
+/// Asks the engines for the build of a stream that may have begun before this process and its peers started.
+async fn find_evidence<D>(
+    context: &Arc<GatewayContext<D>>,
+    head: &CallHead,
+    routed: &RoutedCall,
+) -> Option<(BuildKey, &'static str)>
+where
+    D: CallProtocol,
+{
+    let span = stream_span(&routed.route);
+    if !context.node.run(|node, now, _| node.may_lack_records(span, now)) {
+        return None;
+    }
+    // The last part belongs to the request, or to its session.
+    let (part, _) = head.generation.as_ref()?.parts.last()?;
+    let build = find_build_by_part(context, &routed.service, *part).await?;
+    Some((build, EVIDENCE_SOURCE))
+}
+
 fn fault_name(fault: CallFault) -> &'static str {
     match fault {
         CallFault::NotConfigured => "not_configured",
@@ -124,6 +212,13 @@
     BodyLimits { bytes: limits.body_bytes, part: BODY_PART_TIMEOUT, whole: wait }
 }
 
+async fn discard_refused<D>(context: &GatewayContext<D>, body: Incoming) {
+    let limits = body_limits(context.caller_limits(), BODY_PART_TIMEOUT);
+    if let Err(fault) = discard_body(body, limits).await {
+        tracing::info!(?fault, "body of a refused request was not read to its end");
+    }
+}
+
 fn body_fault_answer<D>(context: &GatewayContext<D>, tag: &str, fault: BodyFault) -> CallerAnswer {
     tracing::info!(request = tag, ?fault, "refused: request body could not be read");
     context.metrics.count_answer("not_run", "invalid_body");
@@ -145,6 +240,7 @@
             && !call.routed.route.streamed,
         token: Some(abandoned.clone().drop_guard()),
     };
+    let tag = call.tag.clone();
     let (sender, head) = oneshot::channel();
     let task = run_call(context.clone(), call, abandoned, sender);
     context.spawn(task);
@@ -158,6 +254,8 @@
         Err(_) => {
             let message = "the process ended before the answer";
             let refusal = Refusal::unknown(RefusalCode::ShuttingDown, message);
+            tracing::error!(request = tag, "the task of the request ended without an answer");
+            context.metrics.count_answer(refusal.outcome.name(), refusal_cause(refusal.code));
             refusal_answer(&context, &refusal)
         }
     }
@@ -238,6 +336,7 @@
         deadline: call.deadline.instant.into_std(),
         fingerprint: fingerprint(call),
         generation: call.generation.clone(),
+        build: call.build,
     }
 }
 
@@ -318,12 +417,16 @@
         // Processes of this fleet don't relay requests to each other.
         RequestEnd::Relay(_) => {
             let message = "the process can't serve this request";
-            refusal_answer(context, &Refusal::not_run(RefusalCode::NoTarget, message))
+            let refusal = Refusal::not_run(RefusalCode::NoTarget, message);
+            tracing::warn!(request, spent_ms, cause = refusal.message, "refused");
+            context.metrics.count_answer(refusal.outcome.name(), refusal_cause(refusal.code));
+            refusal_answer(context, &refusal)
         }
     };
-    // This fails only if the caller has disconnected.
-    if let Some(head) = sink.into_head() {
-        let _ = head.send(answer);
+    if let Some(head) = sink.into_head()
+        && head.send(answer).is_err()
+    {
+        tracing::info!(request, spent_ms, "caller disconnected before its answer");
     }
 }
 
--- a/crates/tarragon-gateway/src/forward/stream.rs
+++ b/crates/tarragon-gateway/src/forward/stream.rs
@@ -19,6 +19,7 @@
 use super::{ForwardAnswer, ForwardRunner, IncomingAnswer};
 use crate::{
     events::{EventSplitter, RawEvent},
+    origins::record_origin,
     platform::CallProtocol,
 };
 
@@ -27,8 +28,13 @@
 /// Shortest interval between progress reports of one stream.
 const PROGRESS_INTERVAL: Duration = Duration::from_millis(200);
 
-/// The caller has disconnected or does not read its answer.
-struct CallerNotReading;
+/// The caller does not get a part of its answer.
+enum PartNotTaken {
+    /// It has disconnected.
+    Disconnected,
+    /// It has read nothing for too long.
+    Stalled,
+}
 
 /// Sends the parts of a streamed answer to the caller.
 pub struct StreamSink {
@@ -85,10 +91,11 @@
         let _ = head.send(answer);
     }
 
-    async fn send(&mut self, part: BodyPart, limit: Duration) -> Result<(), CallerNotReading> {
+    async fn send(&mut self, part: BodyPart, limit: Duration) -> Result<(), PartNotTaken> {
         match timeout(limit, self.sender.send(part)).await {
             Ok(Ok(())) => Ok(()),
-            Ok(Err(_)) | Err(_) => Err(CallerNotReading),
+            Ok(Err(_)) => Err(PartNotTaken::Disconnected),
+            Err(_) => Err(PartNotTaken::Stalled),
         }
     }
 }
@@ -108,6 +115,7 @@
     pub(super) async fn relay_stream(
         &mut self,
         order: &DispatchOrder,
+        grant: &SendGrant,
         answer: IncomingAnswer,
     ) -> AttemptReport<ForwardAnswer> {
         let IncomingAnswer { connection, head, mut body, sent } = answer;
@@ -124,9 +132,17 @@
                 return self.end_stream(order, &mut progress, AttemptEnd::Garbled);
             }
             while let Some(event) = splitter.next_event() {
+                if progress.events == 0 {
+                    let is_same = |node: &FleetNode| node.is_same_process(&order.target, grant);
+                    if !self.context.node.view(is_same) {
+                        // A process of another build may have answered.
+                        return self.end_stream(order, &mut progress, AttemptEnd::Broken);
+                    }
+                    self.record_begin(order, grant.build).await;
+                }
                 self.sink.begin(head.status, headers.clone());
-                if self.forward_event(event).await.is_err() {
-                    return caller_not_reading();
+                if let Err(fault) = self.forward_event(event).await {
+                    return part_not_taken(fault);
                 }
                 progress.events += 1;
                 progress.first_event.get_or_insert_with(|| sent.elapsed());
@@ -139,13 +155,23 @@
             return self.end_stream(order, &mut progress, AttemptEnd::Broken);
         }
         self.sink.begin(head.status, headers);
-        if self.sink.send(BodyPart::End, self.context.limits.caller_stall).await.is_err() {
-            return caller_not_reading();
+        let limit = self.context.limits.caller_stall;
+        if let Err(fault) = self.sink.send(BodyPart::End, limit).await {
+            return part_not_taken(fault);
         }
         self.keep_connection(order, connection, &head.headers);
         AttemptReport::Answered(ForwardAnswer::Streamed)
     }
 
+    /// Records that targets of a build began the stream, before its first event is passed on.
+    async fn record_begin(&mut self, order: &DispatchOrder, build: BuildKey) {
+        let Some(stream) = self.call.stream else { return };
+        self.build = Some(build);
+        let event = SchedulerEvent::StreamBegan(order.request, order.attempt, build);
+        self.context.node.run(|node, now, actions| node.handle(now, event, actions));
+        record_origin(self.context, &self.call.routed, stream, build).await;
+    }
+
     /// Reads the next bytes of a target's answer; `None` at its end.
     async fn next_data(&self, body: &mut TargetBody) -> Result<Option<Bytes>, AttemptEnd> {
         let remaining = self.call.deadline.remaining(&self.context.clock);
@@ -168,7 +194,7 @@
     }
 
     /// Sends an event to the caller, unless the caller has it from an earlier attempt.
-    async fn forward_event(&mut self, event: RawEvent) -> Result<(), CallerNotReading> {
+    async fn forward_event(&mut self, event: RawEvent) -> Result<(), PartNotTaken> {
         if let (Some(number), Some(position)) = (event.number, self.sink.position)
             && number <= position
         {
@@ -226,8 +252,11 @@
 }
 
 /// Ends a stream whose caller does not read it: it would occupy a slot at the target that others wait for.
-fn caller_not_reading() -> AttemptReport<ForwardAnswer> {
-    let message = "the caller did not take its answer in time";
+fn part_not_taken(fault: PartNotTaken) -> AttemptReport<ForwardAnswer> {
+    let message = match fault {
+        PartNotTaken::Disconnected => "the caller has disconnected",
+        PartNotTaken::Stalled => "the caller did not take its answer in time",
+    };
     let refusal = Refusal::unknown(RefusalCode::DeadlineExceeded, message);
     AttemptReport::Refused(AttemptEnd::Cancelled, refusal)
 }
--- a/crates/tarragon-gateway/src/lib.rs
+++ b/crates/tarragon-gateway/src/lib.rs
@@ -2,11 +2,14 @@
 //! crate does the I/O. The platform's headers, status codes and store are behind the traits of [`platform`].
 
 pub mod caller;
+pub mod connection;
 pub mod context;
 pub mod events;
+pub mod evidence;
 pub mod forward;
 pub mod listener;
 pub mod metrics;
+pub mod origins;
 pub mod peers;
 pub mod platform;
 pub mod reader;
--- a/crates/tarragon-gateway/src/metrics.rs
+++ b/crates/tarragon-gateway/src/metrics.rs
@@ -18,6 +18,8 @@
     registry: Registry,
     /// Answers to callers by outcome and cause.
     pub answers: IntCounterVec,
+    /// Requests that the end of their connection left without a whole answer, by state and cause.
+    pub cut_requests: IntCounterVec,
     /// Attempts by how they ended.
     pub attempts: IntCounterVec,
     /// Time from arrival to the dispatch of the first attempt.
@@ -30,6 +32,12 @@
     pub answer_time: HistogramVec,
     /// Calls to the store by call and result.
     pub store_calls: IntCounterVec,
+    /// Questions to engines for the build that began a stream, by outcome.
+    pub evidence: IntCounterVec,
+    /// Entries of the store that were left out because they can't be read, by call.
+    pub skipped_entries: IntCounterVec,
+    /// Tasks of the process that ended by a panic and were started again, by task.
+    pub restarted_tasks: IntCounterVec,
     /// Bytes of digests by direction.
     pub peer_bytes: IntCounterVec,
     /// Version of the active configuration.
@@ -50,6 +58,8 @@
     pub suspects: IntGauge,
     /// Suspects that the last digest left out.
     pub unannounced_suspects: IntGauge,
+    /// Streams that callers have taken up, by how the build that began them became known.
+    pub take_ups: IntCounterVec,
 }
 
 impl GatewayMetrics {
@@ -58,6 +68,11 @@
         let registry = Registry::new();
         let metrics = GatewayMetrics {
             answers: counter_vec("answers_total", "Answers to callers", &["outcome", "cause"])?,
+            cut_requests: counter_vec(
+                "cut_requests_total",
+                "Requests whose connection ended before the answer was complete",
+                &["state", "cause"],
+            )?,
             attempts: counter_vec("attempts_total", "Ends of attempts at targets", &["end"])?,
             queue_time: histogram("queue_seconds", "Time from the arrival to the first dispatch")?,
             first_part: histogram_vec("first_part_seconds", "Time to the first part of an answer")?,
@@ -68,6 +83,21 @@
                 "Calls to the store",
                 &["call", "result"],
             )?,
+            evidence: counter_vec(
+                "evidence_total",
+                "Questions to engines for the build that began a stream",
+                &["outcome"],
+            )?,
+            skipped_entries: counter_vec(
+                "skipped_entries_total",
+                "Entries of the store that can't be read",
+                &["call"],
+            )?,
+            restarted_tasks: counter_vec(
+                "restarted_tasks_total",
+                "Tasks that ended by a panic",
+                &["task"],
+            )?,
             peer_bytes: counter_vec("peer_bytes_total", "Bytes between peers", &["direction"])?,
             configuration_version: gauge("configuration_version", "Configuration in force")?,
             connections: gauge("connections", "Open connections of callers")?,
@@ -88,6 +118,11 @@
                 "untold_suspects",
                 "Suspects that the last digest left out",
             )?,
+            take_ups: counter_vec(
+                "take_ups_total",
+                "Streams that callers take up by how the build that began them is known",
+                &["source"],
+            )?,
             registry,
         };
         metrics.register()?;
@@ -97,12 +132,16 @@
     fn register(&self) -> prometheus::Result<()> {
         let registry = &self.registry;
         registry.register(Box::new(self.answers.clone()))?;
+        registry.register(Box::new(self.cut_requests.clone()))?;
         registry.register(Box::new(self.attempts.clone()))?;
         registry.register(Box::new(self.queue_time.clone()))?;
         registry.register(Box::new(self.first_part.clone()))?;
         registry.register(Box::new(self.event_gap.clone()))?;
         registry.register(Box::new(self.answer_time.clone()))?;
         registry.register(Box::new(self.store_calls.clone()))?;
+        registry.register(Box::new(self.evidence.clone()))?;
+        registry.register(Box::new(self.skipped_entries.clone()))?;
+        registry.register(Box::new(self.restarted_tasks.clone()))?;
         registry.register(Box::new(self.peer_bytes.clone()))?;
         registry.register(Box::new(self.configuration_version.clone()))?;
         registry.register(Box::new(self.connections.clone()))?;
@@ -112,7 +151,8 @@
         registry.register(Box::new(self.rate_statements.clone()))?;
         registry.register(Box::new(self.limited_targets.clone()))?;
         registry.register(Box::new(self.suspects.clone()))?;
-        registry.register(Box::new(self.unannounced_suspects.clone()))
+        registry.register(Box::new(self.unannounced_suspects.clone()))?;
+        registry.register(Box::new(self.take_ups.clone()))
     }
 
     /// Encodes all metrics in the Prometheus text format.
@@ -127,6 +167,11 @@
         self.answers.with_label_values(&[outcome, cause]).inc();
     }
 
+    /// Counts the entries that a read of the store has left out.
+    pub fn count_skipped_entries(&self, call: &str, skipped: usize) {
+        self.skipped_entries.with_label_values(&[call]).inc_by(skipped as u64);
+    }
+
     /// Records the time to the first part of an answer.
     pub fn observe_first_part(&self, streamed: bool, time: Duration) {
         self.first_part.with_label_values(&[answer_form(streamed)]).observe(time.as_secs_f64());
--- a/crates/tarragon-gateway/src/peers.rs
+++ b/crates/tarragon-gateway/src/peers.rs
@@ -1,14 +1,7 @@
 //! Communication between the processes of the fleet: digests by UDP, and pulls of newer published values from
 //! peers by JSON-RPC.
 
-use std::{
-    net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
-    time::Duration,
-};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use jsonrpsee::{
     RpcModule,
@@ -22,11 +15,13 @@
 use tarragon_server::clock::BootClock;
 use tokio::{
     net::UdpSocket,
+    sync::Semaphore,
     time::{Instant, MissedTickBehavior, interval, sleep},
 };
 
 use crate::{
     context::GatewayContext,
+    origins::{report_ledger, send_ledger, send_messages},
     reader::{apply_listing, apply_operator_state},
 };
 
@@ -141,6 +136,11 @@
         .unannounced_suspects
         .set(gauge_value(suspects.saturating_sub(digest.suspects.len())));
     send_digest(context, socket, &digest, &recipients.full).await;
+    if !urgent {
+        let peers = [&recipients.full[..], &recipients.subscribers].concat();
+        report_ledger(context, &peers).await;
+        send_messages(context).await;
+    }
     if !recipients.relays.is_empty() {
         let sums_request = PeerDigest { requests_sums: true, ..digest.clone() };
         send_digest(context, socket, &sums_request, &recipients.relays).await;
@@ -188,7 +188,7 @@
     D: Send + Sync + 'static,
 {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
-    let pulling = Arc::new(AtomicBool::new(false));
+    let pulls = Arc::new(Semaphore::new(1));
     loop {
         let (length, from) = match socket.recv_from(&mut buffer).await {
             Ok(received) => received,
@@ -211,6 +211,7 @@
         if news.newcomer {
             let answer = context.node.run(|node, now, _| node.answer_digest(from, now));
             send_digest(&context, &socket, &answer, &[from]).await;
+            send_ledger(&context, from).await;
         }
         if news.answered {
             let introduction = context.node.run(|node, now, _| {
@@ -222,17 +223,17 @@
             }
         }
         if (news.newer_operator_state || news.newer_listing)
-            && !pulling.swap(true, Ordering::Relaxed)
+            && let Ok(permit) = pulls.clone().try_acquire_owned()
         {
-            let (context, pulling) = (context.clone(), pulling.clone());
+            let context = context.clone();
             tokio::spawn(async move {
+                let _permit = permit;
                 if news.newer_operator_state {
                     pull_operator(&context, from).await;
                 }
                 if news.newer_listing {
                     pull_listing(&context, from).await;
                 }
-                pulling.store(false, Ordering::Relaxed);
             });
         }
     }
@@ -274,6 +275,7 @@
     match pull::<D, AgedListing>(context, peer, TARGETS_METHOD).await {
         Ok(AgedListing { listing, age_ms }) => {
             apply_listing(context, &listing, Duration::from_millis(age_ms));
+            send_messages(context).await;
         }
         Err(error) => tracing::info!(%peer, %error, "failed to get the target listing from a peer"),
     }
--- a/crates/tarragon-gateway/src/platform.rs
+++ b/crates/tarragon-gateway/src/platform.rs
@@ -4,7 +4,9 @@
 use std::{future::Future, sync::Arc, time::Duration};
 
 use http::{HeaderMap, StatusCode, request, response};
+use indexmap::IndexSet;
 use tarragon_fleet::{
+    build::history::BuildHistory,
     prelude::*,
     published::{StoreEra, StoreRevision},
 };
@@ -34,7 +36,7 @@
 /// The parsed head of a target's answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct AnswerHead {
-    /// Whether the answer is for this request, and whether the request has run.
+    /// Whether the request has run, and whether the answer can be forwarded.
     pub kind: AnswerKind,
     /// Load of the target, if it reports it.
     pub load: Option<AnswerLoad>,
@@ -55,7 +57,18 @@
     pub waiting: u16,
 }
 
-/// How the gateway has to treat an answer.
+/// Which request an answer names.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerEcho {
+    /// The request that was sent.
+    Own,
+    /// Another request, or several.
+    Other,
+    /// None.
+    Missing,
+}
+
+/// How the gateway has to treat an answer to the request that was sent.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum AnswerKind {
     /// It is the target's answer to this request.
@@ -64,9 +77,7 @@
     NotRun,
     /// Another instance now has the target's address; it has not run the request.
     OtherInstance,
-    /// It answers another request. The outcome of this one is not known.
-    OtherRequest,
-    /// It is a success that can't be forwarded, for the given reason. The request has run.
+    /// It can't be forwarded, for the given reason. The request may have run.
     Unusable(&'static str),
 }
 
@@ -84,8 +95,17 @@
     /// Reads what the headers of a final or interim (1xx) answer say about the rate that the target accepts.
     fn read_rate(&self, headers: &HeaderMap) -> RateStatement;
 
-    /// Reads the head of a target's answer to the request with the caller's id `tag`.
-    fn read_answer(&self, tag: &str, head: &response::Parts) -> AnswerHead;
+    /// Whether the headers of an answer name the request with the caller's id `tag`.
+    fn read_echo(&self, tag: &str, headers: &HeaderMap) -> AnswerEcho;
+
+    /// Reads the head of a target's answer.
+    fn read_answer(&self, head: &response::Parts) -> AnswerHead;
+
+    /// Path at which an engine lists the parts of prompts that it holds.
+    fn cache_list_path(&self) -> &'static str;
+
+    /// Reads an engine's list of the parts that it holds. `None` if any of it can't be read.
+    fn read_cache_list(&self, body: &[u8]) -> Option<IndexSet<PartId>>;
 
     /// Filters the headers of a target's answer for the caller.
     fn answer_headers(&self, target: &HeaderMap) -> HeaderMap;
@@ -128,6 +148,15 @@
     }
 }
 
+/// A value that was read from the store.
+#[derive(Debug, Clone, PartialEq)]
+pub struct StoreRead<T> {
+    /// Value.
+    pub value: T,
+    /// Number of entries that were left out because they can't be read.
+    pub skipped: usize,
+}
+
 /// One change of the values that operators publish.
 #[derive(Debug, Clone, PartialEq)]
 pub enum OperatorChange {
@@ -155,15 +184,22 @@
 /// The store of the values that operators and targets publish.
 pub trait PublishedStore: Send + Sync + 'static {
     /// Reads all values that operators publish. The revision of the result is that of the store.
-    fn read_operator(&self) -> impl Future<Output = Result<OperatorState, StoreFault>> + Send;
+    fn read_operator(
+        &self,
+    ) -> impl Future<Output = Result<StoreRead<OperatorState>, StoreFault>> + Send;
 
     /// Waits up to `limit` for changes after a revision.
     fn watch_operator(
         &self,
         after: StoreRevision,
         limit: Duration,
-    ) -> impl Future<Output = Result<OperatorChanges, StoreFault>> + Send;
+    ) -> impl Future<Output = Result<StoreRead<OperatorChanges>, StoreFault>> + Send;
 
     /// Reads the listing of all targets.
-    fn read_targets(&self) -> impl Future<Output = Result<TargetListing, StoreFault>> + Send;
+    fn read_targets(
+        &self,
+    ) -> impl Future<Output = Result<StoreRead<TargetListing>, StoreFault>> + Send;
+
+    /// Reads which builds of each service were registered in the recent past.
+    fn read_build_history(&self) -> impl Future<Output = Result<BuildHistory, StoreFault>> + Send;
 }
--- a/crates/tarragon-gateway/src/reader.rs
+++ b/crates/tarragon-gateway/src/reader.rs
@@ -9,7 +9,8 @@
 
 use crate::{
     context::GatewayContext,
-    platform::{OperatorChange, OperatorChanges, PublishedStore, StoreFault},
+    origins::send_messages,
+    platform::{OperatorChange, OperatorChanges, PublishedStore, StoreFault, StoreRead},
 };
 
 /// Longest wait of a watch. A dead connection is detected after this time plus [`ANSWER_TIMEOUT`], within the
@@ -26,6 +27,11 @@
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
 
+/// Time after the start for which the builds of the past are of interest, and for which peers may tell them
+/// before the store is asked.
+const HISTORY_TIME: Duration = Duration::from_secs(15);
+const PEER_TIME: Duration = Duration::from_millis(250);
+
 /// Longest delay before a complete read in place of a watch that can't continue.
 const MAX_REREAD_DELAY: Duration = Duration::from_millis(200);
 
@@ -115,6 +121,8 @@
 {
     let mut watch = OperatorWatch::default();
     let mut retry = StoreRetry::new("operator");
+    // Whether the last watch couldn't be decoded. The read after it doesn't end that.
+    let mut unreadable = false;
     loop {
         if !context.node.run(|node, now, _| node.reads_operator(now)) {
             // Meanwhile changes come from peers; the next watch starts with a complete read.
@@ -122,10 +130,15 @@
             sleep(STANDBY_CHECK_INTERVAL).await;
             continue;
         }
+        let is_watch = watch.after != 0;
         let fault = match next_change(&mut watch, &*store).await {
-            Ok(state) => {
+            Ok(StoreRead { value: state, skipped }) => {
                 context.metrics.store_calls.with_label_values(&["operator", "answered"]).inc();
-                retry.record_success();
+                context.metrics.count_skipped_entries("operator", skipped);
+                if is_watch || !unreadable {
+                    retry.record_success();
+                    unreadable = false;
+                }
                 if let Some(state) = state {
                     apply_operator_state(&context, state, "store");
                 }
@@ -147,6 +160,11 @@
             sleep(delay).await;
             continue;
         }
+        if fault == StoreFault::Malformed {
+            // Events that can't be read may be in each answer until the watch starts after them.
+            watch.after = 0;
+            unreadable |= is_watch;
+        }
         sleep(retry.record_failure(fault)).await;
     }
 }
@@ -154,20 +172,22 @@
 async fn next_change<S>(
     watch: &mut OperatorWatch,
     store: &S,
-) -> Result<Option<OperatorState>, StoreFault>
+) -> Result<StoreRead<Option<OperatorState>>, StoreFault>
 where
     S: PublishedStore,
 {
     if watch.after == 0 || watch.state.is_none() {
-        let snapshot = with_timeout(ANSWER_TIMEOUT, store.read_operator()).await?;
-        return Ok(watch.apply_snapshot(snapshot));
+        let StoreRead { value: snapshot, skipped } =
+            with_timeout(ANSWER_TIMEOUT, store.read_operator()).await?;
+        return Ok(StoreRead { value: watch.apply_snapshot(snapshot), skipped });
     }
     let limit = WATCH_TIMEOUT + ANSWER_TIMEOUT;
-    let changes = with_timeout(limit, store.watch_operator(watch.after, WATCH_TIMEOUT)).await?;
+    let StoreRead { value: changes, skipped } =
+        with_timeout(limit, store.watch_operator(watch.after, WATCH_TIMEOUT)).await?;
     if watch.state.as_ref().is_some_and(|known| known.era != changes.era) {
         return Err(StoreFault::Restored);
     }
-    Ok(watch.apply_changes(changes))
+    Ok(StoreRead { value: watch.apply_changes(changes), skipped })
 }
 
 /// Makes an operator state active.
@@ -195,11 +215,13 @@
         }
         let started = Instant::now();
         let pause = match with_timeout(ANSWER_TIMEOUT, store.read_targets()).await {
-            Ok(listing) => {
+            Ok(StoreRead { value: listing, skipped }) => {
                 context.metrics.store_calls.with_label_values(&["targets", "answered"]).inc();
+                context.metrics.count_skipped_entries("targets", skipped);
                 retry.record_success();
                 // The listing may be as old as the start of the call.
                 apply_listing(&context, &listing, started.elapsed());
+                send_messages(&context).await;
                 LISTING_INTERVAL.mul_f64(rand::rng().random_range(0.9..1.1))
             }
             Err(fault) => {
@@ -211,6 +233,39 @@
     }
 }
 
+/// Reads which builds were registered before the start of this process, unless peers tell it.
+pub async fn read_build_history<D, S>(context: Arc<GatewayContext<D>>, store: Arc<S>)
+where
+    S: PublishedStore,
+{
+    let end = Instant::now() + HISTORY_TIME;
+    let mut retry = StoreRetry::new("build_history");
+    let mut pause = PEER_TIME;
+    while Instant::now() < end {
+        sleep(pause).await;
+        pause = STANDBY_CHECK_INTERVAL;
+        if !context.node.run(|node, now, _| node.lacks_builds(now) && node.reads_targets(now)) {
+            continue;
+        }
+        match with_timeout(ANSWER_TIMEOUT, store.read_build_history()).await {
+            Ok(history) => {
+                context.metrics.store_calls.with_label_values(&["build_history", "answered"]).inc();
+                retry.record_success();
+                context.node.run(|node, now, _| node.merge_build_history(now, &history));
+                return;
+            }
+            Err(fault) => {
+                context
+                    .metrics
+                    .store_calls
+                    .with_label_values(&["build_history", fault.name()])
+                    .inc();
+                pause = retry.record_failure(fault);
+            }
+        }
+    }
+}
+
 /// Applies a listing that was read `age` ago, and closes idle connections to targets that it no longer has.
 pub fn apply_listing<D>(context: &GatewayContext<D>, listing: &TargetListing, age: Duration) {
     context.node.run(|node, now, actions| node.apply_listing(now, listing, age, actions));
--- a/crates/tarragon-scheduler/src/scheduler/arrival.rs
+++ b/crates/tarragon-scheduler/src/scheduler/arrival.rs
@@ -26,15 +26,22 @@
 /// Time by which a permit may come later than forecast: permits come with ticks.
 const FORECAST_MARGIN: Duration = Duration::from_millis(200);
 
+/// Longest wait that is computed, in seconds.
+const MAX_WAIT_S: f64 = 3_600.0;
+
 /// Upper bound of the retry-after time derived from the expected wait.
 pub(super) const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
 
 /// Retry-after time when no target can take a request: starting a target or loading a model takes seconds.
-const NO_TARGET_RETRY_AFTER: Duration = Duration::from_secs(2);
+pub(super) const NO_TARGET_RETRY_AFTER: Duration = Duration::from_secs(2);
 
 /// Refusal message while all targets of a service have asked to receive no requests.
 const ALL_PAUSED_MESSAGE: &str = "all targets of the service want no requests for a while";
 
+/// Refusal message of a stream that only targets of one build may continue, while none is in service.
+pub(super) const NO_BUILD_MESSAGE: &str =
+    "no target in service runs the software version that began this stream";
+
 /// Why a request with a convicted cause is refused.
 pub(super) fn conviction_message(cause: SuspectCause) -> &'static str {
     match cause {
@@ -107,11 +114,21 @@
             let refusal = Refusal::not_run(RefusalCode::CrashesTargets, conviction_message(cause));
             return Err(refusal.with_retry_after(SUSPECT_LIFETIME));
         }
-        let models = self.targets.models.find(profile.model_call().map(|call| &call.model));
+        let models = self.targets.models.find(profile.model());
         let pool = self.targets.find_pool(&profile.service);
-        if pool.is_some_and(|pool| self.targets.can_serve(pool, models)) {
+        let build = profile.options.build;
+        let may_serve = |pool| match build {
+            Some(build) => self.targets.may_serve_build(pool, models, build, now),
+            None => self.targets.can_serve(pool, models, None),
+        };
+        if pool.is_some_and(may_serve) {
             return Ok(());
         }
+        let serves_others = |pool| build.is_some() && self.targets.can_serve(pool, models, None);
+        if pool.is_some_and(serves_others) {
+            let refusal = Refusal::not_run(RefusalCode::NoTarget, NO_BUILD_MESSAGE);
+            return Err(refusal.with_retry_after(NO_TARGET_RETRY_AFTER));
+        }
         Err(match pool.and_then(|pool| self.pause_left(pool, now)) {
             Some(pause) => {
                 Refusal::not_run(RefusalCode::NoTarget, ALL_PAUSED_MESSAGE).with_retry_after(pause)
@@ -126,8 +143,8 @@
 
     fn new_job(&mut self, profile: Box<RequestProfile>, now: Instant) -> Job {
         let pool = self.targets.pool_index(&profile.service);
-        let model = profile.model_call().map(|call| &call.model);
-        let lane = self.queue.lane_index(pool, model);
+        let model = profile.model();
+        let lane = self.queue.lane_index(pool, model, profile.options.build);
         let models = self.targets.models.find(model);
         let workspace = self.workspaces.index(&profile.workspace, &self.rules, now);
         let workspace_key = cost::workspace_key(&profile.workspace);
@@ -252,12 +269,13 @@
         waiting.filter(|waiting| waiting.urgency() < job.urgency()).count()
     }
 
-    /// Expected wait of a new job. Ahead of it are all waiting work of higher tiers and of lower ranks in its
-    /// own tier, and, of its own rank, at most the queue of its workspace times the number of workspaces, as
-    /// fair queueing guarantees. The pool's rate is reduced by the new work of higher tiers that keeps
-    /// arriving.
+    /// Expected wait of a new job. Ahead of a stream that has begun are all waiting work of higher tiers and the
+    /// other such streams of its own. Ahead of another job are the work of higher tiers and of lower ranks in its
+    /// own tier, and, of its own rank, at most the queue of its workspace times the number of workspaces, as fair
+    /// queueing guarantees. The pool's rate is reduced by the new work of higher tiers that keeps arriving.
     pub(super) fn expected_wait(&self, job: &Job) -> Duration {
         let pool = self.targets.pool(job.pool);
+        let is_bound = job.build.is_some();
         let rate = pool.rate_for(job.tier());
         // Until enough requests have been served, the measured rate is that of a pool waiting for slots;
         // using it would refuse work that can be served at once.
@@ -271,7 +289,12 @@
         let before: u64 = ranked[..job.rank()].iter().sum();
         let own = self.workspaces.row(job.workspace).map_or(0, |usage| usage.queued_tokens);
         let flows = self.queue.lane_flows(job.lane, job.tier()) as u64;
-        let ahead = higher + before + ranked[job.rank()].min(own.saturating_mul(flows.max(1)));
-        Duration::from_secs_f64((ahead as f64 / rate).min(3_600.0))
+        let ahead = higher
+            + if is_bound {
+                self.queue.bound_tokens(job.pool, job.tier())
+            } else {
+                before + ranked[job.rank()].min(own.saturating_mul(flows.max(1)))
+            };
+        Duration::from_secs_f64((ahead as f64 / rate).min(MAX_WAIT_S))
     }
 }
--- a/crates/tarragon-scheduler/src/targets.rs
+++ b/crates/tarragon-scheduler/src/targets.rs
@@ -39,6 +39,10 @@
 /// seconds, so that short bursts of a higher tier have little effect.
 const ARRIVAL_GAIN: f64 = 0.05;
 
+/// Time for which requests wait for a target that is briefly out of service, as in a back-off, if only its build
+/// may continue their streams.
+const BUILD_RETURN_TIME: Duration = Duration::from_secs(2);
+
 /// Minimum fraction of the throughput that is assumed for a tier, even if work of higher tiers arrives faster
 /// than it is processed.
 const MIN_RATE_FRACTION: f64 = 0.05;
@@ -94,6 +98,8 @@
     pub rates: RateEstimate,
     /// Whether it is in another data centre.
     pub remote: bool,
+    /// Build of its software, if it is published.
+    pub build: Option<BuildKey>,
     /// Limit on the requests started per second.
     pub starts: StartLimit,
     /// Window.
@@ -134,6 +140,7 @@
             pending_prefill: 0,
             rates,
             remote: entry.remote,
+            build: entry.build,
             starts: StartLimit::default(),
             window: TargetWindow::new(now),
             restart: None,
@@ -153,6 +160,12 @@
         self.listed && self.in_service && !self.leaving
     }
 
+    /// Whether this process may send requests here at some time: it has slots, and part of the starts if those
+    /// are limited.
+    pub fn is_usable(&self) -> bool {
+        self.accepts_work() && self.window.slots() > 0 && !self.starts.is_barred()
+    }
+
     /// Whether load measured at `taken` is no older than the last report.
     fn is_current(&self, taken: Instant) -> bool {
         self.report.as_ref().is_none_or(|known| known.taken <= taken)
@@ -174,6 +187,11 @@
         self.model_set & models != 0
     }
 
+    /// Whether a stream that a build began may go on here.
+    pub fn suits_build(&self, build: Option<BuildKey>) -> bool {
+        build.is_none() || self.build == build
+    }
+
     /// Highest tier of own requests in flight.
     pub fn highest_tier(&self) -> Option<Tier> {
         Tier::DESCENDING.into_iter().find(|tier| self.by_tier[tier.index()] > 0)
@@ -360,6 +378,7 @@
         if let Some(row) = self.row_mut(index) {
             row.in_service = entry.in_service;
             row.remote = entry.remote;
+            row.build = entry.build;
             row.listed = true;
         }
         let ended = entry.process.and_then(|process| {
@@ -565,12 +584,23 @@
         self.pools[pool].processed += tokens;
     }
 
-    /// Whether a member of the pool accepts work and holds one of the models.
-    pub fn can_serve(&self, pool: usize, models: u64) -> bool {
+    /// Whether a member of the pool is of a build and accepts work, or may do so again soon: it is neither gone nor
+    /// leaving, and not out of service for long.
+    pub fn may_serve_build(&self, pool: usize, models: u64, build: BuildKey, now: Instant) -> bool {
+        let members = self.pools[pool].members.iter().filter_map(|index| self.row(*index));
+        let mut suitable = members.filter(|row| {
+            row.listed && !row.leaving && row.holds(models) && row.build == Some(build)
+        });
+        let is_brief = |since| now.saturating_duration_since(since) < BUILD_RETURN_TIME;
+        suitable.any(|row| row.closed_since.is_none_or(is_brief))
+    }
+
+    /// Whether a member of the pool accepts work, holds one of the models and is of the given build, if any.
+    pub fn can_serve(&self, pool: usize, models: u64, build: Option<BuildKey>) -> bool {
         let members = self.pools[pool].members.iter();
         members
             .filter_map(|index| self.row(*index))
-            .any(|row| row.accepts_work() && row.holds(models))
+            .any(|row| row.accepts_work() && row.holds(models) && row.suits_build(build))
     }
 
     fn add(&mut self, entry: &TargetEntry, pool: usize, now: Instant) -> usize {
--- a/crates/tarragon-standin/src/shared_store.rs
+++ b/crates/tarragon-standin/src/shared_store.rs
@@ -8,7 +8,12 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use indexmap::IndexMap;
-use serde_json::{Value, json};
+use percent_encoding::percent_decode_str;
+use serde::Serialize;
+use serde_json::{
+    Value, json,
+    value::{RawValue, to_raw_value},
+};
 use tokio::{sync::watch, time::timeout};
 
 use crate::listener::{
@@ -17,6 +22,8 @@
 
 /// Items of one page.
 const PAGE: usize = 50;
+/// Changes in one answer to a watch.
+const WATCH_PAGE: usize = 100;
 
 /// How the store treats calls.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -30,13 +37,45 @@
     Silent,
 }
 
+/// An item in the form in which pages and watches have it.
+#[derive(Debug, Clone)]
+struct StoredItem {
+    text: Box<RawValue>,
+    /// Revision at which the key was created.
+    created: u64,
+}
+
+#[derive(Debug, Clone)]
+struct StoredChange {
+    key: String,
+    revision: u64,
+    /// The event that a watch has.
+    text: Box<RawValue>,
+}
+
+/// A page of items.
+#[derive(Serialize)]
+#[serde(rename_all = "kebab-case")]
+struct ItemPage<'a> {
+    items: Vec<&'a RawValue>,
+    has_more: bool,
+    at: u64,
+}
+
+/// The events of a watch.
+#[derive(Serialize)]
+struct EventPage<'a> {
+    events: Vec<&'a RawValue>,
+    at: u64,
+}
+
 #[derive(Debug, Clone, Default)]
 struct StoreState {
     mode: StoreMode,
     revision: u64,
-    items: IndexMap<String, (Vec<u8>, u64)>,
-    /// Changes by revision: key, and value unless the key was deleted.
-    history: Vec<(u64, String, Option<Vec<u8>>)>,
+    items: IndexMap<String, StoredItem>,
+    /// Changes in order.
+    history: Vec<StoredChange>,
     /// Watches from before this revision are refused.
     compacted: u64,
     /// Number of times that the store has come back from a copy, as each answer tells.
@@ -73,11 +112,28 @@
 
     /// Writes a value.
     pub fn put(&self, key: &str, value: &[u8]) {
+        self.put_item(key, |revision, created| item(key, value, revision, created));
+    }
+
+    /// Writes an item with any fields, as the JSON text that pages and watches have in its place. It is in the
+    /// place of `key`.
+    pub fn put_raw(&self, key: &str, text: &str) -> serde_json::Result<()> {
+        let item = RawValue::from_string(text.to_owned())?;
+        self.put_item(key, |_, _| item);
+        Ok(())
+    }
+
+    fn put_item<I>(&self, key: &str, item: I)
+    where
+        I: FnOnce(u64, u64) -> Box<RawValue>,
+    {
         self.state.send_modify(|state| {
             state.revision += 1;
             let revision = state.revision;
-            state.items.insert(key.to_owned(), (value.to_vec(), revision));
-            state.history.push((revision, key.to_owned(), Some(value.to_vec())));
+            let created = state.items.get(key).map_or(revision, |item| item.created);
+            let text = item(revision, created);
+            state.items.insert(key.to_owned(), StoredItem { text: text.clone(), created });
+            state.history.push(StoredChange { key: key.to_owned(), revision, text });
         });
     }
 
@@ -91,7 +147,9 @@
         self.state.send_modify(|state| {
             state.revision += 1;
             state.items.shift_remove(key);
-            state.history.push((state.revision, key.to_owned(), None));
+            let revision = state.revision;
+            let text = raw(&json!({"key": key, "revision": revision, "deleted": true}));
+            state.history.push(StoredChange { key: key.to_owned(), revision, text });
         });
     }
 
@@ -115,6 +173,19 @@
         self.control.reset_connections();
     }
 
+    /// Revision of the last change.
+    pub fn revision(&self) -> u64 {
+        self.state.borrow().revision
+    }
+
+    /// Drops the history up to a revision.
+    pub fn compact_until(&self, revision: u64) {
+        self.state.send_modify(|state| {
+            state.history.retain(|change| change.revision > revision);
+            state.compacted = revision + 1;
+        });
+    }
+
     /// Drops the history: watches have to start anew.
     pub fn compact(&self) {
         self.state.send_modify(|state| {
@@ -150,8 +221,9 @@
         }
         let query = request.uri().query().unwrap_or("");
         let field = |name: &str| {
-            let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-            pairs.filter(|(key, _)| *key == name).map(|(_, value)| value.to_owned()).next()
+            let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+            let (_, value) = pairs.find(|(key, _)| *key == name)?;
+            Some(percent_decode_str(value).decode_utf8_lossy().into_owned())
         };
         let prefix = field("path-prefix").unwrap_or_default();
         match request.uri().path() {
@@ -175,11 +247,8 @@
         keys.sort();
         let more = keys.len() > PAGE;
         keys.truncate(PAGE);
-        let items: Vec<Value> = keys
-            .into_iter()
-            .map(|key| item(key, Some(&state.items[key].0), state.items[key].1))
-            .collect();
-        answer(&json!({"items": items, "has-more": more, "at": state.revision}))
+        let items = keys.into_iter().map(|key| &*state.items[key].text).collect();
+        answer(&ItemPage { items, has_more: more, at: state.revision })
     }
 
     async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Response<StandinBody> {
@@ -191,36 +260,48 @@
             return empty(StatusCode::GONE);
         }
         let mut changes = self.state.subscribe();
-        let events_in = |state: &StoreState| -> Vec<Value> {
-            let matching = state
-                .history
-                .iter()
-                .filter(|(revision, key, _)| *revision > after && key.starts_with(prefix));
-            matching.map(|(revision, key, value)| item(key, value.as_ref(), *revision)).collect()
-        };
-        let changed = changes.wait_for(|state| !events_in(state).is_empty());
+        let matches =
+            |change: &&StoredChange| change.revision > after && change.key.starts_with(prefix);
+        let changed = changes.wait_for(|state| state.history.iter().any(|change| matches(&change)));
         // The time is over without a change if this fails.
         let _ = timeout(wait, changed).await;
         let state = self.state.borrow();
-        answer(&json!({"events": events_in(&state), "at": state.revision}))
+        let mut matching: Vec<&StoredChange> = state.history.iter().filter(matches).collect();
+        let at = match matching.get(WATCH_PAGE) {
+            Some(_) => matching[WATCH_PAGE - 1].revision,
+            None => state.revision,
+        };
+        matching.truncate(WATCH_PAGE);
+        let events = matching.into_iter().map(|change| &*change.text).collect();
+        answer(&EventPage { events, at })
     }
 }
 
-fn item(key: &str, value: Option<&Vec<u8>>, revision: u64) -> Value {
-    match value {
-        Some(value) => json!({
-            "key": key,
-            "value": STANDARD.encode(value),
-            "revision": revision,
-            "created-at": revision,
-            "lease": 0,
-        }),
-        None => json!({"key": key, "revision": revision, "deleted": true}),
-    }
+fn item(key: &str, value: &[u8], revision: u64, created: u64) -> Box<RawValue> {
+    raw(&json!({
+        "key": key,
+        "value": STANDARD.encode(value),
+        "revision": revision,
+        "created-at": created,
+        "lease": 0,
+    }))
 }
 
-fn answer(body: &Value) -> Response<StandinBody> {
-    Response::new(Full::new(Bytes::from(body.to_string())).boxed_unsync())
+fn raw(value: &Value) -> Box<RawValue> {
+    to_raw_value(value).unwrap_or_else(|_| RawValue::NULL.to_owned())
+}
+
+fn answer<T>(body: &T) -> Response<StandinBody>
+where
+    T: Serialize,
+{
+    match serde_json::to_vec(body) {
+        Ok(body) => Response::new(Full::new(Bytes::from(body)).boxed_unsync()),
+        Err(error) => {
+            tracing::error!(%error, "failed to encode an answer");
+            empty(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
 }
 
 fn empty(status: StatusCode) -> Response<StandinBody> {
