Share the hash of texts, and drop repeated work around streams

Read-through of the change, no change of behaviour: the length-prefixed hash of a few texts stood four times (keys of builds and streams, listings, fingerprints of requests); evidence of engines was judged three times for each question; an answer of a peer took the node's lock for nothing; recipients of digests were copied for a report that is seldom due; a message held a list of always one element; the datagram limit stood twice.

--- a/crates/tarragon-fleet/src/directory.rs
+++ b/crates/tarragon-fleet/src/directory.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     build::build_key,
+    hash::update_field,
     prelude::*,
     published::{InstanceName, StorePosition},
     rate::RateBelief,
@@ -631,8 +632,7 @@
     let texts =
         [&target.instance, &target.service, &target.address, &target.data_centre, &target.build];
     for text in texts {
-        hasher.update(&(text.len() as u64).to_le_bytes());
-        hasher.update(text.as_bytes());
+        update_field(&mut hasher, text.as_bytes());
     }
     hasher.update(&target.slots.to_le_bytes());
     hasher.update(&target.started_ms.to_le_bytes());
--- a/crates/tarragon-fleet/src/node/origins.rs
+++ b/crates/tarragon-fleet/src/node/origins.rs
@@ -37,8 +37,8 @@
 }
 
 impl FleetNode {
-    /// Records that targets of a build began a stream, and announces it to a few peers unless the build is the only one.
-    /// Returns whether messages are queued.
+    /// Records that targets of a build began a stream, and announces it to a few peers unless the build is the only
+    /// one. Returns whether messages are queued.
     pub fn record_origin(
         &mut self,
         now: Instant,
@@ -129,11 +129,9 @@
         message: OriginMessage,
     ) -> Option<OriginMessage> {
         match message {
-            OriginMessage::Began(builds) => {
-                for one in builds {
-                    for stream in one.streams {
-                        self.origins.record(stream, one.build, false, now);
-                    }
+            OriginMessage::Began(begun) => {
+                for stream in begun.streams {
+                    self.origins.record(stream, begun.build, false, now);
                 }
                 None
             }
--- a/crates/tarragon-fleet/src/origin.rs
+++ b/crates/tarragon-fleet/src/origin.rs
@@ -9,9 +9,8 @@
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::Xxh3;
 
-use crate::{digest::NameKey, ledger::LedgerNotice, prelude::*};
+use crate::{digest::NameKey, hash::hash_texts, ledger::LedgerNotice, prelude::*};
 
 /// Time for which a record is kept: longer than a caller waits for one answer.
 const RECORD_LIFETIME: Duration = Duration::from_secs(60);
@@ -26,12 +25,7 @@
 
 /// Computes the key of a stream.
 pub fn stream_key(workspace: Option<&str>, service: &str, tag: &str) -> StreamKey {
-    let mut hasher = Xxh3::new();
-    for field in [workspace.unwrap_or(""), service, tag] {
-        hasher.update(&(field.len() as u64).to_le_bytes());
-        hasher.update(field.as_bytes());
-    }
-    hasher.digest()
+    hash_texts(&[workspace.unwrap_or(""), service, tag])
 }
 
 /// Streams that one build began.
@@ -90,7 +84,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum OriginMessage {
     /// Streams that the sender has begun to pass on.
-    Began(Vec<BuildStreams>),
+    Began(BuildStreams),
     /// A query.
     Query(OriginQuery),
     /// The answer to a query.
@@ -195,7 +189,7 @@
             for (build, streams) in builds {
                 for part in streams.chunks(MAX_ANNOUNCED_STREAMS) {
                     let streams = BuildStreams { build, streams: part.to_vec() };
-                    messages.push((peer, OriginMessage::Began(vec![streams])));
+                    messages.push((peer, OriginMessage::Began(streams)));
                 }
             }
         }
--- a/crates/tarragon-gateway/src/caller.rs
+++ b/crates/tarragon-gateway/src/caller.rs
@@ -6,6 +6,7 @@
 use http::{HeaderMap, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use tarragon_fleet::{
+    hash::update_field,
     node::{AdmissionRequest, stream_span, wait_limit},
     origin::{StreamKey, stream_key},
     prelude::*,
@@ -345,9 +346,8 @@
     let mut hasher = Xxh3::new();
     let path = call.path.path_and_query().map_or("", |path| path.as_str());
     let workspace = call.routed.workspace.as_deref().unwrap_or("");
-    for field in [workspace.as_bytes(), call.method.as_str().as_bytes(), path.as_bytes()] {
-        hasher.update(&(field.len() as u64).to_le_bytes());
-        hasher.update(field);
+    for field in [workspace, call.method.as_str(), path] {
+        update_field(&mut hasher, field.as_bytes());
     }
     hasher.update(&call.body);
     hasher.digest()
--- a/crates/tarragon-gateway/src/evidence.rs
+++ b/crates/tarragon-gateway/src/evidence.rs
@@ -107,6 +107,14 @@
         }
     }
 
+    /// The build that began the stream, if that is proven.
+    pub fn build(self) -> Option<BuildKey> {
+        match self {
+            EvidenceOutcome::Build(build) => Some(build),
+            _ => None,
+        }
+    }
+
     /// Name in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
@@ -120,10 +128,7 @@
 
 /// The build that began a stream, if the caches of the targets prove it.
 pub fn build_of_holders(findings: &[HolderFinding]) -> Option<BuildKey> {
-    match EvidenceOutcome::judge(findings) {
-        EvidenceOutcome::Build(build) => Some(build),
-        _ => None,
-    }
+    EvidenceOutcome::judge(findings).build()
 }
 
 /// Asks all known targets of a service whether they hold a part, and names the build that began its stream.
@@ -149,12 +154,12 @@
         holders = count(Some(true)),
         others = count(Some(false)),
         silent = count(None),
-        build = build_of_holders(&findings),
+        build = outcome.build(),
         outcome = outcome.name(),
         spent_ms = asked.elapsed().as_millis() as u64,
         "asked targets for a part of a prompt"
     );
-    build_of_holders(&findings)
+    outcome.build()
 }
 
 /// Asks all known targets of a service at once whether they hold a part. `None` if there are too many.
--- a/crates/tarragon-gateway/src/origins.rs
+++ b/crates/tarragon-gateway/src/origins.rs
@@ -23,10 +23,8 @@
     time::{sleep, timeout},
 };
 
-use crate::context::GatewayContext;
+use crate::{context::GatewayContext, peers::MAX_DATAGRAM_BYTES};
 
-/// Largest datagram that can be received.
-const MAX_DATAGRAM_BYTES: usize = 16 << 10;
 /// Longest wait for the answers of peers. They are milliseconds away.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(150);
 /// Delay after a failed read.
@@ -159,7 +157,10 @@
 }
 
 /// Tells the given peers which builds were registered before this process started, if that is due.
-pub async fn report_ledger<D>(context: &GatewayContext<D>, peers: &[SocketAddr]) {
+pub async fn report_ledger<'a, D, P>(context: &GatewayContext<D>, peers: P)
+where
+    P: Iterator<Item = &'a SocketAddr>,
+{
     if let Some(message) = context.node.run(|node, now, _| node.next_ledger_report(now)) {
         for peer in peers {
             context.origins.send(origin_address(context, *peer), &message).await;
@@ -188,6 +189,7 @@
         };
         if let OriginMessage::Answer(answer) = &message {
             context.origins.complete_query(answer);
+            continue;
         }
         let answer = context.node.run(|node, now, _| node.receive_origin(now, message));
         if let Some(answer) = answer {
--- a/crates/tarragon-gateway/src/peers.rs
+++ b/crates/tarragon-gateway/src/peers.rs
@@ -33,7 +33,7 @@
 /// failed read.
 const URGENT_DIGEST_DELAY: Duration = Duration::from_millis(10);
 /// Largest datagram that can be received.
-const MAX_DATAGRAM_BYTES: usize = 16 << 10;
+pub const MAX_DATAGRAM_BYTES: usize = 16 << 10;
 /// If the boot clock advances further than the runtime's clock by more than this, the machine was
 /// suspended.
 const SUSPEND_THRESHOLD: Duration = Duration::from_millis(500);
@@ -137,8 +137,7 @@
         .set(gauge_value(suspects.saturating_sub(digest.suspects.len())));
     send_digest(context, socket, &digest, &recipients.full).await;
     if !urgent {
-        let peers = [&recipients.full[..], &recipients.subscribers].concat();
-        report_ledger(context, &peers).await;
+        report_ledger(context, recipients.full.iter().chain(&recipients.subscribers)).await;
         send_messages(context).await;
     }
     if !recipients.relays.is_empty() {
