Check that an answer goes on with the stream that broke off

Callers of a stream that broke off and was sent again within one answer got, in the middle of their stream, the text of an error page, of events without numbers or of an answer of another type or status; or the stream ended as complete after an answer without any new event. Reported by operators of a similar system, and the same here.

Cause: once a stream had begun, the next answer was judged as a first one. Any success was split into events and passed on; only its status and headers were dropped. An end after no event ended the caller's stream as complete, because the check for empty answers applied only while the caller had no event. After an event without a number the request was sent again from the last number, or from the start, although the caller had more.

The sink now keeps status and media type of the head with which the stream began, and an answer with others ends its attempt. In an answer that continues a stream, an event without a number before the first new one ends the attempt (comments are passed over), and so does an end without any new event. A stream whose caller has an event without a number isn't sent again. When no attempt is left, the caller's connection is cut, and the caller can take the stream up. Failures with an error status never reached the stream, since their answer found no open head; they were counted and logged as answered, and now count as failed attempts.

Not checked: numbers that skip. They need to increase only, so a gap can't be told from a missing event.

The scripted target sets TCP_NODELAY: a reset discarded its second write on kept connections, which waited for an acknowledgement.

--- a/crates/tarragon-gateway/src/events.rs
+++ b/crates/tarragon-gateway/src/events.rs
@@ -15,6 +15,14 @@
     pub number: Option<u64>,
 }
 
+impl RawEvent {
+    /// Whether it brings nothing: it holds comments only, which keep a connection alive.
+    pub fn is_comment(&self) -> bool {
+        let mut lines = self.bytes.split(|byte| *byte == b'\n');
+        lines.all(|line| line.is_empty() || line == b"\r" || line.starts_with(b":"))
+    }
+}
+
 /// An event exceeds the size limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct EventTooLarge;
--- a/crates/tarragon-gateway/src/forward.rs
+++ b/crates/tarragon-gateway/src/forward.rs
@@ -204,6 +204,11 @@
 
     async fn attempt(&mut self, order: &DispatchOrder) -> AttemptReport<ForwardAnswer> {
         let ended = AttemptReport::Ended;
+        if !self.sink.can_go_on() {
+            let message = "the stream broke off after an event without a number";
+            let refusal = Refusal::unknown(RefusalCode::TargetFailed, message);
+            return AttemptReport::Refused(AttemptEnd::Withheld, refusal);
+        }
         let connection = match self.connect(order).await {
             Ok(connection) => connection,
             Err(end) => return ended(end),
@@ -514,6 +519,19 @@
                 return AttemptReport::Ended(AttemptEnd::Garbled);
             }
         }
+        if !self.sink.accepts(&answer.head) {
+            tracing::warn!(
+                request = self.call.tag,
+                target_address = &*order.target,
+                status = answer.head.status.as_u16(),
+                content_type = ?answer.head.headers.get(header::CONTENT_TYPE),
+                delivered = self.sink.position(),
+                "answer is no part of the stream that has begun"
+            );
+            let is_success = answer.head.status.is_success();
+            let end = if is_success { AttemptEnd::Garbled } else { AttemptEnd::Failed };
+            return AttemptReport::Ended(end);
+        }
         if self.call.routed.route.streamed && answer.head.status.is_success() {
             return self.relay_stream(order, grant, answer).await;
         }
--- a/crates/tarragon-gateway/src/forward/stream.rs
+++ b/crates/tarragon-gateway/src/forward/stream.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Response, StatusCode, header};
+use http::{HeaderMap, Response, StatusCode, header, response};
 use http_body_util::BodyExt;
 use tarragon_fleet::prelude::*;
 use tarragon_server::{
@@ -36,9 +36,29 @@
     Stalled,
 }
 
+/// The head with which a stream began. Answers that continue the stream have the same.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct StreamHead {
+    status: StatusCode,
+    media_type: Option<String>,
+}
+
+impl StreamHead {
+    fn new(status: StatusCode, headers: &HeaderMap) -> StreamHead {
+        let value = headers.get(header::CONTENT_TYPE).and_then(|value| value.to_str().ok());
+        let media_type = value.and_then(|value| value.split(';').next());
+        let media_type = media_type.map(|name| name.trim().to_ascii_lowercase());
+        StreamHead { status, media_type }
+    }
+}
+
 /// Sends the parts of a streamed answer to the caller.
 pub struct StreamSink {
     head: Option<oneshot::Sender<CallerAnswer>>,
+    /// Head of the stream, if it has begun.
+    begun: Option<StreamHead>,
+    /// Whether an event without a number was sent, so that the position doesn't tell where to resume.
+    unnumbered: bool,
     sender: mpsc::Sender<BodyPart>,
     receiver: Option<mpsc::Receiver<BodyPart>>,
     /// Number of the last event that was sent to the caller.
@@ -57,6 +77,8 @@
         let (sender, receiver) = mpsc::channel(MAX_BUFFERED_PARTS);
         StreamSink {
             head: Some(head),
+            begun: None,
+            unnumbered: false,
             sender,
             receiver: Some(receiver),
             position,
@@ -80,10 +102,23 @@
         self.head.is_none()
     }
 
+    /// Whether another target may go on with what the caller has.
+    pub fn can_go_on(&self) -> bool {
+        !(self.has_begun() && self.unnumbered)
+    }
+
+    /// Whether an answer with this head can be a part of the caller's answer: that has not begun, or has the same
+    /// status and media type.
+    pub fn accepts(&self, head: &response::Parts) -> bool {
+        let is_same = |begun: &StreamHead| *begun == StreamHead::new(head.status, &head.headers);
+        self.begun.as_ref().is_none_or(is_same)
+    }
+
     /// Sends the head of the answer. Only the first call has an effect: a stream that is resumed at another
     /// target keeps the head from its first target.
     fn begin(&mut self, status: StatusCode, headers: HeaderMap) {
         let (Some(head), Some(parts)) = (self.head.take(), self.receiver.take()) else { return };
+        self.begun = Some(StreamHead::new(status, &headers));
         let mut answer = Response::new(AnswerBody::Stream { parts, guard: None });
         *answer.status_mut() = status;
         *answer.headers_mut() = headers;
@@ -103,6 +138,8 @@
 /// Progress of one attempt's stream.
 struct StreamProgress {
     events: u32,
+    /// Whether the caller got an event.
+    delivered: bool,
     first_event: Option<Duration>,
     reported: Option<Instant>,
 }
@@ -120,8 +157,11 @@
     ) -> AttemptReport<ForwardAnswer> {
         let IncomingAnswer { connection, head, mut body, sent } = answer;
         let headers = self.context.protocol.answer_headers(&head.headers);
+        // Whether the caller has the beginning of this stream from an earlier attempt.
+        let continues = self.sink.has_begun();
         let mut splitter = EventSplitter::default();
-        let mut progress = StreamProgress { events: 0, first_event: None, reported: None };
+        let mut progress =
+            StreamProgress { events: 0, delivered: false, first_event: None, reported: None };
         loop {
             let data = match self.next_data(&mut body).await {
                 Ok(Some(data)) => data,
@@ -132,6 +172,13 @@
                 return self.end_stream(order, &mut progress, AttemptEnd::Garbled);
             }
             while let Some(event) = splitter.next_event() {
+                if continues && !progress.delivered && event.number.is_none() {
+                    if event.is_comment() {
+                        continue;
+                    }
+                    // Only a number shows that this target goes on where the stream broke off.
+                    return self.end_stream(order, &mut progress, AttemptEnd::Garbled);
+                }
                 if progress.events == 0 {
                     let is_same = |node: &FleetNode| node.is_same_process(&order.target, grant);
                     if !self.context.node.view(is_same) {
@@ -141,8 +188,9 @@
                     self.record_begin(order, grant.build).await;
                 }
                 self.sink.begin(head.status, headers.clone());
-                if let Err(fault) = self.forward_event(event).await {
-                    return part_not_taken(fault);
+                match self.forward_event(event).await {
+                    Ok(is_new) => progress.delivered |= is_new,
+                    Err(fault) => return part_not_taken(fault),
                 }
                 progress.events += 1;
                 progress.first_event.get_or_insert_with(|| sent.elapsed());
@@ -154,6 +202,10 @@
         if splitter.has_partial_event() || is_empty && is_unframed(&head.headers) {
             return self.end_stream(order, &mut progress, AttemptEnd::Broken);
         }
+        if continues && !progress.delivered {
+            // Nothing shows that this target knows where the stream broke off.
+            return self.end_stream(order, &mut progress, AttemptEnd::Garbled);
+        }
         self.sink.begin(head.status, headers);
         let limit = self.context.limits.caller_stall;
         if let Err(fault) = self.sink.send(BodyPart::End, limit).await {
@@ -193,12 +245,12 @@
         }
     }
 
-    /// Sends an event to the caller, unless the caller has it from an earlier attempt.
-    async fn forward_event(&mut self, event: RawEvent) -> Result<(), PartNotTaken> {
+    /// Sends an event to the caller, unless the caller has it from an earlier attempt. Returns whether it was sent.
+    async fn forward_event(&mut self, event: RawEvent) -> Result<bool, PartNotTaken> {
         if let (Some(number), Some(position)) = (event.number, self.sink.position)
             && number <= position
         {
-            return Ok(());
+            return Ok(false);
         }
         let now = Instant::now();
         let metrics = &self.context.metrics;
@@ -206,10 +258,11 @@
             None => metrics.observe_first_part(true, now - self.sink.arrived),
             Some(last) => metrics.event_gap.observe((now - last).as_secs_f64()),
         }
+        self.sink.unnumbered |= event.number.is_none() && !event.is_comment();
         let limit = self.context.limits.caller_stall;
         self.sink.send(BodyPart::Data(event.bytes), limit).await?;
         self.sink.position = event.number.or(self.sink.position);
-        Ok(())
+        Ok(true)
     }
 
     fn end_stream(
--- a/crates/tarragon-standin/src/scripted_target.rs
+++ b/crates/tarragon-standin/src/scripted_target.rs
@@ -84,6 +84,10 @@
                     accepted = listener.accept() => accepted,
                 };
                 let Ok((stream, _)) = accepted else { return };
+                // Otherwise the second of two writes waits for an acknowledgement, and a reset discards it.
+                if stream.set_nodelay(true).is_err() {
+                    continue;
+                }
                 let (scripts, log, stop) = (scripts.clone(), log.clone(), stop.clone());
                 tokio::spawn(async move {
                     tokio::select! {
