--- a/crates/tarragon-gateway/src/forward.rs
+++ b/crates/tarragon-gateway/src/forward.rs
@@ -524,7 +524,6 @@
                 request = self.call.tag,
                 target_address = &*order.target,
                 status = answer.head.status.as_u16(),
-                content_type = ?answer.head.headers.get(header::CONTENT_TYPE),
                 delivered = self.sink.position(),
                 "answer is no part of the stream that has begun"
             );
