Don't end a take-up by a target that stops before its first event

A caller that takes a stream up got a complete, empty 200 from a target whose answer ends with its connection and that stopped after its head, or after an event that the caller had.

Cause: an empty answer without a length or chunks counted as cut short only if no position was known. The position of a take-up is known from the caller. Now such an answer counts as cut short unless it brought a new event, and the request is sent again or refused.

Evidence: the new test failed before on two of five cases: "no events, until close: HTTP/1.1 200 OK [...] 0" and "only events that the caller has, until close: HTTP/1.1 200 OK [...] 0". Empty answers with a framed end are passed on as before: there the target itself said that nothing is left.

--- a/crates/tarragon-gateway/src/forward/stream.rs
+++ b/crates/tarragon-gateway/src/forward/stream.rs
@@ -198,8 +198,8 @@
             self.report_progress(order, &mut progress, false);
         }
         self.report_progress(order, &mut progress, true);
-        let is_empty = progress.events == 0 && self.sink.position.is_none();
-        if splitter.has_partial_event() || is_empty && is_unframed(&head.headers) {
+        let may_be_cut = !progress.delivered && is_unframed(&head.headers);
+        if splitter.has_partial_event() || may_be_cut {
             return self.end_stream(order, &mut progress, AttemptEnd::Broken);
         }
         if continues && !progress.delivered {
