Size a request that takes up a stream by what is left of it

Cause: admission predicted the length, the latest start and the cost of a take-up as if its caller had nothing yet. The latest start was then in the past, so that the request was refused with nothing waiting. The lengths of the rests were also learned as those of whole answers. The continuation within one process subtracted what was delivered, but from the predicted length, so that a stream about to end was held to a prediction that is right at the median only.

Change: `CallOptions::progress` (`AnswerProgress`: build and tokens that the caller has) replaces `CallOptions::build`. The job starts with these tokens as delivered; prediction, cost, size in the queue, latest start and learned lengths follow from it, for take-ups and for continuations within a process alike. MIN_TIME_FRACTION applies to the whole predicted answer: of a stream whose caller has more than that, nothing certain is left, so it is not refused for its length. A stream longer than predicted is expected to grow by OUTGROWTH_FACTOR, as it was within a process. The deadline for the first output still holds for a take-up: its caller waits for the next event as long. New requests are sized as before.

What the caller says it has is bounded by the longest answer that its request allows.

Ruled out: a wait that is priced too high (the refusals come with nothing ahead, and in the highest tier).

Changed tests: rules/build.rs and fleet/support.rs build the new field instead of the old one; no assertion changes.

--- a/crates/tarragon-fleet/src/node/admit.rs
+++ b/crates/tarragon-fleet/src/node/admit.rs
@@ -30,8 +30,8 @@
     pub fingerprint: Fingerprint,
     /// Prompt and output sizes, if the request is a generation.
     pub generation: Option<GenerationHead>,
-    /// Build of the targets that may run it, if it takes up a stream.
-    pub build: Option<BuildKey>,
+    /// What its caller has of the answer, if it takes up a stream.
+    pub progress: Option<AnswerProgress>,
 }
 
 impl FleetNode {
@@ -187,9 +187,13 @@
 }
 
 fn request_profile(order: AdmissionRequest) -> RequestProfile {
-    let AdmissionRequest { request, routed, arrived, deadline, fingerprint, generation, build } =
+    let AdmissionRequest { request, routed, arrived, deadline, fingerprint, generation, progress } =
         order;
     let route = &routed.route;
+    // The caller states what it has; no answer is longer than the request allows.
+    let longest = generation.as_ref().map_or(u32::MAX, |size| size.max_tokens);
+    let progress = progress
+        .map(|progress| AnswerProgress { delivered: progress.delivered.min(longest), ..progress });
     RequestProfile {
         request,
         workspace: routed.workspace.unwrap_or_else(|| PUBLIC_WORKSPACE.into()),
@@ -208,7 +212,7 @@
             rank: (Tier::COUNT - 1 - route.tier.index()) as u8,
             expected_output: generation.as_ref().and_then(|size| size.expected_tokens),
             rejection_means_not_run: true,
-            build,
+            progress,
         },
         kind: generation.map_or(CallKind::Plain, |generation| {
             CallKind::Model(ModelCall {
--- a/crates/tarragon-fleet/tests/fleet/support.rs
+++ b/crates/tarragon-fleet/tests/fleet/support.rs
@@ -335,7 +335,7 @@
             expected_tokens: Some(20),
             parts: Vec::new(),
         }),
-        build: None,
+        progress: None,
     }
 }
 
--- a/crates/tarragon-gateway/src/caller.rs
+++ b/crates/tarragon-gateway/src/caller.rs
@@ -308,6 +308,7 @@
         service = &*call.routed.service,
         rank = route.tier.name(),
         prompt_tokens = call.generation.as_ref().map(|size| size.prompt_tokens),
+        delivered_tokens = order.progress.map(|progress| progress.delivered),
         parts = call.generation.as_ref().map(shared_part_ids),
         allowed_ms = call.deadline.remaining(&context.clock).as_millis() as u64,
         open = context.metrics.open_requests.get(),
@@ -337,10 +338,18 @@
         deadline: call.deadline.instant.into_std(),
         fingerprint: fingerprint(call),
         generation: call.generation.clone(),
-        build: call.build,
+        progress: answer_progress(call),
     }
 }
 
+/// What the caller has of the answer, if the call takes up a stream.
+fn answer_progress(call: &ForwardCall) -> Option<AnswerProgress> {
+    let events = call.resume_after.unwrap_or(0);
+    let delivered = events.saturating_mul(call.event_tokens.into());
+    let delivered = u32::try_from(delivered).unwrap_or(u32::MAX);
+    call.build.map(|build| AnswerProgress { build, delivered })
+}
+
 /// Identifies retries of the same request: it depends only on workspace, method, path and body.
 fn fingerprint(call: &ForwardCall) -> Fingerprint {
     let mut hasher = Xxh3::new();
--- a/crates/tarragon-protocol/src/prelude.rs
+++ b/crates/tarragon-protocol/src/prelude.rs
@@ -8,5 +8,5 @@
 };
 pub use crate::load::{LoadReport, TargetState};
 pub use crate::outcome::{CallOutcome, Refusal, RefusalCode};
-pub use crate::request::{CallKind, CallOptions, ModelCall, RequestProfile};
+pub use crate::request::{AnswerProgress, CallKind, CallOptions, ModelCall, RequestProfile};
 pub use crate::tier::Tier;
--- a/crates/tarragon-protocol/src/request.rs
+++ b/crates/tarragon-protocol/src/request.rs
@@ -53,8 +53,17 @@
     /// Whether a rejection by a target proves that the request did not run there, so that even a
     /// non-idempotent request may be sent to another target.
     pub rejection_means_not_run: bool,
-    /// Build of the targets that may run the request: the one that began the stream which it takes up.
-    pub build: Option<BuildKey>,
+    /// What is done of the answer, if the request takes up a stream.
+    pub progress: Option<AnswerProgress>,
+}
+
+/// What earlier transmissions of a request have brought of its answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AnswerProgress {
+    /// Build that began the stream: only its targets may continue it.
+    pub build: BuildKey,
+    /// Tokens that the caller has.
+    pub delivered: u32,
 }
 
 impl Default for CallOptions {
@@ -66,7 +75,7 @@
             rank: 0,
             expected_output: None,
             rejection_means_not_run: false,
-            build: None,
+            progress: None,
         }
     }
 }
@@ -99,6 +108,16 @@
         self.model_call().map(|call| &call.model)
     }
 
+    /// Build of the targets that may run the request, if it takes up a stream.
+    pub fn build(&self) -> Option<BuildKey> {
+        self.options.progress.map(|progress| progress.build)
+    }
+
+    /// Tokens of the answer that the caller has from earlier transmissions.
+    pub fn delivered(&self) -> u32 {
+        self.options.progress.map_or(0, |progress| progress.delivered)
+    }
+
     /// The model call, if this is one.
     pub fn model_call(&self) -> Option<&ModelCall> {
         match &self.kind {
--- a/crates/tarragon-scheduler/src/cost.rs
+++ b/crates/tarragon-scheduler/src/cost.rs
@@ -16,6 +16,9 @@
 /// Samples after which a workspace's own estimate replaces the one of the whole service.
 const MIN_WORKSPACE_SAMPLES: u32 = 3;
 
+/// A stream that exceeds its predicted length is expected to grow to this multiple of its current length.
+const OUTGROWTH_FACTOR: f64 = 1.25;
+
 /// About this many prompt tokens take a target as long as one generated token.
 const PREFILL_TOKENS_PER_OUTPUT_TOKEN: u64 = 8;
 
@@ -32,9 +35,9 @@
 /// Predicted answer length and cost of a request.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct CostPrediction {
-    /// Tokens of the answer.
+    /// Tokens of the whole answer.
     pub output: u32,
-    /// Cost in tokens after the expected cache hit.
+    /// Cost in tokens of what is left, after the expected cache hit.
     pub cost: u64,
 }
 
@@ -59,6 +62,7 @@
         let Some(call) = profile.model_call() else {
             return CostPrediction { output: 0, cost: PLAIN_CALL_COST };
         };
+        let delivered = profile.delivered();
         let own = self.estimates.get(&key(pool, workspace, call.prompt_tokens));
         let estimate = own
             .filter(|estimate| estimate.samples >= MIN_WORKSPACE_SAMPLES)
@@ -66,9 +70,13 @@
         let (length, cached) =
             estimate.map_or((DEFAULT_OUTPUT, 0.0), |known| (known.output, known.cached));
         let length = profile.options.expected_output.unwrap_or(length.ceil() as u32);
+        let length = if length > delivered { length } else { outgrown_length(delivered) };
         let output = length.clamp(1, call.max_tokens.max(1));
-        let uncached = f64::from(call.prompt_tokens) * f64::from(1.0 - cached);
-        CostPrediction { output, cost: token_cost(uncached as u64, output) }
+        // A target reads the part of the answer that the caller has together with the prompt.
+        let read = f64::from(call.prompt_tokens) + f64::from(delivered);
+        let uncached = read * f64::from(1.0 - cached);
+        let left = output.saturating_sub(delivered);
+        CostPrediction { output, cost: token_cost(uncached as u64, left) }
     }
 
     /// Learns from a complete answer. `cached` is the fraction of the prompt that the target had cached.
@@ -125,6 +133,11 @@
     }
 }
 
+/// Expected length of an answer that is longer than predicted, from its length so far.
+pub fn outgrown_length(tokens: u32) -> u32 {
+    (f64::from(tokens) * OUTGROWTH_FACTOR) as u32
+}
+
 /// Cost of a model call in tokens.
 pub fn token_cost(uncached: u64, output: u32) -> u64 {
     (uncached / PREFILL_TOKENS_PER_OUTPUT_TOKEN + u64::from(output)).max(1)
--- a/crates/tarragon-scheduler/src/job.rs
+++ b/crates/tarragon-scheduler/src/job.rs
@@ -58,7 +58,7 @@
     pub may_have_run: bool,
     /// Targets to avoid because an earlier attempt failed or was cancelled there.
     pub avoid: Vec<usize>,
-    /// Tokens that reached the caller in earlier attempts.
+    /// Tokens that reached the caller in earlier attempts, of earlier transmissions too.
     pub delivered: u32,
     /// How many later requests overtook it because a target had their prompts cached.
     pub overtaken_count: u8,
@@ -75,9 +75,10 @@
     /// Creates the job of a request that has just arrived.
     pub fn new(profile: Box<RequestProfile>, keys: JobKeys, prediction: CostPrediction) -> Job {
         let JobKeys { pool, lane, models, workspace, workspace_key, sequence } = keys;
+        let delivered = profile.delivered();
         Job {
             latest_start: profile.deadline,
-            build: profile.options.build,
+            build: profile.build(),
             profile,
             pool,
             lane,
@@ -93,7 +94,7 @@
             late: false,
             may_have_run: false,
             avoid: Vec::new(),
-            delivered: 0,
+            delivered,
             overtaken_count: 0,
             preemptions: 0,
             held_since: None,
@@ -127,12 +128,16 @@
         objective.map_or(self.latest_start, |objective| objective.min(self.latest_start))
     }
 
-    /// Tokens that count towards the queue's limits: prompt and expected answer, or the cost of a plain call.
+    /// Whether it has brought its caller nothing since it arrived.
+    pub fn awaits_first_output(&self) -> bool {
+        self.delivered == self.profile.delivered()
+    }
+
+    /// Tokens that count towards the queue's limits: those to be read and to be generated, or the cost of a plain
+    /// call.
     pub fn tokens(&self) -> u64 {
-        match self.profile.model_call() {
-            Some(call) => u64::from(call.prompt_tokens) + u64::from(self.output),
-            None => self.cost,
-        }
+        let RequestSize { prompt, output, .. } = self.size();
+        prompt.map_or(self.cost, |prompt| u64::from(prompt) + u64::from(output))
     }
 
     /// Remaining work.
@@ -143,6 +148,7 @@
                 .model_call()
                 .map(|call| call.prompt_tokens.saturating_add(self.delivered)),
             output: self.output.saturating_sub(self.delivered),
+            delivered: self.delivered,
         }
     }
 
--- a/crates/tarragon-scheduler/src/scheduler/arrival.rs
+++ b/crates/tarragon-scheduler/src/scheduler/arrival.rs
@@ -116,7 +116,7 @@
         }
         let models = self.targets.models.find(profile.model());
         let pool = self.targets.find_pool(&profile.service);
-        let build = profile.options.build;
+        let build = profile.build();
         let may_serve = |pool| match build {
             Some(build) => self.targets.may_serve_build(pool, models, build, now),
             None => self.targets.can_serve(pool, models, None),
@@ -144,7 +144,7 @@
     fn new_job(&mut self, profile: Box<RequestProfile>, now: Instant) -> Job {
         let pool = self.targets.pool_index(&profile.service);
         let model = profile.model();
-        let lane = self.queue.lane_index(pool, model, profile.options.build);
+        let lane = self.queue.lane_index(pool, model, profile.build());
         let models = self.targets.models.find(model);
         let workspace = self.workspaces.index(&profile.workspace, &self.rules, now);
         let workspace_key = cost::workspace_key(&profile.workspace);
@@ -162,17 +162,16 @@
     pub(super) fn set_latest_start(&self, job: &mut Job, now: Instant) {
         let fastest = self.targets.pool(job.pool).fastest;
         let size = job.size();
-        let least = fastest.map_or(Duration::ZERO, |rates| rates.least_time(size));
-        let before = |end: Instant, time: Duration| {
-            end.checked_sub(time.mul_f64(MIN_TIME_FRACTION)).unwrap_or(now).min(end)
-        };
+        let least =
+            fastest.map_or(Duration::ZERO, |rates| rates.least_time(size, MIN_TIME_FRACTION));
+        let before = |end: Instant, time: Duration| end.checked_sub(time).unwrap_or(now).min(end);
         job.latest_start = before(job.profile.deadline, least);
-        // The deadline for the first output doesn't apply once the caller has received part of the answer: it
-        // then waits for the next part as long again.
-        if let Some(patience) =
-            job.profile.options.first_output_deadline.filter(|_| job.delivered == 0)
-        {
-            let first = fastest.map_or(Duration::ZERO, |rates| rates.first_time(size));
+        // The deadline for the first output doesn't apply once the caller has received part of the answer since
+        // the request arrived: it then waits for the next part as long again.
+        let patience = job.profile.options.first_output_deadline;
+        if let Some(patience) = patience.filter(|_| job.awaits_first_output()) {
+            let first = fastest
+                .map_or(Duration::ZERO, |rates| rates.first_time(size).mul_f64(MIN_TIME_FRACTION));
             job.latest_start = job.latest_start.min(before(patience, first));
         }
     }
--- a/crates/tarragon-scheduler/src/scheduler/attempt.rs
+++ b/crates/tarragon-scheduler/src/scheduler/attempt.rs
@@ -5,6 +5,7 @@
 use tarragon_protocol::request::DEFAULT_ATTEMPTS;
 
 use crate::{
+    cost::outgrown_length,
     inflight::{CancelCause, RunningAttempt},
     invariant::SchedulerInvariant,
     job::Job,
@@ -22,9 +23,6 @@
 /// the caller's next attempt.
 pub(super) const RETRY_AFTER_BREAK: Duration = Duration::from_secs(2);
 
-/// A stream that exceeds its predicted length is expected to grow to this multiple of its current length.
-const OUTGROWTH_FACTOR: f64 = 1.25;
-
 /// With fewer samples at a target, observed times are not compared with the predicted ones.
 const MIN_SAMPLES: u32 = 4;
 
@@ -94,7 +92,7 @@
         if total <= running.charged {
             return;
         }
-        let expected = (f64::from(total) * OUTGROWTH_FACTOR) as u32;
+        let expected = outgrown_length(total);
         let extra = expected - running.charged;
         running.charged = expected;
         running.job.output = expected;
@@ -297,7 +295,10 @@
             let expected = f64::from(running.estimate.first_token);
             jump = row.rates.samples >= MIN_SAMPLES
                 && row.window.observe(elapsed.as_secs_f64(), expected, 0.0);
-            row.rates.learn_call(elapsed);
+            // The rest of a stream says nothing about a whole call.
+            if job.delivered == 0 {
+                row.rates.learn_call(elapsed);
+            }
         } else if let Some(first) = running.first_token {
             let elapsed = now.saturating_duration_since(first);
             row.rates.learn_decode(running.tokens.saturating_sub(1), elapsed);
--- a/crates/tarragon-scheduler/src/targets/estimate.rs
+++ b/crates/tarragon-scheduler/src/targets/estimate.rs
@@ -69,6 +69,8 @@
     pub prompt: Option<u32>,
     /// Tokens still to be generated.
     pub output: u32,
+    /// Tokens that the caller has.
+    pub delivered: u32,
 }
 
 /// Expected times of a request at a target, in seconds from the dispatch.
@@ -213,11 +215,19 @@
         Duration::from_secs_f64(seconds.clamp(0.0, 3_600.0))
     }
 
-    /// Least time of a request at an idle target that holds the whole prompt in its cache.
-    pub fn least_time(&self, size: RequestSize) -> Duration {
+    /// Least time of a request at an idle target that holds the whole prompt in its cache, if the whole answer
+    /// takes only this fraction of the predicted time. An answer of which the caller has more than that may end
+    /// with the next token.
+    pub fn least_time(&self, size: RequestSize, fraction: f64) -> Duration {
         let seconds = match size.prompt {
-            Some(_) => self.base + f64::from(size.output) * self.decode,
-            None => self.call,
+            Some(_) => {
+                let whole = f64::from(size.output) + f64::from(size.delivered);
+                let left = (whole * fraction - f64::from(size.delivered)).max(0.0);
+                self.base * fraction + left * self.decode
+            }
+            // The length of a plain answer isn't predicted, only its time.
+            None if size.delivered > 0 => 0.0,
+            None => self.call * fraction,
         };
         Duration::from_secs_f64(seconds.clamp(0.0, 3_600.0))
     }
--- a/crates/tarragon-scheduler/tests/rules/build.rs
+++ b/crates/tarragon-scheduler/tests/rules/build.rs
@@ -36,7 +36,8 @@
 }
 
 fn bound_to(build: BuildKey) -> Call {
-    Call { terms: CallOptions { build: Some(build), ..CallOptions::default() }, ..Call::default() }
+    let progress = Some(AnswerProgress { build, delivered: 0 });
+    Call { terms: CallOptions { progress, ..CallOptions::default() }, ..Call::default() }
 }
 
 fn targets_of(driver: &Driver, request: RequestId) -> Vec<TargetName> {
--- a/crates/tarragon-scheduler/tests/rules/main.rs
+++ b/crates/tarragon-scheduler/tests/rules/main.rs
@@ -9,6 +9,7 @@
 mod share;
 mod shed;
 mod suspect;
+mod take_up;
 mod terms;
 mod window;
 
