Price the wait of a take-up at the targets of its build

What callers saw: a stream that is taken up while few targets of its build are left, with other take-ups ahead of it, was let in, waited, and was refused when its time was over.

Cause: the expected wait of a stream that goes on divided the work of the take-ups of all builds by the speed of the whole service, though only the targets of one build serve them.

Change: the work of its own build is divided by the rate times the share of the windows that targets of the build have; work of higher tiers that any target may run is shared by all. Work of other builds no longer counts. The factor for later arrivals applies to new requests only. While no target of the build has a window (a short back-off), the share is unknown and the wait is priced as before.

--- a/crates/tarragon-scheduler/src/job.rs
+++ b/crates/tarragon-scheduler/src/job.rs
@@ -128,6 +128,11 @@
         objective.map_or(self.latest_start, |objective| objective.min(self.latest_start))
     }
 
+    /// Whether it continues a stream, of which the caller may have a part: only targets of one build may run it.
+    pub fn goes_on(&self) -> bool {
+        self.build.is_some()
+    }
+
     /// Whether it has brought its caller nothing since it arrived.
     pub fn awaits_first_output(&self) -> bool {
         self.delivered == self.profile.delivered()
--- a/crates/tarragon-scheduler/src/queue.rs
+++ b/crates/tarragon-scheduler/src/queue.rs
@@ -118,8 +118,25 @@
 
     /// Tokens of waiting requests of a pool, by tier.
     pub fn pool_tokens(&self, pool: usize) -> [u64; Tier::COUNT] {
+        self.lane_tokens(|lane| lane.pool == pool)
+    }
+
+    /// Tokens of waiting requests of a pool that are bound to a build, by tier.
+    pub fn bound_tokens(&self, pool: usize, build: BuildKey) -> [u64; Tier::COUNT] {
+        self.lane_tokens(|lane| lane.pool == pool && lane.build == Some(build))
+    }
+
+    /// Tokens of waiting requests of a pool that any of its targets may run, by tier.
+    pub fn unbound_tokens(&self, pool: usize) -> [u64; Tier::COUNT] {
+        self.lane_tokens(|lane| lane.pool == pool && lane.build.is_none())
+    }
+
+    fn lane_tokens<F>(&self, is_counted: F) -> [u64; Tier::COUNT]
+    where
+        F: Fn(&Lane) -> bool,
+    {
         let mut tokens = [0; Tier::COUNT];
-        for lane in self.lanes.iter().filter(|lane| lane.pool == pool) {
+        for lane in self.lanes.iter().filter(|lane| is_counted(lane)) {
             for (sum, tokens) in tokens.iter_mut().zip(lane.tokens) {
                 *sum += tokens.iter().sum::<u64>();
             }
@@ -127,12 +144,6 @@
         tokens
     }
 
-    /// Tokens of waiting requests of a pool and tier that are bound to a build.
-    pub fn bound_tokens(&self, pool: usize, tier: Tier) -> u64 {
-        let lanes = self.lanes.iter().filter(|lane| lane.pool == pool && lane.build.is_some());
-        lanes.map(|lane| lane.tokens[tier.index()].iter().sum::<u64>()).sum()
-    }
-
     /// Tokens of waiting requests of a pool and tier, by rank.
     pub fn ranked_tokens(&self, pool: usize, tier: Tier) -> [u64; RANK_COUNT] {
         let mut tokens = [0; RANK_COUNT];
--- a/crates/tarragon-scheduler/src/scheduler/arrival.rs
+++ b/crates/tarragon-scheduler/src/scheduler/arrival.rs
@@ -250,8 +250,10 @@
             }
             None => {
                 let wait = self.expected_wait(job);
-                // Later arrivals never go ahead of the highest tier.
-                let factor = if job.tier() == Tier::Urgent { 1.0 } else { WAIT_FACTOR };
+                // Later arrivals never go ahead of the highest tier, nor those of its own tier ahead of a stream
+                // that has begun.
+                let goes_first = job.tier() == Tier::Urgent || job.goes_on();
+                let factor = if goes_first { 1.0 } else { WAIT_FACTOR };
                 if now + wait.mul_f64(factor) <= job.latest_start {
                     return Ok(());
                 }
@@ -268,19 +270,20 @@
         waiting.filter(|waiting| waiting.urgency() < job.urgency()).count()
     }
 
-    /// Expected wait of a new job. Ahead of a stream that has begun are all waiting work of higher tiers and the
-    /// other such streams of its own. Ahead of another job are the work of higher tiers and of lower ranks in its
+    /// Expected wait of a new job. Ahead of a job are the work of higher tiers and of lower ranks in its
     /// own tier, and, of its own rank, at most the queue of its workspace times the number of workspaces, as fair
     /// queueing guarantees. The pool's rate is reduced by the new work of higher tiers that keeps arriving.
     pub(super) fn expected_wait(&self, job: &Job) -> Duration {
         let pool = self.targets.pool(job.pool);
-        let is_bound = job.build.is_some();
         let rate = pool.rate_for(job.tier());
         // Until enough requests have been served, the measured rate is that of a pool waiting for slots;
         // using it would refuse work that can be served at once.
         if pool.fastest.is_none() || rate < 1.0 {
             return Duration::ZERO;
         }
+        if let Some(build) = job.build {
+            return self.wait_at_build(job, build, rate);
+        }
         let tokens = self.queue.pool_tokens(job.pool);
         let tier = job.tier().index();
         let higher: u64 = tokens[tier + 1..].iter().sum();
@@ -288,12 +291,20 @@
         let before: u64 = ranked[..job.rank()].iter().sum();
         let own = self.workspaces.row(job.workspace).map_or(0, |usage| usage.queued_tokens);
         let flows = self.queue.lane_flows(job.lane, job.tier()) as u64;
-        let ahead = higher
-            + if is_bound {
-                self.queue.bound_tokens(job.pool, job.tier())
-            } else {
-                before + ranked[job.rank()].min(own.saturating_mul(flows.max(1)))
-            };
+        let ahead = higher + before + ranked[job.rank()].min(own.saturating_mul(flows.max(1)));
         Duration::from_secs_f64((ahead as f64 / rate).min(MAX_WAIT_S))
     }
+
+    /// Expected wait of a stream that goes on. Ahead of it are the work of higher tiers, which the whole pool
+    /// shares, and other streams of its build, in its own tier too, for which there are only the targets of that
+    /// build.
+    fn wait_at_build(&self, job: &Job, build: BuildKey, rate: f64) -> Duration {
+        let tier = job.tier().index();
+        let shared: u64 = self.queue.unbound_tokens(job.pool)[tier + 1..].iter().sum();
+        let bound: u64 = self.queue.bound_tokens(job.pool, build)[tier..].iter().sum();
+        // Targets of the build that are briefly out of service return with an unknown share.
+        let share = self.targets.build_share(job.pool, build).unwrap_or(1.0);
+        let seconds = shared as f64 / rate + bound as f64 / (rate * share);
+        Duration::from_secs_f64(seconds.min(MAX_WAIT_S))
+    }
 }
--- a/crates/tarragon-scheduler/src/targets.rs
+++ b/crates/tarragon-scheduler/src/targets.rs
@@ -595,6 +595,16 @@
         suitable.any(|row| row.closed_since.is_none_or(is_brief))
     }
 
+    /// Fraction of the windows of a pool that targets of a build have; `None` while they have none.
+    pub fn build_share(&self, pool: usize, build: BuildKey) -> Option<f64> {
+        let pool = &self.pools[pool];
+        let is_suitable =
+            |index: &usize| self.row(*index).is_some_and(|row| row.suits_build(Some(build)));
+        let suitable = pool.members.iter().copied().filter(is_suitable);
+        let windows: u64 = suitable.map(|index| u64::from(self.summary(index).window)).sum();
+        (windows > 0).then(|| windows as f64 / pool.windows as f64)
+    }
+
     /// Whether a member of the pool accepts work, holds one of the models and is of the given build, if any.
     pub fn can_serve(&self, pool: usize, models: u64, build: Option<BuildKey>) -> bool {
         let members = self.pools[pool].members.iter();
--- a/crates/tarragon-scheduler/tests/rules/take_up.rs
+++ b/crates/tarragon-scheduler/tests/rules/take_up.rs
@@ -1,10 +1,11 @@
-//! Requests that take up a stream are sized by what is left of it.
+//! Requests that take up a stream are sized by what is left of it, and come before new ones of their tier.
 
 use std::{collections::VecDeque, time::Duration};
 
 use super::*;
 
 const BUILD: BuildKey = 1;
+const OTHER_BUILD: BuildKey = 2;
 
 /// Time between two tokens of the targets.
 const TOKEN_TIME: Duration = Duration::from_millis(10);
@@ -148,3 +149,40 @@
     assert!(share(0) > 0.9, "new: {} of {}", begun[0], asked[0]);
     assert!(share(1) > 0.9, "taken up: {} of {}, new: {}", begun[1], asked[1], share(0));
 }
+
+/// Guards against take-ups that wait in vain behind others of their build, because the targets of other builds are
+/// counted.
+#[test]
+fn the_wait_of_a_take_up_is_that_at_the_targets_of_its_build() {
+    let builds = [BUILD, OTHER_BUILD, OTHER_BUILD, OTHER_BUILD];
+    let mut driver = trained_driver(&builds);
+    // Rounds in which requests wait tell the speed of the service.
+    let mut running = Vec::new();
+    for _ in 0..12 {
+        driver.send(new(60_000));
+        running.extend(driver.dispatched().into_iter().map(|(request, ..)| request));
+    }
+    assert_eq!(running.len(), builds.len());
+    for _ in 0..6 {
+        for request in &running {
+            driver.progress(*request, 1, 1, 50);
+        }
+        driver.advance(TOKEN_TIME * ANSWER);
+        for request in std::mem::take(&mut running) {
+            driver.progress(request, 1, ANSWER, 50);
+            driver.end(request, 1, AttemptEnd::Finished);
+            running.extend(driver.dispatched().into_iter().map(|(request, ..)| request));
+            driver.send(new(60_000));
+            running.extend(driver.dispatched().into_iter().map(|(request, ..)| request));
+        }
+    }
+    for _ in 0..3 {
+        driver.send(take_up(0, 60_000));
+        assert_eq!(driver.refused(), []);
+    }
+    let hopeless = driver.send(take_up(60, 2_200));
+    let refusal = (hopeless, RefusalCode::DeadlineExceeded, CallOutcome::NotRun);
+    assert_eq!(driver.refused(), [refusal]);
+    driver.send(take_up(60, 4_500));
+    assert_eq!(driver.refused(), [], "its wait ends in time");
+}
