--- a/crates/tarragon-scheduler/src/scheduler/arrival.rs
+++ b/crates/tarragon-scheduler/src/scheduler/arrival.rs
@@ -116,7 +116,7 @@
         }
         let models = self.targets.models.find(profile.model());
         let pool = self.targets.find_pool(&profile.service);
-        let build = profile.options.build;
+        let build = profile.build();
         let may_serve = |pool| match build {
             Some(build) => self.targets.may_serve_build(pool, models, build, now),
             None => self.targets.can_serve(pool, models, None),
@@ -144,7 +144,7 @@
     fn new_job(&mut self, profile: Box<RequestProfile>, now: Instant) -> Job {
         let pool = self.targets.pool_index(&profile.service);
         let model = profile.model();
-        let lane = self.queue.lane_index(pool, model, profile.options.build);
+        let lane = self.queue.lane_index(pool, model, profile.build());
         let models = self.targets.models.find(model);
         let workspace = self.workspaces.index(&profile.workspace, &self.rules, now);
         let workspace_key = cost::workspace_key(&profile.workspace);
@@ -162,17 +162,16 @@
     pub(super) fn set_latest_start(&self, job: &mut Job, now: Instant) {
         let fastest = self.targets.pool(job.pool).fastest;
         let size = job.size();
-        let least = fastest.map_or(Duration::ZERO, |rates| rates.least_time(size));
-        let before = |end: Instant, time: Duration| {
-            end.checked_sub(time.mul_f64(MIN_TIME_FRACTION)).unwrap_or(now).min(end)
-        };
+        let least =
+            fastest.map_or(Duration::ZERO, |rates| rates.least_time(size, MIN_TIME_FRACTION));
+        let before = |end: Instant, time: Duration| end.checked_sub(time).unwrap_or(now).min(end);
         job.latest_start = before(job.profile.deadline, least);
-        // The deadline for the first output doesn't apply once the caller has received part of the answer: it
-        // then waits for the next part as long again.
-        if let Some(patience) =
-            job.profile.options.first_output_deadline.filter(|_| job.delivered == 0)
-        {
-            let first = fastest.map_or(Duration::ZERO, |rates| rates.first_time(size));
+        // The deadline for the first output doesn't apply once the caller has received part of the answer since
+        // the request arrived: it then waits for the next part as long again.
+        let patience = job.profile.options.first_output_deadline;
+        if let Some(patience) = patience.filter(|_| job.awaits_first_output()) {
+            let first = fastest
+                .map_or(Duration::ZERO, |rates| rates.first_time(size).mul_f64(MIN_TIME_FRACTION));
             job.latest_start = job.latest_start.min(before(patience, first));
         }
     }
@@ -251,8 +250,10 @@
             }
             None => {
                 let wait = self.expected_wait(job);
-                // Later arrivals never go ahead of the highest tier.
-                let factor = if job.tier() == Tier::Urgent { 1.0 } else { WAIT_FACTOR };
+                // Later arrivals never go ahead of the highest tier, nor those of its own tier ahead of a stream
+                // that has begun.
+                let goes_first = job.tier() == Tier::Urgent || job.goes_on();
+                let factor = if goes_first { 1.0 } else { WAIT_FACTOR };
                 if now + wait.mul_f64(factor) <= job.latest_start {
                     return Ok(());
                 }
@@ -269,19 +270,20 @@
         waiting.filter(|waiting| waiting.urgency() < job.urgency()).count()
     }
 
-    /// Expected wait of a new job. Ahead of a stream that has begun are all waiting work of higher tiers and the
-    /// other such streams of its own. Ahead of another job are the work of higher tiers and of lower ranks in its
+    /// Expected wait of a new job. Ahead of a job are the work of higher tiers and of lower ranks in its
     /// own tier, and, of its own rank, at most the queue of its workspace times the number of workspaces, as fair
     /// queueing guarantees. The pool's rate is reduced by the new work of higher tiers that keeps arriving.
     pub(super) fn expected_wait(&self, job: &Job) -> Duration {
         let pool = self.targets.pool(job.pool);
-        let is_bound = job.build.is_some();
         let rate = pool.rate_for(job.tier());
         // Until enough requests have been served, the measured rate is that of a pool waiting for slots;
         // using it would refuse work that can be served at once.
         if pool.fastest.is_none() || rate < 1.0 {
             return Duration::ZERO;
         }
+        if let Some(build) = job.build {
+            return self.wait_at_build(job, build, rate);
+        }
         let tokens = self.queue.pool_tokens(job.pool);
         let tier = job.tier().index();
         let higher: u64 = tokens[tier + 1..].iter().sum();
@@ -289,12 +291,20 @@
         let before: u64 = ranked[..job.rank()].iter().sum();
         let own = self.workspaces.row(job.workspace).map_or(0, |usage| usage.queued_tokens);
         let flows = self.queue.lane_flows(job.lane, job.tier()) as u64;
-        let ahead = higher
-            + if is_bound {
-                self.queue.bound_tokens(job.pool, job.tier())
-            } else {
-                before + ranked[job.rank()].min(own.saturating_mul(flows.max(1)))
-            };
+        let ahead = higher + before + ranked[job.rank()].min(own.saturating_mul(flows.max(1)));
         Duration::from_secs_f64((ahead as f64 / rate).min(MAX_WAIT_S))
     }
+
+    /// Expected wait of a stream that goes on. Ahead of it are the work of higher tiers, which the whole pool
+    /// shares, and other streams of its build, in its own tier too, for which there are only the targets of that
+    /// build.
+    fn wait_at_build(&self, job: &Job, build: BuildKey, rate: f64) -> Duration {
+        let tier = job.tier().index();
+        let shared: u64 = self.queue.unbound_tokens(job.pool)[tier + 1..].iter().sum();
+        let bound: u64 = self.queue.bound_tokens(job.pool, build)[tier..].iter().sum();
+        // Targets of the build that are briefly out of service return with an unknown share.
+        let share = self.targets.build_share(job.pool, build).unwrap_or(1.0);
+        let seconds = shared as f64 / rate + bound as f64 / (rate * share);
+        Duration::from_secs_f64(seconds.min(MAX_WAIT_S))
+    }
 }
