Leave a silent target only if the request can be sent again at once

What callers saw: an answer of 200 that is closed in the middle, a 502 or a 504, though the target was sound and its run ended well.

Cause: the patience for a silent target (1.5 s for the parts of a stream that may be resumed, 0.35 of the time left for heads and whole answers) ended the attempt first. Whether the request could be sent again was decided afterwards: with an empty retry budget, too little time or a paused service it was refused at once, and without a free target it waited until it was refused. Both threw away the answer that the target went on to make.

Now the runner asks the scheduler first. Only if another attempt could begin at once (attempts, time, pause, build, budget, a free target) the attempt ends, as Silent, and the request is dispatched in the same step without a back-off.

The scheduler's decision has a table test of its own.

Ruled out: an error of the target's connection, since the close came before the end of the run could reach the process; a decision of the node on a running attempt, since none of its causes fits the record. A crash suspicion still follows from a silence that ends an attempt, as before.

--- a/crates/tarragon-fleet/src/health.rs
+++ b/crates/tarragon-fleet/src/health.rs
@@ -39,8 +39,11 @@
                 self.backoffs = 0;
                 return false;
             }
-            AttemptEnd::NotSent | AttemptEnd::Broken | AttemptEnd::Failed | AttemptEnd::Garbled => {
-            }
+            AttemptEnd::NotSent
+            | AttemptEnd::Broken
+            | AttemptEnd::Silent
+            | AttemptEnd::Failed
+            | AttemptEnd::Garbled => {}
             AttemptEnd::Rejected | AttemptEnd::Withheld | AttemptEnd::Cancelled => return false,
         }
         self.failure_rate += OUTCOME_WEIGHT * (1.0 - self.failure_rate);
--- a/crates/tarragon-fleet/src/node/admit.rs
+++ b/crates/tarragon-fleet/src/node/admit.rs
@@ -88,6 +88,16 @@
         self.handle(now, SchedulerEvent::AttemptEnded(request, attempt, end), actions);
     }
 
+    /// Whether another attempt of a request could begin at once if this one ended now.
+    pub fn may_replace(
+        &mut self,
+        now: Instant,
+        request: RequestId,
+        attempt: AttemptNumber,
+    ) -> bool {
+        self.scheduler.may_replace(request, attempt, now)
+    }
+
     /// Forgets a request whose task has ended.
     pub fn release(&mut self, request: RequestId) {
         self.calls.swap_remove(&request);
--- a/crates/tarragon-gateway/src/forward.rs
+++ b/crates/tarragon-gateway/src/forward.rs
@@ -1,5 +1,6 @@
 //! Attempts of a call: sends it to a target, classifies the answer and returns or streams it.
 
+mod silence;
 mod stream;
 
 use std::{
@@ -18,7 +19,7 @@
     process::Deadline,
     request::{AttemptReport, AttemptRunner, DispatchOrder},
     target::{
-        body::collect_body,
+        body::{AnswerFault, collect_body},
         metered::TargetBody,
         pool::{CallBody, CallFault, ConnectionId, TargetConnection},
     },
@@ -29,6 +30,7 @@
 };
 use tokio_util::sync::CancellationToken;
 
+use silence::{ReplaceableBody, TargetSilence};
 pub use stream::StreamSink;
 
 use crate::{
@@ -427,14 +429,19 @@
         remaining: Duration,
     ) -> Result<IncomingAnswer, AttemptEnd> {
         self.sent += 1;
-        let answer_timeout = self.answer_timeout(remaining);
         let sent = Instant::now();
         let was_reused = connection.is_reused();
         let answer = if self.is_repeatable() {
             let limit = self.context.limits.connect;
-            connection.send_repeatable(&order.address, limit, request, answer_timeout).await
+            let answer = connection.send_repeatable(&order.address, limit, request, remaining);
+            self.await_target(order, self.patience(remaining), answer).await
         } else {
-            connection.send(request, answer_timeout).await
+            Ok(connection.send(request, remaining).await)
+        };
+        let answer = match answer {
+            Ok(answer) => answer,
+            Err(TargetSilence::Replaceable) => return Err(AttemptEnd::Silent),
+            Err(TargetSilence::Overdue) => Err(CallFault::TimedOut),
         };
         self.carriers.push(connection.id());
         if was_reused && !connection.is_reused() {
@@ -458,8 +465,9 @@
         Ok(IncomingAnswer { connection, head, body, sent })
     }
 
-    /// Longest wait for the head of the target's answer, and for each part of a body that is not streamed.
-    fn answer_timeout(&self, remaining: Duration) -> Duration {
+    /// How long the head of the target's answer, and each part of a body that is not streamed, is waited for
+    /// before the request is sent again, if it can be.
+    fn patience(&self, remaining: Duration) -> Duration {
         if !self.may_retry() {
             remaining
         } else if self.call.routed.route.streamed {
@@ -537,10 +545,12 @@
     ) -> AttemptReport<ForwardAnswer> {
         let IncomingAnswer { connection, head, body, .. } = answer;
         let remaining = self.call.deadline.remaining(&self.context.clock);
-        let answer_timeout = self.answer_timeout(remaining);
+        let patience = self.patience(remaining);
+        let source = ReplaceableBody { runner: &*self, order, patience, body };
         let limit = self.context.limits.answer_bytes;
-        let body = match self.context.answers.collect(body, limit, answer_timeout).await {
+        let body = match self.context.answers.collect_from(source, limit).await {
             Ok(body) => body,
+            Err(AnswerFault::Silent) => return AttemptReport::Ended(AttemptEnd::Silent),
             Err(fault) => {
                 tracing::warn!(
                     request = self.call.tag,
@@ -624,6 +634,7 @@
         AttemptEnd::Withheld => "withheld",
         AttemptEnd::Rejected => "rejected",
         AttemptEnd::Broken => "broken",
+        AttemptEnd::Silent => "silent",
         AttemptEnd::Failed => "failed",
         AttemptEnd::Garbled => "garbled",
         AttemptEnd::Cancelled => "cancelled",
--- a/crates/tarragon-gateway/src/forward/stream.rs
+++ b/crates/tarragon-gateway/src/forward/stream.rs
@@ -16,7 +16,7 @@
     time::{Instant, timeout},
 };
 
-use super::{ForwardAnswer, ForwardRunner, IncomingAnswer};
+use super::{ForwardAnswer, ForwardRunner, IncomingAnswer, silence::TargetSilence};
 use crate::{
     events::{EventSplitter, RawEvent},
     origins::record_origin,
@@ -123,7 +123,7 @@
         let mut splitter = EventSplitter::default();
         let mut progress = StreamProgress { events: 0, first_event: None, reported: None };
         loop {
-            let data = match self.next_data(&mut body).await {
+            let data = match self.next_data(order, &mut body).await {
                 Ok(Some(data)) => data,
                 Ok(None) => break,
                 Err(end) => return self.end_stream(order, &mut progress, end),
@@ -173,16 +173,19 @@
     }
 
     /// Reads the next bytes of a target's answer; `None` at its end.
-    async fn next_data(&self, body: &mut TargetBody) -> Result<Option<Bytes>, AttemptEnd> {
-        let remaining = self.call.deadline.remaining(&self.context.clock);
-        let part_timeout = if self.may_retry() {
-            self.context.limits.stream_silence.min(remaining)
-        } else {
-            remaining
+    async fn next_data(
+        &self,
+        order: &DispatchOrder,
+        body: &mut TargetBody,
+    ) -> Result<Option<Bytes>, AttemptEnd> {
+        let patience = match self.may_retry() {
+            true => self.context.limits.stream_silence,
+            false => self.call.deadline.remaining(&self.context.clock),
         };
         loop {
-            match timeout(part_timeout, body.frame()).await {
-                Err(_) | Ok(Some(Err(_))) => return Err(AttemptEnd::Broken),
+            match self.await_target(order, patience, body.frame()).await {
+                Err(TargetSilence::Replaceable) => return Err(AttemptEnd::Silent),
+                Err(TargetSilence::Overdue) | Ok(Some(Err(_))) => return Err(AttemptEnd::Broken),
                 Ok(None) => return Ok(None),
                 Ok(Some(Ok(frame))) => {
                     if let Ok(data) = frame.into_data() {
--- a/crates/tarragon-gateway/src/shared_node.rs
+++ b/crates/tarragon-gateway/src/shared_node.rs
@@ -105,6 +105,11 @@
         self.run(|node, now, actions| node.handle(now, event, actions));
     }
 
+    /// Whether another attempt of the request could begin at once if this one ended now.
+    pub fn may_replace(&self, order: &DispatchOrder) -> bool {
+        self.run(|node, now, _| node.may_replace(now, order.request, order.attempt))
+    }
+
     /// Whether bytes of the request's current attempt may have been written.
     pub fn has_started(&self, request: RequestId) -> bool {
         self.open.with(|open| {
--- a/crates/tarragon-scheduler/src/event.rs
+++ b/crates/tarragon-scheduler/src/event.rs
@@ -127,6 +127,9 @@
     Rejected,
     /// The connection broke after bytes were written.
     Broken,
+    /// The target sent nothing for too long while another attempt could begin at once, see
+    /// [`Scheduler::may_replace`](crate::scheduler::Scheduler::may_replace).
+    Silent,
     /// The target answered with an error of its own.
     Failed,
     /// The answer had a gap or belonged to another request.
--- a/crates/tarragon-scheduler/src/job.rs
+++ b/crates/tarragon-scheduler/src/job.rs
@@ -24,7 +24,7 @@
 }
 
 /// A request from its arrival to its end. It moves between the queue and the in-flight table.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Job {
     /// The request.
     pub profile: Box<RequestProfile>,
--- a/crates/tarragon-scheduler/src/retry.rs
+++ b/crates/tarragon-scheduler/src/retry.rs
@@ -63,17 +63,22 @@
 
     /// Withdraws one retry from the budget. Returns false if there is none.
     pub fn try_withdraw(&mut self, now: Instant) -> bool {
+        let has_retry = self.has_retry(now);
+        if has_retry {
+            self.saved -= 1.0;
+        }
+        has_retry
+    }
+
+    /// Whether a retry can be withdrawn.
+    pub fn has_retry(&mut self, now: Instant) -> bool {
         let refilled_at = self.refilled_at.replace(now).unwrap_or(now);
         let elapsed = now.saturating_duration_since(refilled_at).as_secs_f64();
         let RetryLimits { floor_rate, floor_saved, .. } = self.limits;
         if self.saved < floor_saved {
             self.saved = (self.saved + elapsed * floor_rate).min(floor_saved);
         }
-        if self.saved < 1.0 {
-            return false;
-        }
-        self.saved -= 1.0;
-        true
+        self.saved >= 1.0
     }
 }
 
--- a/crates/tarragon-scheduler/src/scheduler/attempt.rs
+++ b/crates/tarragon-scheduler/src/scheduler/attempt.rs
@@ -185,6 +185,7 @@
             AttemptEnd::Cancelled => running.started,
             AttemptEnd::Finished
             | AttemptEnd::Broken
+            | AttemptEnd::Silent
             | AttemptEnd::Failed
             | AttemptEnd::Garbled => true,
         };
@@ -224,6 +225,7 @@
     ) {
         let wasted = match end {
             AttemptEnd::Broken
+            | AttemptEnd::Silent
             | AttemptEnd::Failed
             | AttemptEnd::Garbled
             | AttemptEnd::Cancelled => running.started && running.job.model().is_some(),
@@ -243,7 +245,7 @@
                 self.record_alive_since(running.target, running.dispatched, now);
                 self.learn_from_finish(running, now, actions);
             }
-            AttemptEnd::Broken => {
+            AttemptEnd::Broken | AttemptEnd::Silent => {
                 self.record_broken(running, false, now, actions);
                 self.mark_possibly_cold(running.target, now, actions);
             }
@@ -358,6 +360,7 @@
             AttemptEnd::NotSent
             | AttemptEnd::Rejected
             | AttemptEnd::Broken
+            | AttemptEnd::Silent
             | AttemptEnd::Failed
             | AttemptEnd::Garbled => self.retry(job, target, end, now, actions),
         }
@@ -373,16 +376,16 @@
         actions: &mut Vec<SchedulerAction>,
     ) {
         let unsent = end == AttemptEnd::NotSent;
-        let terms = job.profile.options;
-        let proven = unsent || (end == AttemptEnd::Rejected && terms.rejection_means_not_run);
+        let rejection_means_not_run = job.profile.options.rejection_means_not_run;
+        let proven = unsent || (end == AttemptEnd::Rejected && rejection_means_not_run);
         let allowed = job.profile.idempotent || (proven && !job.may_have_run);
-        let dispatches = terms.max_attempts.max(DEFAULT_ATTEMPTS);
-        let exhausted = job.sent >= terms.max_attempts || job.attempts >= dispatches;
-        let delay = backoff_delay(job.attempts, &mut self.rng);
+        // A silent target is left only for another attempt that begins at once.
+        let delay = match end {
+            AttemptEnd::Silent => Duration::ZERO,
+            _ => backoff_delay(job.attempts, &mut self.rng),
+        };
         self.set_latest_start(&mut job, now);
-        let in_time = now + delay < job.latest_start;
-        let paused = self.pause_left(job.pool, now).is_some();
-        if !allowed || !in_time || exhausted || paused {
+        if !allowed || !self.has_attempt_left(&job, delay, now) {
             return self.refuse_failed(job, end, now, actions);
         }
         if !self.has_target_of_build(&job, now) {
@@ -395,7 +398,40 @@
         }
         self.statistics.retries += 1;
         job.avoid.push(target);
-        self.requeue(job, WaitState::Deferred(now + delay), now);
+        let state =
+            if delay.is_zero() { WaitState::Ready } else { WaitState::Deferred(now + delay) };
+        self.requeue(job, state, now);
+    }
+
+    /// Whether a request may be sent again after a delay: attempts are left, and time, and its service accepts
+    /// requests.
+    fn has_attempt_left(&self, job: &Job, delay: Duration, now: Instant) -> bool {
+        let most = job.profile.options.max_attempts;
+        let exhausted = job.sent >= most || job.attempts >= most.max(DEFAULT_ATTEMPTS);
+        !exhausted && now + delay < job.latest_start && self.pause_left(job.pool, now).is_none()
+    }
+
+    /// Whether a request could be sent to a target at once if its running attempt ended now. Until then it is
+    /// better to wait for its target, even if that is silent.
+    pub fn may_replace(
+        &mut self,
+        request: RequestId,
+        attempt: AttemptNumber,
+        now: Instant,
+    ) -> bool {
+        let running = self.in_flight.get(request).filter(|running| running.attempt == attempt);
+        let Some(running) = running else { return false };
+        let mut job = running.job.clone();
+        job.delivered = job.delivered.saturating_add(running.tokens);
+        job.sent += 1;
+        job.avoid.push(running.target);
+        self.set_latest_start(&mut job, now);
+        self.forget_avoided_if_alone(&mut job);
+        job.profile.idempotent
+            && self.has_attempt_left(&job, Duration::ZERO, now)
+            && self.has_target_of_build(&job, now)
+            && self.retry_budget(job.pool).has_retry(now)
+            && self.has_open_target(&job, now)
     }
 
     /// Whether a target may continue the stream of a request, if it has begun.
@@ -422,6 +458,9 @@
             AttemptEnd::NotSent => (RefusalCode::NoTarget, "no target could be reached"),
             AttemptEnd::Rejected => (RefusalCode::NoTarget, "the target takes no work now"),
             AttemptEnd::Broken => (RefusalCode::TargetFailed, "the connection to the target broke"),
+            AttemptEnd::Silent => {
+                (RefusalCode::TargetFailed, "the target sent nothing for too long")
+            }
             _ => (RefusalCode::TargetFailed, "the target failed"),
         };
         let usual = if end == AttemptEnd::Broken { RETRY_AFTER_BREAK } else { RETRY_AFTER };
@@ -430,10 +469,17 @@
         self.refuse(job.request(), job.tier(), refusal, actions);
     }
 
-    /// Returns a dispatched request to the queue with its old tags. Forgets the targets to avoid if this process
-    /// may use no others.
+    /// Returns a dispatched request to the queue with its old tags.
     fn requeue(&mut self, mut job: Job, state: WaitState, now: Instant) {
-        let models = self.targets.models_of(&job);
+        self.forget_avoided_if_alone(&mut job);
+        self.set_latest_start(&mut job, now);
+        job.lane = self.queue.lane_index(job.pool, job.profile.model(), job.build);
+        self.enqueue(job, state);
+    }
+
+    /// Forgets the targets that a request avoids if this process may use no others.
+    fn forget_avoided_if_alone(&self, job: &mut Job) {
+        let models = self.targets.models_of(job);
         let others = self.targets.pool(job.pool).members.iter().any(|index| {
             let row = self.targets.row(*index);
             !job.avoid.contains(index)
@@ -444,8 +490,5 @@
         if !others {
             job.avoid.clear();
         }
-        self.set_latest_start(&mut job, now);
-        job.lane = self.queue.lane_index(job.pool, job.profile.model(), job.build);
-        self.enqueue(job, state);
     }
 }
--- a/crates/tarragon-scheduler/src/scheduler/dispatch.rs
+++ b/crates/tarragon-scheduler/src/scheduler/dispatch.rs
@@ -188,6 +188,19 @@
         DispatchStep::Send(*candidate, causes)
     }
 
+    /// Whether a request that isn't suspected of anything could be sent to a target now.
+    pub(super) fn has_open_target(&mut self, job: &Job, now: Instant) -> bool {
+        let usage = self.workspaces.row(job.workspace);
+        let parks = usage.is_some_and(|usage| !usage.may_dispatch(self.limit_share));
+        let (_, suspicion) = self.suspects.check_request(&job.profile, now);
+        if parks || job.tier() < self.pressure.floor(now) || suspicion != Suspicion::None {
+            return false;
+        }
+        let suspects_run = self.in_flight.suspect_count() > 0;
+        self.candidates.collect(&self.targets, job, ChoiceBounds { suspect: false, suspects_run });
+        !self.candidates.items.is_empty()
+    }
+
     fn send(
         &mut self,
         request: RequestId,
--- a/crates/tarragon-scheduler/tests/rules/retry.rs
+++ b/crates/tarragon-scheduler/tests/rules/retry.rs
@@ -3,6 +3,8 @@
 use super::*;
 use std::time::Duration;
 
+use tarragon_scheduler::retry::RetryLimits;
+
 struct EndCase {
     name: &'static str,
     idempotent: bool,
@@ -28,6 +30,7 @@
     EndCase { name: "once, refused", idempotent: false, end: AttemptEnd::NotSent, answer: None },
     EndCase { name: "once, busy", idempotent: false, end: AttemptEnd::Rejected, answer: NO_TARGET },
     EndCase { name: "once, reset", idempotent: false, end: AttemptEnd::Broken, answer: UNKNOWN },
+    EndCase { name: "once, silent", idempotent: false, end: AttemptEnd::Silent, answer: UNKNOWN },
     EndCase { name: "once, error", idempotent: false, end: AttemptEnd::Failed, answer: UNKNOWN },
     EndCase { name: "once, gap", idempotent: false, end: AttemptEnd::Garbled, answer: UNKNOWN },
     EndCase { name: "once, late", idempotent: false, end: AttemptEnd::Withheld, answer: DEADLINE },
@@ -104,3 +107,85 @@
         assert_eq!(driver.dispatched(), [(request, 2, "t0".into())], "{}", case.name);
     }
 }
+
+struct SilentCase {
+    name: &'static str,
+    prepare: fn(&mut Driver),
+    call: fn() -> Call,
+    /// Whether the request can be sent to the other target at once.
+    replaced: bool,
+}
+
+fn attempts(max_attempts: u32) -> Call {
+    Call { terms: CallOptions { max_attempts, ..CallOptions::default() }, ..Call::default() }
+}
+
+const SILENT: &[SilentCase] = &[
+    SilentCase {
+        name: "the other target is free",
+        prepare: |_| {},
+        call: || attempts(2),
+        replaced: true,
+    },
+    SilentCase {
+        name: "the other target is taken",
+        prepare: |driver| {
+            driver.send(Call::default());
+        },
+        call: || attempts(2),
+        replaced: false,
+    },
+    SilentCase {
+        name: "no attempt is left",
+        prepare: |_| {},
+        call: || attempts(1),
+        replaced: false,
+    },
+    SilentCase {
+        name: "it must not be repeated",
+        prepare: |_| {},
+        call: || Call { idempotent: false, ..attempts(2) },
+        replaced: false,
+    },
+    SilentCase {
+        name: "the retry budget is empty",
+        prepare: |driver| {
+            let none =
+                RetryLimits { per_success: 0.0, max_saved: 0.0, floor_rate: 0.0, floor_saved: 0.0 };
+            driver.scheduler.set_retry_limits(none);
+        },
+        call: || attempts(2),
+        replaced: false,
+    },
+    SilentCase {
+        name: "the service has paused",
+        prepare: |driver| {
+            let until = Some(driver.now + Duration::from_secs(30));
+            driver.handle(SchedulerEvent::ServicePaused("pool".into(), until));
+        },
+        call: || attempts(2),
+        replaced: false,
+    },
+];
+
+/// Guards against an attempt that ends because its target is silent, though the request can't be sent again.
+#[test]
+fn silent_targets_are_left_only_for_an_attempt_that_begins_at_once() {
+    for case in SILENT {
+        let mut driver = Driver::with_targets(2, 1);
+        let request = driver.send((case.call)());
+        let first = driver.dispatched()[0].2.clone();
+        (case.prepare)(&mut driver);
+        driver.actions.clear();
+        let now = driver.now;
+        let may_replace = driver.scheduler.may_replace(request, 1, now);
+        assert_eq!(may_replace, case.replaced, "{}", case.name);
+        assert!(!driver.scheduler.may_replace(request, 2, now), "{}: another attempt", case.name);
+        if case.replaced {
+            driver.end(request, 1, AttemptEnd::Silent);
+            let again = driver.dispatched();
+            assert_eq!(again.len(), 1, "{}", case.name);
+            assert_ne!(again[0].2, first, "{}", case.name);
+        }
+    }
+}
--- a/crates/tarragon-server/src/platform/remote.rs
+++ b/crates/tarragon-server/src/platform/remote.rs
@@ -139,7 +139,7 @@
 fn answer_fault(fault: AnswerFault) -> PlatformFault {
     match fault {
         AnswerFault::CutShort => PlatformFault::Unreachable,
-        AnswerFault::TooSlow => PlatformFault::TimedOut,
+        AnswerFault::TooSlow | AnswerFault::Silent => PlatformFault::TimedOut,
         AnswerFault::TooLarge | AnswerFault::NoRoom => PlatformFault::Malformed,
     }
 }
--- a/crates/tarragon-server/src/target/body.rs
+++ b/crates/tarragon-server/src/target/body.rs
@@ -1,10 +1,11 @@
 //! Reads the body of a target's answer whole.
 
-use std::{sync::Arc, time::Duration};
+use std::{future::Future, sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Method, Response, StatusCode, header};
 use http_body_util::BodyExt;
+use hyper::body::Frame;
 use tokio::{
     sync::{Semaphore, SemaphorePermit},
     time::timeout,
@@ -23,12 +24,36 @@
     CutShort,
     /// No part arrived in time.
     TooSlow,
+    /// No part arrived for a while, and the request can be sent again.
+    Silent,
     /// Larger than the limit.
     TooLarge,
     /// Answers that are read at once take up all room.
     NoRoom,
 }
 
+/// A part of a body, or the error that ends it.
+pub type BodyFrame = Result<Frame<Bytes>, hyper::Error>;
+
+/// A body that is read part by part.
+pub trait FrameSource {
+    /// Waits for the next part; `None` at the end.
+    fn next_frame(&mut self)
+    -> impl Future<Output = Result<Option<BodyFrame>, AnswerFault>> + Send;
+}
+
+/// A body for each of whose parts is waited this long.
+struct TimedBody {
+    body: TargetBody,
+    idle: Duration,
+}
+
+impl FrameSource for TimedBody {
+    async fn next_frame(&mut self) -> Result<Option<BodyFrame>, AnswerFault> {
+        timeout(self.idle, self.body.frame()).await.map_err(|_| AnswerFault::TooSlow)
+    }
+}
+
 /// Room for the bytes of all answers that are read whole at once.
 #[derive(Debug, Clone)]
 pub struct AnswerRoom {
@@ -49,6 +74,14 @@
         limit: usize,
         idle: Duration,
     ) -> Result<Bytes, AnswerFault> {
+        self.collect_from(TimedBody { body, idle }, limit).await
+    }
+
+    /// Reads a body to its end, as long as there is room.
+    pub async fn collect_from<S>(&self, source: S, limit: usize) -> Result<Bytes, AnswerFault>
+    where
+        S: FrameSource,
+    {
         let mut held: Option<SemaphorePermit<'_>> = None;
         let take = |bytes: usize| {
             let count = u32::try_from(bytes).map_err(|_| AnswerFault::TooLarge)?;
@@ -59,7 +92,7 @@
             }
             Ok(())
         };
-        collect_parts(body, limit, idle, take).await
+        collect_parts(source, limit, take).await
     }
 }
 
@@ -83,23 +116,18 @@
     limit: usize,
     idle: Duration,
 ) -> Result<Bytes, AnswerFault> {
-    collect_parts(body, limit, idle, |_| Ok(())).await
+    collect_parts(TimedBody { body, idle }, limit, |_| Ok(())).await
 }
 
 /// Reads a body. `take` is asked for the room of each part.
-async fn collect_parts<F>(
-    mut body: TargetBody,
-    limit: usize,
-    idle: Duration,
-    mut take: F,
-) -> Result<Bytes, AnswerFault>
+async fn collect_parts<S, F>(mut source: S, limit: usize, mut take: F) -> Result<Bytes, AnswerFault>
 where
+    S: FrameSource,
     F: FnMut(usize) -> Result<(), AnswerFault>,
 {
     let mut whole = BytesMut::new();
     loop {
-        let frame = timeout(idle, body.frame()).await.map_err(|_| AnswerFault::TooSlow)?;
-        let Some(frame) = frame else { return Ok(whole.freeze()) };
+        let Some(frame) = source.next_frame().await? else { return Ok(whole.freeze()) };
         let Ok(data) = frame.map_err(|_| AnswerFault::CutShort)?.into_data() else { continue };
         if whole.len() + data.len() > limit {
             return Err(AnswerFault::TooLarge);
