Take the end of an attempt before whatever is ready with it

What callers saw: a 504 or a cut stream though the whole answer had arrived, if the process had no turn between the arrival of the answer and the deadline or a decision of the node.

Cause: the driver of a request waits for its attempt, its caller, the deadline and decisions in one select, which takes ready branches in random order. The others drop the attempt together with its answer.

It can't starve the others, since an attempt that is ready ends the request. The same driver serves the callers of our own API.

--- a/crates/tarragon-server/src/request.rs
+++ b/crates/tarragon-server/src/request.rs
@@ -277,6 +277,8 @@
         tokio::pin!(attempt);
         loop {
             tokio::select! {
+                // An answer that is whole is delivered, whatever else is ready with it.
+                biased;
                 report = &mut attempt => return AttemptOutcome::Reported(report),
                 () = self.abandoned.cancelled() => return AttemptOutcome::Abandoned,
                 () = sleep_until(self.attempt_limit) => return AttemptOutcome::Overdue,
