--- a/crates/tarragon-server/tests/request.rs
+++ b/crates/tarragon-server/tests/request.rs
@@ -1,6 +1,6 @@
 //! The end of a request's attempt beside other events that are ready at the same moment.
 
-use std::{future::Future, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use tarragon_protocol::prelude::*;
 use tarragon_scheduler::event::SchedulerEvent;
@@ -43,11 +43,9 @@
 impl AttemptRunner for TimedRunner {
     type Answer = ();
 
-    fn run(&mut self, _order: &DispatchOrder) -> impl Future<Output = AttemptReport<()>> + Send {
-        async {
-            join!(sleep_until(self.answered), self.told.notified());
-            AttemptReport::Answered(())
-        }
+    async fn run(&mut self, _order: &DispatchOrder) -> AttemptReport<()> {
+        join!(sleep_until(self.answered), self.told.notified());
+        AttemptReport::Answered(())
     }
 
     fn dropped(&mut self, _order: &DispatchOrder) {}
