Log and count the times in which a process stands still

The logs couldn't tell a target that was silent from a process that had no turn: both look like a gap between events. A tick that is over 0.3 s late is now a warning with the delay, and counts in stalls_total.

--- a/crates/tarragon-gateway/src/metrics.rs
+++ b/crates/tarragon-gateway/src/metrics.rs
@@ -38,6 +38,8 @@
     pub skipped_entries: IntCounterVec,
     /// Tasks of the process that ended by a panic and were started again, by task.
     pub restarted_tasks: IntCounterVec,
+    /// Times when the process stood still.
+    pub stalls: IntCounter,
     /// Bytes of digests by direction.
     pub peer_bytes: IntCounterVec,
     /// Version of the active configuration.
@@ -93,6 +95,10 @@
                 "Entries of the store that can't be read",
                 &["call"],
             )?,
+            stalls: IntCounter::new(
+                metric_name("stalls_total"),
+                "Times when the process stood still",
+            )?,
             restarted_tasks: counter_vec(
                 "restarted_tasks_total",
                 "Tasks that ended by a panic",
@@ -142,6 +148,7 @@
         registry.register(Box::new(self.evidence.clone()))?;
         registry.register(Box::new(self.skipped_entries.clone()))?;
         registry.register(Box::new(self.restarted_tasks.clone()))?;
+        registry.register(Box::new(self.stalls.clone()))?;
         registry.register(Box::new(self.peer_bytes.clone()))?;
         registry.register(Box::new(self.configuration_version.clone()))?;
         registry.register(Box::new(self.connections.clone()))?;
--- a/crates/tarragon-gateway/src/peers.rs
+++ b/crates/tarragon-gateway/src/peers.rs
@@ -37,6 +37,8 @@
 /// If the boot clock advances further than the runtime's clock by more than this, the machine was
 /// suspended.
 const SUSPEND_THRESHOLD: Duration = Duration::from_millis(500);
+/// If a tick is later than this, the process had no turn: its processor was busy or taken away.
+const STALL_THRESHOLD: Duration = Duration::from_millis(300);
 /// How long a pull waits for this process's own watch to deliver the change that a peer already has.
 const PULL_DELAY: Duration = Duration::from_millis(150);
 /// Longest time for one pull.
@@ -72,7 +74,10 @@
     let mut clocks = ClockReading::read(&context);
     loop {
         let urgent = tokio::select! {
-            _ = ticks.tick() => false,
+            due = ticks.tick() => {
+                report_stall(&context, due.elapsed());
+                false
+            }
             () = context.node.urgent_digest.notified() => true,
         };
         if urgent {
@@ -100,6 +105,14 @@
     }
 }
 
+/// Counts and logs a tick that is late because the process stood still.
+fn report_stall<D>(context: &GatewayContext<D>, late: Duration) {
+    if late > STALL_THRESHOLD {
+        context.metrics.stalls.inc();
+        tracing::warn!(late_ms = late.as_millis() as u64, "the process stood still");
+    }
+}
+
 /// Both clocks, read at the same time. The runtime's clock stops while the machine is suspended, the boot
 /// clock does not.
 struct ClockReading {
