--- a/crates/tarragon-gateway/src/forward.rs
+++ b/crates/tarragon-gateway/src/forward.rs
@@ -270,7 +270,7 @@
         let connection = if self.is_repeatable() {
             self.context.pool.checkout_other(&order.address, limit, &self.carriers).await
         } else {
-            TargetConnection::open(&order.address, limit).await
+            self.context.pool.open(&order.address, limit).await
         };
         let connection = connection.map_err(|error| {
             tracing::info!(
--- a/crates/tarragon-gateway/src/serve.rs
+++ b/crates/tarragon-gateway/src/serve.rs
@@ -14,7 +14,10 @@
     clock::{ProcessClock, SystemClock, now},
     process::RequestIds,
     serve::bind,
-    target::{body::AnswerRoom, pool::ConnectionPool},
+    target::{
+        body::AnswerRoom,
+        pool::{ConnectionPool, TargetDialer},
+    },
 };
 use tokio::{
     net::UdpSocket,
@@ -52,6 +55,8 @@
     pub limits: ForwardLimits,
     /// Seed of all random choices; random if absent.
     pub seed: Option<u64>,
+    /// Opens connections to targets.
+    pub dialer: TargetDialer,
 }
 
 impl Default for GatewayOptions {
@@ -60,6 +65,7 @@
             clock: ProcessClock::System(SystemClock),
             limits: ForwardLimits::default(),
             seed: None,
+            dialer: TargetDialer::default(),
         }
     }
 }
@@ -110,7 +116,7 @@
         node: Arc::new(SharedNode::new(node)),
         origins: OriginLink::new(origin_socket),
         evidence: CacheEvidence::default(),
-        pool: ConnectionPool::default(),
+        pool: ConnectionPool::with_dialer(options.dialer),
         metrics: GatewayMetrics::new()?,
         clock: options.clock,
         limits: options.limits,
--- a/crates/tarragon-server/src/target/pool.rs
+++ b/crates/tarragon-server/src/target/pool.rs
@@ -4,6 +4,7 @@
 
 use std::{
     io,
+    net::SocketAddr,
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
@@ -65,9 +66,34 @@
     }
 }
 
+/// Opens connections to targets. Tests set detours, which stand for a link of this process that fails while the
+/// target lives.
+#[derive(Debug, Clone, Default)]
+pub struct TargetDialer {
+    detours: Arc<Guarded<IndexMap<String, SocketAddr>>>,
+}
+
+impl TargetDialer {
+    /// Sets where connections to a target go instead; `None` for the target's own address.
+    pub fn set_detour(&self, target: &str, detour: Option<SocketAddr>) {
+        self.detours.with(|detours| match detour {
+            Some(detour) => detours.insert(target.to_owned(), detour),
+            None => detours.swap_remove(target),
+        });
+    }
+
+    async fn connect(&self, address: &str) -> io::Result<TcpStream> {
+        match self.detours.with(|detours| detours.get(address).copied()) {
+            Some(detour) => TcpStream::connect(detour).await,
+            None => TcpStream::connect(address).await,
+        }
+    }
+}
+
 /// A connection that is ready to take one call.
 pub struct TargetConnection {
     id: ConnectionId,
+    dialer: TargetDialer,
     sender: http1::SendRequest<CallBody>,
     allowance: ReadAllowance,
     mark: WriteMark,
@@ -80,9 +106,16 @@
 impl TargetConnection {
     /// Opens a connection.
     pub async fn open(address: &str, limit: Duration) -> io::Result<TargetConnection> {
+        TargetConnection::dial(TargetDialer::default(), address, limit).await
+    }
+
+    async fn dial(
+        dialer: TargetDialer,
+        address: &str,
+        limit: Duration,
+    ) -> io::Result<TargetConnection> {
         let timed_out = || io::Error::new(io::ErrorKind::TimedOut, "connect timed out");
-        let stream =
-            timeout(limit, TcpStream::connect(address)).await.map_err(|_| timed_out())??;
+        let stream = timeout(limit, dialer.connect(address)).await.map_err(|_| timed_out())??;
         stream.set_nodelay(true)?;
         let (allowance, mark) = (ReadAllowance::default(), WriteMark::default());
         let stream = MeteredStream::new(stream, allowance.clone(), mark.clone());
@@ -100,6 +133,7 @@
         let id = NEXT_ID.fetch_add(1, Ordering::Relaxed);
         Ok(TargetConnection {
             id,
+            dialer,
             sender,
             allowance,
             mark,
@@ -140,7 +174,8 @@
         };
         let (CallFault::NotSent(_), Some(request)) = (&fault, spare) else { return Err(fault) };
         tracing::debug!(target_address = address, %fault, "replacing a connection to a target");
-        *self = TargetConnection::open(address, connect).await.map_err(CallFault::NotSent)?;
+        let dialer = self.dialer.clone();
+        *self = TargetConnection::dial(dialer, address, connect).await.map_err(CallFault::NotSent)?;
         self.send(request, limit).await
     }
 
@@ -176,10 +211,21 @@
 /// Idle connections of all targets.
 #[derive(Clone, Default)]
 pub struct ConnectionPool {
+    dialer: TargetDialer,
     idle: Arc<Guarded<IndexMap<String, Vec<TargetConnection>>>>,
 }
 
 impl ConnectionPool {
+    /// A pool whose connections are opened by a dialer.
+    pub fn with_dialer(dialer: TargetDialer) -> ConnectionPool {
+        ConnectionPool { dialer, ..ConnectionPool::default() }
+    }
+
+    /// A new connection, for a call that must not be repeated.
+    pub async fn open(&self, address: &str, limit: Duration) -> io::Result<TargetConnection> {
+        TargetConnection::dial(self.dialer.clone(), address, limit).await
+    }
+
     /// An idle connection that is still open, or a new one.
     pub async fn checkout(&self, address: &str, limit: Duration) -> io::Result<TargetConnection> {
         self.checkout_other(address, limit, &[]).await
@@ -202,7 +248,7 @@
                 return Ok(connection);
             }
         }
-        TargetConnection::open(address, limit).await
+        self.open(address, limit).await
     }
 
     /// Keeps a connection whose answer has been read to its end.
