--- a/crates/tarragon-server/src/target/pool.rs
+++ b/crates/tarragon-server/src/target/pool.rs
@@ -175,7 +175,8 @@
         let (CallFault::NotSent(_), Some(request)) = (&fault, spare) else { return Err(fault) };
         tracing::debug!(target_address = address, %fault, "replacing a connection to a target");
         let dialer = self.dialer.clone();
-        *self = TargetConnection::dial(dialer, address, connect).await.map_err(CallFault::NotSent)?;
+        *self =
+            TargetConnection::dial(dialer, address, connect).await.map_err(CallFault::NotSent)?;
         self.send(request, limit).await
     }
 
