Add ends of attempts that say nothing about the target

A process without a link to a target had two ways to say so: NotSent, which counts the target's broken connections as crashes, marks it as cold and backs off from it, and Broken, which is told to peers as a possible crash. Both are statements on the target, made from a fact about this process's link.

Unreached (not sent, no peer passed it on) and Severed (sent, then the link was lost: outcome unknown) are recorded neither as crashes nor as failures. A target that was unreached is avoided for 400 ms, without a growing back-off. Unreached isn't charged to the retry budget, since no target got it; Severed is, since a repeat runs it again. The refusal after Unreached is "not run", that after Severed is "unknown".

--- a/crates/tarragon-fleet/src/health.rs
+++ b/crates/tarragon-fleet/src/health.rs
@@ -16,6 +16,9 @@
 /// Shortest and longest back-off. It doubles with each further one until an attempt succeeds.
 const MIN_BACKOFF: Duration = Duration::from_millis(400);
 const MAX_BACKOFF: Duration = Duration::from_secs(3);
+/// Time for which a target that neither this process nor a peer could be asked for gets no work, so that others of
+/// its service are tried.
+const UNREACHED_TIME: Duration = Duration::from_millis(400);
 
 /// Outcomes of the attempts at one target.
 #[derive(Debug, Clone, Default)]
@@ -26,6 +29,8 @@
     backoffs: u32,
     /// End of the current back-off, in which the target gets no work.
     pub backoff_until: Option<Instant>,
+    /// Whether that back-off says nothing about the target.
+    is_unreached: bool,
 }
 
 impl TargetHealth {
@@ -41,7 +46,18 @@
             }
             AttemptEnd::NotSent | AttemptEnd::Broken | AttemptEnd::Failed | AttemptEnd::Garbled => {
             }
-            AttemptEnd::Rejected | AttemptEnd::Withheld | AttemptEnd::Cancelled => return false,
+            AttemptEnd::Unreached => {
+                let starts = self.backoff_until.is_none();
+                if starts {
+                    self.backoff_until = Some(now + UNREACHED_TIME);
+                    self.is_unreached = true;
+                }
+                return starts;
+            }
+            AttemptEnd::Severed
+            | AttemptEnd::Rejected
+            | AttemptEnd::Withheld
+            | AttemptEnd::Cancelled => return false,
         }
         self.failure_rate += OUTCOME_WEIGHT * (1.0 - self.failure_rate);
         self.consecutive_failures += 1;
@@ -63,6 +79,8 @@
         let ended = self.backoff_until.is_some_and(|until| until <= now);
         if ended {
             self.backoff_until = None;
+        }
+        if ended && !std::mem::take(&mut self.is_unreached) {
             self.consecutive_failures = MAX_CONSECUTIVE_FAILURES - 1;
         }
         ended
--- a/crates/tarragon-gateway/src/forward.rs
+++ b/crates/tarragon-gateway/src/forward.rs
@@ -621,9 +621,11 @@
     match end {
         AttemptEnd::Finished => "finished",
         AttemptEnd::NotSent => "not_sent",
+        AttemptEnd::Unreached => "unreached",
         AttemptEnd::Withheld => "withheld",
         AttemptEnd::Rejected => "rejected",
         AttemptEnd::Broken => "broken",
+        AttemptEnd::Severed => "severed",
         AttemptEnd::Failed => "failed",
         AttemptEnd::Garbled => "garbled",
         AttemptEnd::Cancelled => "cancelled",
--- a/crates/tarragon-node/src/node.rs
+++ b/crates/tarragon-node/src/node.rs
@@ -137,7 +137,9 @@
                 self.relayable.swap_remove(request);
             }
             SchedulerEvent::AttemptEnded(request, _, end) => match end {
-                AttemptEnd::NotSent => self.tickets.attempt_not_run(*request),
+                AttemptEnd::NotSent | AttemptEnd::Unreached => {
+                    self.tickets.attempt_not_run(*request);
+                }
                 // Nothing was written, even if the ticket allowed it, since the deadline is checked once more
                 // after the ticket. The refusal that follows ends the ticket's call.
                 AttemptEnd::Withheld => {
--- a/crates/tarragon-scheduler/src/event.rs
+++ b/crates/tarragon-scheduler/src/event.rs
@@ -120,6 +120,9 @@
     Finished,
     /// The connection was refused or could not be made: no byte reached the target.
     NotSent,
+    /// This process has lost its link to the target, and no peer could pass the attempt on: no byte reached the
+    /// target, and nothing is known of it.
+    Unreached,
     /// The check right before the write failed (deadline, ticket age, data centre out): no byte was
     /// written, and the request must not be tried again.
     Withheld,
@@ -127,6 +130,8 @@
     Rejected,
     /// The connection broke after bytes were written.
     Broken,
+    /// Bytes were written, then the link was lost: the request may have run, and nothing is known of the target.
+    Severed,
     /// The target answered with an error of its own.
     Failed,
     /// The answer had a gap or belonged to another request.
--- a/crates/tarragon-scheduler/src/scheduler/attempt.rs
+++ b/crates/tarragon-scheduler/src/scheduler/attempt.rs
@@ -177,14 +177,21 @@
         self.targets.remove_if_unused(running.target);
         let job = &mut running.job;
         job.delivered = job.delivered.saturating_add(running.tokens);
-        job.sent += u32::from(!matches!(end, AttemptEnd::NotSent | AttemptEnd::Withheld));
+        job.sent += u32::from(!matches!(
+            end,
+            AttemptEnd::NotSent | AttemptEnd::Unreached | AttemptEnd::Withheld
+        ));
         // A target that sent tokens has run the request, however the attempt ended.
         job.may_have_run |= running.first_token.is_some();
         job.may_have_run |= match end {
-            AttemptEnd::NotSent | AttemptEnd::Withheld | AttemptEnd::Rejected => false,
+            AttemptEnd::NotSent
+            | AttemptEnd::Unreached
+            | AttemptEnd::Withheld
+            | AttemptEnd::Rejected => false,
             AttemptEnd::Cancelled => running.started,
             AttemptEnd::Finished
             | AttemptEnd::Broken
+            | AttemptEnd::Severed
             | AttemptEnd::Failed
             | AttemptEnd::Garbled => true,
         };
@@ -224,11 +231,13 @@
     ) {
         let wasted = match end {
             AttemptEnd::Broken
+            | AttemptEnd::Severed
             | AttemptEnd::Failed
             | AttemptEnd::Garbled
             | AttemptEnd::Cancelled => running.started && running.job.model().is_some(),
             AttemptEnd::Finished
             | AttemptEnd::NotSent
+            | AttemptEnd::Unreached
             | AttemptEnd::Withheld
             | AttemptEnd::Rejected => false,
         };
@@ -261,7 +270,10 @@
                     self.record_broken(running, true, now, actions);
                 }
             }
-            AttemptEnd::Withheld | AttemptEnd::Garbled => {}
+            AttemptEnd::Unreached
+            | AttemptEnd::Severed
+            | AttemptEnd::Withheld
+            | AttemptEnd::Garbled => {}
         }
     }
 
@@ -356,8 +368,10 @@
                 self.refuse(job.request(), job.tier(), refusal, actions);
             }
             AttemptEnd::NotSent
+            | AttemptEnd::Unreached
             | AttemptEnd::Rejected
             | AttemptEnd::Broken
+            | AttemptEnd::Severed
             | AttemptEnd::Failed
             | AttemptEnd::Garbled => self.retry(job, target, end, now, actions),
         }
@@ -372,7 +386,7 @@
         now: Instant,
         actions: &mut Vec<SchedulerAction>,
     ) {
-        let unsent = end == AttemptEnd::NotSent;
+        let unsent = matches!(end, AttemptEnd::NotSent | AttemptEnd::Unreached);
         let terms = job.profile.options;
         let proven = unsent || (end == AttemptEnd::Rejected && terms.rejection_means_not_run);
         let allowed = job.profile.idempotent || (proven && !job.may_have_run);
@@ -420,6 +434,14 @@
     ) {
         let (code, message) = match end {
             AttemptEnd::NotSent => (RefusalCode::NoTarget, "no target could be reached"),
+            AttemptEnd::Unreached => {
+                let message =
+                    "this process has no link to the targets, and no peer passed the request on";
+                (RefusalCode::NoTarget, message)
+            }
+            AttemptEnd::Severed => {
+                (RefusalCode::TargetFailed, "the link to the target was lost while the request ran")
+            }
             AttemptEnd::Rejected => (RefusalCode::NoTarget, "the target takes no work now"),
             AttemptEnd::Broken => (RefusalCode::TargetFailed, "the connection to the target broke"),
             _ => (RefusalCode::TargetFailed, "the target failed"),
--- a/crates/tarragon-scheduler/tests/random/main.rs
+++ b/crates/tarragon-scheduler/tests/random/main.rs
@@ -21,9 +21,11 @@
     prop_oneof![
         6 => Just(AttemptEnd::Finished),
         1 => Just(AttemptEnd::NotSent),
+        1 => Just(AttemptEnd::Unreached),
         1 => Just(AttemptEnd::Withheld),
         1 => Just(AttemptEnd::Rejected),
         2 => Just(AttemptEnd::Broken),
+        1 => Just(AttemptEnd::Severed),
         1 => Just(AttemptEnd::Failed),
         1 => Just(AttemptEnd::Garbled),
         1 => Just(AttemptEnd::Cancelled),
--- a/crates/tarragon-scheduler/tests/random/world.rs
+++ b/crates/tarragon-scheduler/tests/random/world.rs
@@ -187,7 +187,12 @@
         let call = &mut self.calls[&request];
         call.running = false;
         let attempt = call.attempts;
-        let unwritten = [AttemptEnd::NotSent, AttemptEnd::Withheld, AttemptEnd::Rejected];
+        let unwritten = [
+            AttemptEnd::NotSent,
+            AttemptEnd::Unreached,
+            AttemptEnd::Withheld,
+            AttemptEnd::Rejected,
+        ];
         call.may_have_run |= !unwritten.contains(&end);
         if end == AttemptEnd::Finished {
             call.ended = true;
--- a/crates/tarragon-scheduler/tests/rules/driver.rs
+++ b/crates/tarragon-scheduler/tests/rules/driver.rs
@@ -180,7 +180,7 @@
     }
 
     pub fn end(&mut self, request: RequestId, attempt: u32, end: AttemptEnd) {
-        if !matches!(end, AttemptEnd::NotSent | AttemptEnd::Withheld) {
+        if !matches!(end, AttemptEnd::NotSent | AttemptEnd::Unreached | AttemptEnd::Withheld) {
             self.handle(SchedulerEvent::AttemptStarted(request, attempt));
         }
         self.handle(SchedulerEvent::AttemptEnded(request, attempt, end));
--- a/crates/tarragon-scheduler/tests/rules/retry.rs
+++ b/crates/tarragon-scheduler/tests/rules/retry.rs
@@ -20,12 +20,21 @@
 
 const ENDS: &[EndCase] = &[
     EndCase { name: "refused", idempotent: true, end: AttemptEnd::NotSent, answer: None },
+    EndCase { name: "no link", idempotent: true, end: AttemptEnd::Unreached, answer: None },
+    EndCase { name: "link lost", idempotent: true, end: AttemptEnd::Severed, answer: None },
     EndCase { name: "busy", idempotent: true, end: AttemptEnd::Rejected, answer: None },
     EndCase { name: "reset", idempotent: true, end: AttemptEnd::Broken, answer: None },
     EndCase { name: "error", idempotent: true, end: AttemptEnd::Failed, answer: None },
     EndCase { name: "gap", idempotent: true, end: AttemptEnd::Garbled, answer: None },
     EndCase { name: "late", idempotent: true, end: AttemptEnd::Withheld, answer: DEADLINE },
     EndCase { name: "once, refused", idempotent: false, end: AttemptEnd::NotSent, answer: None },
+    EndCase { name: "once, no link", idempotent: false, end: AttemptEnd::Unreached, answer: None },
+    EndCase {
+        name: "once, link lost",
+        idempotent: false,
+        end: AttemptEnd::Severed,
+        answer: UNKNOWN,
+    },
     EndCase { name: "once, busy", idempotent: false, end: AttemptEnd::Rejected, answer: NO_TARGET },
     EndCase { name: "once, reset", idempotent: false, end: AttemptEnd::Broken, answer: UNKNOWN },
     EndCase { name: "once, error", idempotent: false, end: AttemptEnd::Failed, answer: UNKNOWN },
--- a/crates/tarragon-scheduler/tests/rules/suspect.rs
+++ b/crates/tarragon-scheduler/tests/rules/suspect.rs
@@ -285,6 +285,23 @@
         },
         crash: false,
     },
+    EndCase {
+        name: "a connection to it breaks, and then this process has no link to it",
+        events: |driver, request| {
+            driver.end(request, 1, AttemptEnd::Broken);
+            let other = driver.send(Call { idempotent: false, ..Call::default() });
+            driver.end(other, 1, AttemptEnd::Unreached);
+        },
+        crash: false,
+    },
+    EndCase {
+        name: "the link to it is lost, and it is restarted then",
+        events: |driver, request| {
+            driver.end(request, 1, AttemptEnd::Severed);
+            driver.handle(target_listed("t0", 2));
+        },
+        crash: false,
+    },
     EndCase {
         name: "it said that it would stop",
         events: |driver, request| {
--- a/crates/tarragon-server/src/request.rs
+++ b/crates/tarragon-server/src/request.rs
@@ -322,5 +322,8 @@
 
 /// Whether an attempt that ended like this can have run at its target.
 fn can_have_run(end: AttemptEnd) -> bool {
-    !matches!(end, AttemptEnd::NotSent | AttemptEnd::Withheld | AttemptEnd::Rejected)
+    !matches!(
+        end,
+        AttemptEnd::NotSent | AttemptEnd::Unreached | AttemptEnd::Withheld | AttemptEnd::Rejected
+    )
 }
