Send attempts over peers while links to targets are lost

Cause: a process has only its own way to a target.

Now an attempt whose connection fails goes at once over a peer. The process that took the request keeps admission, quota, slots, retries and the caller's answer; the peer carries one attempt over its own links, never further, and tells by a header whether it was answered, not sent, or broken after it was sent. A connection to a peer that breaks after the write leaves the outcome unknown. If a peer reached the target, the link is lost: further attempts go over peers at once, no crash, cold mark or back-off follows, and a probe finds out when the link is back, two at a time. After three links were lost within two seconds, those that have brought nothing since go over peers as well, since connections over them may hang. A peer that has lost links itself, or whose connections all fail, doesn't say that a target is out of reach. Senders must be known members.

Changed tests: PeerDigest has a field more in the fixtures of the fleet's tests; the odd digests have odd values in it.

--- a/crates/tarragon-config/src/settings/gateway.rs
+++ b/crates/tarragon-config/src/settings/gateway.rs
@@ -20,6 +20,8 @@
 const MAX_TIME_S: f64 = 3_600.0;
 /// Number of ports that a process needs for its peers and for metrics.
 const REQUIRED_PORTS: u16 = 4;
+/// Offset of the port at which a process carries attempts of peers, if its range of ports is large enough.
+const RELAY_PORT_OFFSET: u16 = 4;
 const ADDRESS_EXAMPLE: &str = "\"10.0.0.1:8080\"";
 
 /// Settings of `serve` for a process that reads a shared store.
@@ -105,6 +107,13 @@
         self.address_with_port_offset(3)
     }
 
+    /// Address at which peers have attempts carried to targets. `None` if the range of ports has none left for it.
+    pub fn relay_address(&self) -> Option<SocketAddr> {
+        let (first, last) = self.peer_ports;
+        (last - first >= RELAY_PORT_OFFSET)
+            .then(|| self.address_with_port_offset(RELAY_PORT_OFFSET))
+    }
+
     /// Addresses at which the seed peers receive digests.
     pub fn seed_addresses(&self) -> Vec<SocketAddr> {
         self.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), self.peer_ports.0)).collect()
--- a/crates/tarragon-fleet/src/digest.rs
+++ b/crates/tarragon-fleet/src/digest.rs
@@ -6,7 +6,7 @@
 use tarragon_protocol::peer::SuspectEntry;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{prelude::*, published::StorePosition, sums::CentreSum};
+use crate::{node::RelayOffer, prelude::*, published::StorePosition, sums::CentreSum};
 
 /// Hash that stands for a name in digests. If two names have the same one, only their usage estimates get
 /// mixed.
@@ -130,6 +130,8 @@
     pub met: u32,
     /// Addresses of some of the peers that are present at the sender.
     pub members: Vec<SocketAddr>,
+    /// Whether the sender carries attempts of peers that have lost their links to targets.
+    pub relay: RelayOffer,
 }
 
 impl PeerDigest {
--- a/crates/tarragon-fleet/src/lib.rs
+++ b/crates/tarragon-fleet/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod hash;
 pub mod health;
 pub mod ledger;
+pub mod link;
 pub mod member;
 pub mod node;
 pub mod origin;
--- a/crates/tarragon-fleet/src/node.rs
+++ b/crates/tarragon-fleet/src/node.rs
@@ -3,11 +3,13 @@
 
 mod admit;
 mod limits;
+mod links;
 mod origins;
 mod pacing;
 mod updates;
 
 pub use admit::{AdmissionRequest, wait_limit};
+pub use links::{RelayCandidate, RelayOffer};
 pub use origins::stream_span;
 pub use updates::DigestFollowUp;
 
@@ -24,6 +26,7 @@
     directory::TargetDirectory,
     health::TargetHealth,
     ledger::BuildLedger,
+    link::LinkTable,
     member::{DigestRecipients, MemberTable},
     origin::OriginTable,
     prelude::*,
@@ -135,6 +138,8 @@
     /// Forecasts of starts by service, as last passed to the scheduler.
     forecasts: IndexMap<ServiceName, StartForecast>,
     calls: IndexMap<RequestId, OpenRequest>,
+    links: LinkTable,
+    relay_offer: RelayOffer,
     origins: OriginTable,
     builds: BuildLedger,
     /// Whether the time to meet the peers after the start is over.
@@ -173,6 +178,8 @@
             pauses: IndexMap::new(),
             forecasts: IndexMap::new(),
             calls: IndexMap::new(),
+            links: LinkTable::default(),
+            relay_offer: RelayOffer::default(),
             origins: OriginTable::default(),
             builds,
             is_settled: false,
--- a/crates/tarragon-fleet/src/node/updates.rs
+++ b/crates/tarragon-fleet/src/node/updates.rs
@@ -186,10 +186,12 @@
                 }
                 DirectoryChange::Removed(target) => {
                     self.targets.swap_remove(&target);
+                    self.links.remove(&target);
                     self.schedule(now, SchedulerEvent::TargetRemoved(target), actions);
                 }
                 DirectoryChange::Lapsed(target) => {
                     self.targets.swap_remove(&target);
+                    self.links.remove(&target);
                     self.schedule(now, SchedulerEvent::TargetExpired(target), actions);
                 }
             }
@@ -512,6 +514,7 @@
             requests_sums: false,
             met: u32::try_from(self.members.met()).unwrap_or(u32::MAX),
             members: self.members.next_named(members),
+            relay: self.next_relay_offer(now),
         }
     }
 }
--- /dev/null
+++ b/crates/tarragon-fleet/tests/fleet/links.rs
@@ -0,0 +1,164 @@
+//! Lost links: a process that has none to a target knows nothing of the target.
+
+use std::time::{Duration, Instant};
+
+use tarragon_fleet::{
+    health::TargetHealth,
+    link::{LinkTable, LossCause, MAX_PROBES},
+    node::RelayOffer,
+};
+
+use crate::support::*;
+
+/// Guards against a target that is backed off from for longer and longer because this process has no link to it.
+#[test]
+fn a_lost_link_is_no_failure_of_its_target() {
+    let mut now = Instant::now();
+    let mut health = TargetHealth::default();
+    for _ in 0..20 {
+        assert!(!health.record(AttemptEnd::Severed, 0.0, now));
+        health.record(AttemptEnd::Unreached, 0.0, now);
+        now += Duration::from_millis(500);
+        assert!(health.end_backoff(now), "it is avoided for a short time only");
+    }
+    assert_eq!(health.failure_rate, 0.0);
+    assert!(!health.record(AttemptEnd::Failed, 0.0, now), "one failure is not the last of several");
+}
+
+fn targets(count: usize) -> Vec<TargetName> {
+    (0..count).map(|index| format!("10.0.0.{index}:80").into()).collect()
+}
+
+/// Guards against connections that hang at each target in turn after several links were lost at once, and against
+/// targets that are avoided although they answer.
+#[test]
+fn links_that_bring_nothing_after_several_were_lost_count_as_doubtful() {
+    let (mut now, mut links) = (Instant::now(), LinkTable::default());
+    let targets = targets(6);
+    targets.iter().for_each(|target| links.record_contact(target, now));
+    for target in &targets[..3] {
+        now += Duration::from_millis(100);
+        assert!(!links.is_doubtful(&targets[4]));
+        assert!(links.record_loss(target, now));
+        assert!(!links.record_loss(target, now), "it is known");
+    }
+    assert!(links.is_lost(&targets[0]) && links.is_doubtful(&targets[4]));
+    links.record_contact(&targets[4], now);
+    assert!(!links.is_doubtful(&targets[4]), "it has answered since");
+    for target in &targets[..3] {
+        now += Duration::from_secs(1);
+        assert!(links.record_connection(target, now).is_some());
+    }
+    assert!(!links.is_doubtful(&targets[5]), "all links are back");
+    assert_eq!(links.lost_count(), 0);
+}
+
+/// Guards against a rush of connections when links are back, and against links that are never probed again.
+#[test]
+fn lost_links_are_probed_a_few_at_a_time() {
+    let (mut now, mut links) = (Instant::now(), LinkTable::default());
+    let targets = targets(10);
+    assert!(targets.iter().all(|target| links.record_loss(target, now)));
+    let mut probed = indexmap::IndexMap::<TargetName, u32>::new();
+    for _ in 0..100 {
+        now += Duration::from_millis(100);
+        let due = links.take_due_probes(now);
+        assert!(due.len() <= MAX_PROBES);
+        due.into_iter().for_each(|target| *probed.entry(target).or_default() += 1);
+    }
+    assert_eq!(probed.len(), targets.len());
+    assert!(probed.values().all(|count| (4..=12).contains(count)), "{probed:?}");
+    links.record_connection(&targets[0], now);
+    assert_eq!(links.take_due_probes(now).len(), MAX_PROBES, "the others may be back, too");
+}
+
+/// Guards against a process that is cut off and tells its peers that targets are out of reach.
+#[test]
+fn a_process_that_reaches_no_target_may_be_cut_off() {
+    let (now, mut links) = (Instant::now(), LinkTable::default());
+    let targets = targets(4);
+    for target in &targets[..3] {
+        assert!(!links.may_be_cut(now));
+        links.record_failure(target, now);
+    }
+    assert!(links.may_be_cut(now));
+    assert!(!links.may_be_cut(now + Duration::from_secs(3)), "the failures are old");
+    links.record_contact(&targets[3], now + Duration::from_millis(1));
+    assert!(!links.may_be_cut(now + Duration::from_millis(2)), "another target answers");
+    links.record_loss(&targets[0], now);
+    assert!(links.may_be_cut(now), "a peer reaches what this process doesn't");
+}
+
+struct PeerCase {
+    name: &'static str,
+    /// Data centre and offer of each peer.
+    peers: &'static [(&'static str, RelayOffer)],
+    /// The peers that fit best.
+    chosen: &'static [u16],
+}
+
+const fn offer(is_open: bool, lost_links: u16) -> RelayOffer {
+    RelayOffer { is_open, carried: 0, lost_links }
+}
+
+/// Guards against attempts that go to peers which can't carry them, or to other data centres without need.
+#[test]
+fn attempts_go_over_near_peers_with_all_links() {
+    const CASES: &[PeerCase] = &[
+        PeerCase { name: "no peer", peers: &[], chosen: &[] },
+        PeerCase {
+            name: "near before far",
+            peers: &[("north", offer(true, 0)), ("south", offer(true, 0))],
+            chosen: &[2],
+        },
+        PeerCase {
+            name: "all links before near",
+            peers: &[("north", offer(true, 2)), ("south", offer(true, 0))],
+            chosen: &[3],
+        },
+        PeerCase {
+            name: "closed",
+            peers: &[("north", offer(false, 0)), ("north", offer(true, 0))],
+            chosen: &[3],
+        },
+        PeerCase {
+            name: "all have lost links",
+            peers: &[("north", offer(true, 1)), ("south", offer(true, 1))],
+            chosen: &[2],
+        },
+        PeerCase { name: "none is open", peers: &[("north", offer(false, 0))], chosen: &[] },
+    ];
+    for case in CASES {
+        let now = Instant::now();
+        let mut own = FleetNode::new(fleet_settings("north", 1, true), 1, now);
+        for (index, (data_centre, relay)) in (2..).zip(case.peers) {
+            let settings = fleet_settings(data_centre, index, true);
+            let digest = FleetNode::new(settings, 2, now).next_digest(now);
+            let digest = PeerDigest { relay: *relay, ..digest };
+            own.receive_digest(now, address(index), digest, &mut Vec::new());
+        }
+        let chosen = own.relay_candidates(|_| false);
+        let chosen: Vec<_> = chosen.into_iter().map(|candidate| candidate.peer).collect();
+        let expected: Vec<_> = case.chosen.iter().map(|index| address(*index)).collect();
+        assert_eq!(chosen, expected, "{}", case.name);
+        assert!(own.relay_candidates(|_| true).is_empty(), "{}: all are skipped", case.name);
+    }
+}
+
+/// Guards against a peer that is asked to carry attempts although it has just started or is about to stop.
+#[test]
+fn a_process_takes_attempts_only_while_it_serves() {
+    let now = Instant::now();
+    let mut node = FleetNode::new(fleet_settings("north", 1, true), 1, now);
+    let settled = now + Duration::from_secs(3);
+    assert!(!node.takes_relays(settled), "it has no port for them");
+    node.open_relay();
+    assert!(!node.takes_relays(now), "it has just started");
+    assert!(node.takes_relays(settled));
+    node.record_link_loss(&"10.0.0.1:80".into(), LossCause::ConnectFailed, settled);
+    node.set_carried(7);
+    let expected = RelayOffer { is_open: true, carried: 7, lost_links: 1 };
+    assert_eq!(node.next_digest(settled).relay, expected);
+    node.start_drain();
+    assert!(!node.takes_relays(settled), "it is about to stop");
+}
--- a/crates/tarragon-fleet/tests/fleet/main.rs
+++ b/crates/tarragon-fleet/tests/fleet/main.rs
@@ -9,6 +9,7 @@
 mod fleet_network;
 mod limit_world;
 mod limits;
+mod links;
 mod member;
 mod node;
 mod odd_values;
--- a/crates/tarragon-fleet/tests/fleet/member.rs
+++ b/crates/tarragon-fleet/tests/fleet/member.rs
@@ -37,6 +37,7 @@
         requests_sums: false,
         met: 1,
         members: members.iter().map(|index| address(*index)).collect(),
+        relay: tarragon_fleet::node::RelayOffer::default(),
     }
 }
 
--- a/crates/tarragon-fleet/tests/fleet/odd_values.rs
+++ b/crates/tarragon-fleet/tests/fleet/odd_values.rs
@@ -155,6 +155,11 @@
             requests_sums: self.coin(),
             met: self.medium(),
             members: vec![address(self.short()), ([0, 0, 0, 0], 0).into()],
+            relay: tarragon_fleet::node::RelayOffer {
+                is_open: self.coin(),
+                carried: self.short(),
+                lost_links: self.short(),
+            },
             ..sound.clone()
         }
     }
--- a/crates/tarragon-gateway/src/context.rs
+++ b/crates/tarragon-gateway/src/context.rs
@@ -13,7 +13,8 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
-    evidence::CacheEvidence, metrics::GatewayMetrics, origins::OriginLink, shared_node::SharedNode,
+    evidence::CacheEvidence, metrics::GatewayMetrics, origins::OriginLink, relay::RelayLink,
+    shared_node::SharedNode,
 };
 
 /// Delay before a task that has panicked is started again, so that one that keeps failing uses little.
@@ -65,6 +66,8 @@
     pub evidence: CacheEvidence,
     /// Pool of connections to targets.
     pub pool: ConnectionPool,
+    /// Attempts that go over peers, and those of peers.
+    pub relays: RelayLink,
     /// Metrics.
     pub metrics: GatewayMetrics,
     /// Clocks.
--- a/crates/tarragon-gateway/src/forward.rs
+++ b/crates/tarragon-gateway/src/forward.rs
@@ -1,18 +1,14 @@
 //! Attempts of a call: sends it to a target, classifies the answer and returns or streams it.
 
+pub mod notices;
+mod relayed;
 mod stream;
 
-use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicBool, AtomicU32, Ordering},
-    },
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
-use tarragon_fleet::{origin::StreamKey, prelude::*};
+use tarragon_fleet::{link::LossCause, origin::StreamKey, prelude::*};
 use tarragon_server::{
     caller::answer::CallerAnswer,
     process::Deadline,
@@ -27,26 +23,22 @@
     sync::oneshot,
     time::{Instant, timeout},
 };
-use tokio_util::sync::CancellationToken;
 
 pub use stream::StreamSink;
 
+use self::notices::{
+    TargetNotice, answers_the_call, apply_answer_head, idle_limit, watch_interim_answers,
+};
 use crate::{
     context::GatewayContext,
-    platform::{AnswerEcho, AnswerHead, AnswerKind, CallMetadata, CallProtocol},
+    platform::{AnswerKind, CallMetadata, CallProtocol},
+    relay::PeerSlot,
 };
 
 /// Share of the remaining time that a target gets to answer while the call can still be retried.
 const RETRYABLE_ATTEMPT_SHARE: f64 = 0.35;
-/// Interim (1xx) answers accepted for one attempt. A target that sends more is treated as sending no answer.
-const MAX_INTERIM_ANSWERS: u32 = 64;
 /// A call is not sent with less time left, since its answer could not arrive before the deadline.
 const MIN_REMAINING_TIME: Duration = Duration::from_millis(3);
-/// How long an idle connection is kept if the target's `Keep-Alive` header gives no limit: the limit may be
-/// below one second.
-const DEFAULT_IDLE_TIME: Duration = Duration::from_millis(400);
-/// Share of the idle limit in a target's `Keep-Alive` header for which its connection is reused.
-const IDLE_SHARE: f64 = 0.7;
 
 /// A call of a caller, with its complete body.
 #[derive(Debug)]
@@ -115,21 +107,16 @@
     carriers: Vec<ConnectionId>,
 }
 
-/// What the interim answers of one attempt have shown.
-#[derive(Debug, Clone, Default)]
-struct InterimWatch {
-    /// Cancelled when there are too many of them.
-    too_many: CancellationToken,
-    /// Whether one of them belongs to another request.
-    misplaced: Arc<AtomicBool>,
-}
-
 /// An answer whose head has arrived, with the connection from which its body is read.
 struct IncomingAnswer {
     connection: TargetConnection,
     head: http::response::Parts,
     body: TargetBody,
     sent: Instant,
+    /// The peer that carries it, if this process has no link to the target.
+    peer: Option<PeerSlot>,
+    /// Whether its end shows only by the end of the target's connection.
+    is_unframed: bool,
 }
 
 impl<D> AttemptRunner for ForwardRunner<'_, D>
@@ -204,9 +191,13 @@
 
     async fn attempt(&mut self, order: &DispatchOrder) -> AttemptReport<ForwardAnswer> {
         let ended = AttemptReport::Ended;
+        let is_lost = |node: &mut FleetNode, now, _: &mut _| node.avoids_link(&order.target, now);
+        if self.context.node.run(is_lost) {
+            return self.attempt_over_peers(order, None).await;
+        }
         let connection = match self.connect(order).await {
             Ok(connection) => connection,
-            Err(end) => return ended(end),
+            Err(_) => return self.attempt_over_peers(order, Some(LossCause::ConnectFailed)).await,
         };
         // The target may have been taken out of service while the connection was made.
         let service = &self.call.routed.service;
@@ -221,7 +212,9 @@
         let Some(mut request) = self.build_request(order, &grant, remaining) else {
             return ended(AttemptEnd::Withheld);
         };
-        let interim = self.watch_interim_answers(order, &grant, &connection, &mut request);
+        let notice = self.notice(order, &grant);
+        let is_reused = connection.is_reused();
+        let interim = watch_interim_answers(self.context, &notice, is_reused, &mut request);
         self.context.node.start_attempt(order);
         tracing::info!(
             request = self.call.tag,
@@ -242,7 +235,7 @@
             "sent"
         );
         let answer = tokio::select! {
-            answer = self.exchange(order, connection, request, remaining) => answer,
+            answer = self.exchange(order, &order.address, connection, request, remaining) => answer,
             () = interim.too_many.cancelled() => {
                 tracing::warn!(
                     request = self.call.tag,
@@ -254,11 +247,21 @@
         };
         match answer {
             Ok(mut answer) => {
-                if interim.misplaced.load(Ordering::Relaxed) {
+                if interim.is_misplaced() {
                     answer.connection.retire();
                 }
-                self.handle_answer(order, &grant, answer).await
+                self.context.node.run(|node, now, _| node.record_link_contact(&order.target, now));
+                match self.handle_answer(order, &grant, answer).await {
+                    AttemptReport::Ended(AttemptEnd::Broken) => {
+                        ended(self.judge_break(order).await)
+                    }
+                    report => report,
+                }
+            }
+            Err(AttemptEnd::NotSent) => {
+                self.attempt_over_peers(order, Some(LossCause::ConnectFailed)).await
             }
+            Err(AttemptEnd::Broken) => ended(self.judge_break(order).await),
             Err(end) => ended(end),
         }
     }
@@ -277,14 +280,24 @@
                 request = self.call.tag, target_address = &*order.target, %error,
                 "failed to connect to the target"
             );
+            self.context.node.run(|node, now, _| node.record_link_failure(&order.target, now));
             AttemptEnd::NotSent
         })?;
         if !connection.is_reused() {
+            self.context.node.run(|node, now, _| node.record_link_connection(&order.target, now));
             self.context.metrics.target_connections.inc();
         }
         Ok(connection)
     }
 
+    fn notice(&self, order: &DispatchOrder, grant: &SendGrant) -> TargetNotice {
+        TargetNotice {
+            target: order.target.clone(),
+            instance: grant.instance.clone(),
+            tag: self.call.tag.clone(),
+        }
+    }
+
     fn is_repeatable(&self) -> bool {
         self.call.routed.route.repeat != RepeatRule::AtMostOnce
     }
@@ -325,92 +338,18 @@
         Some(request)
     }
 
-    /// Checks interim answers for notices of the target about itself.
-    fn watch_interim_answers(
-        &self,
-        order: &DispatchOrder,
-        grant: &SendGrant,
-        connection: &TargetConnection,
-        request: &mut Request<CallBody>,
-    ) -> InterimWatch {
-        let context = self.context.clone();
-        let (target, instance) = (order.target.clone(), grant.instance.clone());
-        let (tag, sent) = (self.call.tag.clone(), Instant::now().into_std());
-        let is_reused = connection.is_reused();
-        let watch = InterimWatch::default();
-        let InterimWatch { too_many, misplaced } = watch.clone();
-        let count = AtomicU32::new(0);
-        hyper::ext::on_informational(request, move |interim| {
-            if count.fetch_add(1, Ordering::Relaxed) >= MAX_INTERIM_ANSWERS {
-                too_many.cancel();
-            }
-            let headers = interim.headers();
-            let echo = context.protocol.read_echo(&tag, headers);
-            if echo == AnswerEcho::Other {
-                let target_address = &*target;
-                tracing::warn!(
-                    request = tag,
-                    target_address,
-                    "interim answer belongs to another request"
-                );
-                misplaced.store(true, Ordering::Relaxed);
-                return;
-            }
-            // An answer without an id may be that of an earlier call, but a process doesn't take leaving back.
-            if context.protocol.is_leaving(headers) {
-                report_leaving(&context, &target, &instance);
-            }
-            // Interim answers may lack headers that the final one has, so they don't end a limit.
-            let rate = context.protocol.read_rate(headers);
-            if rate != RateStatement::Unlimited && answers_the_call(echo, is_reused) {
-                let answer =
-                    RateAnswer { request: &tag, instance: &instance, sent, statement: rate };
-                report_rate(&context, &target, &answer);
-            }
-        });
-        watch
-    }
-
-    /// Reports to the node what the head of an answer says about the target itself.
-    fn apply_answer_head(
-        &self,
-        order: &DispatchOrder,
-        grant: &SendGrant,
-        head: &AnswerHead,
-        answer: &IncomingAnswer,
-    ) {
-        let (target, instance) = (&order.target, &grant.instance);
-        if let Some(load) = head.load {
-            self.context.node.run(|node, now, actions| {
-                node.update_target_load(now, target, load.running, load.waiting, actions);
-            });
-        }
-        if head.leaving {
-            report_leaving(self.context, target, instance);
-        }
-        if let Some(pause) = head.pause {
-            self.context.node.run(|node, now, actions| {
-                node.pause_target(now, target, instance, pause, actions);
-            });
-        }
-        // Only a success of this target shows that its limit has ended: an error may come from a part of the
-        // target that knows nothing of it, and other answers from another instance.
-        let is_own_success = head.kind == AnswerKind::Answered && answer.head.status.is_success();
-        if is_own_success || head.rate.limit().is_some() {
-            let request = &self.call.tag;
-            let sent = answer.sent.into_std();
-            let answer = RateAnswer { request, instance, sent, statement: head.rate };
-            report_rate(self.context, target, &answer);
-        }
-    }
-
     /// Returns a connection to the pool, unless no further calls may be sent to its target.
     fn keep_connection(
         &self,
         order: &DispatchOrder,
+        peer: Option<&PeerSlot>,
         connection: TargetConnection,
         headers: &HeaderMap,
     ) {
+        if let Some(peer) = peer {
+            self.context.relays.pool.give_back(&peer.address, connection);
+            return;
+        }
         let service = &self.call.routed.service;
         if self.context.node.view(|node| node.may_send(&order.target, service)).is_some() {
             let idle = idle_limit(headers);
@@ -422,6 +361,7 @@
     async fn exchange(
         &mut self,
         order: &DispatchOrder,
+        address: &str,
         mut connection: TargetConnection,
         request: Request<CallBody>,
         remaining: Duration,
@@ -432,7 +372,7 @@
         let was_reused = connection.is_reused();
         let answer = if self.is_repeatable() {
             let limit = self.context.limits.connect;
-            connection.send_repeatable(&order.address, limit, request, answer_timeout).await
+            connection.send_repeatable(address, limit, request, answer_timeout).await
         } else {
             connection.send(request, answer_timeout).await
         };
@@ -455,7 +395,8 @@
             }
         })?;
         let (head, body) = response.into_parts();
-        Ok(IncomingAnswer { connection, head, body, sent })
+        let is_unframed = notices::is_unframed(&head.headers);
+        Ok(IncomingAnswer { connection, head, body, sent, peer: None, is_unframed })
     }
 
     /// Longest wait for the head of the target's answer, and for each part of a body that is not streamed.
@@ -480,7 +421,9 @@
         answer: IncomingAnswer,
     ) -> AttemptReport<ForwardAnswer> {
         let echo = self.context.protocol.read_echo(&self.call.tag, &answer.head.headers);
-        if !answers_the_call(echo, answer.connection.is_reused()) {
+        // A peer has checked it against its own connection to the target.
+        let is_reused = answer.connection.is_reused() && answer.peer.is_none();
+        if !answers_the_call(echo, is_reused) {
             tracing::warn!(
                 request = self.call.tag,
                 target_address = &*order.target,
@@ -491,7 +434,8 @@
             return AttemptReport::Ended(AttemptEnd::Garbled);
         }
         let head = self.context.protocol.read_answer(&answer.head);
-        self.apply_answer_head(order, grant, &head, &answer);
+        let notice = self.notice(order, grant);
+        apply_answer_head(self.context, &notice, &head, answer.head.status, answer.sent);
         match head.kind {
             AnswerKind::Answered => {}
             AnswerKind::NotRun => {
@@ -522,11 +466,11 @@
 
     /// Reads the body of a rejection so that the connection can be reused, unless it is too large or slow.
     async fn drain_rejection(&self, order: &DispatchOrder, answer: IncomingAnswer) {
-        let IncomingAnswer { connection, head, body, .. } = answer;
+        let IncomingAnswer { connection, head, body, peer, .. } = answer;
         let limits = self.context.limits;
         let read = collect_body(body, limits.rejection_bytes, limits.rejection_time);
         if matches!(timeout(limits.rejection_time, read).await, Ok(Ok(_))) {
-            self.keep_connection(order, connection, &head.headers);
+            self.keep_connection(order, peer.as_ref(), connection, &head.headers);
         }
     }
 
@@ -535,7 +479,7 @@
         order: &DispatchOrder,
         answer: IncomingAnswer,
     ) -> AttemptReport<ForwardAnswer> {
-        let IncomingAnswer { connection, head, body, .. } = answer;
+        let IncomingAnswer { connection, head, body, peer, .. } = answer;
         let remaining = self.call.deadline.remaining(&self.context.clock);
         let answer_timeout = self.answer_timeout(remaining);
         let limit = self.context.limits.answer_bytes;
@@ -552,7 +496,7 @@
                 return AttemptReport::Ended(AttemptEnd::Broken);
             }
         };
-        self.keep_connection(order, connection, &head.headers);
+        self.keep_connection(order, peer.as_ref(), connection, &head.headers);
         let headers = self.context.protocol.answer_headers(&head.headers);
         let whole = WholeAnswer { status: head.status, headers, body };
         if head.status.is_server_error() && self.may_retry() {
@@ -569,32 +513,6 @@
     }
 }
 
-/// Whether an answer belongs to the call that was sent last on its connection. An answer without an id on a
-/// reused connection may belong to an earlier call.
-fn answers_the_call(echo: AnswerEcho, is_reused: bool) -> bool {
-    match echo {
-        AnswerEcho::Own => true,
-        AnswerEcho::Missing => !is_reused,
-        AnswerEcho::Other => false,
-    }
-}
-
-/// Tells the node that a target is about to stop, and closes the idle connections to it.
-fn report_leaving<D>(context: &GatewayContext<D>, target: &TargetName, instance: &str) {
-    context.node.run(|node, now, actions| node.mark_target_leaving(now, target, instance, actions));
-    context.pool.retain(|address| address != &**target);
-}
-
-/// Tells the node what an answer says about the rate that its target accepts.
-fn report_rate<D>(context: &GatewayContext<D>, target: &TargetName, answer: &RateAnswer<'_>) {
-    context.metrics.rate_statements.with_label_values(&[answer.statement.name()]).inc();
-    let changed =
-        context.node.run(|node, now, actions| node.apply_rate(now, target, answer, actions));
-    if changed {
-        context.node.urgent_digest.notify_one();
-    }
-}
-
 /// Whether callers conclude from a status that the request has not run.
 fn implies_not_run(status: StatusCode) -> bool {
     matches!(
@@ -606,16 +524,6 @@
     )
 }
 
-/// Time for which an idle connection may be reused, from the target's `Keep-Alive` header.
-fn idle_limit(headers: &HeaderMap) -> Duration {
-    let text = headers.get("keep-alive").and_then(|value| value.to_str().ok()).unwrap_or("");
-    let seconds = text.split(',').find_map(|part| {
-        let value = part.trim().strip_prefix("timeout=")?;
-        value.trim().parse::<u64>().ok()
-    });
-    seconds.map_or(DEFAULT_IDLE_TIME, |seconds| Duration::from_secs(seconds).mul_f64(IDLE_SHARE))
-}
-
 /// Name of an attempt's end in logs and metrics.
 pub fn end_name(end: AttemptEnd) -> &'static str {
     match end {
--- /dev/null
+++ b/crates/tarragon-gateway/src/forward/relayed.rs
@@ -0,0 +1,243 @@
+//! Sends attempts over peers while this process has no link to their targets.
+
+use http::{HeaderName, header};
+use tarragon_fleet::{link::LossCause, prelude::*};
+use tarragon_server::{
+    request::{AttemptReport, DispatchOrder},
+    target::pool::TargetConnection,
+};
+
+use super::{ForwardAnswer, ForwardRunner, IncomingAnswer, MIN_REMAINING_TIME};
+use crate::{
+    platform::CallProtocol,
+    relay::{
+        ATTEMPT_HEADER, OUTCOME_HEADER, PeerSlot, RELAY_CONNECT_LIMIT, RelayOutcome,
+        RelayedAttempt, ask_reach, probe_link,
+    },
+};
+
+/// Peers that are asked to carry one attempt, one after the other.
+const MAX_ASKED_PEERS: usize = 3;
+/// Peers that can't connect to a target either, after which it counts as out of reach of all.
+const MAX_UNREACHING_PEERS: usize = 2;
+
+/// What came of an attempt at one peer.
+enum RelayStep {
+    /// It has ended.
+    Ended(AttemptReport<ForwardAnswer>),
+    /// It was not sent: the peer can't connect to the target.
+    Unreachable,
+    /// It was not sent, for reasons of the peer.
+    Declined,
+}
+
+impl<D> ForwardRunner<'_, D>
+where
+    D: CallProtocol,
+{
+    /// Has peers carry an attempt, one after the other until one of them has sent it. `loss` tells why the link
+    /// counts as lost if a peer reaches the target.
+    pub(super) async fn attempt_over_peers(
+        &mut self,
+        order: &DispatchOrder,
+        loss: Option<LossCause>,
+    ) -> AttemptReport<ForwardAnswer> {
+        let (mut asked, mut unreaching) = (Vec::new(), 0);
+        while asked.len() < MAX_ASKED_PEERS && unreaching < MAX_UNREACHING_PEERS {
+            let Some(slot) = self.context.relays.choose(self.context, &asked) else { break };
+            asked.push(slot.peer());
+            match self.attempt_over(order, slot, loss).await {
+                RelayStep::Ended(report) => return report,
+                RelayStep::Unreachable => unreaching += 1,
+                RelayStep::Declined => {}
+            }
+        }
+        let end = if unreaching > 0 { AttemptEnd::NotSent } else { AttemptEnd::Unreached };
+        tracing::info!(
+            request = self.call.tag,
+            target_address = &*order.target,
+            asked = asked.len(),
+            unreaching,
+            "no peer passed the attempt on"
+        );
+        AttemptReport::Ended(end)
+    }
+
+    async fn attempt_over(
+        &mut self,
+        order: &DispatchOrder,
+        slot: PeerSlot,
+        loss: Option<LossCause>,
+    ) -> RelayStep {
+        let ended = |end| RelayStep::Ended(AttemptReport::Ended(end));
+        let connection = match self.connect_to_peer(&slot).await {
+            Ok(connection) => connection,
+            Err(error) => {
+                tracing::info!(peer = %slot.peer(), %error, "failed to connect to a peer");
+                slot.skip();
+                return RelayStep::Declined;
+            }
+        };
+        let service = &self.call.routed.service;
+        let grant = self.context.node.view(|node| node.may_send(&order.target, service));
+        let grant = grant.filter(|grant| self.build.is_none_or(|build| build == grant.build));
+        let Some(grant) = grant else { return ended(AttemptEnd::NotSent) };
+        let remaining = self.call.deadline.remaining(&self.context.clock);
+        if remaining < MIN_REMAINING_TIME {
+            return ended(AttemptEnd::Withheld);
+        }
+        let relayed = RelayedAttempt {
+            target: order.target.clone(),
+            service: service.clone(),
+            instance: grant.instance.clone(),
+            build: grant.build,
+            tag: self.call.tag.clone(),
+            time_ms: u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX),
+            may_reuse: self.is_repeatable() && self.sent == 0,
+            is_question: false,
+        };
+        let request = self.build_request(order, &grant, remaining);
+        let (Some(mut request), Some(value)) = (request, relayed.to_header()) else {
+            return ended(AttemptEnd::Withheld);
+        };
+        request.headers_mut().insert(ATTEMPT_HEADER, value);
+        self.context.node.start_attempt(order);
+        tracing::info!(
+            request = self.call.tag,
+            id = self.call.request,
+            attempt = order.attempt,
+            target_address = &*order.target,
+            instance = &*grant.instance,
+            build = grant.build,
+            peer = %slot.peer(),
+            resume_after = self.sink.position(),
+            remaining_ms = remaining.as_millis() as u64,
+            waited_ms = self.call.arrived.elapsed().as_millis() as u64,
+            "sent over a peer"
+        );
+        let answer = self.exchange(order, &slot.address, connection, request, remaining).await;
+        let (outcome, answer) = match answer {
+            Ok(answer) => (RelayOutcome::read(&answer.head.headers), Some(answer)),
+            // The connection to the peer could not be used.
+            Err(AttemptEnd::NotSent) => (Some(RelayOutcome::Declined), None),
+            Err(_) => (None, None),
+        };
+        let name = outcome.map_or("lost", RelayOutcome::name);
+        self.context.metrics.relays_sent.with_label_values(&["attempt", name]).inc();
+        tracing::info!(
+            request = self.call.tag,
+            attempt = order.attempt,
+            target_address = &*order.target,
+            peer = %slot.peer(),
+            outcome = name,
+            spent_ms = self.call.arrived.elapsed().as_millis() as u64,
+            "attempt went over a peer"
+        );
+        let is_answered =
+            matches!(outcome, Some(RelayOutcome::Answered | RelayOutcome::AnsweredUnframed));
+        match (outcome, answer) {
+            (Some(outcome), Some(answer)) if is_answered => {
+                if let Some(cause) = loss {
+                    self.record_loss(order, cause);
+                }
+                let answer = relayed_answer(answer, slot, outcome);
+                RelayStep::Ended(self.handle_answer(order, &grant, answer).await)
+            }
+            (Some(RelayOutcome::Unreachable), answer) => {
+                self.not_sent(&slot, answer);
+                RelayStep::Unreachable
+            }
+            (Some(RelayOutcome::Declined), answer) => {
+                slot.skip();
+                self.not_sent(&slot, answer);
+                RelayStep::Declined
+            }
+            (Some(RelayOutcome::Broken), _) => ended(AttemptEnd::Broken),
+            (Some(RelayOutcome::Garbled), _) => ended(AttemptEnd::Garbled),
+            // The peer may have sent it before the connection to it broke.
+            _ => {
+                slot.skip();
+                ended(AttemptEnd::Severed)
+            }
+        }
+    }
+
+    /// A pooled connection to a peer for a call that may be repeated, else a new one.
+    async fn connect_to_peer(&self, slot: &PeerSlot) -> std::io::Result<TargetConnection> {
+        let pool = &self.context.relays.pool;
+        if self.is_repeatable() {
+            pool.checkout_other(&slot.address, RELAY_CONNECT_LIMIT, &self.carriers).await
+        } else {
+            pool.open(&slot.address, RELAY_CONNECT_LIMIT).await
+        }
+    }
+
+    /// A peer has not sent the attempt.
+    fn not_sent(&mut self, slot: &PeerSlot, answer: Option<IncomingAnswer>) {
+        self.sent = self.sent.saturating_sub(1);
+        if let Some(answer) = answer {
+            self.context.relays.pool.give_back(&slot.address, answer.connection);
+        }
+    }
+
+    /// Records that the link to a target is lost, and closes the idle connections over it.
+    fn record_loss(&self, order: &DispatchOrder, cause: LossCause) {
+        let record =
+            |node: &mut FleetNode, now, _: &mut _| node.record_link_loss(&order.target, cause, now);
+        if self.context.node.run(record) {
+            self.context.pool.retain(|address| address != &*order.target);
+        }
+    }
+
+    /// Finds out whether an attempt broke at its target, or because this process has lost its link to it: then it
+    /// says nothing about the target.
+    pub(super) async fn judge_break(&self, order: &DispatchOrder) -> AttemptEnd {
+        let target = &order.target;
+        if self.context.node.view(|node| node.links().is_lost(target)) {
+            return AttemptEnd::Severed;
+        }
+        if probe_link(self.context, target).await.is_ok() {
+            return AttemptEnd::Broken;
+        }
+        let service = &self.call.routed.service;
+        let Some(grant) = self.context.node.view(|node| node.may_send(target, service)) else {
+            return AttemptEnd::Broken;
+        };
+        let question = RelayedAttempt {
+            target: target.clone(),
+            service: service.clone(),
+            instance: grant.instance,
+            build: grant.build,
+            tag: self.call.tag.clone(),
+            time_ms: RELAY_CONNECT_LIMIT.as_millis() as u64,
+            may_reuse: false,
+            is_question: true,
+        };
+        let mut asked = Vec::new();
+        while asked.len() < MAX_ASKED_PEERS {
+            let Some(slot) = self.context.relays.choose(self.context, &asked) else { break };
+            asked.push(slot.peer());
+            match ask_reach(self.context, &slot, &question).await {
+                RelayOutcome::Answered | RelayOutcome::AnsweredUnframed => {
+                    self.record_loss(order, LossCause::Broken);
+                    return AttemptEnd::Severed;
+                }
+                RelayOutcome::Declined => {}
+                _ => return AttemptEnd::Broken,
+            }
+        }
+        // Nobody tells. It only counts as a crash if the end of the target's process shows otherwise.
+        AttemptEnd::Broken
+    }
+}
+
+/// A target's answer that a peer passes on, without what the peer has added.
+fn relayed_answer(answer: IncomingAnswer, slot: PeerSlot, outcome: RelayOutcome) -> IncomingAnswer {
+    let mut answer = answer;
+    answer.head.headers.remove(OUTCOME_HEADER);
+    let connection_headers = [header::CONNECTION, HeaderName::from_static("keep-alive")];
+    connection_headers.iter().for_each(|name| drop(answer.head.headers.remove(name)));
+    answer.is_unframed = outcome == RelayOutcome::AnsweredUnframed;
+    answer.peer = Some(slot);
+    answer
+}
--- a/crates/tarragon-gateway/src/forward/stream.rs
+++ b/crates/tarragon-gateway/src/forward/stream.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Response, StatusCode, header};
+use http::{HeaderMap, Response, StatusCode};
 use http_body_util::BodyExt;
 use tarragon_fleet::prelude::*;
 use tarragon_server::{
@@ -118,7 +118,7 @@
         grant: &SendGrant,
         answer: IncomingAnswer,
     ) -> AttemptReport<ForwardAnswer> {
-        let IncomingAnswer { connection, head, mut body, sent } = answer;
+        let IncomingAnswer { connection, head, mut body, sent, peer, is_unframed } = answer;
         let headers = self.context.protocol.answer_headers(&head.headers);
         let mut splitter = EventSplitter::default();
         let mut progress = StreamProgress { events: 0, first_event: None, reported: None };
@@ -151,7 +151,7 @@
         }
         self.report_progress(order, &mut progress, true);
         let is_empty = progress.events == 0 && self.sink.position.is_none();
-        if splitter.has_partial_event() || is_empty && is_unframed(&head.headers) {
+        if splitter.has_partial_event() || is_empty && is_unframed {
             return self.end_stream(order, &mut progress, AttemptEnd::Broken);
         }
         self.sink.begin(head.status, headers);
@@ -159,7 +159,7 @@
         if let Err(fault) = self.sink.send(BodyPart::End, limit).await {
             return part_not_taken(fault);
         }
-        self.keep_connection(order, connection, &head.headers);
+        self.keep_connection(order, peer.as_ref(), connection, &head.headers);
         AttemptReport::Answered(ForwardAnswer::Streamed)
     }
 
@@ -244,13 +244,6 @@
     }
 }
 
-/// Whether the end of an answer shows only by the end of its connection. A target that has crashed before its
-/// first event leaves such an answer empty.
-fn is_unframed(headers: &HeaderMap) -> bool {
-    !headers.contains_key(header::CONTENT_LENGTH)
-        && !headers.contains_key(header::TRANSFER_ENCODING)
-}
-
 /// Ends a stream whose caller does not read it: it would occupy a slot at the target that others wait for.
 fn part_not_taken(fault: PartNotTaken) -> AttemptReport<ForwardAnswer> {
     let message = match fault {
--- a/crates/tarragon-gateway/src/lib.rs
+++ b/crates/tarragon-gateway/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod peers;
 pub mod platform;
 pub mod reader;
+pub mod relay;
 pub mod serve;
 pub mod shared_node;
--- a/crates/tarragon-gateway/src/listener.rs
+++ b/crates/tarragon-gateway/src/listener.rs
@@ -70,7 +70,8 @@
     }
 }
 
-async fn accept(
+/// Accepts a connection as soon as there is a permit for it; `None` after `close` was cancelled.
+pub async fn accept(
     listener: &TcpListener,
     permits: &Arc<Semaphore>,
     close: &CancellationToken,
--- a/crates/tarragon-gateway/src/metrics.rs
+++ b/crates/tarragon-gateway/src/metrics.rs
@@ -44,6 +44,12 @@
     pub configuration_version: IntGauge,
     /// Open connections of callers.
     pub connections: IntGauge,
+    /// Attempts and questions that peers were sent, by outcome.
+    pub relays_sent: IntCounterVec,
+    /// Attempts and questions of peers, by outcome.
+    pub relays_carried: IntCounterVec,
+    /// Links to targets that are lost.
+    pub lost_links: IntGauge,
     /// Requests that have arrived but not ended.
     pub open_requests: IntGauge,
     /// Peers that are present.
@@ -100,6 +106,17 @@
             )?,
             peer_bytes: counter_vec("peer_bytes_total", "Bytes between peers", &["direction"])?,
             configuration_version: gauge("configuration_version", "Configuration in force")?,
+            relays_sent: counter_vec(
+                "relays_sent_total",
+                "Attempts that went over peers, and questions to them whether they reach a target",
+                &["kind", "outcome"],
+            )?,
+            relays_carried: counter_vec(
+                "relays_carried_total",
+                "Attempts and questions of peers that have lost their links",
+                &["outcome"],
+            )?,
+            lost_links: gauge("lost_links", "Links to targets that are lost")?,
             connections: gauge("connections", "Open connections of callers")?,
             open_requests: gauge("open_requests", "Requests that have not ended")?,
             peers: gauge("peers", "Peers that are present")?,
@@ -144,6 +161,9 @@
         registry.register(Box::new(self.restarted_tasks.clone()))?;
         registry.register(Box::new(self.peer_bytes.clone()))?;
         registry.register(Box::new(self.configuration_version.clone()))?;
+        registry.register(Box::new(self.relays_sent.clone()))?;
+        registry.register(Box::new(self.relays_carried.clone()))?;
+        registry.register(Box::new(self.lost_links.clone()))?;
         registry.register(Box::new(self.connections.clone()))?;
         registry.register(Box::new(self.open_requests.clone()))?;
         registry.register(Box::new(self.peers.clone()))?;
--- a/crates/tarragon-gateway/src/peers.rs
+++ b/crates/tarragon-gateway/src/peers.rs
@@ -1,7 +1,11 @@
 //! Communication between the processes of the fleet: digests by UDP, and pulls of newer published values from
 //! peers by JSON-RPC.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use jsonrpsee::{
     RpcModule,
@@ -121,6 +125,7 @@
 
 async fn send_digests<D>(context: &GatewayContext<D>, socket: &UdpSocket, urgent: bool) {
     let (digest, recipients, present, suspects, limited) = context.node.run(|node, now, _| {
+        node.set_carried(context.relays.carried.load(Ordering::Relaxed));
         let digest = node.next_digest(now);
         let present = node.members().present().count();
         let suspects = node.scheduler().suspect_count();
--- a/crates/tarragon-gateway/src/serve.rs
+++ b/crates/tarragon-gateway/src/serve.rs
@@ -34,6 +34,7 @@
     peers,
     platform::{CallProtocol, PublishedStore},
     reader,
+    relay::{RelayLink, probe_links, server::serve_relays},
     shared_node::{InterruptedRequest, SharedNode},
 };
 
@@ -108,6 +109,13 @@
     let origin_socket = UdpSocket::bind(origin_address)
         .await
         .with_context(|| format!("peer_ports: {origin_address} can't be bound"))?;
+    let relay_listener = match settings.relay_address() {
+        Some(address) => Some(bind(address, "peer_ports").await?),
+        None => {
+            tracing::warn!("peer_ports has no port for attempts of peers; none are taken or sent");
+            None
+        }
+    };
     let caller_address = caller_listener.local_addr()?;
     let node =
         FleetNode::new(node_settings(&settings), options.seed.unwrap_or_else(rand::random), now());
@@ -117,6 +125,7 @@
         origins: OriginLink::new(origin_socket),
         evidence: CacheEvidence::default(),
         pool: ConnectionPool::with_dialer(options.dialer),
+        relays: RelayLink::new(settings.peer_address().ip()),
         metrics: GatewayMetrics::new()?,
         clock: options.clock,
         limits: options.limits,
@@ -132,6 +141,10 @@
     let signals = ListenerSignals::default();
     spawn_followers(&context, &Arc::new(socket), &Arc::new(store));
     tokio::spawn(listen(caller_listener, context.clone(), signals.clone()));
+    if let Some(listener) = relay_listener {
+        context.node.run(|node, _, _| node.open_relay());
+        tokio::spawn(serve_relays(listener, context.clone(), signals.clone()));
+    }
     let (pages, abort) = (context.clone(), context.abort.clone());
     tokio::spawn(serve_page(ready_listener, move |_| readiness_page(pages.clone()), abort.clone()));
     let pages = context.clone();
@@ -165,6 +178,8 @@
         peers::refresh_listing_from_peers(shared.clone())
     });
     let shared = context.clone();
+    context.spawn_background("links", move || probe_links(shared.clone()));
+    let shared = context.clone();
     context.spawn_background("streams", move || origins::receive_messages(shared.clone()));
     let (shared, reader) = (context.clone(), store.clone());
     context.spawn_background("build_history", move || {
--- a/crates/tarragon-server/src/target/pool.rs
+++ b/crates/tarragon-server/src/target/pool.rs
@@ -4,7 +4,7 @@
 
 use std::{
     io,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
@@ -19,7 +19,7 @@
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
 use tokio::{
-    net::TcpStream,
+    net::{TcpSocket, TcpStream},
     time::{Instant, timeout},
 };
 
@@ -70,10 +70,16 @@
 /// target lives.
 #[derive(Debug, Clone, Default)]
 pub struct TargetDialer {
+    source: Option<IpAddr>,
     detours: Arc<Guarded<IndexMap<String, SocketAddr>>>,
 }
 
 impl TargetDialer {
+    /// A dialer whose connections come from this address of the machine.
+    pub fn from_source(source: IpAddr) -> TargetDialer {
+        TargetDialer { source: Some(source), ..TargetDialer::default() }
+    }
+
     /// Sets where connections to a target go instead; `None` for the target's own address.
     pub fn set_detour(&self, target: &str, detour: Option<SocketAddr>) {
         self.detours.with(|detours| match detour {
@@ -83,10 +89,13 @@
     }
 
     async fn connect(&self, address: &str) -> io::Result<TcpStream> {
-        match self.detours.with(|detours| detours.get(address).copied()) {
-            Some(detour) => TcpStream::connect(detour).await,
-            None => TcpStream::connect(address).await,
+        if let Some(detour) = self.detours.with(|detours| detours.get(address).copied()) {
+            return TcpStream::connect(detour).await;
         }
+        let Some(source) = self.source else { return TcpStream::connect(address).await };
+        let socket = if source.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+        socket.bind(SocketAddr::new(source, 0))?;
+        socket.connect(address.parse().map_err(io::Error::other)?).await
     }
 }
 
