--- a/crates/tarragon-gateway/src/forward/stream.rs
+++ b/crates/tarragon-gateway/src/forward/stream.rs
@@ -155,7 +155,7 @@
         grant: &SendGrant,
         answer: IncomingAnswer,
     ) -> AttemptReport<ForwardAnswer> {
-        let IncomingAnswer { connection, head, mut body, sent } = answer;
+        let IncomingAnswer { connection, head, mut body, sent, peer, is_unframed } = answer;
         let headers = self.context.protocol.answer_headers(&head.headers);
         // Whether the caller has the beginning of this stream from an earlier attempt.
         let continues = self.sink.has_begun();
@@ -198,7 +198,7 @@
             self.report_progress(order, &mut progress, false);
         }
         self.report_progress(order, &mut progress, true);
-        let may_be_cut = !progress.delivered && is_unframed(&head.headers);
+        let may_be_cut = !progress.delivered && is_unframed;
         if splitter.has_partial_event() || may_be_cut {
             return self.end_stream(order, &mut progress, AttemptEnd::Broken);
         }
@@ -211,7 +211,7 @@
         if let Err(fault) = self.sink.send(BodyPart::End, limit).await {
             return part_not_taken(fault);
         }
-        self.keep_connection(order, connection, &head.headers);
+        self.keep_connection(order, peer.as_ref(), connection, &head.headers);
         AttemptReport::Answered(ForwardAnswer::Streamed)
     }
 
@@ -300,13 +300,6 @@
     }
 }
 
-/// Whether the end of an answer shows only by the end of its connection. A target that has crashed before its
-/// first event leaves such an answer empty.
-fn is_unframed(headers: &HeaderMap) -> bool {
-    !headers.contains_key(header::CONTENT_LENGTH)
-        && !headers.contains_key(header::TRANSFER_ENCODING)
-}
-
 /// Ends a stream whose caller does not read it: it would occupy a slot at the target that others wait for.
 fn part_not_taken(fault: PartNotTaken) -> AttemptReport<ForwardAnswer> {
     let message = match fault {
