Try the own link when no peer takes an attempt, and don't skip peers for slow targets

Two faults of the relay of attempts, found by reading it again:

- A link that is only presumed to be lost, or that is back before its next probe, was not tried if no peer took the attempt: the request was refused although its target could be reached.
Now the own link is tried last.
- An attempt over a peer that ran out of its time, as at a slow target, left the peer out for a second, as if its connection had broken.
With few peers that leaves none.

Also, an attempt that was not sent over the own link no longer counts against the attempts of its route when it goes over a peer. The two faults have no test of their own yet: the slow target and the presumed link need one.

--- a/crates/tarragon-fleet/tests/fleet/links.rs
+++ b/crates/tarragon-fleet/tests/fleet/links.rs
@@ -162,3 +162,17 @@
     node.start_drain();
     assert!(!node.takes_relays(settled), "it is about to stop");
 }
+
+/// Guards against digests that outgrow their datagrams.
+#[test]
+fn offers_to_carry_attempts_are_small() {
+    let now = Instant::now();
+    let digest = FleetNode::new(fleet_settings("north", 1, true), 1, now).next_digest(now);
+    let length = |carried, lost_links| {
+        let relay = RelayOffer { is_open: true, carried, lost_links };
+        PeerDigest { relay, ..digest.clone() }.to_bytes().unwrap().len()
+    };
+    let (least, most) = (length(0, 0), length(u16::MAX, u16::MAX));
+    eprintln!("a digest: {least} bytes, {most} with the longest offer");
+    assert_eq!(most - least, 4);
+}
--- a/crates/tarragon-gateway/src/caller.rs
+++ b/crates/tarragon-gateway/src/caller.rs
@@ -414,7 +414,8 @@
                 refusal_answer(context, &refusal)
             }
         },
-        // Processes of this fleet don't relay requests to each other.
+        // Nodes at a shared store make no such decision: the request stays here, and peers carry single attempts of
+        // it (`forward::relayed`).
         RequestEnd::Relay(_) => {
             let message = "the process can't serve this request";
             let refusal = Refusal::not_run(RefusalCode::NoTarget, message);
--- a/crates/tarragon-gateway/src/forward.rs
+++ b/crates/tarragon-gateway/src/forward.rs
@@ -192,11 +192,17 @@
     async fn attempt(&mut self, order: &DispatchOrder) -> AttemptReport<ForwardAnswer> {
         let ended = AttemptReport::Ended;
         let is_lost = |node: &mut FleetNode, now, _: &mut _| node.avoids_link(&order.target, now);
-        if self.context.node.run(is_lost) {
-            return self.attempt_over_peers(order, None).await;
+        let is_lost = self.context.node.run(is_lost);
+        if is_lost {
+            match self.attempt_over_peers(order, None).await {
+                // No peer takes it. The link may be back, or was only presumed to be lost.
+                AttemptReport::Ended(AttemptEnd::Unreached) => {}
+                report => return report,
+            }
         }
         let connection = match self.connect(order).await {
             Ok(connection) => connection,
+            Err(_) if is_lost => return ended(AttemptEnd::Unreached),
             Err(_) => return self.attempt_over_peers(order, Some(LossCause::ConnectFailed)).await,
         };
         // The target may have been taken out of service while the connection was made.
@@ -235,7 +241,9 @@
             "sent"
         );
         let answer = tokio::select! {
-            answer = self.exchange(order, &order.address, connection, request, remaining) => answer,
+            answer = self.exchange(order, &order.address, connection, request, remaining) => {
+                answer.map_err(|fault| fault_end(&fault))
+            }
             () = interim.too_many.cancelled() => {
                 tracing::warn!(
                     request = self.call.tag,
@@ -259,6 +267,7 @@
                 }
             }
             Err(AttemptEnd::NotSent) => {
+                self.sent = self.sent.saturating_sub(1);
                 self.attempt_over_peers(order, Some(LossCause::ConnectFailed)).await
             }
             Err(AttemptEnd::Broken) => ended(self.judge_break(order).await),
@@ -365,7 +374,7 @@
         mut connection: TargetConnection,
         request: Request<CallBody>,
         remaining: Duration,
-    ) -> Result<IncomingAnswer, AttemptEnd> {
+    ) -> Result<IncomingAnswer, CallFault> {
         self.sent += 1;
         let answer_timeout = self.answer_timeout(remaining);
         let sent = Instant::now();
@@ -385,14 +394,10 @@
                 "connection was replaced before the call was written"
             );
         }
-        let response = answer.map_err(|fault| {
+        let response = answer.inspect_err(|fault| {
             tracing::info!(
                 request = self.call.tag, target_address = &*order.target, %fault, "no answer from the target"
             );
-            match fault {
-                CallFault::NotSent(_) => AttemptEnd::NotSent,
-                CallFault::Broken(_) | CallFault::TimedOut => AttemptEnd::Broken,
-            }
         })?;
         let (head, body) = response.into_parts();
         let is_unframed = notices::is_unframed(&head.headers);
@@ -513,6 +518,14 @@
     }
 }
 
+/// How a fault of a connection to a target ends an attempt.
+fn fault_end(fault: &CallFault) -> AttemptEnd {
+    match fault {
+        CallFault::NotSent(_) => AttemptEnd::NotSent,
+        CallFault::Broken(_) | CallFault::TimedOut => AttemptEnd::Broken,
+    }
+}
+
 /// Whether callers conclude from a status that the request has not run.
 fn implies_not_run(status: StatusCode) -> bool {
     matches!(
--- a/crates/tarragon-gateway/src/forward/relayed.rs
+++ b/crates/tarragon-gateway/src/forward/relayed.rs
@@ -4,7 +4,7 @@
 use tarragon_fleet::{link::LossCause, prelude::*};
 use tarragon_server::{
     request::{AttemptReport, DispatchOrder},
-    target::pool::TargetConnection,
+    target::pool::{CallFault, TargetConnection},
 };
 
 use super::{ForwardAnswer, ForwardRunner, IncomingAnswer, MIN_REMAINING_TIME};
@@ -119,8 +119,13 @@
         let (outcome, answer) = match answer {
             Ok(answer) => (RelayOutcome::read(&answer.head.headers), Some(answer)),
             // The connection to the peer could not be used.
-            Err(AttemptEnd::NotSent) => (Some(RelayOutcome::Declined), None),
-            Err(_) => (None, None),
+            Err(CallFault::NotSent(_)) => (Some(RelayOutcome::Declined), None),
+            // The target may be slow, so the peer is asked again.
+            Err(CallFault::TimedOut) => (None, None),
+            Err(CallFault::Broken(_)) => {
+                slot.skip();
+                (None, None)
+            }
         };
         let name = outcome.map_or("lost", RelayOutcome::name);
         self.context.metrics.relays_sent.with_label_values(&["attempt", name]).inc();
@@ -155,10 +160,7 @@
             (Some(RelayOutcome::Broken), _) => ended(AttemptEnd::Broken),
             (Some(RelayOutcome::Garbled), _) => ended(AttemptEnd::Garbled),
             // The peer may have sent it before the connection to it broke.
-            _ => {
-                slot.skip();
-                ended(AttemptEnd::Severed)
-            }
+            _ => ended(AttemptEnd::Severed),
         }
     }
 
