--- a/crates/tarragon-gateway/src/forward.rs
+++ b/crates/tarragon-gateway/src/forward.rs
@@ -121,6 +121,21 @@
     is_unframed: bool,
 }
 
+/// Why an exchange brought no head of an answer.
+#[derive(Debug)]
+enum ExchangeFault {
+    /// The call failed.
+    Call(CallFault),
+    /// The target is silent, and the request can be sent again.
+    Silent,
+}
+
+impl From<CallFault> for ExchangeFault {
+    fn from(fault: CallFault) -> ExchangeFault {
+        ExchangeFault::Call(fault)
+    }
+}
+
 impl<D> AttemptRunner for ForwardRunner<'_, D>
 where
     D: CallProtocol,
@@ -199,11 +214,17 @@
             return AttemptReport::Refused(AttemptEnd::Withheld, refusal);
         }
         let is_lost = |node: &mut FleetNode, now, _: &mut _| node.avoids_link(&order.target, now);
-        if self.context.node.run(is_lost) {
-            return self.attempt_over_peers(order, None).await;
+        let is_lost = self.context.node.run(is_lost);
+        if is_lost {
+            match self.attempt_over_peers(order, None).await {
+                // No peer takes it. The link may be back, or was only presumed to be lost.
+                AttemptReport::Ended(AttemptEnd::Unreached) => {}
+                report => return report,
+            }
         }
         let connection = match self.connect(order).await {
             Ok(connection) => connection,
+            Err(_) if is_lost => return ended(AttemptEnd::Unreached),
             Err(_) => return self.attempt_over_peers(order, Some(LossCause::ConnectFailed)).await,
         };
         // The target may have been taken out of service while the connection was made.
@@ -242,7 +263,9 @@
             "sent"
         );
         let answer = tokio::select! {
-            answer = self.exchange(order, &order.address, connection, request, remaining) => answer,
+            answer = self.exchange(order, &order.address, connection, request, remaining) => {
+                answer.map_err(|fault| fault_end(&fault))
+            }
             () = interim.too_many.cancelled() => {
                 tracing::warn!(
                     request = self.call.tag,
@@ -266,6 +289,7 @@
                 }
             }
             Err(AttemptEnd::NotSent) => {
+                self.sent = self.sent.saturating_sub(1);
                 self.attempt_over_peers(order, Some(LossCause::ConnectFailed)).await
             }
             Err(AttemptEnd::Broken) => ended(self.judge_break(order).await),
@@ -372,7 +396,7 @@
         mut connection: TargetConnection,
         request: Request<CallBody>,
         remaining: Duration,
-    ) -> Result<IncomingAnswer, AttemptEnd> {
+    ) -> Result<IncomingAnswer, ExchangeFault> {
         self.sent += 1;
         let sent = Instant::now();
         let was_reused = connection.is_reused();
@@ -385,7 +409,7 @@
         };
         let answer = match answer {
             Ok(answer) => answer,
-            Err(TargetSilence::Replaceable) => return Err(AttemptEnd::Silent),
+            Err(TargetSilence::Replaceable) => return Err(ExchangeFault::Silent),
             Err(TargetSilence::Overdue) => Err(CallFault::TimedOut),
         };
         self.carriers.push(connection.id());
@@ -397,14 +421,10 @@
                 "connection was replaced before the call was written"
             );
         }
-        let response = answer.map_err(|fault| {
+        let response = answer.inspect_err(|fault| {
             tracing::info!(
                 request = self.call.tag, target_address = &*order.target, %fault, "no answer from the target"
             );
-            match fault {
-                CallFault::NotSent(_) => AttemptEnd::NotSent,
-                CallFault::Broken(_) | CallFault::TimedOut => AttemptEnd::Broken,
-            }
         })?;
         let (head, body) = response.into_parts();
         let is_unframed = notices::is_unframed(&head.headers);
@@ -540,6 +560,15 @@
     }
 }
 
+/// How a fault of a connection to a target ends an attempt.
+fn fault_end(fault: &ExchangeFault) -> AttemptEnd {
+    match fault {
+        ExchangeFault::Call(CallFault::NotSent(_)) => AttemptEnd::NotSent,
+        ExchangeFault::Call(CallFault::Broken(_) | CallFault::TimedOut) => AttemptEnd::Broken,
+        ExchangeFault::Silent => AttemptEnd::Silent,
+    }
+}
+
 /// Whether callers conclude from a status that the request has not run.
 fn implies_not_run(status: StatusCode) -> bool {
     matches!(
