Check the link to a target that is silent

An attempt at a silent target ended as broken before, which checked the link. Since silence is waited for while nothing can replace the attempt, a link whose open connections bring nothing more was only found by new connections. The check now runs beside the wait, once for each silence, unless something has arrived from the target meanwhile; it opens one connection and asks peers only if that fails.

--- a/crates/tarragon-fleet/src/link.rs
+++ b/crates/tarragon-fleet/src/link.rs
@@ -75,6 +75,11 @@
         self.links.get(target).is_some_and(|link| link.lost.is_some())
     }
 
+    /// When something last arrived from a target over a connection of this process.
+    pub fn last_contact(&self, target: &str) -> Option<Instant> {
+        self.links.get(target)?.contact
+    }
+
     /// Whether a link is not known to be lost, but several others were lost at once and it has brought nothing
     /// since.
     pub fn is_doubtful(&self, target: &str) -> bool {
--- a/crates/tarragon-gateway/src/forward/relayed.rs
+++ b/crates/tarragon-gateway/src/forward/relayed.rs
@@ -1,5 +1,7 @@
 //! Sends attempts over peers while this process has no link to their targets.
 
+use std::time::Duration;
+
 use http::{HeaderName, header};
 use tarragon_fleet::{link::LossCause, prelude::*};
 use tarragon_server::{
@@ -9,6 +11,7 @@
 
 use super::{ExchangeFault, ForwardAnswer, ForwardRunner, IncomingAnswer, MIN_REMAINING_TIME};
 use crate::{
+    context::GatewayContext,
     platform::CallProtocol,
     relay::{
         ATTEMPT_HEADER, OUTCOME_HEADER, PeerSlot, RELAY_CONNECT_LIMIT, RelayOutcome,
@@ -183,54 +186,102 @@
         }
     }
 
-    /// Records that the link to a target is lost, and closes the idle connections over it.
     fn record_loss(&self, order: &DispatchOrder, cause: LossCause) {
-        let record =
-            |node: &mut FleetNode, now, _: &mut _| node.record_link_loss(&order.target, cause, now);
-        if self.context.node.run(record) {
-            self.context.pool.retain(|address| address != &*order.target);
-        }
+        record_loss(self.context, &order.target, cause);
     }
 
     /// Finds out whether an attempt broke at its target, or because this process has lost its link to it: then it
     /// says nothing about the target.
     pub(super) async fn judge_break(&self, order: &DispatchOrder) -> AttemptEnd {
-        let target = &order.target;
-        if self.context.node.view(|node| node.links().is_lost(target)) {
-            return AttemptEnd::Severed;
+        let (service, tag) = (&self.call.routed.service, &self.call.tag);
+        match check_link(self.context, &order.target, service, tag).await {
+            LinkVerdict::Lost => AttemptEnd::Severed,
+            // If nobody tells, it only counts as a crash if the end of the target's process shows otherwise.
+            LinkVerdict::Sound | LinkVerdict::Unknown => AttemptEnd::Broken,
         }
-        if probe_link(self.context, target).await.is_ok() {
-            return AttemptEnd::Broken;
-        }
-        let service = &self.call.routed.service;
-        let Some(grant) = self.context.node.view(|node| node.may_send(target, service)) else {
-            return AttemptEnd::Broken;
-        };
-        let question = RelayedAttempt {
-            target: target.clone(),
-            service: service.clone(),
-            instance: grant.instance,
-            build: grant.build,
-            tag: self.call.tag.clone(),
-            time_ms: RELAY_CONNECT_LIMIT.as_millis() as u64,
-            may_reuse: false,
-            is_question: true,
+    }
+
+    /// Checks in the background whether the link to a target that has been silent for `silence` is lost, unless
+    /// something has arrived over it meanwhile.
+    pub(super) fn check_silent_link(&self, order: &DispatchOrder, silence: Duration) {
+        let target = order.target.clone();
+        let is_known = |node: &mut FleetNode, now: std::time::Instant, _: &mut _| {
+            let contact = node.links().last_contact(&target);
+            let is_alive = contact.is_some_and(|at| now.saturating_duration_since(at) < silence);
+            is_alive || node.links().is_lost(&target)
         };
-        let mut asked = Vec::new();
-        while asked.len() < MAX_ASKED_PEERS {
-            let Some(slot) = self.context.relays.choose(self.context, &asked) else { break };
-            asked.push(slot.peer());
-            match ask_reach(self.context, &slot, &question).await {
-                RelayOutcome::Answered | RelayOutcome::AnsweredUnframed => {
-                    self.record_loss(order, LossCause::Broken);
-                    return AttemptEnd::Severed;
-                }
-                RelayOutcome::Declined => {}
-                _ => return AttemptEnd::Broken,
+        if self.context.node.run(is_known) {
+            return;
+        }
+        let (service, tag) = (self.call.routed.service.clone(), self.call.tag.clone());
+        let context = self.context.clone();
+        self.context.spawn(async move {
+            check_link(&context, &target, &service, &tag).await;
+        });
+    }
+}
+
+/// What a check of a link has shown.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LinkVerdict {
+    /// A connection was made, or peers don't reach the target either.
+    Sound,
+    /// A peer reaches the target and this process doesn't.
+    Lost,
+    /// No connection was made, and no peer told whether it reaches the target.
+    Unknown,
+}
+
+/// Connects to a target, and asks peers if that fails.
+async fn check_link<D>(
+    context: &GatewayContext<D>,
+    target: &TargetName,
+    service: &ServiceName,
+    tag: &str,
+) -> LinkVerdict
+where
+    D: CallProtocol,
+{
+    if context.node.view(|node| node.links().is_lost(target)) {
+        return LinkVerdict::Lost;
+    }
+    if probe_link(context, target).await.is_ok() {
+        return LinkVerdict::Sound;
+    }
+    let Some(grant) = context.node.view(|node| node.may_send(target, service)) else {
+        return LinkVerdict::Unknown;
+    };
+    let question = RelayedAttempt {
+        target: target.clone(),
+        service: service.clone(),
+        instance: grant.instance,
+        build: grant.build,
+        tag: tag.to_owned(),
+        time_ms: RELAY_CONNECT_LIMIT.as_millis() as u64,
+        may_reuse: false,
+        is_question: true,
+    };
+    let mut asked = Vec::new();
+    while asked.len() < MAX_ASKED_PEERS {
+        let Some(slot) = context.relays.choose(context, &asked) else { break };
+        asked.push(slot.peer());
+        match ask_reach(context, &slot, &question).await {
+            RelayOutcome::Answered | RelayOutcome::AnsweredUnframed => {
+                record_loss(context, target, LossCause::Broken);
+                return LinkVerdict::Lost;
             }
+            RelayOutcome::Declined => {}
+            _ => return LinkVerdict::Sound,
         }
-        // Nobody tells. It only counts as a crash if the end of the target's process shows otherwise.
-        AttemptEnd::Broken
+    }
+    LinkVerdict::Unknown
+}
+
+/// Records that the link to a target is lost, and closes the idle connections over it.
+fn record_loss<D>(context: &GatewayContext<D>, target: &TargetName, cause: LossCause) {
+    let record = |node: &mut FleetNode, now, _: &mut _| node.record_link_loss(target, cause, now);
+    if context.node.run(record) {
+        context.pool.retain(|address| address != &**target);
     }
 }
 
--- a/crates/tarragon-gateway/src/forward/silence.rs
+++ b/crates/tarragon-gateway/src/forward/silence.rs
@@ -51,6 +51,7 @@
             if let Ok(output) = timeout(patience, &mut wait).await {
                 return Ok(output);
             }
+            self.check_silent_link(order, patience);
             let mut is_reported = false;
             loop {
                 if self.context.node.may_replace(order) {
