Let new requests give way to streams of their tier that go on

What callers saw: half a stream was lost to one that had yet to begin. In a full queue the newest request of the lowest tier was shed, whether its caller held a part of its answer or not, and a take-up was shed in favour of new requests of its tier. Where targets name the rate that they accept, take-ups waited for permits in order of arrival, behind those of their tier that were still within their objective.

Cause: only the lanes of the dispatch knew that streams that go on come first within their tier. The order of shedding, that of permits and the lateness against the objective of the first event did not, although the first event had been sent.

Change: `Job::goes_on` decides in all of them. Within a tier, requests that have yet to begin are shed first, a stream that goes on may displace one, it gets permits first, and the objective of the first event no longer applies to it. Tiers come first as before: no request of a higher tier is shed or waits for one of a lower tier.

Failed before: new_requests_are_shed_before_take_ups_of_their_tier: a new request gives way before a newer take-up of its tier: left: [(3, Shed, NotRun)], right: [(2, Shed, NotRun)] take_ups_get_permits_before_new_requests_of_their_tier: the first permit is in time: left: [(12, DeadlineExceeded, NotRun)], right: []

--- a/crates/tarragon-scheduler/src/job.rs
+++ b/crates/tarragon-scheduler/src/job.rs
@@ -117,14 +117,19 @@
     }
 
     /// Order in which requests of one service are sent if each has to wait for a permit: least first.
-    pub fn urgency(&self) -> (Reverse<Tier>, bool, usize, u64) {
-        (Reverse(self.tier()), self.late, self.rank(), self.sequence)
+    pub fn urgency(&self) -> (Reverse<Tier>, bool, bool, usize, u64) {
+        (Reverse(self.tier()), !self.goes_on(), self.late, self.rank(), self.sequence)
+    }
+
+    /// When the first part of the answer should be sent. A stream that goes on has begun.
+    pub fn objective(&self) -> Option<Instant> {
+        self.profile.options.first_output_objective.filter(|_| !self.goes_on())
     }
 
     /// Until when it may wait for a permit if so many others go first. Requests that are past their objective
     /// come after all others, so that one behind others will hardly be sent then.
     pub fn latest_permit(&self, ahead: usize) -> Instant {
-        let objective = self.profile.options.first_output_objective.filter(|_| ahead > 0);
+        let objective = self.objective().filter(|_| ahead > 0);
         objective.map_or(self.latest_start, |objective| objective.min(self.latest_start))
     }
 
--- a/crates/tarragon-scheduler/src/queue.rs
+++ b/crates/tarragon-scheduler/src/queue.rs
@@ -272,14 +272,8 @@
 
     /// Moves requests whose objective has passed behind those that can still meet theirs.
     pub fn mark_late(&mut self, now: Instant) {
-        let passed = |job: &Job| {
-            !job.late
-                && job
-                    .profile
-                    .options
-                    .first_output_objective
-                    .is_some_and(|objective| objective <= now)
-        };
+        let passed =
+            |job: &Job| !job.late && job.objective().is_some_and(|objective| objective <= now);
         let late: Vec<RequestId> =
             self.iter().filter(|job| passed(job)).map(Job::request).collect();
         for request in late {
@@ -307,9 +301,18 @@
         self.get(self.latest_starts[tier.index()].first()?.1)
     }
 
-    /// The request of a tier that arrived last.
-    pub fn newest(&self, tier: Tier) -> Option<RequestId> {
-        self.arrivals[tier.index()].last().map(|(_, request)| *request)
+    /// The request of a tier that gives way first: the one that arrived last, of those that have yet to begin if
+    /// there are any.
+    pub fn least_due(&self, tier: Tier) -> Option<RequestId> {
+        let newest = || self.arrivals[tier.index()].last().map(|(_, request)| *request);
+        self.newest_unbegun(tier).or_else(newest)
+    }
+
+    /// The request of a tier that arrived last, of those that have yet to begin.
+    pub fn newest_unbegun(&self, tier: Tier) -> Option<RequestId> {
+        let requests = self.arrivals[tier.index()].iter().rev().map(|(_, request)| *request);
+        let goes_on = |request: &RequestId| self.get(*request).is_some_and(Job::goes_on);
+        requests.into_iter().find(|request| !goes_on(request))
     }
 
     /// Drops finish tags that no longer affect the order.
--- a/crates/tarragon-scheduler/src/scheduler/shed.rs
+++ b/crates/tarragon-scheduler/src/scheduler/shed.rs
@@ -24,7 +24,7 @@
     }
 
     /// Makes room for a job by shedding lower tiers first, then requests of its own tier that can't meet
-    /// their deadline. Returns false if there is still no room; the job itself, as the newest of its tier, is
+    /// their deadline and, for a stream that goes on, those that have yet to begin. Returns false if there is still no room; the job itself, as the newest of its tier, is
     /// then shed.
     pub(super) fn make_room(
         &mut self,
@@ -33,7 +33,7 @@
         actions: &mut Vec<SchedulerAction>,
     ) -> bool {
         while !self.fits(job.tokens()) {
-            let Some(victim) = self.find_victim(job.tier(), now) else { return false };
+            let Some(victim) = self.find_victim(job, now) else { return false };
             self.shed_waiting(victim, now, actions);
         }
         true
@@ -48,7 +48,7 @@
         actions: &mut Vec<SchedulerAction>,
     ) {
         while let Some(lowest) = self.queue.lowest_tier().filter(|lowest| *lowest < tier) {
-            let Some(victim) = self.queue.newest(lowest) else { return };
+            let Some(victim) = self.queue.least_due(lowest) else { return };
             self.shed_waiting(victim, now, actions);
         }
     }
@@ -152,12 +152,15 @@
         }
     }
 
-    /// The waiting request to shed in favour of one of this tier, if there is one.
-    fn find_victim(&self, tier: Tier, now: Instant) -> Option<RequestId> {
-        let lowest = self.queue.lowest_tier().filter(|lowest| *lowest <= tier)?;
-        let hopeless = self.find_starved(lowest, now);
-        let newest = self.queue.newest(lowest).filter(|_| lowest < tier);
-        hopeless.or(newest)
+    /// The waiting request to shed in favour of a job, if there is one.
+    fn find_victim(&self, job: &Job, now: Instant) -> Option<RequestId> {
+        let lowest = self.queue.lowest_tier().filter(|lowest| *lowest <= job.tier())?;
+        let least_due = || match lowest < job.tier() {
+            true => self.queue.least_due(lowest),
+            false if job.goes_on() => self.queue.newest_unbegun(lowest),
+            false => None,
+        };
+        self.find_starved(lowest, now).or_else(least_due)
     }
 
     /// The request of a tier with the earliest latest start, if the waiting work of higher tiers takes longer
--- a/crates/tarragon-scheduler/tests/rules/take_up.rs
+++ b/crates/tarragon-scheduler/tests/rules/take_up.rs
@@ -186,3 +186,93 @@
     driver.send(take_up(60, 4_500));
     assert_eq!(driver.refused(), [], "its wait ends in time");
 }
+
+struct ShedCase {
+    name: &'static str,
+    /// Tier of each waiting request, and whether it takes up a stream, in order of arrival.
+    waiting: &'static [(Tier, bool)],
+    arriving: (Tier, bool),
+    /// Position of the request that is shed; the arriving one comes last.
+    shed: usize,
+}
+
+const SHEDDING: &[ShedCase] = &[
+    ShedCase {
+        name: "a new request gives way before a newer take-up of its tier",
+        waiting: &[(Tier::Normal, false), (Tier::Normal, true)],
+        arriving: (Tier::High, false),
+        shed: 0,
+    },
+    ShedCase {
+        name: "a new request gives way to a take-up of its own tier",
+        waiting: &[(Tier::Normal, false), (Tier::Normal, false)],
+        arriving: (Tier::Normal, true),
+        shed: 1,
+    },
+    ShedCase {
+        name: "a take-up displaces no other one",
+        waiting: &[(Tier::Normal, true), (Tier::Normal, true)],
+        arriving: (Tier::Normal, true),
+        shed: 2,
+    },
+    ShedCase {
+        name: "a new request displaces no take-up of its tier",
+        waiting: &[(Tier::Normal, true), (Tier::Normal, true)],
+        arriving: (Tier::Normal, false),
+        shed: 2,
+    },
+    ShedCase {
+        name: "a take-up of a lower tier gives way",
+        waiting: &[(Tier::Normal, true), (Tier::High, false)],
+        arriving: (Tier::High, false),
+        shed: 0,
+    },
+    ShedCase {
+        name: "a take-up displaces no higher tier",
+        waiting: &[(Tier::High, false), (Tier::High, false)],
+        arriving: (Tier::Normal, true),
+        shed: 2,
+    },
+];
+
+/// Guards against half a stream that is thrown away for one that has yet to begin.
+#[test]
+fn new_requests_are_shed_before_take_ups_of_their_tier() {
+    for case in SHEDDING {
+        let mut driver = Driver::new(SchedulerLimits { waiting: 2, waiting_tokens: 1_000_000 });
+        driver.add_target("pool", "t0", 1);
+        list(&mut driver, "t0", BUILD);
+        driver.send(Call::tier(Tier::Urgent));
+        let mut requests = Vec::new();
+        for (tier, taken_up) in case.waiting.iter().chain([&case.arriving]) {
+            let call = if *taken_up { take_up(50, 60_000) } else { new(60_000) };
+            requests.push(driver.send(Call { tier: *tier, ..call }));
+        }
+        let refusal = (requests[case.shed], RefusalCode::Shed, CallOutcome::NotRun);
+        assert_eq!(driver.refused(), [refusal], "{}", case.name);
+    }
+}
+
+/// Guards against take-ups that wait for a permit behind new requests of their tier until their callers leave.
+#[test]
+fn take_ups_get_permits_before_new_requests_of_their_tier() {
+    const SECOND: Duration = Duration::from_secs(1);
+    let mut driver = trained_driver(&[BUILD]);
+    driver.set_slots("t0", 8, false);
+    driver.handle(SchedulerEvent::StartsPaced("t0".into(), true));
+    let forecast = StartForecast { next: driver.now + SECOND, interval: SECOND };
+    driver.handle(SchedulerEvent::StartsForecast("pool".into(), Some(forecast)));
+    let waiting = driver.send(new(4_000));
+    // It is past its objective before the permit comes.
+    let call = take_up(50, 1_500);
+    let first_output_objective = Some(driver.now + SECOND / 10);
+    let terms = CallOptions { first_output_objective, ..call.terms };
+    let taken_up = driver.send(Call { terms, ..call });
+    assert_eq!(driver.refused(), [], "the first permit is in time");
+    driver.advance_silently(SECOND);
+    assert_eq!(driver.refused(), [], "both wait");
+    let until = driver.now + SECOND;
+    driver.handle(SchedulerEvent::StartsPermitted { target: "t0".into(), count: 1, until });
+    let sent: Vec<_> = driver.dispatched().into_iter().map(|(request, ..)| request).collect();
+    assert_eq!(sent, [taken_up], "{waiting} is new");
+}
