Test that a stream continues within a process if the rest fits

The test guards both kinds of calls: a generation of which 70 of 100 tokens are delivered, and a stream without sizes, whose rest was taken for a whole call: it was given up although its caller held most of it.

--- a/crates/tarragon-scheduler/tests/rules/take_up.rs
+++ b/crates/tarragon-scheduler/tests/rules/take_up.rs
@@ -276,3 +276,28 @@
     let sent: Vec<_> = driver.dispatched().into_iter().map(|(request, ..)| request).collect();
     assert_eq!(sent, [taken_up], "{waiting} is new");
 }
+
+/// Guards against streams that are given up shortly before their end, because the target breaks off and the rest is
+/// taken for a whole answer.
+#[test]
+fn a_broken_stream_goes_on_if_there_is_time_for_the_rest() {
+    for model in ["assess", ""] {
+        let mut driver = trained_driver(&[BUILD; 2]);
+        for _ in 0..10 {
+            let request = driver.send(Call { model: "", ..Call::default() });
+            driver.advance(TOKEN_TIME * ANSWER);
+            driver.end(request, 1, AttemptEnd::Finished);
+        }
+        driver.advance(Duration::from_secs(1));
+        let request = driver.send(Call { model, ..new(1_000) });
+        driver.handle(SchedulerEvent::StreamBegan(request, 1, BUILD));
+        driver.progress(request, 1, 1, 50);
+        driver.advance(Duration::from_millis(700));
+        driver.progress(request, 1, 70, 50);
+        driver.end(request, 1, AttemptEnd::Broken);
+        assert_eq!(driver.refused(), [], "model {model:?}");
+        driver.advance(Duration::from_millis(200));
+        let sent: Vec<_> = driver.dispatched().into_iter().map(|(request, ..)| request).collect();
+        assert_eq!(sent, [request], "model {model:?}");
+    }
+}
