Ask peers before the only known build counts as the one that began a stream

A process out of step during a release (cut off, or standing still, while targets of a new build joined) let a stream that had begun at the new build go on at the old one. Callers held an answer of two builds.

Cause: if a process knew one build only and its listing was at most 3 s old, or it heard most peers, that build counted as the one that began any stream, and nobody was asked. So the time between two listings was enough, and a process that had stood still trusted what peers had confirmed in messages that waited in its queue. A peer's claim of the same kind was believed against the own knowledge of a second build.

Now a sole build is a claim. Peers are asked at the take-up, so that their answers are newer than the question: a record wins; a process that knows several builds says so, which refutes the claim; the claim counts if a peer makes it too and at least a third of the asked peers have answered. If they don't, the process waits up to 1.2 s for a listing that it reads from the store after the question, and looks again. Otherwise it refuses, or asks the engines as before.

Its tests keep their bounds.

Left: several processes that are cut off together, more than a third of those asked, whose listings are at most 3 s old, confirm each other. An older process can't decode the new answer and counts it as none; it keeps its old rule.

--- a/crates/tarragon-fleet/src/ledger.rs
+++ b/crates/tarragon-fleet/src/ledger.rs
@@ -56,6 +56,8 @@
     complete_since: Option<Instant>,
     /// When the last listing was read.
     listed: Option<Instant>,
+    /// The same, without what peers have confirmed: their messages may have waited in a queue.
+    read: Option<Instant>,
     /// What others reported before the first listing: since when their sightings are complete, and when they
     /// reported it.
     reported: Option<(Instant, Instant)>,
@@ -79,6 +81,7 @@
             self.complete_since = Some(reported.map_or(read_at, |(since, _)| since.min(read_at)));
         }
         self.listed = self.listed.max(Some(read_at));
+        self.read = self.read.max(Some(read_at));
         let builds = targets
             .map(|listed| (name_key(&listed.service), build_key(&listed.service, &listed.build)));
         let before = std::mem::replace(&mut self.current, builds.collect());
@@ -155,16 +158,42 @@
         })
     }
 
+    /// Whether a listing has been read since a point of time.
+    pub fn is_read_since(&self, time: Instant) -> bool {
+        self.read.is_some_and(|read| read >= time)
+    }
+
+    /// Builds of a service that were registered within the span before `now`, as far as known.
+    fn recent_builds(
+        &self,
+        service: NameKey,
+        span: Duration,
+        now: Instant,
+    ) -> impl Iterator<Item = BuildKey> {
+        let is_recent = move |until: &Instant| now.saturating_duration_since(*until) <= span;
+        let past = self.past.iter().filter(move |(_, until)| is_recent(until)).map(|(one, _)| one);
+        let builds = self.current.iter().chain(past).filter(move |(name, _)| *name == service);
+        builds.map(|(_, build)| *build)
+    }
+
+    /// One of a service's builds, if it has had several within the span before `now`.
+    pub fn one_of_several(
+        &self,
+        service: NameKey,
+        span: Duration,
+        now: Instant,
+    ) -> Option<BuildKey> {
+        self.recent_builds(service, span, now).nth(1)
+    }
+
     /// The build that was the only one of a service for the whole span before `now`.
     pub fn sole_build(&self, service: NameKey, span: Duration, now: Instant) -> Option<BuildKey> {
         if !self.covers(span, now) {
             return None;
         }
-        let is_recent = |until: &Instant| now.saturating_duration_since(*until) <= span;
-        let past = self.past.iter().filter(|(_, until)| is_recent(until)).map(|(one, _)| one);
-        let mut builds = self.current.iter().chain(past).filter(|(name, _)| *name == service);
-        let (_, build) = builds.next()?;
-        builds.next().is_none().then_some(*build)
+        let mut builds = self.recent_builds(service, span, now);
+        let build = builds.next()?;
+        builds.next().is_none().then_some(build)
     }
 
     /// Services with only one build for the whole span before `now`.
--- a/crates/tarragon-fleet/src/node/origins.rs
+++ b/crates/tarragon-fleet/src/node/origins.rs
@@ -61,7 +61,8 @@
         }
     }
 
-    /// The build that began a stream, as far as this process knows.
+    /// What this process knows of the build that began a stream. A sole build is a claim: others may have joined
+    /// since the last listing was read.
     pub fn find_origin(
         &self,
         now: Instant,
@@ -71,8 +72,17 @@
     ) -> Option<(BuildKey, OriginSource)> {
         let record = stream.and_then(|stream| self.origins.get(stream));
         let record = record.map(|build| (build, OriginSource::Record));
+        let several = || {
+            let build = self.builds.one_of_several(service, span, now)?;
+            Some((build, OriginSource::SeveralBuilds))
+        };
         let sole = || Some((self.sole_build(service, span, now)?, OriginSource::SoleBuild));
-        record.or_else(sole)
+        record.or_else(several).or_else(sole)
+    }
+
+    /// Whether a listing has been read from the store since a point of time.
+    pub fn has_listed_since(&self, time: Instant) -> bool {
+        self.builds.is_read_since(time)
     }
 
     /// The only build of a service within a span of time. A process that hears neither from the store nor from
--- a/crates/tarragon-fleet/src/origin.rs
+++ b/crates/tarragon-fleet/src/origin.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
 use crate::{digest::NameKey, hash::hash_texts, ledger::LedgerNotice, prelude::*};
@@ -68,6 +68,8 @@
     Record,
     /// No other build was registered for long enough.
     SoleBuild,
+    /// It doesn't know; several builds were registered, and the one named is any of them.
+    SeveralBuilds,
 }
 
 impl OriginSource {
@@ -76,10 +78,83 @@
         match self {
             OriginSource::Record => "record",
             OriginSource::SoleBuild => "sole_build",
+            OriginSource::SeveralBuilds => "several_builds",
         }
     }
 }
 
+/// Least share of the asked peers, as its divisor, that must have answered before a build without a record counts as
+/// the only one: a few processes may be cut off together.
+const ANSWERED_DIVISOR: usize = 3;
+
+/// What a process and the peers that it asks know of the build that began a stream.
+#[derive(Debug)]
+pub struct OriginPoll {
+    asked: usize,
+    answered: usize,
+    record: Option<BuildKey>,
+    sole_builds: IndexSet<BuildKey>,
+    is_confirmed: bool,
+    knows_several: bool,
+}
+
+impl OriginPoll {
+    /// A poll of some peers by a process that has this knowledge itself.
+    pub fn new(own: Option<(BuildKey, OriginSource)>, asked: usize) -> OriginPoll {
+        let mut poll = OriginPoll {
+            asked,
+            answered: 0,
+            record: None,
+            sole_builds: IndexSet::new(),
+            is_confirmed: false,
+            knows_several: false,
+        };
+        poll.take(own);
+        poll
+    }
+
+    /// Adds the answer of a peer.
+    pub fn add(&mut self, found: Option<(BuildKey, OriginSource)>) {
+        self.answered += 1;
+        self.is_confirmed |= matches!(found, Some((_, OriginSource::SoleBuild)));
+        self.take(found);
+    }
+
+    fn take(&mut self, found: Option<(BuildKey, OriginSource)>) {
+        match found {
+            Some((build, OriginSource::Record)) => self.record = self.record.or(Some(build)),
+            Some((build, OriginSource::SoleBuild)) => {
+                self.sole_builds.insert(build);
+            }
+            Some((_, OriginSource::SeveralBuilds)) => self.knows_several = true,
+            None => {}
+        }
+    }
+
+    /// Whether answers are still to come.
+    pub fn is_open(&self) -> bool {
+        self.record.is_none() && self.answered < self.asked
+    }
+
+    /// The build, if somebody has a record of the stream.
+    pub fn recorded(&self) -> Option<BuildKey> {
+        self.record
+    }
+
+    /// The build that some take for the only one and nobody contradicts.
+    pub fn claimed_build(&self) -> Option<BuildKey> {
+        let build = self.sole_builds.first().copied();
+        build.filter(|_| self.sole_builds.len() == 1 && !self.knows_several)
+    }
+
+    /// The build that was the only one. Since others may have joined after this process has read its listing, peers
+    /// have to say so.
+    pub fn sole_build(&self) -> Option<BuildKey> {
+        let is_heard = self.is_confirmed && self.answered * ANSWERED_DIVISOR >= self.asked;
+        self.claimed_build().filter(|_| is_heard)
+    }
+}
+
 /// Messages about the builds of streams, each in one datagram.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum OriginMessage {
--- a/crates/tarragon-fleet/tests/fleet/origins.rs
+++ b/crates/tarragon-fleet/tests/fleet/origins.rs
@@ -7,7 +7,7 @@
     digest::name_key,
     ledger::{BuildLedger, LedgerNotice, SightingNotice},
     node::stream_span,
-    origin::{OriginMessage, OriginQuery, OriginTable, stream_key},
+    origin::{OriginMessage, OriginPoll, OriginQuery, OriginTable, stream_key},
 };
 
 use crate::support::*;
@@ -221,23 +221,24 @@
 fn ask(fleet: &mut Fleet, node: usize, stream: u64, living: &[usize]) -> Option<BuildKey> {
     let now = fleet.now;
     let service = name_key(SERVICE);
-    if let Some((build, _)) = fleet.nodes[node].find_origin(now, service, Some(stream), SPAN) {
+    let known = fleet.nodes[node].find_origin(now, service, Some(stream), SPAN);
+    let peers = fleet.nodes[node].origin_peers(stream);
+    let mut poll = OriginPoll::new(known, peers.len());
+    if let Some(build) = poll.recorded() {
         return Some(build);
     }
     let query =
         OriginQuery { id: 1, stream: Some(stream), service, span_ms: SPAN.as_millis() as u32 };
-    for peer in fleet.nodes[node].origin_peers(stream) {
+    for peer in peers {
         let peer = (0..fleet.nodes.len()).find(|index| address(*index as u16 + 1) == peer).unwrap();
         if !living.contains(&peer) {
             continue;
         }
         let answer = fleet.nodes[peer].receive_origin(now, OriginMessage::Query(query));
         let Some(OriginMessage::Answer(answer)) = answer else { panic!("no answer") };
-        if let Some((build, _)) = answer.found {
-            return Some(build);
-        }
+        poll.add(answer.found);
     }
-    None
+    poll.recorded().or_else(|| poll.sole_build())
 }
 
 struct OwnerCase {
@@ -306,3 +307,82 @@
     let long = CallRoute { timeout: Duration::from_secs(60), ..route("/a/", SERVICE) };
     assert!(stream_span(&long) > Duration::from_secs(60));
 }
+
+struct StaleCase {
+    name: &'static str,
+    /// Processes that are cut off from the store and all others while targets of the new build join.
+    stale: &'static [usize],
+    /// Time since the new targets have joined, in milliseconds.
+    stale_ms: u64,
+    /// Processes that the one out of step reaches when it asks.
+    reached: &'static [usize],
+    /// Whether it learns the build.
+    known: bool,
+}
+
+const STALE: &[StaleCase] = &[
+    StaleCase { name: "cut off", stale: &[0], stale_ms: 500, reached: &[], known: false },
+    StaleCase {
+        name: "cut off for long",
+        stale: &[0],
+        stale_ms: 9_000,
+        reached: &[],
+        known: false,
+    },
+    StaleCase {
+        name: "cut off with another",
+        stale: &[0, 1],
+        stale_ms: 500,
+        reached: &[1],
+        known: false,
+    },
+    StaleCase {
+        name: "in touch again, its listing as before",
+        stale: &[0],
+        stale_ms: 500,
+        reached: &[1, 2, 3, 4, 5],
+        known: true,
+    },
+    StaleCase {
+        name: "in touch again with those that have no record",
+        stale: &[0],
+        stale_ms: 500,
+        reached: &[],
+        known: false,
+    },
+    StaleCase {
+        name: "in touch after standing still for long",
+        stale: &[0],
+        stale_ms: 4_000,
+        reached: &[1, 2, 3, 4, 5],
+        known: true,
+    },
+];
+
+/// Guards against a process out of step that takes the only build it knows for the one that began a stream.
+#[test]
+fn a_process_that_has_missed_a_new_build_does_not_guess_which_build_began_a_stream() {
+    for case in STALE {
+        let mut fleet = Fleet::start(6, 2);
+        for revision in 2..14 {
+            fleet.advance(Duration::from_secs(2));
+            fleet.publish(revision, 1, vec![of_build(1, OLD), of_build(2, OLD)]);
+            fleet.gossip();
+        }
+        let apart: Vec<FleetNode> = Vec::from_iter(fleet.nodes.drain(..case.stale.len()));
+        // The nodes behind keep their addresses, which records are sent to.
+        let new = listing(40, vec![of_build(1, OLD), of_build(2, NEW)]);
+        let now = fleet.now;
+        for node in &mut fleet.nodes {
+            node.apply_listing(now, &new, Duration::ZERO, &mut Vec::new());
+        }
+        fleet.nodes.splice(0..0, apart);
+        let (stream, build) = (5, build_key(SERVICE, NEW));
+        assert!(record_origin(&mut fleet, 2, stream, build), "{}", case.name);
+        let living: Vec<usize> = (0..6).filter(|node| !case.stale.contains(node)).collect();
+        deliver(&mut fleet, 2, &living);
+        fleet.now += Duration::from_millis(case.stale_ms);
+        let found = ask(&mut fleet, 0, stream, case.reached);
+        assert_eq!(found, case.known.then_some(build), "{}", case.name);
+    }
+}
--- a/crates/tarragon-gateway/src/origins.rs
+++ b/crates/tarragon-gateway/src/origins.rs
@@ -10,23 +10,26 @@
     time::Duration,
 };
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use tarragon_fleet::{
     digest::name_key,
-    origin::{OriginAnswer, OriginMessage, OriginQuery, OriginSource, StreamKey},
+    origin::{OriginAnswer, OriginMessage, OriginPoll, OriginQuery, OriginSource, StreamKey},
     prelude::*,
 };
 use tarragon_server::guarded::Guarded;
 use tokio::{
     net::UdpSocket,
     sync::mpsc,
-    time::{sleep, timeout},
+    time::{Instant, sleep, timeout},
 };
 
 use crate::{context::GatewayContext, peers::MAX_DATAGRAM_BYTES};
 
 /// Longest wait for the answers of peers. They are milliseconds away.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(150);
+/// Longest wait for the next listing of the store, which is read about once a second, and how often it is checked.
+const LISTING_WAIT: Duration = Duration::from_millis(1_200);
+const LISTING_CHECK_INTERVAL: Duration = Duration::from_millis(30);
 /// Delay after a failed read.
 const READ_RETRY_DELAY: Duration = Duration::from_millis(10);
 
@@ -52,31 +55,6 @@
     pub span: Duration,
 }
 
-/// What peers have answered to one query.
-#[derive(Debug, Default)]
-struct OriginPoll {
-    sole_builds: IndexSet<BuildKey>,
-}
-
-impl OriginPoll {
-    /// Adds an answer. Returns the build if the peer has a record of the stream.
-    fn add(&mut self, found: Option<(BuildKey, OriginSource)>) -> Option<BuildKey> {
-        match found? {
-            (build, OriginSource::Record) => Some(build),
-            (build, OriginSource::SoleBuild) => {
-                self.sole_builds.insert(build);
-                None
-            }
-        }
-    }
-
-    /// The build that was the only one, unless peers disagree.
-    fn sole_build(&self) -> Option<BuildKey> {
-        let build = self.sole_builds.first().copied();
-        build.filter(|_| self.sole_builds.len() == 1)
-    }
-}
-
 /// Removes a query when its wait ends, also if the caller disconnects.
 struct QueryGuard<'a> {
     link: &'a OriginLink,
@@ -206,39 +184,64 @@
 ) -> Option<(BuildKey, &'static str)> {
     let StreamLookup { stream, service, span } = lookup;
     let service = name_key(service);
-    let known = context.node.run(|node, now, _| node.find_origin(now, service, stream, span));
-    if let Some((build, source)) = known {
-        return Some((build, source.name()));
+    let asked = Instant::now().into_std();
+    let find = || context.node.run(|node, now, _| node.find_origin(now, service, stream, span));
+    let known = find();
+    if let Some((build, OriginSource::Record)) = known {
+        return Some((build, OriginSource::Record.name()));
     }
-    let link = &context.origins;
     let peers = context.node.view(|node| node.origin_peers(stream.unwrap_or_default()));
+    let mut poll = OriginPoll::new(known, peers.len());
+    let span_ms = u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
+    let query = OriginQuery { id: 0, stream, service, span_ms };
+    ask_peers(context, &peers, query, &mut poll).await;
+    if let Some(build) = poll.recorded() {
+        if let Some(stream) = stream {
+            context.node.run(|node, now, _| node.learn_origin(now, stream, build));
+        }
+        return Some((build, PEER_SOURCE));
+    }
+    if let Some(build) = poll.sole_build() {
+        let is_own = matches!(known, Some((_, OriginSource::SoleBuild)));
+        return Some((build, if is_own { OriginSource::SoleBuild.name() } else { PEER_SOURCE }));
+    }
+    // Without peers that confirm it, only a listing read from now on shows that no other build has joined.
+    poll.claimed_build()?;
+    let is_listed = async {
+        while !context.node.run(|node, _, _| node.has_listed_since(asked)) {
+            sleep(LISTING_CHECK_INTERVAL).await;
+        }
+    };
+    timeout(LISTING_WAIT, is_listed).await.ok()?;
+    let (build, source) = find()?;
+    (source != OriginSource::SeveralBuilds).then(|| (build, source.name()))
+}
+
+/// Asks peers which build began a stream, until one has a record of it or all have answered.
+async fn ask_peers<D>(
+    context: &GatewayContext<D>,
+    peers: &[SocketAddr],
+    query: OriginQuery,
+    poll: &mut OriginPoll,
+) {
+    let link = &context.origins;
     let id = link.next_query.fetch_add(1, Ordering::Relaxed);
     let (sender, mut answers) = mpsc::unbounded_channel();
     link.queries.with(|queries| queries.insert(id, sender));
     let _guard = QueryGuard { link, id };
-    let span_ms = u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
-    let query = OriginMessage::Query(OriginQuery { id, stream, service, span_ms });
-    for peer in &peers {
-        link.send(origin_address(context, *peer), &query).await;
+    let message = OriginMessage::Query(OriginQuery { id, ..query });
+    for peer in peers {
+        link.send(origin_address(context, *peer), &message).await;
     }
-    let mut poll = OriginPoll::default();
-    let recorded = async {
-        let mut left = peers.len();
-        while left > 0 {
-            let answer = answers.recv().await?;
-            if answer.stream != stream {
-                continue;
-            }
-            left -= 1;
-            if let Some(build) = poll.add(answer.found) {
-                return Some(build);
+    let answered = async {
+        while poll.is_open() {
+            let Some(answer) = answers.recv().await else { return };
+            if answer.stream == query.stream {
+                poll.add(answer.found);
             }
         }
-        None
     };
-    let recorded = timeout(QUERY_TIMEOUT, recorded).await.ok().flatten();
-    if let (Some(build), Some(stream)) = (recorded, stream) {
-        context.node.run(|node, now, _| node.learn_origin(now, stream, build));
+    if timeout(QUERY_TIMEOUT, answered).await.is_err() {
+        tracing::info!(asked = peers.len(), "not all peers told which build began a stream");
     }
-    recorded.or_else(|| poll.sole_build()).map(|build| (build, PEER_SOURCE))
 }
