Tell all processes how many rejections a target can bear

The platform's targets may name in all their answers how many requests a second they can turn away for want of room before they fail.

The statement is decoded once in platform/ and believed like a named rate: it belongs to one start of a target's process, the newest one counts, a limit counts from its arrival and its end from the time at which the answered request was sent, only a success ends it, digests tell it (32 a digest, in rotation) and urgent digests tell changes. It ends after 60 s without any confirmation. The belief in named rates is made generic instead of being copied.

Digests have a new field, so builds before and after this commit can't read each other's, as with the field for named rates.

--- a/crates/tarragon-fleet/src/digest.rs
+++ b/crates/tarragon-fleet/src/digest.rs
@@ -120,6 +120,8 @@
     pub fleet_time_ms: u64,
     /// What targets have said about the rates that they accept from all processes together.
     pub rates: Vec<RateNotice>,
+    /// What targets have said about the rejections that they can bear from all processes together.
+    pub rejection_limits: Vec<RejectionNotice>,
     /// Quota usage that recently restarted peers had before their restart, by address.
     pub former_usage: Vec<(SocketAddr, Vec<UsageSum>)>,
     /// Whether this answers the receiver's first digest. Answers get no answer themselves.
--- a/crates/tarragon-fleet/src/directory.rs
+++ b/crates/tarragon-fleet/src/directory.rs
@@ -11,7 +11,6 @@
     hash::update_field,
     prelude::*,
     published::{InstanceName, StorePosition},
-    rate::RateBelief,
 };
 
 /// Time without a listing after which an outage of the store is assumed. Entries may then have lapsed
@@ -37,7 +36,9 @@
     /// Until when it wants no requests from this process.
     pub paused: Option<Instant>,
     /// The rate that it accepts, once it has named one.
-    pub rate: Option<RateBelief>,
+    pub rate: Option<LimitBelief<RequestRate>>,
+    /// The rejections that it can bear, once it has named a limit or has shown that it has none.
+    pub rejections: Option<LimitBelief<RejectionLimit>>,
 }
 
 impl TargetNotice {
@@ -92,6 +93,17 @@
         self.notice.rate?.limit()
     }
 
+    /// Rejections for want of room that it has said it can bear per second from all processes together; `None` for
+    /// no limit.
+    pub fn rejection_limit(&self) -> Option<RejectionLimit> {
+        self.notice.rejections?.limit()
+    }
+
+    /// Whether anything is known of its rejection limit.
+    pub fn has_stated_rejections(&self) -> bool {
+        self.notice.rejections.is_some()
+    }
+
     /// Build of its software.
     pub fn build(&self) -> BuildKey {
         build_key(&self.listed.service, &self.listed.build)
@@ -146,6 +158,8 @@
     gone: IndexMap<u64, GoneTarget>,
     /// Services that the configuration names; empty if there is none.
     named_services: IndexSet<ServiceName>,
+    /// Whether any target names a rejection limit.
+    has_rejection_limits: bool,
 }
 
 impl TargetDirectory {
@@ -481,7 +495,7 @@
         }
         let before = entry.rate_limit();
         let (statement, sent) = (answer.statement, answer.sent);
-        if !RateBelief::apply_answer(&mut entry.notice.rate, statement, sent, now) {
+        if !LimitBelief::apply_answer(&mut entry.notice.rate, statement, sent, now) {
             return false;
         }
         tracing::info!(
@@ -509,7 +523,7 @@
         let (target, entry) = self.entries.iter_mut().find(|(_, entry)| entry.restart_id == id)?;
         let before = entry.rate_limit();
         let statement = notice.statement;
-        if !RateBelief::apply_report(&mut entry.notice.rate, statement, as_of, now) {
+        if !LimitBelief::apply_report(&mut entry.notice.rate, statement, as_of, now) {
             return None;
         }
         tracing::info!(
@@ -524,10 +538,120 @@
         (entry.rate_limit() != before).then(|| target.clone())
     }
 
-    /// Makes what targets have said about their rates older.
-    pub fn age_rates(&mut self, time: Duration) {
-        let beliefs = self.entries.values_mut().filter_map(|entry| entry.notice.rate.as_mut());
-        beliefs.for_each(|belief| belief.age(time));
+    /// Makes what targets have said about their limits older.
+    pub fn age_limits(&mut self, time: Duration) {
+        for entry in self.entries.values_mut() {
+            entry.notice.rate.iter_mut().for_each(|belief| belief.age(time));
+            entry.notice.rejections.iter_mut().for_each(|belief| belief.age(time));
+        }
+    }
+
+    /// Applies what an answer says about the rejections that its target can bear. Returns whether the limit has
+    /// changed.
+    pub fn apply_rejections(
+        &mut self,
+        target: &str,
+        answer: &RejectionAnswer<'_>,
+        now: Instant,
+    ) -> bool {
+        let Some(entry) = self.entries.get_mut(target) else { return false };
+        if &*entry.listed.instance != answer.instance {
+            return false;
+        }
+        let before = entry.rejection_limit();
+        let (statement, sent) = (answer.statement, answer.sent);
+        if self.has_rejection_limits && entry.notice.rejections.is_none() {
+            // Until now, the limit that others of its service name counted for it.
+            entry.notice.rejections = Some(LimitBelief::unlimited(sent, now));
+        }
+        if !LimitBelief::apply_answer(&mut entry.notice.rejections, statement, sent, now) {
+            return false;
+        }
+        tracing::info!(
+            target_address = target,
+            instance = answer.instance,
+            request = answer.request,
+            statement = statement.name(),
+            per_second = statement.limit().map(|limit| limit.0),
+            before_per_second = before.map(|limit| limit.0),
+            age_ms = now.saturating_duration_since(sent).as_millis() as u64,
+            "target's rejection limit has changed"
+        );
+        let changed = entry.rejection_limit() != before;
+        self.note_rejection_limits();
+        changed
+    }
+
+    /// Applies what a peer reports about the rejections that a target can bear, as of some time. Returns whether
+    /// the limit has changed.
+    pub fn apply_reported_rejections(
+        &mut self,
+        notice: &RejectionNotice,
+        as_of: Instant,
+        now: Instant,
+    ) -> bool {
+        let id = notice.restart_id;
+        let entry = self.entries.iter_mut().find(|(_, entry)| entry.restart_id == id);
+        let Some((target, entry)) = entry else { return false };
+        let before = entry.rejection_limit();
+        let statement = notice.statement;
+        if !LimitBelief::apply_report(&mut entry.notice.rejections, statement, as_of, now) {
+            return false;
+        }
+        tracing::info!(
+            target_address = &**target,
+            instance = &*entry.listed.instance,
+            statement = statement.name(),
+            per_second = statement.limit().map(|limit| limit.0),
+            before_per_second = before.map(|limit| limit.0),
+            age_ms = now.saturating_duration_since(as_of).as_millis() as u64,
+            "a peer reports that the target's rejection limit has changed"
+        );
+        let changed = entry.rejection_limit() != before;
+        self.note_rejection_limits();
+        changed
+    }
+
+    /// Ends the rejection limits that no answer has confirmed for `lifetime`.
+    pub fn expire_rejection_limits(&mut self, lifetime: Duration, now: Instant) {
+        for (target, entry) in &mut self.entries {
+            let is_old = |belief: &mut LimitBelief<RejectionLimit>| {
+                now.saturating_duration_since(belief.as_of) >= lifetime
+            };
+            if let Some(belief) = entry.notice.rejections.take_if(is_old)
+                && belief.limit().is_some()
+            {
+                tracing::info!(
+                    target_address = &**target,
+                    instance = &*entry.listed.instance,
+                    "target's rejection limit has ended: no answer has confirmed it"
+                );
+            }
+        }
+        self.note_rejection_limits();
+    }
+
+    fn note_rejection_limits(&mut self) {
+        let has_any = self.rejection_limited().next().is_some();
+        self.has_rejection_limits = has_any;
+    }
+
+    /// Targets that name a rejection limit.
+    pub fn rejection_limited(&self) -> impl Iterator<Item = (&TargetName, RejectionLimit)> {
+        let limit = |(target, entry)| {
+            let entry: &DirectoryEntry = entry;
+            Some((target, entry.rejection_limit()?))
+        };
+        self.entries.iter().filter_map(limit)
+    }
+
+    /// What digests report about the rejections that targets can bear. `report_time` is the time for which the end
+    /// of a limit is reported.
+    pub fn rejection_notices(&self, report_time: Duration, now: Instant) -> Vec<RejectionNotice> {
+        let notice = |entry: &DirectoryEntry| {
+            entry.notice.rejections?.notice(entry.restart_id, report_time, now)
+        };
+        self.entries.values().filter_map(notice).collect()
     }
 
     /// Targets that name a rate limit, with the limits.
@@ -541,15 +665,8 @@
     /// What digests report about the rates of targets. `report_time` is the time for which the end of a limit
     /// is reported.
     pub fn rate_notices(&self, report_time: Duration, now: Instant) -> Vec<RateNotice> {
-        let notice = |entry: &DirectoryEntry| {
-            let belief = entry.notice.rate.filter(|belief| belief.is_reported(report_time, now))?;
-            let age = now.saturating_duration_since(belief.as_of);
-            Some(RateNotice {
-                restart_id: entry.restart_id,
-                statement: belief.statement,
-                age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
-            })
-        };
+        let notice =
+            |entry: &DirectoryEntry| entry.notice.rate?.notice(entry.restart_id, report_time, now);
         self.entries.values().filter_map(notice).collect()
     }
 
--- a/crates/tarragon-fleet/src/node.rs
+++ b/crates/tarragon-fleet/src/node.rs
@@ -40,6 +40,9 @@
 /// after 2.5 s at the latest.
 const MAX_OPERATOR_STATE_AGE: Duration = Duration::from_millis(3_500);
 
+/// Time without a confirmation after which a target's rejection limit ends.
+const REJECTION_LIMIT_LIFETIME: Duration = Duration::from_secs(60);
+
 /// Limits that the deployment sets for the fleet as a whole.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct FleetBounds {
@@ -266,11 +269,11 @@
 
     /// Takes into account that the machine was suspended for some time, which the monotonic clock doesn't
     /// show: all peers count as silent, since their reports are out of date, and what targets have said about
-    /// their rates is older by that time.
+    /// their limits is older by that time.
     pub fn resume(&mut self, now: Instant, suspended: Duration) {
         self.members.mark_all_silent(now);
         self.clock.add_suspended(suspended);
-        self.directory.age_rates(suspended);
+        self.directory.age_limits(suspended);
     }
 
     /// Handles the passage of time. Must be called every 100 ms.
@@ -282,6 +285,7 @@
         self.end_carried_evacuations(now, actions);
         self.end_backoffs(now, actions);
         self.end_pauses(now, actions);
+        self.directory.expire_rejection_limits(REJECTION_LIMIT_LIFETIME, now);
         self.update_targets(now, actions);
         self.pace_starts(now, actions);
         self.update_trial_turn(now);
--- a/crates/tarragon-fleet/src/node/updates.rs
+++ b/crates/tarragon-fleet/src/node/updates.rs
@@ -36,11 +36,11 @@
 /// Time for which operators write again what the store has lost by coming back from a copy.
 const REWRITE_TIME: Duration = Duration::from_secs(5);
 
-/// Time for which digests report that a target names no rate any more. A peer that still reports the limit
+/// Time for which digests report that a target names no limit any more. A peer that still reports the limit
 /// later is told again.
-const RATE_END_REPORT_TIME: Duration = Duration::from_secs(10);
-/// Most rates of targets that one digest reports, in rotation. Each takes up to 18 bytes.
-const MAX_RATES: usize = 32;
+const LIMIT_END_REPORT_TIME: Duration = Duration::from_secs(10);
+/// Most limits of targets of each kind that one digest reports, in rotation. Each takes up to 18 bytes.
+const MAX_LIMITS: usize = 32;
 /// A peer's listing is requested only if it is newer than the own one by at least this.
 const MIN_LISTING_ADVANCE: Duration = Duration::from_millis(150);
 
@@ -280,6 +280,42 @@
         }
     }
 
+    /// Applies what an answer of a target says about the rejections that it can bear. Returns whether peers should
+    /// hear of it at once.
+    pub fn apply_rejections(
+        &mut self,
+        now: Instant,
+        target: &TargetName,
+        answer: &RejectionAnswer<'_>,
+        actions: &mut Vec<SchedulerAction>,
+    ) -> bool {
+        let changed = self.directory.apply_rejections(target, answer, now);
+        if changed {
+            self.update_targets(now, actions);
+        }
+        changed
+    }
+
+    /// Applies what a peer whose fleet clock shows `peer_time` reports about the rejections that targets can bear.
+    fn apply_reported_rejections(
+        &mut self,
+        now: Instant,
+        peer_time: Duration,
+        notices: &[RejectionNotice],
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        let transit = self.clock.time(now).saturating_sub(peer_time);
+        let mut changed = false;
+        for notice in notices {
+            let age = transit + Duration::from_millis(u64::from(notice.age_ms));
+            let Some(as_of) = now.checked_sub(age) else { continue };
+            changed |= self.directory.apply_reported_rejections(notice, as_of, now);
+        }
+        if changed {
+            self.update_targets(now, actions);
+        }
+    }
+
     /// Passes to the scheduler for which services all targets are paused, and until when.
     pub(super) fn update_pauses(&mut self, now: Instant, actions: &mut Vec<SchedulerAction>) {
         let services: IndexSet<ServiceName> =
@@ -339,6 +375,7 @@
         let leaving = digest.leaving_restart_ids.clone();
         let peer_time = Duration::from_millis(digest.fleet_time_ms);
         let rates = digest.rates.clone();
+        let rejection_limits = digest.rejection_limits.clone();
         if let Some(usage) = self.members.own_former_usage(&digest) {
             self.quotas.restore_former_usage(usage, now);
         }
@@ -357,6 +394,7 @@
             }
         }
         self.apply_reported_rates(now, peer_time, &rates, actions);
+        self.apply_reported_rejections(now, peer_time, &rejection_limits, actions);
         self.apply_reported_loads(now, &uses, actions);
         if self.members.sharing() <= SMALL_FLEET_SIZE {
             self.update_targets(now, actions);
@@ -487,8 +525,10 @@
         self.members.record_sent(self.sequence, &target_uses, &quota_usage);
         let mut leaving_restart_ids = self.directory.recently_leaving(LEAVING_REPORT_TIME, now);
         keep_next_round(&mut leaving_restart_ids, MAX_LEAVING, self.sequence);
-        let mut rates = self.directory.rate_notices(RATE_END_REPORT_TIME, now);
-        keep_next_round(&mut rates, MAX_RATES, self.sequence);
+        let mut rates = self.directory.rate_notices(LIMIT_END_REPORT_TIME, now);
+        keep_next_round(&mut rates, MAX_LIMITS, self.sequence);
+        let mut rejection_limits = self.directory.rejection_notices(LIMIT_END_REPORT_TIME, now);
+        keep_next_round(&mut rejection_limits, MAX_LIMITS, self.sequence);
         PeerDigest {
             vm: self.settings.vm.clone(),
             data_centre: name_key(&self.settings.data_centre),
@@ -507,6 +547,7 @@
             leaving_restart_ids,
             fleet_time_ms: self.clock.time(now).as_millis() as u64,
             rates,
+            rejection_limits,
             former_usage: self.members.next_former_usage(now),
             is_answer: false,
             requests_sums: false,
--- a/crates/tarragon-fleet/src/prelude.rs
+++ b/crates/tarragon-fleet/src/prelude.rs
@@ -11,5 +11,9 @@
         ServiceConfiguration, TargetListing, WorkspaceConfiguration,
     },
     quota::QuotaBounds,
-    rate::{RateAnswer, RateNotice, RateStatement, RequestRate},
+    rate::{
+        LimitAnswer, LimitBelief, LimitNotice, LimitStatement, RateAnswer, RateNotice,
+        RateStatement, RejectionAnswer, RejectionLimit, RejectionNotice, RejectionStatement,
+        RequestRate,
+    },
 };
--- a/crates/tarragon-fleet/src/rate.rs
+++ b/crates/tarragon-fleet/src/rate.rs
@@ -1,5 +1,5 @@
-//! Rates that targets name in their answers: how many requests per second they accept from all processes of
-//! the fleet together.
+//! Limits that targets name in their answers for all processes of the fleet together: how many requests per second
+//! they accept, and how many they can reject per second for want of room.
 
 use std::time::{Duration, Instant};
 
@@ -24,39 +24,48 @@
     }
 }
 
-/// What the head of an answer says about the rate that its target accepts.
+/// Requests per second that a target can reject for want of room before it fails.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct RejectionLimit(pub u32);
+
+/// What the head of an answer says about a limit of its target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum RateStatement {
+pub enum LimitStatement<L> {
     /// The target names no limit.
     Unlimited,
-    /// The target accepts this rate from all processes together.
-    Limited(RequestRate),
-    /// The target names something that is not a rate, which counts as no limit.
+    /// The target names this limit for all processes together.
+    Limited(L),
+    /// The target names something that is not a limit, which counts as none.
     Malformed,
 }
 
-impl RateStatement {
+/// What the head of an answer says about the rate that its target accepts.
+pub type RateStatement = LimitStatement<RequestRate>;
+/// What the head of an answer says about the rejections that its target can bear.
+pub type RejectionStatement = LimitStatement<RejectionLimit>;
+
+impl<L> LimitStatement<L> {
     /// Name in logs and metrics.
-    pub fn name(self) -> &'static str {
+    pub fn name(&self) -> &'static str {
         match self {
-            RateStatement::Unlimited => "unlimited",
-            RateStatement::Limited(_) => "limited",
-            RateStatement::Malformed => "malformed",
+            LimitStatement::Unlimited => "unlimited",
+            LimitStatement::Limited(_) => "limited",
+            LimitStatement::Malformed => "malformed",
         }
     }
 
     /// The limit that applies after this statement.
-    pub fn limit(self) -> Option<RequestRate> {
+    pub fn limit(self) -> Option<L> {
         match self {
-            RateStatement::Limited(rate) => Some(rate),
-            RateStatement::Unlimited | RateStatement::Malformed => None,
+            LimitStatement::Limited(limit) => Some(limit),
+            LimitStatement::Unlimited | LimitStatement::Malformed => None,
         }
     }
 }
 
-/// A statement about a target's rate, with the answer that made it.
+/// A statement about a limit of a target, with the answer that made it.
 #[derive(Debug, Clone, Copy)]
-pub struct RateAnswer<'a> {
+pub struct LimitAnswer<'a, L> {
     /// The caller's id of the request that was answered.
     pub request: &'a str,
     /// Instance that was expected at the target's address.
@@ -64,25 +73,35 @@
     /// When the request was sent. The target made the statement at some time since.
     pub sent: Instant,
     /// Statement.
-    pub statement: RateStatement,
+    pub statement: LimitStatement<L>,
 }
 
-/// What a digest says about the rate that a target accepts.
+/// A statement about a target's rate, with the answer that made it.
+pub type RateAnswer<'a> = LimitAnswer<'a, RequestRate>;
+/// A statement about the rejections that a target can bear, with the answer that made it.
+pub type RejectionAnswer<'a> = LimitAnswer<'a, RejectionLimit>;
+
+/// What a digest says about a limit of a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RateNotice {
+pub struct LimitNotice<L> {
     /// Identifies the start of the target's process.
     pub restart_id: u64,
     /// The target's last statement.
-    pub statement: RateStatement,
+    pub statement: LimitStatement<L>,
     /// Milliseconds from the time that the statement reflects to the digest.
     pub age_ms: u32,
 }
 
-/// What is believed of the rate that a target accepts.
+/// What a digest says about the rate that a target accepts.
+pub type RateNotice = LimitNotice<RequestRate>;
+/// What a digest says about the rejections that a target can bear.
+pub type RejectionNotice = LimitNotice<RejectionLimit>;
+
+/// What is believed of a limit of a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct RateBelief {
+pub struct LimitBelief<L> {
     /// Last statement.
-    pub statement: RateStatement,
+    pub statement: LimitStatement<L>,
     /// Time that the belief reflects. Limits count from their arrival, their ends and increases from the time
     /// at which the answered request was sent, so that an answer that is late can't lift a newer limit.
     pub as_of: Instant,
@@ -90,12 +109,20 @@
     learned: Instant,
 }
 
-impl RateBelief {
+impl<L> LimitBelief<L>
+where
+    L: Copy + Ord,
+{
+    /// The belief that a target has no limit, as an answer to a request sent at `sent` shows.
+    pub fn unlimited(sent: Instant, now: Instant) -> LimitBelief<L> {
+        LimitBelief { statement: LimitStatement::Unlimited, as_of: sent, learned: now }
+    }
+
     /// Updates a belief by a statement in an answer to a request that was sent at `sent`. Returns whether the
     /// statement differs from the one before.
     pub fn apply_answer(
-        belief: &mut Option<RateBelief>,
-        statement: RateStatement,
+        belief: &mut Option<LimitBelief<L>>,
+        statement: LimitStatement<L>,
         sent: Instant,
         now: Instant,
     ) -> bool {
@@ -104,14 +131,14 @@
             (_, after) => after.is_none(),
         };
         let as_of = if is_lifted { sent } else { now };
-        RateBelief::replace(belief, statement, as_of, now)
+        LimitBelief::replace(belief, statement, as_of, now)
     }
 
     /// Updates a belief by a statement that a peer reports. Returns whether the statement differs from the one
     /// before.
     pub fn apply_report(
-        belief: &mut Option<RateBelief>,
-        statement: RateStatement,
+        belief: &mut Option<LimitBelief<L>>,
+        statement: LimitStatement<L>,
         as_of: Instant,
         now: Instant,
     ) -> bool {
@@ -121,19 +148,19 @@
         {
             known.learned = now;
         }
-        RateBelief::replace(belief, statement, as_of, now)
+        LimitBelief::replace(belief, statement, as_of, now)
     }
 
     fn replace(
-        belief: &mut Option<RateBelief>,
-        statement: RateStatement,
+        belief: &mut Option<LimitBelief<L>>,
+        statement: LimitStatement<L>,
         as_of: Instant,
         now: Instant,
     ) -> bool {
         match belief {
-            None if statement == RateStatement::Unlimited => false,
+            None if statement == LimitStatement::Unlimited => false,
             None => {
-                *belief = Some(RateBelief { statement, as_of, learned: now });
+                *belief = Some(LimitBelief { statement, as_of, learned: now });
                 true
             }
             Some(known) if known.as_of >= as_of => false,
@@ -142,7 +169,7 @@
                 false
             }
             Some(known) => {
-                *known = RateBelief { statement, as_of, learned: now };
+                *known = LimitBelief { statement, as_of, learned: now };
                 true
             }
         }
@@ -154,13 +181,23 @@
     }
 
     /// The limit that applies.
-    pub fn limit(&self) -> Option<RequestRate> {
+    pub fn limit(&self) -> Option<L> {
         self.statement.limit()
     }
 
-    /// Whether digests report it: limits always, the lack of one for some time after it was learned.
-    pub fn is_reported(&self, report_time: Duration, now: Instant) -> bool {
+    /// What digests report of it: limits always, the lack of one for some time after it was learned.
+    pub fn notice(
+        &self,
+        restart_id: u64,
+        report_time: Duration,
+        now: Instant,
+    ) -> Option<LimitNotice<L>> {
         let recent = now.saturating_duration_since(self.learned) < report_time;
-        self.limit().is_some() || recent
+        let age = now.saturating_duration_since(self.as_of);
+        (self.limit().is_some() || recent).then(|| LimitNotice {
+            restart_id,
+            statement: self.statement,
+            age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+        })
     }
 }
--- a/crates/tarragon-fleet/tests/fleet/member.rs
+++ b/crates/tarragon-fleet/tests/fleet/member.rs
@@ -32,6 +32,7 @@
         leaving_restart_ids: Vec::new(),
         fleet_time_ms: 0,
         rates: Vec::new(),
+        rejection_limits: Vec::new(),
         former_usage: Vec::new(),
         is_answer: false,
         requests_sums: false,
--- a/crates/tarragon-fleet/tests/fleet/odd_values.rs
+++ b/crates/tarragon-fleet/tests/fleet/odd_values.rs
@@ -155,6 +155,11 @@
             requests_sums: self.coin(),
             met: self.medium(),
             members: vec![address(self.short()), ([0, 0, 0, 0], 0).into()],
+            rejection_limits: vec![RejectionNotice {
+                restart_id: self.wide(),
+                statement: RejectionStatement::Limited(RejectionLimit(self.medium())),
+                age_ms: self.medium(),
+            }],
             ..sound.clone()
         }
     }
--- a/crates/tarragon-gateway/src/forward.rs
+++ b/crates/tarragon-gateway/src/forward.rs
@@ -367,6 +367,12 @@
                     RateAnswer { request: &tag, instance: &instance, sent, statement: rate };
                 report_rate(&context, &target, &answer);
             }
+            let statement = context.protocol.read_rejections(headers);
+            if statement != RejectionStatement::Unlimited && answers_the_call(echo, is_reused) {
+                let answer =
+                    RejectionAnswer { request: &tag, instance: &instance, sent, statement };
+                report_rejections(&context, &target, &answer);
+            }
         });
         watch
     }
@@ -402,6 +408,11 @@
             let answer = RateAnswer { request, instance, sent, statement: head.rate };
             report_rate(self.context, target, &answer);
         }
+        if is_own_success || head.rejections.limit().is_some() {
+            let (request, sent) = (&self.call.tag, answer.sent.into_std());
+            let answer = RejectionAnswer { request, instance, sent, statement: head.rejections };
+            report_rejections(self.context, target, &answer);
+        }
     }
 
     /// Returns a connection to the pool, unless no further calls may be sent to its target.
@@ -595,6 +606,20 @@
     }
 }
 
+/// Tells the node what an answer says about the rejections that its target can bear.
+fn report_rejections<D>(
+    context: &GatewayContext<D>,
+    target: &TargetName,
+    answer: &RejectionAnswer<'_>,
+) {
+    context.metrics.rejection_statements.with_label_values(&[answer.statement.name()]).inc();
+    let changed =
+        context.node.run(|node, now, actions| node.apply_rejections(now, target, answer, actions));
+    if changed {
+        context.node.urgent_digest.notify_one();
+    }
+}
+
 /// Whether callers conclude from a status that the request has not run.
 fn implies_not_run(status: StatusCode) -> bool {
     matches!(
--- a/crates/tarragon-gateway/src/metrics.rs
+++ b/crates/tarragon-gateway/src/metrics.rs
@@ -52,6 +52,10 @@
     pub target_connections: IntCounter,
     /// Answers of targets by what they say about the rate that the target accepts.
     pub rate_statements: IntCounterVec,
+    /// Answers of targets by what they say about the rejections that the target can bear.
+    pub rejection_statements: IntCounterVec,
+    /// Targets that name a rejection limit.
+    pub rejection_limited_targets: IntGauge,
     /// Targets that name a rate limit.
     pub limited_targets: IntGauge,
     /// Requests that are suspected of crashing targets, or convicted of it.
@@ -112,6 +116,15 @@
                 "Answers of targets by what they say about the rate that they accept",
                 &["statement"],
             )?,
+            rejection_statements: counter_vec(
+                "rejection_statements_total",
+                "Answers of targets by what they say about the rejections that they can bear",
+                &["statement"],
+            )?,
+            rejection_limited_targets: gauge(
+                "rejection_limited_targets",
+                "Targets that name a rejection limit",
+            )?,
             limited_targets: gauge("limited_targets", "Targets that name a rate limit")?,
             suspects: gauge("suspects", "Requests that are suspected of crashing targets")?,
             unannounced_suspects: gauge(
@@ -149,6 +162,8 @@
         registry.register(Box::new(self.peers.clone()))?;
         registry.register(Box::new(self.target_connections.clone()))?;
         registry.register(Box::new(self.rate_statements.clone()))?;
+        registry.register(Box::new(self.rejection_statements.clone()))?;
+        registry.register(Box::new(self.rejection_limited_targets.clone()))?;
         registry.register(Box::new(self.limited_targets.clone()))?;
         registry.register(Box::new(self.suspects.clone()))?;
         registry.register(Box::new(self.unannounced_suspects.clone()))?;
--- a/crates/tarragon-gateway/src/peers.rs
+++ b/crates/tarragon-gateway/src/peers.rs
@@ -124,12 +124,14 @@
         let digest = node.next_digest(now);
         let present = node.members().present().count();
         let suspects = node.scheduler().suspect_count();
-        let limited = node.directory().limited().count();
+        let directory = node.directory();
+        let limited = [directory.limited().count(), directory.rejection_limited().count()];
         (digest, node.recipients(urgent, now), present, suspects, limited)
     });
     let gauge_value = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
     context.metrics.peers.set(gauge_value(present));
-    context.metrics.limited_targets.set(gauge_value(limited));
+    context.metrics.limited_targets.set(gauge_value(limited[0]));
+    context.metrics.rejection_limited_targets.set(gauge_value(limited[1]));
     context.metrics.suspects.set(gauge_value(suspects));
     context
         .metrics
--- a/crates/tarragon-gateway/src/platform.rs
+++ b/crates/tarragon-gateway/src/platform.rs
@@ -46,6 +46,8 @@
     pub pause: Option<Duration>,
     /// What the target says about the rate that it accepts.
     pub rate: RateStatement,
+    /// What the target says about the rejections that it can bear.
+    pub rejections: RejectionStatement,
 }
 
 /// Load that a target reports with an answer.
@@ -95,6 +97,10 @@
     /// Reads what the headers of a final or interim (1xx) answer say about the rate that the target accepts.
     fn read_rate(&self, headers: &HeaderMap) -> RateStatement;
 
+    /// Reads what the headers of a final or interim (1xx) answer say about the rejections for want of room that the
+    /// target can bear.
+    fn read_rejections(&self, headers: &HeaderMap) -> RejectionStatement;
+
     /// Whether the headers of an answer name the request with the caller's id `tag`.
     fn read_echo(&self, tag: &str, headers: &HeaderMap) -> AnswerEcho;
 
