Divide the places of targets that can bear few rejections

Callers saw targets fail one after the other at times when they let fewer requests wait than usual: all processes used at once what the last digests left free of a target's slots, and learned by rejections that it was full.

From the first statement on, the places of such a target are divided among all processes, the silent ones included, by the order that also divides starts at cold targets. Where processes outnumber the places, each place passes on in turns of at least 3 s on the fleet's clock; the places of a target change hands one after the other, at most half as often as it can bear rejections, and nothing begins in the last 0.5 s of a turn. Requests that digests still show at a target are subtracted. The least slot at unstreamed services and the bounds for distant targets don't apply there. Rejections that happen nonetheless are spent from this process's part of the limit: then the target gets nothing for a second, or for as long as this process's part of a rejection takes (30 s at most), and one request at a time until one succeeds. A target that has not answered yet, as after a restart, has the limit that others of its service name.

Ruled out: optimistic use bounded by rejections alone, since whoever takes another's place makes the other's request one that may be rejected, so the sum is bounded only if the places are divided.

--- a/crates/tarragon-fleet/src/node.rs
+++ b/crates/tarragon-fleet/src/node.rs
@@ -5,6 +5,7 @@
 mod limits;
 mod origins;
 mod pacing;
+mod rejections;
 mod updates;
 
 pub use admit::{AdmissionRequest, wait_limit};
@@ -25,6 +26,7 @@
     health::TargetHealth,
     ledger::BuildLedger,
     member::{DigestRecipients, MemberTable},
+    node::rejections::RejectionState,
     origin::OriginTable,
     prelude::*,
     published::InstanceName,
@@ -40,9 +42,6 @@
 /// after 2.5 s at the latest.
 const MAX_OPERATOR_STATE_AGE: Duration = Duration::from_millis(3_500);
 
-/// Time without a confirmation after which a target's rejection limit ends.
-const REJECTION_LIMIT_LIFETIME: Duration = Duration::from_secs(60);
-
 /// Limits that the deployment sets for the fleet as a whole.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct FleetBounds {
@@ -113,6 +112,7 @@
     paced_to: Option<Duration>,
     /// Position of this process among all processes, and among those outside the target's data centre.
     ranks: [Option<CachedRank>; 2],
+    rejections: RejectionState,
 }
 
 /// Makes the decisions of one process.
@@ -285,7 +285,7 @@
         self.end_carried_evacuations(now, actions);
         self.end_backoffs(now, actions);
         self.end_pauses(now, actions);
-        self.directory.expire_rejection_limits(REJECTION_LIMIT_LIFETIME, now);
+        self.expire_rejection_limits(now);
         self.update_targets(now, actions);
         self.pace_starts(now, actions);
         self.update_trial_turn(now);
--- a/crates/tarragon-fleet/src/node/limits.rs
+++ b/crates/tarragon-fleet/src/node/limits.rs
@@ -39,7 +39,7 @@
 pub(super) const MIN_SHARING: usize = 8;
 /// Time after its start in which a process takes no start at a cold target: others may have started with it, and
 /// it can't know yet how many.
-const MEETING_TIME: Duration = Duration::from_secs(1);
+pub(super) const MEETING_TIME: Duration = Duration::from_secs(1);
 /// Time after its start in which a process may not know its peers yet, and takes the smallest share of a limit.
 pub(super) const SETTLING_TIME: Duration = Duration::from_secs(2);
 
@@ -47,6 +47,7 @@
     /// Passes changes of the slots and start limits of all targets to the scheduler.
     pub(super) fn update_targets(&mut self, now: Instant, actions: &mut Vec<SchedulerAction>) {
         let local_services = self.local_services();
+        let rejection_limits = self.service_rejection_limits();
         let targets: Vec<TargetName> =
             self.directory.iter().map(|(target, _)| target.clone()).collect();
         for target in &targets {
@@ -54,7 +55,8 @@
             self.update_start_limit(target, now, actions);
             self.update_pacing(target, now, actions);
             let used = self.members.in_flight(name_key(target), now);
-            self.update_slots(target, used, &local_services, now, actions);
+            let limit = self.rejection_limit(target, &rejection_limits);
+            self.update_slots(target, (used, limit), &local_services, now, actions);
         }
     }
 
@@ -72,11 +74,11 @@
     /// Passes the slots that the peers' requests leave free to the scheduler. Digests lag, so two processes
     /// may use the same slot for a moment; the target's own queue absorbs that. Where digests from other data
     /// centres lag by more than the duration of most requests, only a few processes use each distant target,
-    /// with one request each.
+    /// with one request each. The places of a target that names a rejection limit are divided instead.
     fn update_slots(
         &mut self,
         target: &TargetName,
-        used: u32,
+        (used, rejection_limit): (u32, Option<RejectionLimit>),
         local_services: &IndexSet<ServiceName>,
         now: Instant,
         actions: &mut Vec<SchedulerAction>,
@@ -88,13 +90,19 @@
         let is_limited = entry.rate_limit().is_some();
         let mut slots = bears.saturating_sub(used);
         let distant = listed.data_centre != self.settings.data_centre;
-        if distant && local_services.contains(&listed.service) && self.members.rotates_far_peers() {
+        let is_streamed = !self.unstreamed_services.contains(&listed.service);
+        if let Some(limit) = rejection_limit {
+            slots = self.limited_places(target, limit, (bears, used), is_streamed, now);
+        } else if distant
+            && local_services.contains(&listed.service)
+            && self.members.rotates_far_peers()
+        {
             let data_centre = name_key(&listed.data_centre);
             let rank = self.target_rank(target, Some(data_centre));
             // Each process has its own part of a named rate, also at a distant target.
             let uses = rank < MAX_DISTANT_PROCESSES || is_limited;
             slots = if uses { slots.min(MAX_DISTANT_SLOTS) } else { 0 };
-        } else if self.unstreamed_services.contains(&listed.service) && !cold {
+        } else if !is_streamed && !cold {
             slots = slots.max(MIN_UNSTREAMED_SLOTS);
         }
         let slots = TargetSlots { target: target.clone(), slots, capacity: bears, cold };
@@ -203,6 +211,7 @@
         now: Instant,
         actions: &mut Vec<SchedulerAction>,
     ) {
+        self.record_rejection(target, end, now, actions);
         let Some(entry) = self.directory.get(target) else { return };
         let service = entry.listed.service.clone();
         if end == AttemptEnd::NotSent {
--- a/crates/tarragon-fleet/src/node/pacing.rs
+++ b/crates/tarragon-fleet/src/node/pacing.rs
@@ -165,4 +165,10 @@
         let sharing = self.members.sharing();
         if self.members.is_alone() { sharing.max(MIN_SHARING) } else { sharing }
     }
+
+    /// Number of processes that share a limit, at least [`MIN_SHARING`] until this process may know its peers.
+    pub(super) fn settled_sharing(&self, now: Instant) -> usize {
+        let sharing = self.rate_sharing();
+        if self.is_settling(now) { sharing.max(MIN_SHARING) } else { sharing }
+    }
 }
--- a/crates/tarragon-fleet/src/node/updates.rs
+++ b/crates/tarragon-fleet/src/node/updates.rs
@@ -11,7 +11,7 @@
     digest::{ReportedLoad, name_key},
     directory::DirectoryChange,
     member::{MAX_ANSWER_ADDRESSES, MAX_NAMED_ADDRESSES},
-    node::{FleetNode, limits::SMALL_FLEET_SIZE},
+    node::{FleetNode, limits::SMALL_FLEET_SIZE, rejections::RejectionState},
     prelude::*,
     published::StorePosition,
 };
@@ -179,6 +179,7 @@
                     self.update_start_limit(&target, now, actions);
                     if let Some(target_state) = self.targets.get_mut(&target) {
                         target_state.health.reset();
+                        target_state.rejections = RejectionState::default();
                         target_state.load = None;
                     }
                     self.announce_target(&target, now, actions);
--- a/crates/tarragon-fleet/tests/fleet/main.rs
+++ b/crates/tarragon-fleet/tests/fleet/main.rs
@@ -1,6 +1,8 @@
 //! Tests of single components and of small simulated fleets, without I/O. Each test names the failure that it
 //! guards against.
 
+mod brittle;
+mod brittle_world;
 mod build_history;
 mod crash_world;
 mod crashing;
