--- a/crates/tarragon-fleet/src/node.rs
+++ b/crates/tarragon-fleet/src/node.rs
@@ -6,6 +6,7 @@
 mod links;
 mod origins;
 mod pacing;
+mod rejections;
 mod updates;
 
 pub use admit::{AdmissionRequest, wait_limit};
@@ -28,6 +29,7 @@
     ledger::BuildLedger,
     link::LinkTable,
     member::{DigestRecipients, MemberTable},
+    node::rejections::RejectionState,
     origin::OriginTable,
     prelude::*,
     published::InstanceName,
@@ -113,6 +115,7 @@
     paced_to: Option<Duration>,
     /// Position of this process among all processes, and among those outside the target's data centre.
     ranks: [Option<CachedRank>; 2],
+    rejections: RejectionState,
 }
 
 /// Makes the decisions of one process.
@@ -273,11 +276,11 @@
 
     /// Takes into account that the machine was suspended for some time, which the monotonic clock doesn't
     /// show: all peers count as silent, since their reports are out of date, and what targets have said about
-    /// their rates is older by that time.
+    /// their limits is older by that time.
     pub fn resume(&mut self, now: Instant, suspended: Duration) {
         self.members.mark_all_silent(now);
         self.clock.add_suspended(suspended);
-        self.directory.age_rates(suspended);
+        self.directory.age_limits(suspended);
     }
 
     /// Handles the passage of time. Must be called every 100 ms.
@@ -289,6 +292,7 @@
         self.end_carried_evacuations(now, actions);
         self.end_backoffs(now, actions);
         self.end_pauses(now, actions);
+        self.expire_rejection_limits(now);
         self.update_targets(now, actions);
         self.pace_starts(now, actions);
         self.update_trial_turn(now);
--- a/crates/tarragon-fleet/tests/fleet/odd_values.rs
+++ b/crates/tarragon-fleet/tests/fleet/odd_values.rs
@@ -160,6 +160,11 @@
                 carried: self.short(),
                 lost_links: self.short(),
             },
+            rejection_limits: vec![RejectionNotice {
+                restart_id: self.wide(),
+                statement: RejectionStatement::Limited(RejectionLimit(self.medium())),
+                age_ms: self.medium(),
+            }],
             ..sound.clone()
         }
     }
--- a/crates/tarragon-gateway/src/forward/notices.rs
+++ b/crates/tarragon-gateway/src/forward/notices.rs
@@ -95,6 +95,11 @@
             let answer = RateAnswer { request: &tag, instance: &instance, sent, statement: rate };
             report_rate(&context, &target, &answer);
         }
+        let statement = context.protocol.read_rejections(headers);
+        if statement != RejectionStatement::Unlimited && answers_the_call(echo, is_reused) {
+            let answer = RejectionAnswer { request: &tag, instance: &instance, sent, statement };
+            report_rejections(&context, &target, &answer);
+        }
     });
     watch
 }
@@ -129,6 +134,11 @@
         let answer = RateAnswer { request: tag, instance, sent, statement: head.rate };
         report_rate(context, target, &answer);
     }
+    if is_own_success || head.rejections.limit().is_some() {
+        let (sent, statement) = (sent.into_std(), head.rejections);
+        let answer = RejectionAnswer { request: tag, instance, sent, statement };
+        report_rejections(context, target, &answer);
+    }
 }
 
 /// Whether an answer belongs to the call that was sent last on its connection. An answer without an id on a
@@ -157,6 +167,20 @@
     }
 }
 
+/// Tells the node what an answer says about the rejections that its target can bear.
+fn report_rejections<D>(
+    context: &GatewayContext<D>,
+    target: &TargetName,
+    answer: &RejectionAnswer<'_>,
+) {
+    context.metrics.rejection_statements.with_label_values(&[answer.statement.name()]).inc();
+    let changed =
+        context.node.run(|node, now, actions| node.apply_rejections(now, target, answer, actions));
+    if changed {
+        context.node.urgent_digest.notify_one();
+    }
+}
+
 /// Whether the end of an answer shows only by the end of its connection. A target that has crashed before its
 /// first event leaves such an answer empty.
 pub fn is_unframed(headers: &HeaderMap) -> bool {
