Let a process that fails to connect for a peer find out about its own links

When all processes of a data centre but few callers are affected, a process without links but without requests of its own doesn't know that they are lost, so its digests offer to carry attempts. Now a failed connection for a peer has one question follow, to another peer, whether that one reaches the target; if so, the link is lost and the next digest says so. No attempt is passed on for that.

--- a/crates/tarragon-gateway/src/relay.rs
+++ b/crates/tarragon-gateway/src/relay.rs
@@ -15,12 +15,15 @@
 use indexmap::IndexMap;
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
-use tarragon_fleet::{node::RelayCandidate, prelude::*};
+use tarragon_fleet::{link::LossCause, node::RelayCandidate, prelude::*};
 use tarragon_server::{
     guarded::Guarded,
     target::pool::{CallBody, ConnectionPool, TargetDialer},
 };
-use tokio::time::{Instant, sleep};
+use tokio::{
+    sync::Semaphore,
+    time::{Instant, sleep},
+};
 
 use crate::{context::GatewayContext, platform::CallProtocol};
 
@@ -128,15 +131,28 @@
 }
 
 /// The way of attempts over peers, in both directions.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct RelayLink {
     /// Connections to peers.
     pub pool: ConnectionPool,
     /// Attempts of peers that this process carries.
     pub carried: Arc<AtomicUsize>,
+    /// Held while a peer is asked about a link of this process that failed for another peer.
+    asking: Arc<Semaphore>,
     peers: Arc<Guarded<PeerUse>>,
 }
 
+impl Default for RelayLink {
+    fn default() -> RelayLink {
+        RelayLink {
+            pool: ConnectionPool::default(),
+            carried: Arc::default(),
+            asking: Arc::new(Semaphore::new(1)),
+            peers: Arc::default(),
+        }
+    }
+}
+
 /// A peer that carries an attempt of this process. It is counted until the drop.
 pub struct PeerSlot {
     peers: Arc<Guarded<PeerUse>>,
@@ -237,6 +253,29 @@
     outcome
 }
 
+/// Asks another peer about a target that this process could not reach for `asking`, so that its digests tell of lost
+/// links and it isn't asked to carry attempts: one question at a time, and no attempt.
+pub fn check_own_link<D>(context: &Arc<GatewayContext<D>>, attempt: &RelayedAttempt, asking: IpAddr)
+where
+    D: CallProtocol,
+{
+    let Ok(permit) = context.relays.asking.clone().try_acquire_owned() else { return };
+    let (shared, attempt) = (context.clone(), attempt.clone());
+    context.spawn(async move {
+        let _permit = permit;
+        let is_asking = |node: &FleetNode| {
+            node.members().iter().map(|(peer, _)| *peer).find(|peer| peer.ip() == asking)
+        };
+        let asked = Vec::from_iter(shared.node.view(is_asking));
+        let Some(slot) = shared.relays.choose(&shared, &asked) else { return };
+        if ask_reach(&shared, &slot, &attempt).await == RelayOutcome::Answered {
+            let target = &attempt.target;
+            let cause = LossCause::ConnectFailed;
+            shared.node.run(|node, now, _| node.record_link_loss(target, cause, now));
+        }
+    });
+}
+
 /// Probes lost links a few at a time until the process ends.
 pub async fn probe_links<D>(context: Arc<GatewayContext<D>>)
 where
--- a/crates/tarragon-gateway/src/relay/server.rs
+++ b/crates/tarragon-gateway/src/relay/server.rs
@@ -38,6 +38,7 @@
 
 use super::{
     ATTEMPT_HEADER, OUTCOME_HEADER, RELAY_CONNECT_LIMIT, RelayLink, RelayOutcome, RelayedAttempt,
+    check_own_link,
 };
 use crate::{
     context::GatewayContext,
@@ -215,7 +216,12 @@
     };
     let mut connection = match opened {
         Ok(connection) => connection,
-        Err(error) => return Err(unreachable(context, target, &error.to_string())),
+        Err(error) => {
+            if !attempt.is_question {
+                check_own_link(context, attempt, from);
+            }
+            return Err(unreachable(context, target, &error.to_string()));
+        }
     };
     if !connection.is_reused() {
         context.node.run(|node, now, _| node.record_link_connection(target, now));
