Refuse at once what no turn at a brittle target reaches

Where processes outnumber the places of targets with a rejection limit, callers waited at a process without a place until their deadline couldn't be met any more, and were then told an arbitrary time to come back. Each process knows when its next turn is, so it tells the scheduler by the forecast that services with named rates have: while it has no place at any target of a service, requests that can't wait for the turn are refused with the time until then.

The refusal's words now cover both kinds of limits.

--- a/crates/tarragon-fleet/src/node/pacing.rs
+++ b/crates/tarragon-fleet/src/node/pacing.rs
@@ -67,12 +67,11 @@
     /// scheduler.
     pub(super) fn pace_starts(&mut self, now: Instant, actions: &mut Vec<SchedulerAction>) {
         let limited: Vec<(TargetName, RequestRate)> = self.directory.limited().collect();
-        let forecasts = if limited.is_empty() {
-            IndexMap::new()
-        } else {
+        let mut forecasts = self.place_forecasts(now);
+        if !limited.is_empty() {
             self.permit_starts(&limited, now, actions);
-            self.start_forecasts(now)
-        };
+            forecasts.extend(self.start_forecasts(now));
+        }
         let ended = self.forecasts.keys().filter(|service| !forecasts.contains_key(*service));
         let ended: Vec<ServiceName> = ended.cloned().collect();
         for service in ended {
--- a/crates/tarragon-fleet/src/node/rejections.rs
+++ b/crates/tarragon-fleet/src/node/rejections.rs
@@ -27,6 +27,8 @@
 const REJECTION_WINDOW: Duration = Duration::from_secs(1);
 /// Longest time without requests to a target after its rejections.
 const MAX_REST: Duration = Duration::from_secs(30);
+/// Longest time to a turn that is forecast.
+const MAX_FORECAST: Duration = Duration::from_secs(600);
 /// Time without a confirmation after which a limit ends.
 const LIMIT_LIFETIME: Duration = Duration::from_secs(60);
 
@@ -38,6 +40,8 @@
     rests_until: Option<Instant>,
     /// Whether no request has succeeded since the last rejection. Only one is in flight at a time until then.
     is_probing: bool,
+    /// When this process next has a place at the target, if it has none now.
+    next_place: Option<Instant>,
 }
 
 impl RejectionState {
@@ -120,18 +124,47 @@
         let sharing = u32::try_from(self.settled_sharing(now)).unwrap_or(u32::MAX);
         let rank = u32::try_from(self.target_rank(target, None)).unwrap_or(u32::MAX);
         let is_divided = sharing <= capacity;
+        let time = self.clock.time(now);
+        let turns = PlaceTurns { capacity, sharing, rank, limit };
         let places = if is_divided {
             capacity / sharing + u32::from(rank < capacity % sharing)
         } else {
-            let time = self.clock.time(now);
-            places_in_turn(PlaceTurns { capacity, sharing, rank, limit }, time)
+            turns.places(time)
         };
+        let has_turn = places > 0;
         // Requests that began before the limit, or in an earlier turn, may still hold places. Calls that are not
         // streamed have ended before a digest can report them.
         let free = capacity.saturating_sub(used);
         let places = if is_divided || is_streamed { places.min(free) } else { places };
-        let state = self.targets.get(target).map(|state| &state.rejections);
-        state.map_or(places, |state| state.bound(places, now))
+        let Some(target_state) = self.targets.get_mut(target) else { return places };
+        let state = &mut target_state.rejections;
+        let rests_until = state.rests_until.filter(|until| now < *until);
+        let next_turn = (!has_turn).then(|| now + turns.time_to_place(time));
+        state.next_place = next_turn.max(rests_until);
+        state.bound(places, now)
+    }
+
+    /// Forecasts for the services at whose targets in service this process has no place now: when it next has one.
+    /// How many requests it then serves isn't known.
+    pub(super) fn place_forecasts(&self, now: Instant) -> IndexMap<ServiceName, StartForecast> {
+        let limits = self.service_rejection_limits();
+        let mut services: IndexMap<ServiceName, Option<Instant>> = IndexMap::new();
+        for (target, entry) in self.directory.iter().filter(|(_, entry)| entry.in_service()) {
+            let service = &entry.listed.service;
+            if !limits.contains_key(service) {
+                continue;
+            }
+            let is_limited = self.rejection_limit(target, &limits).is_some();
+            let state = self.targets.get(target).filter(|_| is_limited);
+            let next = state.and_then(|state| state.rejections.next_place);
+            let earliest = services.entry(service.clone()).or_insert(next);
+            *earliest = earliest.zip(next).map(|(one, other)| one.min(other));
+        }
+        let forecast = |next: Instant| StartForecast { next, interval: Duration::ZERO };
+        let later = |(service, next): (ServiceName, Option<Instant>)| {
+            Some((service, forecast(next.filter(|next| *next > now)?)))
+        };
+        services.into_iter().filter_map(later).collect()
     }
 
     /// Records a rejection by a target, or a success, if the target names a rejection limit.
@@ -189,23 +222,49 @@
     limit: RejectionLimit,
 }
 
-/// Number of places in which a process may begin requests at a time on the fleet's clock.
-fn places_in_turn(turns: PlaceTurns, time: Duration) -> u32 {
-    let PlaceTurns { capacity, sharing, rank, limit } = turns;
-    let (capacity_u64, sharing) = (u64::from(capacity), u64::from(sharing));
-    let rank = u64::from(rank);
-    if limit.0 == 0 {
-        return u32::from(rank < capacity_u64);
+impl PlaceTurns {
+    fn length_ms(&self) -> u64 {
+        let handovers = f64::from(self.limit.0) * HANDOVER_SHARE;
+        let turn = Duration::from_secs_f64(f64::from(self.capacity) / handovers).max(MIN_TURN);
+        turn.as_millis() as u64
+    }
+
+    /// Number of places in which the process may begin requests at a time on the fleet's clock.
+    fn places(&self, time: Duration) -> u32 {
+        if self.limit.0 == 0 {
+            return u32::from(self.rank < self.capacity);
+        }
+        let turn = self.length_ms();
+        let last_start = turn.saturating_sub(HANDOVER_TIME.as_millis() as u64);
+        let is_open = |place: &u32| {
+            let shifted = self.shifted_ms(*place, time);
+            self.owner(*place, shifted / turn) == self.rank && shifted % turn < last_start
+        };
+        (0..self.capacity).filter(is_open).count() as u32
+    }
+
+    /// Time from some time on the fleet's clock until the next place becomes the process's own.
+    fn time_to_place(&self, time: Duration) -> Duration {
+        if self.limit.0 == 0 {
+            return MAX_FORECAST;
+        }
+        let turn = self.length_ms();
+        let next = |place: u32| {
+            let shifted = self.shifted_ms(place, time);
+            let following = shifted / turn + 1..=shifted / turn + u64::from(self.sharing);
+            let own = following.into_iter().find(|one| self.owner(place, *one) == self.rank)?;
+            Some(Duration::from_millis(own * turn - shifted))
+        };
+        (0..self.capacity).filter_map(next).min().unwrap_or(MAX_FORECAST)
+    }
+
+    /// The places change hands one after the other.
+    fn shifted_ms(&self, place: u32, time: Duration) -> u64 {
+        time.as_millis() as u64 + self.length_ms() * u64::from(place) / u64::from(self.capacity)
+    }
+
+    /// Position of the process that has a place in a turn.
+    fn owner(&self, place: u32, turn: u64) -> u32 {
+        ((turn * u64::from(self.capacity) + u64::from(place)) % u64::from(self.sharing)) as u32
     }
-    let handovers = f64::from(limit.0) * HANDOVER_SHARE;
-    let turn = Duration::from_secs_f64(f64::from(capacity) / handovers).max(MIN_TURN);
-    let turn_ms = turn.as_millis().max(1) as u64;
-    let time_ms = time.as_millis() as u64;
-    let last_start = turn_ms.saturating_sub(HANDOVER_TIME.as_millis() as u64);
-    let is_own = |place: &u64| {
-        let shifted = time_ms + turn_ms * place / capacity_u64;
-        let owner = (shifted / turn_ms * capacity_u64 + place) % sharing;
-        owner == rank && shifted % turn_ms < last_start
-    };
-    (0..capacity_u64).filter(is_own).count() as u32
 }
--- a/crates/tarragon-fleet/tests/fleet/brittle.rs
+++ b/crates/tarragon-fleet/tests/fleet/brittle.rs
@@ -151,3 +151,20 @@
     let world = BrittleWorld::play(&plan, 1);
     assert_eq!(world.mistaken(), 0, "processes that don't know the limit");
 }
+
+/// Guards against callers who wait in vain at a process whose turn comes too late for them.
+#[test]
+fn requests_that_no_turn_reaches_are_refused_at_once() {
+    let plan = BrittlePlan {
+        processes: 60,
+        targets: 2,
+        load: 20.0,
+        limit: 1,
+        streamed: true,
+        ..BrittlePlan::default()
+    };
+    let world = BrittleWorld::play(&plan, 1);
+    let (late, refused) = world.refused_late(seconds(0.2));
+    eprintln!("{late:.2} of {refused} refused had waited 0.2 s, {} served", world.served);
+    assert!(refused > 50 && late <= 0.2, "{late:.2} of {refused} refused had waited 0.2 s");
+}
--- a/crates/tarragon-fleet/tests/fleet/brittle_world.rs
+++ b/crates/tarragon-fleet/tests/fleet/brittle_world.rs
@@ -2,7 +2,7 @@
 //! no request wait, and one that rejects more than that in a second fails and is restarted.
 
 use std::{
-    collections::VecDeque,
+    collections::{BTreeMap, VecDeque},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -121,6 +121,10 @@
     /// Requests that have arrived and been answered since the limit binds.
     pub asked: usize,
     pub served: usize,
+    /// When requests arrived that have not been sent or refused.
+    waiting: BTreeMap<RequestId, Duration>,
+    /// How long requests had waited that were refused since the limit binds.
+    refused: Vec<Duration>,
 }
 
 impl BrittleWorld {
@@ -147,6 +151,8 @@
             revision: 10,
             asked: 0,
             served: 0,
+            waiting: BTreeMap::new(),
+            refused: Vec::new(),
         };
         (0..world.network.nodes.len()).for_each(|node| world.configure(node));
         while world.network.elapsed() < plan.time {
@@ -184,6 +190,12 @@
         busy / (time * f64::from(self.plan.slots) * self.targets.len() as f64)
     }
 
+    /// Part of the refused requests that had waited longer than a limit, and their number.
+    pub fn refused_late(&self, limit: Duration) -> (f64, usize) {
+        let late = self.refused.iter().filter(|waited| **waited > limit).count();
+        (late as f64 / self.refused.len().max(1) as f64, self.refused.len())
+    }
+
     /// Processes that don't believe in the limit of some target in service.
     pub fn mistaken(&self) -> usize {
         let limit = Some(RejectionLimit(self.plan.limit));
@@ -304,6 +316,7 @@
             self.next += 1;
             self.asked += usize::from(self.binds());
             let (request, now) = (self.next, self.network.now);
+            self.waiting.insert(request, self.network.elapsed());
             let order = call_order(&self.network.nodes[node], request, 1_000 + request, 200, now);
             self.decide(node, |node, now, actions| node.admit(now, order, actions));
         }
@@ -322,9 +335,12 @@
         for (node, action) in self.network.take_decided() {
             match action {
                 SchedulerAction::Dispatch { request, attempt, target } => {
+                    self.waiting.remove(&request);
                     self.after(HOP, WorldEvent::Begin { node, request, attempt, target });
                 }
                 SchedulerAction::Refuse { request, .. } => {
+                    let arrived = self.waiting.remove(&request).filter(|_| self.binds());
+                    self.refused.extend(arrived.map(|arrived| self.network.elapsed() - arrived));
                     self.network.nodes[node].release(request);
                 }
                 _ => {}
--- a/crates/tarragon-scheduler/src/scheduler/arrival.rs
+++ b/crates/tarragon-scheduler/src/scheduler/arrival.rs
@@ -242,7 +242,7 @@
     fn check_wait(&self, job: &Job, now: Instant) -> Result<(), Refusal> {
         let (wait, message) = match self.targets.pool(job.pool).forecast {
             Some(forecast) => {
-                let ahead = self.waiting_ahead(job);
+                let ahead = forecast.delaying(self.waiting_ahead(job));
                 let start = forecast.start(ahead, self.targets.permits(job.pool, now), now);
                 if start == now || start + FORECAST_MARGIN <= job.latest_permit(ahead) {
                     return Ok(());
--- a/crates/tarragon-scheduler/src/scheduler/shed.rs
+++ b/crates/tarragon-scheduler/src/scheduler/shed.rs
@@ -14,7 +14,7 @@
 const DEADLINE_MESSAGE: &str = "the deadline can't be met any more";
 /// Refusal message if all targets of a service name rates that leave no start in time.
 pub(super) const LIMITED_MESSAGE: &str =
-    "the targets of the service accept no request in time at the rates that they name";
+    "the targets of the service accept no request in time within the limits that they name";
 
 impl Scheduler {
     /// Whether a request with this many tokens fits into the queue.
@@ -111,8 +111,9 @@
             let mut ahead = 0;
             for request in self.requests_by_urgency(pool) {
                 let Some(job) = self.queue.get(request) else { continue };
-                let start = forecast.start(ahead, permits, now);
-                if start <= job.latest_permit(ahead) {
+                let delaying = forecast.delaying(ahead);
+                let start = forecast.start(delaying, permits, now);
+                if start <= job.latest_permit(delaying) {
                     ahead += 1;
                 } else {
                     let wait = start.saturating_duration_since(now);
--- a/crates/tarragon-scheduler/src/targets.rs
+++ b/crates/tarragon-scheduler/src/targets.rs
@@ -228,7 +228,7 @@
     pub empty_since: Option<Instant>,
     /// When the first member accepts requests again, if all of them have paused.
     pub paused_until: Option<Instant>,
-    /// When starts will be permitted, if all members need permits.
+    /// When starts will be permitted, if all members need permits or none has a slot for this process.
     pub forecast: Option<StartForecast>,
     /// Tokens processed in the current interval.
     processed: u64,
--- a/crates/tarragon-scheduler/src/targets/starts.rs
+++ b/crates/tarragon-scheduler/src/targets/starts.rs
@@ -13,16 +13,22 @@
 /// Most permits that are kept, so that a very high rate takes little memory.
 const MAX_PERMITS: usize = 1_024;
 
-/// When starts at a service will be permitted, if all of its targets need permits.
+/// When starts at a service will be permitted, if all of its targets need permits or none has a slot for this
+/// process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StartForecast {
     /// The next permit.
     pub next: Instant,
-    /// Mean time between permits.
+    /// Mean time between permits; zero if any number of requests may start from then on.
     pub interval: Duration,
 }
 
 impl StartForecast {
+    /// Number of requests that delay a start, if so many others go first.
+    pub fn delaying(&self, ahead: usize) -> usize {
+        if self.interval.is_zero() { 0 } else { ahead }
+    }
+
     /// When a request may start before which so many others take permits, if there are `permits` now.
     pub fn start(&self, ahead: usize, permits: usize, now: Instant) -> Instant {
         let Some(ahead) = ahead.checked_sub(permits) else { return now };
