Ask a peer of another data centre before a target counts as out of reach

When several processes of a data centre lose their links at one moment, they don't know it yet and tell each other that a target is out of reach. A break was judged by a single such answer.

Now the second answer comes from another data centre where there is one, and a break is judged by two answers as well.

--- a/crates/tarragon-fleet/src/node/links.rs
+++ b/crates/tarragon-fleet/src/node/links.rs
@@ -119,8 +119,9 @@
         due
     }
 
-    /// The peers that fit best to carry an attempt: with all links, with the same configuration, and near.
-    pub fn relay_candidates<S>(&self, is_skipped: S) -> Vec<RelayCandidate>
+    /// The peers that fit best to carry an attempt: with all links, with the same configuration, and near. With
+    /// `prefers_far`, those of other data centres come first: near ones may share the loss of links.
+    pub fn relay_candidates<S>(&self, prefers_far: bool, is_skipped: S) -> Vec<RelayCandidate>
     where
         S: Fn(&SocketAddr) -> bool,
     {
@@ -137,7 +138,7 @@
             let rank = (
                 digest.relay.lost_links > 0,
                 digest.operator_version != version,
-                digest.data_centre != own_centre,
+                (digest.data_centre != own_centre) != prefers_far,
             );
             (rank, RelayCandidate { peer: *address, carried: digest.relay.carried })
         });
--- a/crates/tarragon-fleet/tests/fleet/links.rs
+++ b/crates/tarragon-fleet/tests/fleet/links.rs
@@ -137,11 +137,11 @@
             let digest = PeerDigest { relay: *relay, ..digest };
             own.receive_digest(now, address(index), digest, &mut Vec::new());
         }
-        let chosen = own.relay_candidates(|_| false);
+        let chosen = own.relay_candidates(false, |_| false);
         let chosen: Vec<_> = chosen.into_iter().map(|candidate| candidate.peer).collect();
         let expected: Vec<_> = case.chosen.iter().map(|index| address(*index)).collect();
         assert_eq!(chosen, expected, "{}", case.name);
-        assert!(own.relay_candidates(|_| true).is_empty(), "{}: all are skipped", case.name);
+        assert!(own.relay_candidates(false, |_| true).is_empty(), "{}: all are skipped", case.name);
     }
 }
 
--- a/crates/tarragon-gateway/src/forward/relayed.rs
+++ b/crates/tarragon-gateway/src/forward/relayed.rs
@@ -44,7 +44,9 @@
     ) -> AttemptReport<ForwardAnswer> {
         let (mut asked, mut unreaching) = (Vec::new(), 0);
         while asked.len() < MAX_ASKED_PEERS && unreaching < MAX_UNREACHING_PEERS {
-            let Some(slot) = self.context.relays.choose(self.context, &asked) else { break };
+            // Peers beside this process may have lost the same links a moment ago.
+            let choice = self.context.relays.choose(self.context, &asked, unreaching > 0);
+            let Some(slot) = choice else { break };
             asked.push(slot.peer());
             match self.attempt_over(order, slot, loss).await {
                 RelayStep::Ended(report) => return report,
@@ -215,20 +217,21 @@
             may_reuse: false,
             is_question: true,
         };
-        let mut asked = Vec::new();
-        while asked.len() < MAX_ASKED_PEERS {
-            let Some(slot) = self.context.relays.choose(self.context, &asked) else { break };
+        let (mut asked, mut unreaching) = (Vec::new(), 0);
+        while asked.len() < MAX_ASKED_PEERS && unreaching < MAX_UNREACHING_PEERS {
+            let choice = self.context.relays.choose(self.context, &asked, !asked.is_empty());
+            let Some(slot) = choice else { break };
             asked.push(slot.peer());
             match ask_reach(self.context, &slot, &question).await {
                 RelayOutcome::Answered | RelayOutcome::AnsweredUnframed => {
                     self.record_loss(order, LossCause::Broken);
                     return AttemptEnd::Severed;
                 }
-                RelayOutcome::Declined => {}
-                _ => return AttemptEnd::Broken,
+                RelayOutcome::Unreachable => unreaching += 1,
+                _ => {}
             }
         }
-        // Nobody tells. It only counts as a crash if the end of the target's process shows otherwise.
+        // No peer reaches it. It only counts as a crash if the end of the target's process shows otherwise.
         AttemptEnd::Broken
     }
 }
--- a/crates/tarragon-gateway/src/relay.rs
+++ b/crates/tarragon-gateway/src/relay.rs
@@ -194,8 +194,14 @@
         RelayLink { pool, ..RelayLink::default() }
     }
 
-    /// A peer to carry an attempt: of two at random that fit best, the one that carries less. None of `asked`.
-    pub fn choose<D>(&self, context: &GatewayContext<D>, asked: &[SocketAddr]) -> Option<PeerSlot> {
+    /// A peer to carry an attempt: of two at random that fit best, the one that carries less. None of `asked`; peers of other data
+    /// centres first with `prefers_far`.
+    pub fn choose<D>(
+        &self,
+        context: &GatewayContext<D>,
+        asked: &[SocketAddr],
+        prefers_far: bool,
+    ) -> Option<PeerSlot> {
         let port = context.settings.relay_address()?.port();
         let now = Instant::now();
         let skipped = self.peers.with(|peers| {
@@ -203,7 +209,7 @@
             peers.skipped.clone()
         });
         let is_skipped = |peer: &SocketAddr| skipped.contains_key(peer) || asked.contains(peer);
-        let candidates = context.node.view(|node| node.relay_candidates(is_skipped));
+        let candidates = context.node.view(|node| node.relay_candidates(prefers_far, is_skipped));
         self.peers.with(|peers| {
             let load = |candidate: &&RelayCandidate| {
                 let own = peers.sent.get(&candidate.peer).copied().unwrap_or(0);
@@ -267,7 +273,7 @@
             node.members().iter().map(|(peer, _)| *peer).find(|peer| peer.ip() == asking)
         };
         let asked = Vec::from_iter(shared.node.view(is_asking));
-        let Some(slot) = shared.relays.choose(&shared, &asked) else { return };
+        let Some(slot) = shared.relays.choose(&shared, &asked, true) else { return };
         if ask_reach(&shared, &slot, &attempt).await == RelayOutcome::Answered {
             let target = &attempt.target;
             let cause = LossCause::ConnectFailed;
