--- a/crates/tarragon-gateway/src/forward/relayed.rs
+++ b/crates/tarragon-gateway/src/forward/relayed.rs
@@ -47,7 +47,9 @@
     ) -> AttemptReport<ForwardAnswer> {
         let (mut asked, mut unreaching) = (Vec::new(), 0);
         while asked.len() < MAX_ASKED_PEERS && unreaching < MAX_UNREACHING_PEERS {
-            let Some(slot) = self.context.relays.choose(self.context, &asked) else { break };
+            // Peers beside this process may have lost the same links a moment ago.
+            let choice = self.context.relays.choose(self.context, &asked, unreaching > 0);
+            let Some(slot) = choice else { break };
             asked.push(slot.peer());
             match self.attempt_over(order, slot, loss).await {
                 RelayStep::Ended(report) => return report,
@@ -224,7 +226,7 @@
 /// What a check of a link has shown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum LinkVerdict {
-    /// A connection was made, or peers don't reach the target either.
+    /// A connection was made, or no peer that was asked reaches the target either.
     Sound,
     /// A peer reaches the target and this process doesn't.
     Lost,
@@ -261,20 +263,21 @@
         may_reuse: false,
         is_question: true,
     };
-    let mut asked = Vec::new();
-    while asked.len() < MAX_ASKED_PEERS {
-        let Some(slot) = context.relays.choose(context, &asked) else { break };
+    let (mut asked, mut unreaching) = (Vec::new(), 0);
+    while asked.len() < MAX_ASKED_PEERS && unreaching < MAX_UNREACHING_PEERS {
+        let choice = context.relays.choose(context, &asked, !asked.is_empty());
+        let Some(slot) = choice else { break };
         asked.push(slot.peer());
         match ask_reach(context, &slot, &question).await {
             RelayOutcome::Answered | RelayOutcome::AnsweredUnframed => {
                 record_loss(context, target, LossCause::Broken);
                 return LinkVerdict::Lost;
             }
-            RelayOutcome::Declined => {}
-            _ => return LinkVerdict::Sound,
+            RelayOutcome::Unreachable => unreaching += 1,
+            _ => {}
         }
     }
-    LinkVerdict::Unknown
+    if unreaching > 0 { LinkVerdict::Sound } else { LinkVerdict::Unknown }
 }
 
 /// Records that the link to a target is lost, and closes the idle connections over it.
