Leave a silent target only for another one that takes the request

A request could still lose its answer by leaving a silent target (found in review). Cause: may_replace asked whether a request without suspicion finds a place, but the silence made it a suspect of a crash before it was dispatched, and suspects don't run beside each other or beside requests of a higher tier; and the silent target itself counted as the other one if this process may use no other. The request then waited until it was refused.

A silence counts as a crash only if the target's process turns out to have ended (as for requests whose callers have left), and only another target replaces a silent one.

--- a/crates/tarragon-scheduler/src/scheduler/attempt.rs
+++ b/crates/tarragon-scheduler/src/scheduler/attempt.rs
@@ -252,10 +252,15 @@
                 self.record_alive_since(running.target, running.dispatched, now);
                 self.learn_from_finish(running, now, actions);
             }
-            AttemptEnd::Broken | AttemptEnd::Silent => {
+            AttemptEnd::Broken => {
                 self.record_broken(running, false, now, actions);
                 self.mark_possibly_cold(running.target, now, actions);
             }
+            // Only the end of the target's process shows that it was a crash.
+            AttemptEnd::Silent => {
+                self.record_broken(running, true, now, actions);
+                self.mark_possibly_cold(running.target, now, actions);
+            }
             AttemptEnd::NotSent => {
                 self.handle_refused_connection(running.target, now, actions);
                 self.mark_possibly_cold(running.target, now, actions);
@@ -426,8 +431,8 @@
         !exhausted && now + delay < job.latest_start && self.pause_left(job.pool, now).is_none()
     }
 
-    /// Whether a request could be sent to a target at once if its running attempt ended now. Until then it is
-    /// better to wait for its target, even if that is silent.
+    /// Whether a request could be sent to another target at once if its running attempt ended now. Until then it
+    /// is better to wait for its target, even if that is silent.
     pub fn may_replace(
         &mut self,
         request: RequestId,
@@ -441,7 +446,6 @@
         job.sent += 1;
         job.avoid.push(running.target);
         self.set_latest_start(&mut job, now);
-        self.forget_avoided_if_alone(&mut job);
         job.profile.idempotent
             && self.has_attempt_left(&job, Duration::ZERO, now)
             && self.has_target_of_build(&job, now)
--- a/crates/tarragon-scheduler/tests/rules/retry.rs
+++ b/crates/tarragon-scheduler/tests/rules/retry.rs
@@ -198,3 +198,30 @@
         }
     }
 }
+
+/// Guards against answers that are given up for a target which then doesn't take their requests.
+#[test]
+fn all_requests_that_leave_a_silent_target_begin_at_once() {
+    let mut driver = Driver::with_targets(1, 3);
+    let requests = [1, 2, 3].map(|_| driver.send(attempts(2)));
+    driver.add_target("pool", "free", 3);
+    // Requests of a higher tier don't run beside a request that is suspected of crashing targets.
+    driver.send(Call { tier: Tier::Urgent, ..attempts(2) });
+    assert_eq!(driver.dispatched().len(), 1);
+    for request in &requests[..2] {
+        assert!(driver.scheduler.may_replace(*request, 1, driver.now));
+        driver.end(*request, 1, AttemptEnd::Silent);
+        assert_eq!(driver.dispatched(), [(*request, 2, "free".into())]);
+    }
+    assert!(!driver.scheduler.may_replace(requests[2], 1, driver.now), "no place is left");
+}
+
+/// Guards against a request that leaves the only target that it can go on at.
+#[test]
+fn the_only_target_is_not_left_because_it_is_silent() {
+    let mut driver = Driver::with_targets(1, 4);
+    let requests = [1, 2].map(|_| driver.send(attempts(2)));
+    for request in requests {
+        assert!(!driver.scheduler.may_replace(request, 1, driver.now));
+    }
+}
