Don't keep links to targets that have been removed

A process could count as cut off for the rest of its life (found in review): the answer of a peer, or the end of a check, can come after the target was removed from the directory, and made a link that is neither probed nor removed. The process then never told peers that a target is out of reach, and presumed the links to new targets lost. What is recorded for a target that isn't listed is ignored now.

--- a/crates/tarragon-fleet/src/node/links.rs
+++ b/crates/tarragon-fleet/src/node/links.rs
@@ -71,11 +71,16 @@
 
     /// Records that a target has answered over a connection of this process.
     pub fn record_link_contact(&mut self, target: &TargetName, now: Instant) {
-        self.links.record_contact(target, now);
+        if self.directory.get(target).is_some() {
+            self.links.record_contact(target, now);
+        }
     }
 
     /// Records that a connection to a target has been made.
     pub fn record_link_connection(&mut self, target: &TargetName, now: Instant) {
+        if self.directory.get(target).is_none() {
+            return;
+        }
         if let Some(lost) = self.links.record_connection(target, now) {
             tracing::info!(
                 target_address = &**target,
@@ -88,7 +93,9 @@
 
     /// Records that a connection to a target could not be made.
     pub fn record_link_failure(&mut self, target: &TargetName, now: Instant) {
-        self.links.record_failure(target, now);
+        if self.directory.get(target).is_some() {
+            self.links.record_failure(target, now);
+        }
     }
 
     /// Records that a peer reaches a target that this process doesn't. Returns whether the link was not known to
@@ -99,6 +106,10 @@
         cause: LossCause,
         now: Instant,
     ) -> bool {
+        // Peers may tell of a target that has been removed meanwhile.
+        if self.directory.get(target).is_none() {
+            return false;
+        }
         let is_new = self.links.record_loss(target, now);
         if is_new {
             tracing::warn!(
@@ -113,10 +124,7 @@
 
     /// The lost links to probe now.
     pub fn take_link_probes(&mut self, now: Instant) -> Vec<TargetName> {
-        let (links, directory) = (&mut self.links, &self.directory);
-        let mut due = links.take_due_probes(now);
-        due.retain(|target| directory.get(target).is_some());
-        due
+        self.links.take_due_probes(now)
     }
 
     /// The peers that fit best to carry an attempt: with all links, with the same configuration, and near. With
