Forget why a back-off began when it is cancelled

The back-off of the last usable target of a service is cancelled at once, but the note that it said nothing about the target stayed, so the next real back-off ended as if it had been one of a lost link. Found in review, by reading; no test.

--- a/crates/tarragon-fleet/src/health.rs
+++ b/crates/tarragon-fleet/src/health.rs
@@ -89,6 +89,12 @@
         ended
     }
 
+    /// Ends the back-off at once.
+    pub fn cancel_backoff(&mut self) {
+        self.backoff_until = None;
+        self.is_unreached = false;
+    }
+
     /// Resets the health, since a new process runs at the target's address.
     pub fn reset(&mut self) {
         *self = TargetHealth::default();
--- a/crates/tarragon-fleet/src/node/limits.rs
+++ b/crates/tarragon-fleet/src/node/limits.rs
@@ -223,7 +223,7 @@
         // The last usable target of a service gets work even if it fails, since there is no better one.
         if target_state.health.record(end, service_rate, now) {
             if is_last {
-                target_state.health.backoff_until = None;
+                target_state.health.cancel_backoff();
                 return;
             }
             tracing::warn!(
