Charge and learn from a take-up only what came since it arrived

Found in review, by reading. A streamed call without a token count that takes up a stream was charged for all that its caller states to have, up to 4.3e9 tokens, so that the workspace's later requests went behind all others. And an answer without any event taught the stated position as the length of answers of the service.

--- a/crates/tarragon-scheduler/src/scheduler/attempt.rs
+++ b/crates/tarragon-scheduler/src/scheduler/attempt.rs
@@ -88,14 +88,19 @@
     /// Charges the workspace for further tokens when a stream exceeds its predicted length.
     fn charge_excess_tokens(&mut self, request: RequestId, attempt: AttemptNumber) {
         let Some(running) = self.in_flight.get_mut(request, attempt) else { return };
-        let total = running.job.delivered.saturating_add(running.tokens);
+        // Nothing was charged for what the caller of a plain call had before.
+        let before = match running.job.model() {
+            Some(_) => 0,
+            None => running.job.profile.delivered(),
+        };
+        let total = running.job.delivered.saturating_add(running.tokens) - before;
         if total <= running.charged {
             return;
         }
         let expected = outgrown_length(total);
         let extra = expected - running.charged;
         running.charged = expected;
-        running.job.output = expected;
+        running.job.output = expected.saturating_add(before);
         let weight =
             self.workspaces.row(running.job.workspace).map_or(1, |usage| usage.limits.weight);
         self.queue.adjust_charge(&running.job, i64::from(extra), weight);
@@ -295,13 +300,16 @@
             self.targets.record_processed(job.pool, job.tokens());
         }
         if let Some(call) = job.profile.model_call() {
-            self.costs.learn(
-                job.pool,
-                job.workspace_key,
-                call.prompt_tokens,
-                total,
-                running.cached_part,
-            );
+            // What the caller states alone shows no length.
+            if job.profile.delivered() == 0 || !job.awaits_first_output() || running.tokens > 0 {
+                self.costs.learn(
+                    job.pool,
+                    job.workspace_key,
+                    call.prompt_tokens,
+                    total,
+                    running.cached_part,
+                );
+            }
             let weight = self.workspaces.row(job.workspace).map_or(1, |usage| usage.limits.weight);
             let error = i64::from(total) - i64::from(running.charged);
             self.queue.adjust_charge(job, error, weight);
