Don't take a break at a peer that carries an attempt for a crash

A peer that ends, or loses its own link, in the middle of an answer looked like a target that broke the connection (found in review): its attempts counted as possible crashes and against the target. An answer of a peer that breaks off ends as severed now, and a peer whose connection breaks tells so only if its own link is sound; only the end of the target's process shows a crash then. A check of a link ends early if another one has found the link lost.

--- a/crates/tarragon-gateway/src/forward/relayed.rs
+++ b/crates/tarragon-gateway/src/forward/relayed.rs
@@ -152,7 +152,14 @@
                     self.record_loss(order, cause);
                 }
                 let answer = relayed_answer(answer, slot, outcome);
-                RelayStep::Ended(self.handle_answer(order, &grant, answer).await)
+                let report = self.handle_answer(order, &grant, answer).await;
+                // The peer may have ended, or lost its link, in the middle of the answer.
+                RelayStep::Ended(match report {
+                    AttemptReport::Ended(AttemptEnd::Broken) => {
+                        AttemptReport::Ended(AttemptEnd::Severed)
+                    }
+                    report => report,
+                })
             }
             (Some(RelayOutcome::Unreachable), answer) => {
                 self.not_sent(&slot, answer);
@@ -164,6 +171,7 @@
                 RelayStep::Declined
             }
             (Some(RelayOutcome::Broken), _) => ended(AttemptEnd::Broken),
+            (Some(RelayOutcome::Severed), _) => ended(AttemptEnd::Severed),
             (Some(RelayOutcome::Garbled), _) => ended(AttemptEnd::Garbled),
             // The peer may have sent it before the connection to it broke.
             _ => ended(AttemptEnd::Severed),
@@ -267,6 +275,9 @@
     while asked.len() < MAX_ASKED_PEERS && unreaching < MAX_UNREACHING_PEERS {
         let choice = context.relays.choose(context, &asked, !asked.is_empty());
         let Some(slot) = choice else { break };
+        if context.node.view(|node| node.links().is_lost(target)) {
+            return LinkVerdict::Lost;
+        }
         asked.push(slot.peer());
         match ask_reach(context, &slot, &question).await {
             RelayOutcome::Answered | RelayOutcome::AnsweredUnframed => {
--- a/crates/tarragon-gateway/src/relay.rs
+++ b/crates/tarragon-gateway/src/relay.rs
@@ -86,19 +86,22 @@
     Unreachable,
     /// Not sent: the peer doesn't take it.
     Declined,
-    /// The peer's connection to the target broke after it was sent.
+    /// The peer's connection to the target broke after it was sent, and the peer's link is sound.
     Broken,
+    /// Sent, and nothing is known of the target: the peer may have lost its link, or got no answer in time.
+    Severed,
     /// The target's answer belongs to another request, or can't be used.
     Garbled,
 }
 
 impl RelayOutcome {
-    const ALL: [RelayOutcome; 6] = [
+    const ALL: [RelayOutcome; 7] = [
         RelayOutcome::Answered,
         RelayOutcome::AnsweredUnframed,
         RelayOutcome::Unreachable,
         RelayOutcome::Declined,
         RelayOutcome::Broken,
+        RelayOutcome::Severed,
         RelayOutcome::Garbled,
     ];
 
@@ -110,6 +113,7 @@
             RelayOutcome::Unreachable => "unreachable",
             RelayOutcome::Declined => "declined",
             RelayOutcome::Broken => "broken",
+            RelayOutcome::Severed => "severed",
             RelayOutcome::Garbled => "garbled",
         }
     }
--- a/crates/tarragon-gateway/src/relay/server.rs
+++ b/crates/tarragon-gateway/src/relay/server.rs
@@ -38,7 +38,7 @@
 
 use super::{
     ATTEMPT_HEADER, OUTCOME_HEADER, RELAY_CONNECT_LIMIT, RelayLink, RelayOutcome, RelayedAttempt,
-    check_own_link,
+    check_own_link, probe_link,
 };
 use crate::{
     context::GatewayContext,
@@ -255,11 +255,14 @@
         answer = answer => answer,
         () = interim.too_many.cancelled() => return Err((RelayOutcome::Garbled, "interim_answers")),
     };
-    let response = answer.map_err(|fault| match fault {
-        CallFault::NotSent(error) => unreachable(context, target, &error.to_string()),
-        CallFault::Broken(_) => (RelayOutcome::Broken, "connection"),
-        CallFault::TimedOut => (RelayOutcome::Broken, "no_answer"),
-    })?;
+    let response = match answer {
+        Ok(response) => response,
+        Err(CallFault::NotSent(error)) => {
+            return Err(unreachable(context, target, &error.to_string()));
+        }
+        Err(CallFault::Broken(_)) => return Err(judge_break(context, target).await),
+        Err(CallFault::TimedOut) => return Err((RelayOutcome::Severed, "no_answer")),
+    };
     let (mut head, body) = response.into_parts();
     let echo = context.protocol.read_echo(&attempt.tag, &head.headers);
     if !answers_the_call(echo, connection.is_reused()) {
@@ -297,6 +300,21 @@
     Ok((outcome, answer))
 }
 
+/// The connection to a target broke after an attempt was sent. That says nothing about the target if this process
+/// may be cut off itself.
+async fn judge_break<D>(
+    context: &GatewayContext<D>,
+    target: &TargetName,
+) -> (RelayOutcome, &'static str) {
+    if probe_link(context, target).await.is_ok() {
+        return (RelayOutcome::Broken, "connection");
+    }
+    context.node.run(|node, now, _| match node.links().may_be_cut(now) {
+        true => (RelayOutcome::Severed, "own_links_failing"),
+        false => (RelayOutcome::Broken, "connection"),
+    })
+}
+
 /// The target can't be reached from here. That says nothing about it if this process may be cut off itself.
 fn unreachable<D>(
     context: &GatewayContext<D>,
