Let questions of peers take no place of a carried attempt

When a cut resets many connections, each asks peers whether they reach the target. Such questions counted as carried attempts, so that real attempts could be declined as too many. Found in review, by reading.

--- a/crates/tarragon-gateway/src/relay/server.rs
+++ b/crates/tarragon-gateway/src/relay/server.rs
@@ -187,7 +187,10 @@
 {
     let declined = |cause| (RelayOutcome::Declined, cause);
     let until = Instant::now() + Duration::from_millis(attempt.time_ms);
-    let slot = CarriedSlot::take(&context.relays).ok_or(declined("full"))?;
+    let slot = match attempt.is_question {
+        true => None,
+        false => Some(CarriedSlot::take(&context.relays).ok_or(declined("full"))?),
+    };
     let RelayedAttempt { target, service, instance, .. } = attempt;
     context.node.run(|node, now, _| {
         if !node.members().iter().any(|(address, _)| address.ip() == from) {
@@ -363,7 +366,7 @@
     /// Until its body is whole.
     used: Option<UsedConnection>,
     deadline: Pin<Box<Sleep>>,
-    _slot: CarriedSlot,
+    _slot: Option<CarriedSlot>,
 }
 
 impl CarriedBody {
@@ -371,7 +374,7 @@
         body: TargetBody,
         until: Instant,
         used: UsedConnection,
-        slot: CarriedSlot,
+        slot: Option<CarriedSlot>,
     ) -> CarriedBody {
         let deadline = Box::pin(sleep_until(until));
         let mut answer = CarriedAnswer { body, used: Some(used), deadline, _slot: slot };
