--- a/crates/tarragon-gateway/src/peers.rs
+++ b/crates/tarragon-gateway/src/peers.rs
@@ -109,11 +109,11 @@
     }
 }
 
-/// Counts and logs a tick that is late because the process stood still.
+/// Counts and logs a tick that is late because event loop stalled.
 fn report_stall<D>(context: &GatewayContext<D>, late: Duration) {
     if late > STALL_THRESHOLD {
         context.metrics.stalls.inc();
-        tracing::warn!(late_ms = late.as_millis() as u64, "the process stood still");
+        tracing::warn!(late_ms = late.as_millis() as u64, "event loop stalled");
     }
 }
 
