--- a/crates/tarragon-gateway/src/metrics.rs
+++ b/crates/tarragon-gateway/src/metrics.rs
@@ -38,7 +38,7 @@
     pub skipped_entries: IntCounterVec,
     /// Tasks of the process that ended by a panic and were started again, by task.
     pub restarted_tasks: IntCounterVec,
-    /// Times when event loop stalled.
+    /// Times when the event loop stalled.
     pub stalls: IntCounter,
     /// Bytes of digests by direction.
     pub peer_bytes: IntCounterVec,
@@ -107,7 +107,7 @@
             )?,
             stalls: IntCounter::new(
                 metric_name("stalls_total"),
-                "Times when event loop stalled",
+                "Times when the event loop stalled",
             )?,
             restarted_tasks: counter_vec(
                 "restarted_tasks_total",
--- a/crates/tarragon-gateway/src/peers.rs
+++ b/crates/tarragon-gateway/src/peers.rs
@@ -109,7 +109,7 @@
     }
 }
 
-/// Counts and logs a tick that is late because event loop stalled.
+/// Counts and logs a tick that is late because the event loop stalled.
 fn report_stall<D>(context: &GatewayContext<D>, late: Duration) {
     if late > STALL_THRESHOLD {
         context.metrics.stalls.inc();
