--- a/crates/tarragon-fleet/tests/fleet/links.rs
+++ b/crates/tarragon-fleet/tests/fleet/links.rs
@@ -184,7 +184,7 @@
 fn a_link_to_a_removed_target_is_not_lost() {
     let now = Instant::now();
     let mut node = FleetNode::new(fleet_settings("north", 1, true), 1, now);
-    let mut publish = |node: &mut FleetNode, revision, targets| {
+    let publish = |node: &mut FleetNode, revision, targets| {
         let published = listing(revision, targets);
         node.apply_listing(now, &published, Duration::ZERO, &mut Vec::new());
     };
