review: large bodies have no common bound, and a burst takes a process over its memory

Bodies of the largest size that the configuration allows, twice the usual number of requests for 2.5 s: the process passes 260 MB, is killed, and loses all accepted requests. The stand-ins now replace the settings of a first start only once the process is ready.

--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -26,7 +26,6 @@
 
 pub struct Vm {
     pub name: String,
-    pub ip: String,
     pub front: SocketAddr,
     ready: SocketAddr,
     settings: PathBuf,
@@ -48,7 +47,7 @@
         let ips: Vec<String> = (0..names.len()).map(|place| format!("{network}.{}", 10 + place)).collect();
         let ports = free_ports(&ips);
         let seeds: Vec<String> = ips.iter().take(3).map(|ip| format!("\"{ip}:{}\"", ports.2)).collect();
-        let mut vms = Vec::new();
+        let (mut vms, mut later) = (Vec::new(), Vec::new());
         for ((name, zone), ip) in names.iter().zip(&ips) {
             // The fields of `deploy/settings.jsonc`, with the bounds of the users' sheets.
             let text = |first: &str| {
@@ -66,7 +65,6 @@
             let address = |port: u16| format!("{ip}:{port}").parse().unwrap();
             let mut vm = Vm {
                 name: (*name).to_owned(),
-                ip: ip.clone(),
                 front: address(ports.0),
                 ready: address(ports.1),
                 settings: settings.clone(),
@@ -75,11 +73,16 @@
                 starts: 0,
             };
             vm.spawn();
-            fs::write(&settings, text("")).unwrap();
+            later.push((settings, text("")));
             vms.push(vm);
         }
         let fleet = Fleet { vms, record: record.clone(), folder };
         fleet.wait_ready(Duration::from_secs(10));
+        for (settings, text) in later {
+            let new = settings.with_extension("new");
+            fs::write(&new, text).unwrap();
+            fs::rename(&new, &settings).unwrap();
+        }
         fleet
     }
 
@@ -134,6 +137,11 @@
         }
     }
 
+    /// Id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.as_ref().map_or(0, Child::id)
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, name: &str) {
         if let Some(child) = &self.child {
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,7 +1,10 @@
 //! Stand-ins for the platform, the runners and the clients of the review's scripted cases.
 
+#![allow(dead_code)]
+
 mod drain;
 mod fleet;
+mod memory;
 mod net;
 mod runner;
 mod store;
@@ -16,6 +19,7 @@
     let record = net::Record::create(record);
     let broken = match case.as_str() {
         "drain" => drain::run(&record, folder, trouble),
+        "memory" => memory::run(&record, folder, trouble),
         _ => return ExitCode::from(2),
     };
     record.line(if broken { "RESULT: the rule was broken" } else { "RESULT: the rule held" });
