review: a process whose connections are all idle accepts no new ones and still says that it is ready

Twice the usual users connect within 2.5 s and keep their connections, as clients may. At 3,000 connections the process stops accepting for 9 s while its readiness page answers 200.

Records no longer go to standard output.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+mod connections;
 mod drain;
 mod fleet;
 mod memory;
@@ -18,6 +19,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = net::Record::create(record);
     let broken = match case.as_str() {
+        "connections" => connections::run(&record, folder, trouble),
         "drain" => drain::run(&record, folder, trouble),
         "memory" => memory::run(&record, folder, trouble),
         _ => return ExitCode::from(2),
--- a/review/standin/net.rs
+++ b/review/standin/net.rs
@@ -29,7 +29,6 @@
         let line = format!("{:>7} ms  {text}\n", self.ms());
         let mut file = self.file.lock().unwrap();
         file.write_all(line.as_bytes()).unwrap();
-        print!("{line}");
     }
 }
 
--- a/review/standin/runner.rs
+++ b/review/standin/runner.rs
@@ -9,7 +9,7 @@
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use crate::net::{Message, Reader, Record, message_text};
@@ -25,6 +25,8 @@
     load: Arc<(Mutex<(usize, usize)>, Condvar)>,
     record: Record,
     pub runs: Arc<Mutex<Vec<String>>>,
+    /// Ids of the requests that have arrived, and when.
+    pub arrivals: Arc<Mutex<Vec<(String, Instant)>>>,
     beats: Arc<AtomicU64>,
     /// Whether it closes the connection of a request that it has run without an answer.
     pub loses_answers: Arc<AtomicBool>,
@@ -45,6 +47,7 @@
             load: Arc::default(),
             record: record.clone(),
             runs: Arc::default(),
+            arrivals: Arc::default(),
             beats: Arc::default(),
             loses_answers: Arc::default(),
         };
@@ -100,6 +103,7 @@
             return stream.write_all(&answer).is_ok();
         }
         self.record.line(&format!("{} gets {id} {method} {path}", self.name));
+        self.arrivals.lock().unwrap().push((id.clone(), Instant::now()));
         if !self.take_slot() {
             self.record.line(&format!("{} is full: {id} isn't run", self.name));
             let headers = [("Request-Id", id.as_str()), ("Not-Executed", "1")];
