review: a silent connection to the store keeps a process on an old configuration for longer than it may

All open connections to the store go silent right after a change, while new ones work; the next change comes into force 0.35 s after both bounds.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -8,6 +8,7 @@
 mod memory;
 mod net;
 mod runner;
+mod silent;
 mod store;
 
 use std::process::ExitCode;
@@ -21,6 +22,7 @@
     let broken = match case.as_str() {
         "connections" => connections::run(&record, folder, trouble),
         "drain" => drain::run(&record, folder, trouble),
+        "silent" => silent::run(&record, folder, trouble),
         "memory" => memory::run(&record, folder, trouble),
         _ => return ExitCode::from(2),
     };
