--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+mod alone;
 mod connections;
 mod drain;
 mod fleet;
@@ -21,6 +22,7 @@
     let record = net::Record::create(record);
     let broken = match case.as_str() {
         "connections" => connections::run(&record, folder, trouble),
+        "alone" => alone::run(&record, folder, trouble),
         "drain" => drain::run(&record, folder, trouble),
         "silent" => silent::run(&record, folder, trouble),
         "memory" => memory::run(&record, folder, trouble),
