--- a/review/standin/alone.rs
+++ b/review/standin/alone.rs
@@ -43,7 +43,16 @@
     let quiet = Record::create("/dev/null");
     let zones = ["onitsha-main", "aba-ariaria"];
     let runners: Vec<Runner> = (0..12)
-        .map(|place| Runner::start(&format!("{network}.3"), &format!("i-{place}"), "assistant-pool", zones[place % 2], 5, &quiet))
+        .map(|place| {
+            Runner::start(
+                &format!("{network}.3"),
+                &format!("i-{place}"),
+                "assistant-pool",
+                zones[place % 2],
+                5,
+                &quiet,
+            )
+        })
         .collect();
     store.put("op/config", &CONFIGURATION.replace('\n', ""));
     runners.iter().for_each(|runner| store.put(&runner.key(), &runner.entry("ready")));
@@ -88,9 +97,14 @@
                     ("Connection", "close"),
                 ];
                 let sent = Instant::now();
-                let request = message_text("POST /lot/2f?events=5&gap=40 HTTP/1.1", &headers, &[b'x'; 2_000]);
+                let request =
+                    message_text("POST /lot/2f?events=5&gap=40 HTTP/1.1", &headers, &[b'x'; 2_000]);
                 let answer = call(front, &request, Duration::from_secs(12));
-                record.line(&format!("{id} at machine {}: {}", place + SEEDS + 1, answer.summary()));
+                record.line(&format!(
+                    "{id} at machine {}: {}",
+                    place + SEEDS + 1,
+                    answer.summary()
+                ));
                 if answer.status() == 200 {
                     arrivals.lock().unwrap().push((sent, place));
                 }
@@ -101,10 +115,16 @@
     clients.into_iter().for_each(|client| drop(client.join()));
     // Requests that were sent and ran within the window, whose end is a second before that of the traffic.
     let arrivals = arrivals.lock().unwrap();
-    let within = arrivals.iter().filter(|(sent, _)| *sent < begin + WINDOW - Duration::from_millis(500)).count();
+    let within = arrivals
+        .iter()
+        .filter(|(sent, _)| *sent < begin + WINDOW - Duration::from_millis(500))
+        .count();
     let used = within as f64 * REQUEST_TOKENS;
     let most = (RATE * WINDOW.as_secs_f64() + BURST) * (1.0 + OVERAGE) + SLACK;
-    record.line(&format!("{within} requests, {used} tokens ran within {} s; at most {most} are allowed", WINDOW.as_secs()));
+    record.line(&format!(
+        "{within} requests, {used} tokens ran within {} s; at most {most} are allowed",
+        WINDOW.as_secs()
+    ));
     fleet.stop();
     if within == 0 {
         std::process::exit(2);
--- a/review/standin/connections.rs
+++ b/review/standin/connections.rs
@@ -66,7 +66,14 @@
 }
 
 /// One worker's users, one after the other from `begin`, `interval` apart.
-fn run_users(front: SocketAddr, worker: u32, users: u32, begin: Instant, interval: Duration, counts: &Counts) {
+fn run_users(
+    front: SocketAddr,
+    worker: u32,
+    users: u32,
+    begin: Instant,
+    interval: Duration,
+    counts: &Counts,
+) {
     let mut open: Vec<(TcpStream, UserState)> = Vec::new();
     let mut next = 0;
     while next < users || !open.is_empty() {
@@ -79,7 +86,9 @@
                 Ok(stream)
             });
             match begun {
-                Ok(stream) => open.push((stream, UserState::Waiting(Instant::now(), id, Vec::new()))),
+                Ok(stream) => {
+                    open.push((stream, UserState::Waiting(Instant::now(), id, Vec::new())))
+                }
                 Err(_) => drop(counts.unconnected.fetch_add(1, Ordering::Relaxed)),
             }
         }
@@ -115,7 +124,14 @@
     let runners: Vec<Runner> = (0..4)
         .map(|place| {
             let zone = if place % 2 == 0 { "onitsha-main" } else { "aba-ariaria" };
-            Runner::start(&format!("{network}.3"), &format!("i-{place}"), "member-ledger", zone, 6, &quiet)
+            Runner::start(
+                &format!("{network}.3"),
+                &format!("i-{place}"),
+                "member-ledger",
+                zone,
+                6,
+                &quiet,
+            )
         })
         .collect();
     store.put("op/config", &CONFIGURATION.replace('\n', ""));
@@ -127,7 +143,10 @@
     let front = fleet.vms[0].front;
     let factor = if trouble { BURST_FACTOR } else { 1.0 };
     let users = (f64::from(USUAL_USERS) * factor) as u32 / WORKERS * WORKERS;
-    record.line(&format!("{users} users come to edge-onitsha-main-1 within {} ms; each keeps its connection", BURST.as_millis()));
+    record.line(&format!(
+        "{users} users come to edge-onitsha-main-1 within {} ms; each keeps its connection",
+        BURST.as_millis()
+    ));
     let counts = Arc::new(Counts::default());
     let begin = Instant::now();
     let interval = BURST * WORKERS / users;
@@ -135,7 +154,9 @@
         .map(|worker| {
             let counts = counts.clone();
             let begin = begin + interval * worker / WORKERS;
-            thread::spawn(move || run_users(front, worker, users / WORKERS, begin, interval, &counts))
+            thread::spawn(move || {
+                run_users(front, worker, users / WORKERS, begin, interval, &counts)
+            })
         })
         .collect();
     thread::sleep((begin + BURST + CLIENT_WAIT).saturating_duration_since(Instant::now()));
@@ -176,7 +197,8 @@
     // GONE: a request reaches a runner more than half a second after its client has closed the connection.
     let late = {
         let closed = counts.closed.lock().unwrap();
-        let ran: Vec<(String, Instant)> = runners.iter().flat_map(|runner| runner.arrivals.lock().unwrap().clone()).collect();
+        let ran: Vec<(String, Instant)> =
+            runners.iter().flat_map(|runner| runner.arrivals.lock().unwrap().clone()).collect();
         let is_late = |(id, at): &(String, Instant)| {
             let mut closes = closed.iter().filter(|(other, _)| other == id);
             closes.any(|(_, close)| *at > *close + Duration::from_millis(500))
--- a/review/standin/drain.rs
+++ b/review/standin/drain.rs
@@ -1,6 +1,10 @@
 //! Requests wait at a process for room at the runners when the platform stops it with SIGTERM.
 
-use std::{sync::mpsc, thread, time::{Duration, Instant}};
+use std::{
+    sync::mpsc,
+    thread,
+    time::{Duration, Instant},
+};
 
 use crate::{
     fleet::{Fleet, network},
@@ -36,7 +40,9 @@
     let store = Store::start(&format!("{network}.2"));
     let runners: Vec<Runner> = [("i-a", "onitsha-main"), ("i-b", "aba-ariaria")]
         .iter()
-        .map(|(name, zone)| Runner::start(&format!("{network}.3"), name, "assistant-pool", zone, 2, record))
+        .map(|(name, zone)| {
+            Runner::start(&format!("{network}.3"), name, "assistant-pool", zone, 2, record)
+        })
         .collect();
     store.put("op/config", &CONFIGURATION.replace('\n', ""));
     runners.iter().for_each(|runner| store.put(&runner.key(), &runner.entry("ready")));
@@ -48,7 +54,9 @@
     let (ends, ended) = mpsc::channel();
     let front = fleet.vms[0].front;
     let begin = Instant::now();
-    let at = |ms: u64| thread::sleep((begin + Duration::from_millis(ms)).saturating_duration_since(Instant::now()));
+    let at = |ms: u64| {
+        thread::sleep((begin + Duration::from_millis(ms)).saturating_duration_since(Instant::now()))
+    };
     let mut sent = 0;
     let mut send = |id: &str, events: u32, gap: u32| {
         sent += 1;
@@ -94,18 +102,23 @@
     at(3_000);
     send("b000000000000003", 10, 100);
     drop(send);
-    let answers: Vec<Sent> = (0..sent).filter_map(|_| ended.recv_timeout(Duration::from_secs(25)).ok()).collect();
+    let answers: Vec<Sent> =
+        (0..sent).filter_map(|_| ended.recv_timeout(Duration::from_secs(25)).ok()).collect();
     record.line(&format!("edge-onitsha-main-1 has ended: {}", fleet.vms[0].has_ended()));
     let mut lost = 0;
-    let runs: Vec<String> = runners.iter().flat_map(|runner| runner.runs.lock().unwrap().clone()).collect();
+    let runs: Vec<String> =
+        runners.iter().flat_map(|runner| runner.runs.lock().unwrap().clone()).collect();
     for one in answers.iter().filter(|one| one.id.starts_with('b')) {
-        let read = fleet.vms[0].log_lines("request received").iter().any(|line| line.contains(&one.id));
+        let read =
+            fleet.vms[0].log_lines("request received").iter().any(|line| line.contains(&one.id));
         let was_run = runs.contains(&one.id);
         let held = one.ended_ms - one.sent_ms;
         let is_lost = read && !was_run && !one.answer.whole && held > LOSS_SLACK_MS && held < 8_000;
         record.line(&format!(
             "{}: read {read}, run {was_run}, ended after {held} ms, {}{}",
-            one.id, one.answer.summary(), if is_lost { ": LOST" } else { "" }
+            one.id,
+            one.answer.summary(),
+            if is_lost { ": LOST" } else { "" }
         ));
         lost += usize::from(is_lost);
     }
--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -42,11 +42,19 @@
 
 impl Fleet {
     /// Starts one process for each name and zone. All use the same ports.
-    pub fn start(names: &[(&str, &str)], network: &str, store: &Store, folder: &str, record: &Record) -> Fleet {
+    pub fn start(
+        names: &[(&str, &str)],
+        network: &str,
+        store: &Store,
+        folder: &str,
+        record: &Record,
+    ) -> Fleet {
         let folder = PathBuf::from(folder);
-        let ips: Vec<String> = (0..names.len()).map(|place| format!("{network}.{}", 10 + place)).collect();
+        let ips: Vec<String> =
+            (0..names.len()).map(|place| format!("{network}.{}", 10 + place)).collect();
         let ports = free_ports(&ips);
-        let seeds: Vec<String> = ips.iter().take(3).map(|ip| format!("\"{ip}:{}\"", ports.2)).collect();
+        let seeds: Vec<String> =
+            ips.iter().take(3).map(|ip| format!("\"{ip}:{}\"", ports.2)).collect();
         let (mut vms, mut later) = (Vec::new(), Vec::new());
         for ((name, zone), ip) in names.iter().zip(&ips) {
             // The fields of `deploy/settings.jsonc`, with the bounds of the users' sheets.
@@ -57,7 +65,12 @@
                      \"store_address\": \"{}\",\n  {first}\"log_format\": \"json\",\n  \"grace_s\": {GRACE_S},\n  \
                      \"heartbeat_ms\": 1200,\n  \"bounds\": {{\"retry_ratio\": 0.2, \"retry_slack\": 52, \
                      \"quota_window_s\": 8, \"quota_overage\": 0.25, \"quota_slack\": 190000}}\n}}\n",
-                    ports.0, ports.1, ports.3, ports.3 + 15, seeds.join(", "), store.address
+                    ports.0,
+                    ports.1,
+                    ports.3,
+                    ports.3 + 15,
+                    seeds.join(", "),
+                    store.address
                 )
             };
             let settings = folder.join(format!("{name}.jsonc"));
@@ -120,7 +133,8 @@
 impl Vm {
     pub fn spawn(&mut self) {
         self.starts += 1;
-        let log = File::create(self.folder.join(format!("{}-{}.log", self.name, self.starts))).unwrap();
+        let log =
+            File::create(self.folder.join(format!("{}-{}.log", self.name, self.starts))).unwrap();
         let child = Command::new(PROGRAM)
             .args(["serve", self.settings.to_str().unwrap()])
             .env("TARRAGONFRONT_BOOT", &self.settings)
@@ -163,20 +177,25 @@
     }
 
     pub fn is_ready(&self) -> bool {
-        let request = message_text("GET /-/readyz HTTP/1.1", &[("Host", "ready"), ("Connection", "close")], b"");
+        let request = message_text(
+            "GET /-/readyz HTTP/1.1",
+            &[("Host", "ready"), ("Connection", "close")],
+            b"",
+        );
         call(self.ready, &request, Duration::from_millis(500)).status() == 200
     }
 
     /// Lines of the process's logs that contain a text.
     pub fn log_lines(&self, text: &str) -> Vec<String> {
-        let logs = (1..=self.starts).map(|start| self.folder.join(format!("{}-{start}.log", self.name)));
+        let logs =
+            (1..=self.starts).map(|start| self.folder.join(format!("{}-{start}.log", self.name)));
         let whole: String = logs.filter_map(|path| fs::read_to_string(path).ok()).collect();
         whole.lines().filter(|line| line.contains(text)).map(str::to_owned).collect()
     }
 }
 
 pub fn signal(id: u32, name: &str) {
-    let _ = Command::new("kill").args(["-s", name, &id.to_string()]).status();
+    let _ = Command::new("sh").args(["-c", &format!("kill -s {name} {id}")]).status();
 }
 
 /// Ports that are free at all addresses: for callers, readiness and control, and the first of 16 for peers.
--- a/review/standin/memory.rs
+++ b/review/standin/memory.rs
@@ -48,7 +48,13 @@
 "tenants":[{"name":"stall","api-keys":["i9n73hh2b9wu3fexd9dn"],"priority":1,"billing-unit":"token_metered",
 "uncached-tokens":200,"rate-per-s":88093,"burst":88093}]}"#;
 
-fn request_text(path: &str, id: &str, deadline_ms: &str, body: &[u8], extra: &[(&str, &str)]) -> Vec<u8> {
+fn request_text(
+    path: &str,
+    id: &str,
+    deadline_ms: &str,
+    body: &[u8],
+    extra: &[(&str, &str)],
+) -> Vec<u8> {
     let key = format!("Bearer {KEY}");
     let mut headers = vec![
         ("Host", "calls.example"),
@@ -66,9 +72,17 @@
     // As many as in orctcs-front: 12 runners with 5 slots and 4 with 6.
     let runners: Vec<Runner> = (0..16)
         .map(|place| {
-            let (service, slots) = if place < 12 { ("assistant-pool", 5) } else { ("member-ledger", 6) };
+            let (service, slots) =
+                if place < 12 { ("assistant-pool", 5) } else { ("member-ledger", 6) };
             let zone = if place % 2 == 0 { "onitsha-main" } else { "aba-ariaria" };
-            Runner::start(&format!("{network}.3"), &format!("i-{place}"), service, zone, slots, record)
+            Runner::start(
+                &format!("{network}.3"),
+                &format!("i-{place}"),
+                service,
+                zone,
+                slots,
+                record,
+            )
         })
         .collect();
     store.put("op/config", &CONFIGURATION.replace('\n', ""));
@@ -82,14 +96,17 @@
     let (over, killed) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
     let peak = Arc::new(Mutex::new(0));
     let guard = thread::spawn({
-        let (over, killed, peak, record) = (over.clone(), killed.clone(), peak.clone(), record.clone());
+        let (over, killed, peak, record) =
+            (over.clone(), killed.clone(), peak.clone(), record.clone());
         move || {
             while !over.load(Ordering::Relaxed) {
                 let used = resident_kb(process);
                 let mut peak = peak.lock().unwrap();
                 *peak = used.max(*peak);
                 if used > MEMORY_KB {
-                    record.line(&format!("edge-onitsha-main-1 uses {used} KB, over its limit: the platform kills it"));
+                    record.line(&format!(
+                        "edge-onitsha-main-1 uses {used} KB, over its limit: the platform kills it"
+                    ));
                     killed.store(true, Ordering::Relaxed);
                     signal(process, "KILL");
                     return;
@@ -112,18 +129,25 @@
                         return;
                     }
                     let id = format!("c{client:07x}{count:08x}");
-                    let request = request_text("/reserve/2f?work=300", &id, "1500", &[b'r'; 600], &[]);
+                    let request =
+                        request_text("/reserve/2f?work=300", &id, "1500", &[b'r'; 600], &[]);
                     let sent = reader.stream.write_all(&request);
                     let answer = reader.read_answer();
                     if answer.status() == 0 {
-                        record.line(&format!("kept connection {client}: {id} (sent {}) ends without an answer", sent.is_ok()));
+                        record.line(&format!(
+                            "kept connection {client}: {id} (sent {}) ends without an answer",
+                            sent.is_ok()
+                        ));
                         if count > 0 && sent.is_ok() {
                             cut.lock().unwrap().push(id);
                         }
                         return;
                     }
                     if answer.header("connection") == Some("close") {
-                        record.line(&format!("kept connection {client}: closed after {}", answer.summary()));
+                        record.line(&format!(
+                            "kept connection {client}: closed after {}",
+                            answer.summary()
+                        ));
                         return;
                     }
                 }
@@ -133,7 +157,10 @@
     thread::sleep(Duration::from_secs(1));
     let factor = if trouble { BURST_FACTOR } else { 1 };
     let in_burst = (BURST.as_millis() / INTERVAL.as_millis()) as u32 * factor;
-    record.line(&format!("requests with {BODY_BYTES} bytes each: {BEFORE}, {in_burst} in {} ms, {AFTER}", BURST.as_millis()));
+    record.line(&format!(
+        "requests with {BODY_BYTES} bytes each: {BEFORE}, {in_burst} in {} ms, {AFTER}",
+        BURST.as_millis()
+    ));
     let body = Arc::new(vec![b'x'; BODY_BYTES]);
     let begin = Instant::now();
     let due = |place: u32| match place {
@@ -154,8 +181,14 @@
                 }
                 let id = format!("b{place:015x}");
                 let part = format!("5c1e07a2:60,{place:x}:1050");
-                let extra = [("Model", "m"), ("Token-Count", "1110,400"), ("Prompt-Prefix", part.as_str()), ("Connection", "close")];
-                let request = request_text("/measure/2f?events=40&gap=100", &id, "15000", &body, &extra);
+                let extra = [
+                    ("Model", "m"),
+                    ("Token-Count", "1110,400"),
+                    ("Prompt-Prefix", part.as_str()),
+                    ("Connection", "close"),
+                ];
+                let request =
+                    request_text("/measure/2f?events=40&gap=100", &id, "15000", &body, &extra);
                 let answer = call(front, &request, Duration::from_secs(15));
                 record.line(&format!("client has of {id}: {}", answer.summary()));
             })
@@ -165,7 +198,8 @@
     over.store(true, Ordering::Relaxed);
     let _ = guard.join();
     kept.into_iter().for_each(|client| drop(client.join()));
-    let runs: Vec<String> = runners.iter().flat_map(|runner| runner.runs.lock().unwrap().clone()).collect();
+    let runs: Vec<String> =
+        runners.iter().flat_map(|runner| runner.runs.lock().unwrap().clone()).collect();
     let cut = cut.lock().unwrap();
     let passed_on = cut.iter().filter(|id| runs.contains(id)).count();
     record.line(&format!(
--- a/review/standin/runner.rs
+++ b/review/standin/runner.rs
@@ -36,7 +36,14 @@
 const QUEUE: usize = 24;
 
 impl Runner {
-    pub fn start(ip: &str, name: &str, service: &str, zone: &str, slots: usize, record: &Record) -> Runner {
+    pub fn start(
+        ip: &str,
+        name: &str,
+        service: &str,
+        zone: &str,
+        slots: usize,
+        record: &Record,
+    ) -> Runner {
         let listener = TcpListener::bind((ip, 0)).expect("a runner can't listen");
         let runner = Runner {
             name: name.to_owned(),
@@ -107,7 +114,9 @@
         if !self.take_slot() {
             self.record.line(&format!("{} is full: {id} isn't run", self.name));
             let headers = [("Request-Id", id.as_str()), ("Not-Executed", "1")];
-            return stream.write_all(&message_text("HTTP/1.1 503 Service Unavailable", &headers, b"")).is_ok();
+            return stream
+                .write_all(&message_text("HTTP/1.1 503 Service Unavailable", &headers, b""))
+                .is_ok();
         }
         self.runs.lock().unwrap().push(id.clone());
         self.record.line(&format!("{} runs {id}", self.name));
@@ -115,7 +124,11 @@
         let (load, freed) = &*self.load;
         load.lock().unwrap().0 -= 1;
         freed.notify_one();
-        self.record.line(&format!("{} ends its run of {id}, {}", self.name, if kept { "answered" } else { "cut" }));
+        self.record.line(&format!(
+            "{} ends its run of {id}, {}",
+            self.name,
+            if kept { "answered" } else { "cut" }
+        ));
         kept
     }
 
@@ -146,7 +159,8 @@
         let signature = format!("{}.{id}", self.name);
         if let Some(events) = number("events") {
             let gap = Duration::from_millis(number("gap").unwrap_or(100));
-            let first = request.header("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
+            let first =
+                request.header("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
             let head = format!(
                 "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: {signature}\r\nInstance-Load: {load}\r\n\
                  Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/review/standin/silent.rs
+++ b/review/standin/silent.rs
@@ -52,7 +52,8 @@
 impl StoreProxy {
     fn start(ip: &str, store: SocketAddr) -> StoreProxy {
         let listener = TcpListener::bind((ip, 0)).expect("the proxy can't listen");
-        let proxy = StoreProxy { address: listener.local_addr().unwrap(), generation: Arc::default() };
+        let proxy =
+            StoreProxy { address: listener.local_addr().unwrap(), generation: Arc::default() };
         let served = proxy.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -88,10 +89,17 @@
     let store = Store::start(&format!("{network}.2"));
     let proxy = StoreProxy::start(&format!("{network}.4"), store.address);
     let quiet = Record::create("/dev/null");
-    let runners: Vec<Runner> = [("old-a", "ledger-old"), ("old-b", "ledger-old"), ("new-a", "ledger-new"), ("new-b", "ledger-new")]
-        .iter()
-        .map(|(name, service)| Runner::start(&format!("{network}.3"), name, service, "onitsha-main", 6, &quiet))
-        .collect();
+    let runners: Vec<Runner> = [
+        ("old-a", "ledger-old"),
+        ("old-b", "ledger-old"),
+        ("new-a", "ledger-new"),
+        ("new-b", "ledger-new"),
+    ]
+    .iter()
+    .map(|(name, service)| {
+        Runner::start(&format!("{network}.3"), name, service, "onitsha-main", 6, &quiet)
+    })
+    .collect();
     store.put("op/config", &configuration(7, 800, "ledger-old"));
     runners.iter().for_each(|runner| store.put(&runner.key(), &runner.entry("ready")));
     let vms = [("edge-onitsha-main-1", "onitsha-main"), ("edge-aba-ariaria-1", "aba-ariaria")];
@@ -132,9 +140,20 @@
                 ];
                 let at = Instant::now();
                 let sent_ms = record.ms();
-                let answer = call(front, &message_text("GET /stock/2f?work=5 HTTP/1.1", &headers, b""), Duration::from_secs(2));
-                let runner = answer.header("response-signature").and_then(|text| text.split('.').next()).unwrap_or("none").to_owned();
-                record.line(&format!("{id} sent at {sent_ms} ms to process {place}: {}, run by {runner}", answer.status()));
+                let answer = call(
+                    front,
+                    &message_text("GET /stock/2f?work=5 HTTP/1.1", &headers, b""),
+                    Duration::from_secs(2),
+                );
+                let runner = answer
+                    .header("response-signature")
+                    .and_then(|text| text.split('.').next())
+                    .unwrap_or("none")
+                    .to_owned();
+                record.line(&format!(
+                    "{id} sent at {sent_ms} ms to process {place}: {}, run by {runner}",
+                    answer.status()
+                ));
                 sent.lock().unwrap().push((at, place, runner));
             }));
         }
@@ -146,7 +165,8 @@
     let sent = sent.lock().unwrap();
     let mut stale = 0;
     for place in 0..vms.len() {
-        let own = sent.iter().filter(|(_, other, runner)| *other == place && runner.starts_with("old"));
+        let own =
+            sent.iter().filter(|(_, other, runner)| *other == place && runner.starts_with("old"));
         let last = own.clone().map(|(at, ..)| *at).max();
         let late = own.filter(|(at, ..)| *at > bound).count();
         record.line(&format!(
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -87,7 +87,11 @@
                 "/-/kv-range" => self.range(&prefix, &parameter("after").unwrap_or_default()),
                 "/-/kv-watch" => {
                     let number = |name| parameter(name).and_then(|text| text.parse().ok());
-                    self.watch(&prefix, number("after").unwrap_or(0), number("max-wait-ms").unwrap_or(0))
+                    self.watch(
+                        &prefix,
+                        number("after").unwrap_or(0),
+                        number("max-wait-ms").unwrap_or(0),
+                    )
                 }
                 _ => String::new(),
             };
@@ -102,9 +106,14 @@
 
     fn range(&self, prefix: &str, after: &str) -> String {
         let content = self.content.0.lock().unwrap();
-        let items = content.items.iter().filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after);
+        let items =
+            content.items.iter().filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after);
         let items: Vec<String> = items.map(|(key, item)| item_text(key, item)).collect();
-        format!("{{\"items\":[{}],\"has-more\":false,\"at\":{}}}", items.join(","), content.revision)
+        format!(
+            "{{\"items\":[{}],\"has-more\":false,\"at\":{}}}",
+            items.join(","),
+            content.revision
+        )
     }
 
     fn watch(&self, prefix: &str, after: u64, wait_ms: u64) -> String {
@@ -112,18 +121,25 @@
         let end = Instant::now() + Duration::from_millis(wait_ms);
         let mut content = content.lock().unwrap();
         loop {
-            let news = content.changes.iter().filter(|(key, at)| *at > after && key.starts_with(prefix));
+            let news =
+                content.changes.iter().filter(|(key, at)| *at > after && key.starts_with(prefix));
             let events: Vec<String> = news
                 .filter_map(|(key, at)| match content.items.get(key) {
                     Some(item) if item.revision == *at => Some(item_text(key, item)),
                     // A later event has the newer value.
                     Some(_) => None,
-                    None => Some(format!("{{\"key\":\"{key}\",\"revision\":{at},\"deleted\":true}}")),
+                    None => {
+                        Some(format!("{{\"key\":\"{key}\",\"revision\":{at},\"deleted\":true}}"))
+                    }
                 })
                 .collect();
             let left = end.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
-                return format!("{{\"events\":[{}],\"at\":{}}}", events.join(","), content.revision);
+                return format!(
+                    "{{\"events\":[{}],\"at\":{}}}",
+                    events.join(","),
+                    content.revision
+                );
             }
             content = changed.wait_timeout(content, left).unwrap().0;
         }
@@ -141,7 +157,8 @@
     const LETTERS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for three in bytes.chunks(3) {
-        let number = three.iter().fold(0_u32, |sum, byte| sum << 8 | u32::from(*byte)) << (8 * (3 - three.len()));
+        let number = three.iter().fold(0_u32, |sum, byte| sum << 8 | u32::from(*byte))
+            << (8 * (3 - three.len()));
         for place in 0..4 {
             match place <= three.len() {
                 true => text.push(LETTERS[(number >> (18 - 6 * place) & 63) as usize] as char),
