--- a/review/standin/connections.rs
+++ b/review/standin/connections.rs
@@ -29,6 +29,8 @@
 const CLIENT_WAIT: Duration = Duration::from_secs(1);
 const CONTACT: Duration = Duration::from_millis(3_000);
 const WORKERS: u32 = 65;
+/// For the users and the runners' ends of calls, all in this process.
+const NEEDED_DESCRIPTORS: u64 = 4_600;
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 
 /// The route `stock-lookup` of orctcs-front.
@@ -117,7 +119,19 @@
     }
 }
 
+/// Most file descriptors that a process may have here.
+fn descriptor_limit() -> u64 {
+    let limits = std::fs::read_to_string("/proc/self/limits").unwrap_or_default();
+    let line = limits.lines().find_map(|line| line.strip_prefix("Max open files"));
+    let soft = line.and_then(|text| text.split_whitespace().next());
+    soft.and_then(|text| text.parse().ok()).unwrap_or(u64::MAX)
+}
+
 pub fn run(record: &Record, folder: &str, trouble: bool) -> bool {
+    if descriptor_limit() < NEEDED_DESCRIPTORS {
+        record.line("this machine allows too few file descriptors for the case");
+        std::process::exit(2);
+    }
     let network = network();
     let store = Store::start(&format!("{network}.2"));
     let quiet = Record::create("/dev/null");
