Give each request a true answer before its process ends

Calls that must not be repeated were sent late in the grace period and cut at its end.

Cause: the end of the process was known to `GatewayHandle::shutdown` and to nothing that queues, refuses or dispatches.

The scheduler now plans for the end. The latest start of a request is limited by its longest expected run and a reserve; a request that could have waited for longer is refused halfway, or at once behind too much work, with 503 and a short Retry-After, since another process can serve it. Requests that end before the process anyway keep their place. In the last 0.6 s what is left gets 502, or ends as a broken stream, in six steps. Bodies and origins that are still awaited are refused. SIGHUP can change the grace period. No message between processes has changed.

Ruled out: a process too slow to write its refusals (it made none), and a load balancer that sends for longer than its checks allow.

--- a/crates/tarragon-command/src/command/serve/gateway.rs
+++ b/crates/tarragon-command/src/command/serve/gateway.rs
@@ -57,8 +57,8 @@
     Ok(if report.interrupted.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
-/// Takes changed settings. Only seeds can change while the process runs; addresses need a new start. Settings
-/// with findings change nothing.
+/// Takes changed settings. Only seeds and the grace period can change while the process runs; addresses need a
+/// new start. Settings with findings change nothing.
 fn reload_settings<D>(
     path: &Path,
     handle: &GatewayHandle<D>,
@@ -75,7 +75,12 @@
     if settings == *current {
         return;
     }
-    tracing::info!(trigger, seeds = settings.seeds.len(), "settings have changed");
-    handle.set_seeds(&settings.seed_addresses());
+    tracing::info!(
+        trigger,
+        seeds = settings.seeds.len(),
+        grace_ms = settings.grace.as_millis() as u64,
+        "settings have changed"
+    );
+    handle.apply_settings(&settings);
     *current = settings;
 }
--- a/crates/tarragon-fleet/src/node.rs
+++ b/crates/tarragon-fleet/src/node.rs
@@ -274,6 +274,16 @@
         self.draining = true;
     }
 
+    /// Takes the planned end of the process into account: requests that can't be completed before it are refused.
+    pub fn plan_end(&mut self, now: Instant, end: WorkEnd, actions: &mut Vec<SchedulerAction>) {
+        self.schedule(now, SchedulerEvent::EndPlanned(end), actions);
+    }
+
+    /// Gives all waiting requests and up to `most` of the running ones their final answers.
+    pub fn end_open(&mut self, now: Instant, most: usize, actions: &mut Vec<SchedulerAction>) {
+        self.schedule(now, SchedulerEvent::EndReached(most), actions);
+    }
+
     /// Takes into account that the machine was suspended for some time, which the monotonic clock doesn't
     /// show: all peers count as silent, since their reports are out of date, and what targets have said about
     /// their limits is older by that time.
--- a/crates/tarragon-gateway/src/caller.rs
+++ b/crates/tarragon-gateway/src/caller.rs
@@ -38,6 +38,8 @@
 /// Retry-after time for callers who take up a stream right after the start of a process, which has yet to hear
 /// from its peers.
 const ORIGIN_KNOWN_SOON: Duration = Duration::from_millis(500);
+/// Retry-after time of requests that are refused because the process ends before they have arrived whole.
+const RETRY_AFTER_END: Duration = Duration::from_millis(200);
 /// Source of the build of a stream in logs and metrics, if engines have told it.
 const EVIDENCE_SOURCE: &str = "cached_part";
 /// Most prompt parts in the log line of a request.
@@ -57,7 +59,10 @@
     let (call_head, routed) = match route(&context, &head) {
         Ok(routed) => routed,
         Err(answer) => {
-            discard_refused(&context, body).await;
+            tokio::select! {
+                () = discard_refused(&context, body) => {}
+                () = context.ending.cancelled() => {}
+            }
             return *answer;
         }
     };
@@ -65,18 +70,20 @@
     let wait = wait_limit(&routed.route, call_head.time_left);
     let deadline = Deadline::after(&context.clock, wait);
     let limits = body_limits(context.caller_limits(), wait);
-    let body = match read_body(body, limits).await {
-        Ok(body) => body,
-        Err(fault) => return body_fault_answer(&context, &call_head.tag, fault),
+    let body = match before_end(&context, &call_head.tag, read_body(body, limits)).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(fault)) => return body_fault_answer(&context, &call_head.tag, fault),
+        Err(answer) => return *answer,
     };
     watch.set_state(AnswerState::Waiting);
     let event_tokens = context.node.view(|node| {
         let terms = node.operator_state().service_configuration(&routed.service);
         terms.map_or(1, |terms| terms.event_tokens.max(1))
     });
-    let (build, stream) = match find_origin(&context, &call_head, &routed).await {
-        Ok(origin) => origin,
-        Err(answer) => return *answer,
+    let origin = find_origin(&context, &call_head, &routed);
+    let (build, stream) = match before_end(&context, &call_head.tag, origin).await {
+        Ok(Ok(origin)) => origin,
+        Ok(Err(answer)) | Err(answer) => return *answer,
     };
     let call = ForwardCall {
         request: context.ids.next(),
@@ -97,6 +104,30 @@
     serve_call(context, call).await
 }
 
+/// Awaits what a request needs before it is admitted. If the process is about to end first, the request is refused.
+async fn before_end<D, F>(
+    context: &GatewayContext<D>,
+    tag: &str,
+    wait: F,
+) -> Result<F::Output, Box<CallerAnswer>>
+where
+    D: CallProtocol,
+    F: Future,
+{
+    tokio::select! {
+        biased;
+        output = wait => Ok(output),
+        () = context.ending.cancelled() => {
+            let message = "the process shuts down before the request could be served";
+            let refusal = Refusal::not_run(RefusalCode::ShuttingDown, message)
+                .with_retry_after(RETRY_AFTER_END);
+            tracing::warn!(request = tag, cause = refusal.message, "refused");
+            context.metrics.count_answer("not_run", refusal_cause(refusal.code));
+            Err(Box::new(refusal_answer(context, &refusal)))
+        }
+    }
+}
+
 /// Parses the head of a request and finds its route and service.
 fn route<D>(
     context: &GatewayContext<D>,
--- a/crates/tarragon-gateway/src/context.rs
+++ b/crates/tarragon-gateway/src/context.rs
@@ -80,6 +80,8 @@
     pub ids: RequestIds,
     /// Tasks that shutdown waits for.
     pub tasks: TaskTracker,
+    /// Cancelled when the process is about to end and open requests get their final answers.
+    pub ending: CancellationToken,
     /// Cancelled when the process aborts or has shut down.
     pub abort: CancellationToken,
 }
--- a/crates/tarragon-gateway/src/lib.rs
+++ b/crates/tarragon-gateway/src/lib.rs
@@ -16,3 +16,4 @@
 pub mod relay;
 pub mod serve;
 pub mod shared_node;
+pub mod shutdown;
--- a/crates/tarragon-gateway/src/relay/server.rs
+++ b/crates/tarragon-gateway/src/relay/server.rs
@@ -211,7 +211,10 @@
         part: BODY_PART_TIMEOUT,
         whole: Duration::from_millis(attempt.time_ms),
     };
-    let body = read_body(body, limits).await.map_err(|_| declined("body"))?;
+    let body = tokio::select! {
+        body = read_body(body, limits) => body.map_err(|_| declined("body"))?,
+        () = context.ending.cancelled() => return Err(declined("process_ends")),
+    };
     let opened = if attempt.may_reuse && !attempt.is_question {
         context.pool.checkout(target, RELAY_CONNECT_LIMIT).await
     } else {
--- a/crates/tarragon-gateway/src/serve.rs
+++ b/crates/tarragon-gateway/src/serve.rs
@@ -1,4 +1,4 @@
-//! Starts and shuts down a process that forwards calls.
+//! Starts a process that forwards calls.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -12,6 +12,7 @@
 use tarragon_fleet::prelude::*;
 use tarragon_server::{
     clock::{ProcessClock, SystemClock, now},
+    guarded::Guarded,
     process::RequestIds,
     serve::bind,
     target::{
@@ -19,10 +20,7 @@
         pool::{ConnectionPool, TargetDialer},
     },
 };
-use tokio::{
-    net::UdpSocket,
-    time::{Instant, sleep, timeout_at},
-};
+use tokio::net::UdpSocket;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
@@ -35,14 +33,9 @@
     platform::{CallProtocol, PublishedStore},
     reader,
     relay::{RelayLink, probe_links, server::serve_relays},
-    shared_node::{InterruptedRequest, SharedNode},
+    shared_node::SharedNode,
 };
 
-/// How long connections are still accepted after the signal: the load balancer checks readiness every second
-/// and removes the process after two failed checks.
-const ACCEPT_TIME_AFTER_SIGNAL: Duration = Duration::from_millis(2_600);
-/// Part of the grace period that is reserved for the process to exit before it is killed.
-const EXIT_RESERVE: Duration = Duration::from_millis(400);
 /// Limits of the queue. Requests that targets can't serve within some seconds are refused long before these.
 const QUEUE_LIMITS: SchedulerLimits =
     SchedulerLimits { waiting: 2_048, waiting_tokens: 32_000_000 };
@@ -76,15 +69,10 @@
     /// Address for callers.
     pub caller_address: SocketAddr,
     context: Arc<GatewayContext<D>>,
-    signals: ListenerSignals,
+    pub(crate) signals: ListenerSignals,
     pull_server: ServerHandle,
-}
-
-/// Result of a shutdown.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ShutdownReport {
-    /// Requests that the shutdown interrupted.
-    pub interrupted: Vec<InterruptedRequest>,
+    /// Time from the shutdown signal until the process is killed.
+    grace: Guarded<Duration>,
 }
 
 /// Binds all addresses and starts the tasks of the process.
@@ -132,6 +120,7 @@
         answers: AnswerRoom::default(),
         ids: RequestIds::new(rand::random()),
         tasks: TaskTracker::new(),
+        ending: CancellationToken::new(),
         abort: CancellationToken::new(),
         settings,
     });
@@ -159,7 +148,8 @@
         seeds = context.settings.seeds.len(), first_start = context.settings.first_start,
         "process has started"
     );
-    Ok(GatewayHandle { caller_address, context, signals, pull_server })
+    let grace = Guarded::new(context.settings.grace);
+    Ok(GatewayHandle { caller_address, context, signals, pull_server, grace })
 }
 
 /// Starts the tasks that exchange digests and read published values.
@@ -252,9 +242,16 @@
         &self.context
     }
 
-    /// Replaces the addresses of the seeds.
-    pub fn set_seeds(&self, seeds: &[SocketAddr]) {
-        self.context.node.run(|node, _, _| node.set_seeds(seeds));
+    /// Time from the shutdown signal until the process is killed.
+    pub fn grace(&self) -> Duration {
+        self.grace.with(|grace| *grace)
+    }
+
+    /// Takes those settings that can change while the process runs: the addresses of the seeds, and the grace
+    /// period.
+    pub fn apply_settings(&self, settings: &GatewaySettings) {
+        self.context.node.run(|node, _, _| node.set_seeds(&settings.seed_addresses()));
+        self.grace.with(|grace| *grace = settings.grace);
     }
 
     /// Cancels all tasks at once, as a crash would.
@@ -263,35 +260,4 @@
         // This fails only if the server has already stopped.
         let _ = self.pull_server.stop();
     }
-
-    /// Shuts down gracefully: the process reports not ready at once, and open requests may finish within the
-    /// grace period.
-    pub async fn shutdown(self) -> ShutdownReport {
-        let context = self.context.clone();
-        let end = Instant::now() + context.settings.grace.saturating_sub(EXIT_RESERVE);
-        let open = context.node.open_requests();
-        tracing::info!(open, "graceful shutdown has started");
-        context.node.run(|node, _, _| node.start_drain());
-        self.signals.drain.cancel();
-        sleep(ACCEPT_TIME_AFTER_SIGNAL.min(context.settings.grace / 3)).await;
-        self.signals.close.cancel();
-        context.tasks.close();
-        self.signals.connections.close();
-        let ended = async {
-            context.tasks.wait().await;
-            self.signals.connections.wait().await;
-        };
-        let whole = timeout_at(end, ended).await.is_ok();
-        let interrupted = if whole { Vec::new() } else { context.node.interrupted_requests() };
-        for request in &interrupted {
-            tracing::error!(
-                request = request.tag,
-                started = request.started,
-                "graceful shutdown interrupts the request"
-            );
-        }
-        tracing::info!(interrupted = interrupted.len(), "process is exiting");
-        self.abort();
-        ShutdownReport { interrupted }
-    }
 }
--- a/crates/tarragon-scheduler/src/event.rs
+++ b/crates/tarragon-scheduler/src/event.rs
@@ -92,6 +92,10 @@
     RulesChanged(std::sync::Arc<tarragon_config::rules::RuleSet>),
     /// The process starts to shut down: no new requests are admitted.
     DrainStarted,
+    /// The process is going to end. Requests are still admitted if they can be completed before.
+    EndPlanned(WorkEnd),
+    /// The process ends: all waiting requests and up to so many of the running ones get their final answers.
+    EndReached(usize),
     /// Time has passed.
     Tick,
 }
@@ -113,6 +117,16 @@
     pub first_token: Duration,
 }
 
+/// The planned end of a process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WorkEnd {
+    /// When all requests must be complete.
+    pub at: Instant,
+    /// Nothing begins in this time before the end, however short it is expected to be: a sound target may be
+    /// silent for a while.
+    pub reserve: Duration,
+}
+
 /// How an attempt ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum AttemptEnd {
--- a/crates/tarragon-scheduler/src/inflight.rs
+++ b/crates/tarragon-scheduler/src/inflight.rs
@@ -20,6 +20,8 @@
     Disconnected,
     /// The deadline has passed.
     Expired,
+    /// The process ends. The request has got its final answer.
+    Ending,
 }
 
 /// One attempt at a target.
@@ -160,8 +162,8 @@
             Some(old) => {
                 let goes_on = matches!(old, CancelCause::Preempted | CancelCause::Moved);
                 let replaces = match cause {
-                    CancelCause::Disconnected => true,
-                    CancelCause::Expired => goes_on,
+                    CancelCause::Disconnected => old != CancelCause::Ending,
+                    CancelCause::Expired | CancelCause::Ending => goes_on,
                     CancelCause::Preempted | CancelCause::Moved => false,
                 };
                 if replaces {
--- a/crates/tarragon-scheduler/src/job.rs
+++ b/crates/tarragon-scheduler/src/job.rs
@@ -69,6 +69,8 @@
     /// After this time no target can finish it before the deadline, or begin the answer before the caller
     /// gives up.
     pub latest_start: Instant,
+    /// Whether the latest start is set by the end of the process.
+    pub by_end: bool,
 }
 
 impl Job {
@@ -78,6 +80,7 @@
         let delivered = profile.delivered();
         Job {
             latest_start: profile.deadline,
+            by_end: false,
             build: profile.build(),
             profile,
             pool,
--- a/crates/tarragon-scheduler/src/prelude.rs
+++ b/crates/tarragon-scheduler/src/prelude.rs
@@ -5,7 +5,7 @@
 pub use crate::{
     event::{
         AttemptEnd, AttemptProgress, ListedProcess, PeerPressure, SchedulerAction, SchedulerEvent,
-        TargetEntry, TargetLoad, TargetSlots,
+        TargetEntry, TargetLoad, TargetSlots, WorkEnd,
     },
     scheduler::{Scheduler, SchedulerLimits},
     statistics::SchedulerStatistics,
--- a/crates/tarragon-scheduler/src/scheduler.rs
+++ b/crates/tarragon-scheduler/src/scheduler.rs
@@ -8,6 +8,7 @@
 mod crash;
 mod dispatch;
 mod dump;
+mod ending;
 mod explain;
 mod preempt;
 mod report;
@@ -96,6 +97,8 @@
     rng: ChaCha8Rng,
     sequence: u64,
     draining: bool,
+    /// When the process is going to end, once that is planned.
+    work_end: Option<WorkEnd>,
     /// Whether rules or targets have changed since the assumed models were computed.
     placement_changed: bool,
     /// Lane with which the next dispatch round starts. It advances each round, so that lanes of one pool take
@@ -140,6 +143,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             sequence: 0,
             draining: false,
+            work_end: None,
             placement_changed: false,
             first_lane: 0,
             limit_share: 1.0,
@@ -227,6 +231,8 @@
             SchedulerEvent::SuspectReported(entry) => self.merge_suspect(&entry, now, actions),
             SchedulerEvent::RulesChanged(rules) => self.apply_rules(rules),
             SchedulerEvent::DrainStarted => self.draining = true,
+            SchedulerEvent::EndPlanned(end) => self.plan_end(end, now, actions),
+            SchedulerEvent::EndReached(most) => self.end_open(most, now, actions),
             SchedulerEvent::Tick => self.tick(now, actions),
         }
         self.assess_suspects(false, None, now, actions);
--- a/crates/tarragon-scheduler/src/scheduler/arrival.rs
+++ b/crates/tarragon-scheduler/src/scheduler/arrival.rs
@@ -174,6 +174,7 @@
                 .map_or(Duration::ZERO, |rates| rates.first_time(size).mul_f64(MIN_TIME_FRACTION));
             job.latest_start = job.latest_start.min(before(patience, first));
         }
+        self.limit_by_end(job, now);
     }
 
     /// Checks for reasons to refuse that depend on the load, and makes room in the queue if needed.
@@ -184,7 +185,9 @@
         actions: &mut Vec<SchedulerAction>,
     ) -> Result<(), Refusal> {
         self.check_limits(job, now)?;
-        self.check_wait(job, now)?;
+        if let Err(refusal) = self.check_wait(job, now) {
+            return Err(if job.by_end { self.refusal_for_end() } else { refusal });
+        }
         let tier = job.tier();
         let view = AdmissionView {
             tier,
--- a/crates/tarragon-scheduler/src/scheduler/attempt.rs
+++ b/crates/tarragon-scheduler/src/scheduler/attempt.rs
@@ -274,8 +274,10 @@
                 self.mark_possibly_cold(running.target, now, actions);
             }
             AttemptEnd::Cancelled => {
-                let ours =
-                    matches!(running.cancel, Some(CancelCause::Preempted | CancelCause::Moved));
+                let ours = matches!(
+                    running.cancel,
+                    Some(CancelCause::Preempted | CancelCause::Moved | CancelCause::Ending)
+                );
                 if !ours && running.started && running.first_token.is_none() {
                     self.record_broken(running, true, now, actions);
                 }
@@ -361,6 +363,9 @@
             self.statistics.disconnected[tier] += 1;
             return;
         }
+        if cancel == Some(CancelCause::Ending) {
+            return;
+        }
         match end {
             AttemptEnd::Finished => {
                 self.retry_budget(job.pool).record_success();
--- a/crates/tarragon-scheduler/src/scheduler/candidate.rs
+++ b/crates/tarragon-scheduler/src/scheduler/candidate.rs
@@ -15,13 +15,16 @@
     hits: PrefixHits,
 }
 
-/// Restrictions on the choice because of requests suspected of crashing targets.
+/// Restrictions on the choice: because of requests suspected of crashing targets, and because of the end of the
+/// process.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct ChoiceBounds {
     /// The request itself is suspected.
     pub suspect: bool,
     /// Any suspected request is in flight.
     pub suspects_run: bool,
+    /// Seconds in which the answer has to be complete.
+    pub time_left: Option<f32>,
 }
 
 impl CandidateList {
@@ -53,11 +56,15 @@
             let affinity_allowed =
                 summary.in_flight as f32 <= affinity_limit * summary.window as f32;
             let hit = if affinity_allowed { self.hits.get(*index) } else { 0 };
+            let estimate = summary.estimate(size, block_tokens(hit), job.tier());
+            if bounds.time_left.is_some_and(|left| summary.exceeds(&estimate, left)) {
+                continue;
+            }
             self.items.push(ChooseCandidate {
                 target: *index,
                 in_flight: summary.in_flight,
                 window: summary.window,
-                estimate: summary.estimate(size, block_tokens(hit), job.tier()),
+                estimate,
             });
         }
         if bounds.suspects_run && !bounds.suspect {
--- a/crates/tarragon-scheduler/src/scheduler/dispatch.rs
+++ b/crates/tarragon-scheduler/src/scheduler/dispatch.rs
@@ -165,12 +165,13 @@
             return DispatchStep::Defer;
         }
         let suspect = !causes.is_empty();
-        let bounds = ChoiceBounds { suspect, suspects_run: self.in_flight.suspect_count() > 0 };
+        let bounds = self.choice_bounds(suspect, now);
         self.candidates.collect(&self.targets, job, bounds);
         if self.candidates.items.is_empty() {
             // Beyond the limit of lanes, bound requests share one with others.
             let shares_lane = job.build != self.queue.lane_build(job.lane);
-            let particular = suspect || !job.avoid.is_empty() || shares_lane;
+            let particular =
+                suspect || !job.avoid.is_empty() || shares_lane || self.work_end.is_some();
             return if particular { DispatchStep::Defer } else { DispatchStep::Closed };
         }
         let pool = job.pool;
@@ -196,11 +197,19 @@
         if parks || job.tier() < self.pressure.floor(now) || suspicion != Suspicion::None {
             return false;
         }
-        let suspects_run = self.in_flight.suspect_count() > 0;
-        self.candidates.collect(&self.targets, job, ChoiceBounds { suspect: false, suspects_run });
+        let bounds = self.choice_bounds(false, now);
+        self.candidates.collect(&self.targets, job, bounds);
         !self.candidates.items.is_empty()
     }
 
+    pub(super) fn choice_bounds(&self, suspect: bool, now: Instant) -> ChoiceBounds {
+        ChoiceBounds {
+            suspect,
+            suspects_run: self.in_flight.suspect_count() > 0,
+            time_left: self.work_end.map(|end| end.at.saturating_duration_since(now).as_secs_f32()),
+        }
+    }
+
     fn send(
         &mut self,
         request: RequestId,
--- a/crates/tarragon-scheduler/src/scheduler/explain.rs
+++ b/crates/tarragon-scheduler/src/scheduler/explain.rs
@@ -12,7 +12,7 @@
     prelude::*,
     scheduler::{
         Scheduler,
-        candidate::{CandidateList, ChoiceBounds, may_run_suspect},
+        candidate::{CandidateList, may_run_suspect},
     },
     suspect::Suspicion,
     targets::TargetRow,
@@ -69,7 +69,7 @@
         let job = self.trial_job(profile, pool.unwrap_or(usize::MAX));
         let (_, suspicion) = self.suspects.check_request(profile, now);
         let suspect = suspicion == Suspicion::Suspect;
-        let bounds = ChoiceBounds { suspect, suspects_run: self.in_flight.suspect_count() > 0 };
+        let bounds = self.choice_bounds(suspect, now);
         let mut candidates = CandidateList::default();
         if pool.is_some() {
             candidates.collect(&self.targets, &job, bounds);
--- a/crates/tarragon-scheduler/src/scheduler/shed.rs
+++ b/crates/tarragon-scheduler/src/scheduler/shed.rs
@@ -124,7 +124,7 @@
     }
 
     /// Waiting requests of a pool, in the order in which they are sent.
-    fn requests_by_urgency(&self, pool: usize) -> Vec<RequestId> {
+    pub(super) fn requests_by_urgency(&self, pool: usize) -> Vec<RequestId> {
         let mut jobs: Vec<&Job> = self.queue.iter().filter(|job| job.pool == pool).collect();
         jobs.sort_unstable_by_key(|job| job.urgency());
         jobs.into_iter().map(Job::request).collect()
@@ -137,6 +137,9 @@
         message: &'static str,
         actions: &mut Vec<SchedulerAction>,
     ) {
+        if self.queue.get(request).is_some_and(|job| job.by_end) {
+            return self.refuse_for_end(request, actions);
+        }
         let Some(job) = self.dequeue_unserved(request) else { return };
         let delay = wait.clamp(RETRY_AFTER, MAX_RETRY_AFTER);
         let refusal = Scheduler::refusal_of(&job, RefusalCode::DeadlineExceeded, message);
--- a/crates/tarragon-scheduler/src/scheduler/tick.rs
+++ b/crates/tarragon-scheduler/src/scheduler/tick.rs
@@ -26,6 +26,7 @@
         self.targets.refresh_all(now);
         self.queue.mark_late(now);
         self.refuse_starved(now, actions);
+        self.refuse_beyond_end(now, actions);
         self.stop_attempts(now, actions);
         self.refuse_without_target(now, actions);
         self.refuse_unbuilt(now, actions);
--- a/crates/tarragon-scheduler/src/targets/estimate.rs
+++ b/crates/tarragon-scheduler/src/targets/estimate.rs
@@ -107,6 +107,8 @@
     call: f32,
     /// Confidence in expected cache hits.
     trust: f32,
+    /// Whether the expected times are based on enough samples.
+    is_measured: bool,
     /// Factor on the score.
     factor: f32,
 }
@@ -129,6 +131,7 @@
             decode: (decode * (1.0 + LOAD_SLOPE * occupancy)) as f32,
             call: (call * (1.0 + occupancy)) as f32,
             trust: row.trust.value(now),
+            is_measured: row.rates.is_trusted(),
             factor: row.risk_factor() * if row.remote { DISTANT_FACTOR } else { 1.0 },
         }
     }
@@ -143,6 +146,11 @@
         self.backlog > PREFILL_BACKLOG[tier.index()]
     }
 
+    /// Whether an estimate shows that the answer takes longer than this many seconds.
+    pub fn exceeds(&self, estimate: &CostEstimate, seconds: f32) -> bool {
+        self.is_measured && estimate.last_token > seconds
+    }
+
     /// Estimates a request of a tier of which `hit` leading prompt tokens are believed to be cached.
     pub fn estimate(&self, size: RequestSize, hit: u32, tier: Tier) -> CostEstimate {
         let Some(prompt) = size.prompt else {
@@ -215,6 +223,18 @@
         Duration::from_secs_f64(seconds.clamp(0.0, 3_600.0))
     }
 
+    /// Time of a whole answer of a target that has to compute the whole prompt.
+    pub fn whole_time(&self, size: RequestSize) -> Duration {
+        let seconds = match size.prompt {
+            Some(prompt) => {
+                let decode = f64::from(size.output) * self.decode;
+                self.base + f64::from(prompt) * self.prefill + decode
+            }
+            None => self.call,
+        };
+        Duration::from_secs_f64(seconds.clamp(0.0, 3_600.0))
+    }
+
     /// Least time of a request at an idle target that holds the whole prompt in its cache, if the whole answer
     /// takes only this fraction of the predicted time. An answer of which the caller has more than that may end
     /// with the next token.
--- a/crates/tarragon-scheduler/tests/rules/main.rs
+++ b/crates/tarragon-scheduler/tests/rules/main.rs
@@ -3,6 +3,7 @@
 mod build;
 mod choice;
 mod driver;
+mod ending;
 mod paced;
 mod placement;
 mod retry;
