Bring changes into force in time after the store was silent

Cause: the times of the calls to the store were constants that nobody compared with the bounds. A watch on a dead connection hung for 3.3 s, and after a failure the next call was a watch again. Any change ends all watches at one moment, so no process was early for the others.

After a failure the next call is a short read over a new connection. Watches end at random. The listing of targets and processes that leave the reading to others follow the same times. No message between processes has changed.

Ruled out: peers that keep the news to themselves (none has it), and processes too slow to apply it (5 ms).

--- a/crates/tarragon-config/src/settings/gateway.rs
+++ b/crates/tarragon-config/src/settings/gateway.rs
@@ -66,6 +66,14 @@
     pub quota_overage: f64,
     /// Units by which the fleet may exceed a quota in addition to that fraction.
     pub quota_slack: f64,
+    /// Time from the acknowledgement of a configuration until it must be in force.
+    pub change_time: Duration,
+    /// Time from the acknowledgement that a data centre is taken out of service until it must get no more requests.
+    pub evacuation_time: Duration,
+    /// Time from the acknowledgement that a target leaves until it must get no more requests.
+    pub leave_time: Duration,
+    /// Time after a disruption of the store, or of connections to it, in which these times needn't be kept.
+    pub contact_time: Duration,
 }
 
 impl Default for GatewayBounds {
@@ -77,6 +85,10 @@
             quota_window: Duration::from_secs(8),
             quota_overage: 0.25,
             quota_slack: 0.0,
+            change_time: Duration::from_secs(2),
+            evacuation_time: Duration::from_secs(5),
+            leave_time: Duration::from_secs(2),
+            contact_time: Duration::from_secs(3),
         }
     }
 }
@@ -263,6 +275,10 @@
             quota_window: bounds_reader.duration("quota_window_s", default.quota_window),
             quota_overage: bounds_reader.non_negative("quota_overage", default.quota_overage),
             quota_slack: bounds_reader.non_negative("quota_slack", default.quota_slack),
+            change_time: bounds_reader.milliseconds("change_ms", default.change_time),
+            evacuation_time: bounds_reader.milliseconds("evacuation_ms", default.evacuation_time),
+            leave_time: bounds_reader.milliseconds("leave_ms", default.leave_time),
+            contact_time: bounds_reader.milliseconds("contact_ms", default.contact_time),
         };
         reader.finish(self.document);
         bounds
--- a/crates/tarragon-config/tests/settings.rs
+++ b/crates/tarragon-config/tests/settings.rs
@@ -118,7 +118,8 @@
   "store_address": "10.200.1.7:8225",
   "first_start": true,
   "grace_s": 8.5, "heartbeat_ms": 900,
-  "bounds": { "retry_ratio": 0.2, "retry_slack": 56, "quota_window_s": 8, },
+  "bounds": { "retry_ratio": 0.2, "retry_slack": 56, "quota_window_s": 8,
+    "change_ms": 3000, "evacuation_ms": 5000, "leave_ms": 2500, "contact_ms": 4000, },
 }"#;
 
 /// Guards against contacting peers at the ports listed in `seeds` instead of the peer port, and against parsing
@@ -134,6 +135,10 @@
     assert_eq!(settings.grace, Duration::from_millis(8_500));
     assert_eq!(settings.heartbeat, Duration::from_millis(900));
     assert_eq!(settings.bounds.retry_slack, 56.0);
+    assert_eq!(settings.bounds.change_time, Duration::from_secs(3));
+    assert_eq!(settings.bounds.evacuation_time, Duration::from_secs(5));
+    assert_eq!(settings.bounds.leave_time, Duration::from_millis(2_500));
+    assert_eq!(settings.bounds.contact_time, Duration::from_secs(4));
     let example = std::fs::read_to_string(Path::new(EXAMPLES).join("settings.jsonc")).unwrap();
     assert!(!is_gateway_settings(&example));
 }
--- a/crates/tarragon-fleet/src/lib.rs
+++ b/crates/tarragon-fleet/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod clock;
 pub mod digest;
 pub mod directory;
+pub mod freshness;
 pub mod hash;
 pub mod health;
 pub mod ledger;
--- a/crates/tarragon-fleet/src/node.rs
+++ b/crates/tarragon-fleet/src/node.rs
@@ -39,12 +39,6 @@
 /// Number of processes in each data centre that read the store on behalf of all of its processes. With three,
 /// two may be down or cut off from the store before other processes have to read it themselves.
 const READERS_PER_DATA_CENTRE: usize = 3;
-/// Age of the target listing above which a process reads the store itself. Readers refresh theirs every second.
-const MAX_LISTING_AGE: Duration = Duration::from_millis(1_500);
-/// Age of the operator state above which a process watches the store itself. The readers' watches return
-/// after 2.5 s at the latest.
-const MAX_OPERATOR_STATE_AGE: Duration = Duration::from_millis(3_500);
-
 /// Limits that the deployment sets for the fleet as a whole.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct FleetBounds {
@@ -54,6 +48,8 @@
     pub retry_slack: f64,
     /// Tolerances of the workspace quotas.
     pub quota: QuotaBounds,
+    /// Times within which published values have to be in force.
+    pub freshness: FreshnessBounds,
 }
 
 /// Settings of a process at its start.
@@ -153,6 +149,7 @@
     started: Instant,
     sequence: u64,
     draining: bool,
+    read_times: ReadTimes,
 }
 
 impl FleetNode {
@@ -191,6 +188,7 @@
             started: now,
             sequence: 0,
             draining: false,
+            read_times: ReadTimes::of(&settings.bounds.freshness),
             settings,
         }
     }
@@ -245,17 +243,22 @@
             || digest.operator_version > self.operator_state.version()
     }
 
+    /// Times of the calls to the store.
+    pub fn read_times(&self) -> ReadTimes {
+        self.read_times
+    }
+
     /// Whether this process should read targets from the store. A few processes of each data centre do; the
     /// others do so when the listings that they receive from those are out of date.
     pub fn reads_targets(&self, now: Instant) -> bool {
-        let old = self.directory.age(now).is_none_or(|age| age > MAX_LISTING_AGE);
+        let old = self.directory.age(now).is_none_or(|age| age > self.read_times.max_listing_age);
         old || self.members.is_reader(READERS_PER_DATA_CENTRE)
     }
 
     /// Whether this process should watch the operator state in the store, by the same rule.
     pub fn reads_operator(&self, now: Instant) -> bool {
         let age = self.operator_confirmed.map(|time| now.saturating_duration_since(time));
-        let old = age.is_none_or(|age| age > MAX_OPERATOR_STATE_AGE);
+        let old = age.is_none_or(|age| age > self.read_times.max_operator_age);
         old || self.members.is_reader(READERS_PER_DATA_CENTRE)
     }
 
--- a/crates/tarragon-fleet/tests/fleet/main.rs
+++ b/crates/tarragon-fleet/tests/fleet/main.rs
@@ -9,6 +9,7 @@
 mod crashing_parts;
 mod directory;
 mod fleet_network;
+mod freshness;
 mod limit_world;
 mod limits;
 mod links;
--- a/crates/tarragon-fleet/tests/fleet/support.rs
+++ b/crates/tarragon-fleet/tests/fleet/support.rs
@@ -109,7 +109,12 @@
         peer_address: address(index),
         seeds: vec![address(1)],
         first_start,
-        bounds: FleetBounds { retry_ratio: 0.2, retry_slack: 50.0, quota: BOUNDS },
+        bounds: FleetBounds {
+            retry_ratio: 0.2,
+            retry_slack: 50.0,
+            quota: BOUNDS,
+            freshness: FreshnessBounds::default(),
+        },
         limits: SchedulerLimits::default(),
     }
 }
--- a/crates/tarragon-gateway/src/platform.rs
+++ b/crates/tarragon-gateway/src/platform.rs
@@ -201,6 +201,9 @@
         limit: Duration,
     ) -> impl Future<Output = Result<StoreRead<OperatorChanges>, StoreFault>> + Send;
 
+    /// Closes the connections that no call uses, so that the next call opens a new one. They may have fallen silent.
+    fn close_idle(&self) {}
+
     /// Reads the listing of all targets.
     fn read_targets(
         &self,
--- a/crates/tarragon-gateway/src/reader.rs
+++ b/crates/tarragon-gateway/src/reader.rs
@@ -1,10 +1,13 @@
 //! Reads published values from the store: watches the operator state, and lists the targets at intervals.
 //! While the store does not answer, newer values are pulled from peers.
 
-use std::{sync::Arc, time::Duration};
+use std::{future::Future, sync::Arc, time::Duration};
 
 use rand::Rng;
-use tarragon_fleet::prelude::*;
+use tarragon_fleet::{
+    freshness::{LISTING_JITTER, RETRY_JITTER},
+    prelude::*,
+};
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::{
@@ -13,19 +16,8 @@
     platform::{OperatorChange, OperatorChanges, PublishedStore, StoreFault, StoreRead},
 };
 
-/// Longest wait of a watch. A dead connection is detected after this time plus [`ANSWER_TIMEOUT`], within the
-/// time limit for a change to become active.
-const WATCH_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// Longest wait for an answer of the store. A healthy store answers within milliseconds.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
-/// Interval of listings. A target must get no new requests later than two seconds after it has announced that
-/// it leaves.
-const LISTING_INTERVAL: Duration = Duration::from_millis(900);
-/// Interval at which a process that doesn't read the store itself checks whether it has to.
-const STANDBY_CHECK_INTERVAL: Duration = Duration::from_millis(150);
 /// Delay before a failed call is retried; it doubles with each failure up to the maximum.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
-const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
 
 /// Time after the start for which the builds of the past are of interest, and for which peers may tell them
 /// before the store is asked.
@@ -37,13 +29,72 @@
 
 /// State of the watch on the operator state.
 #[derive(Default)]
-struct OperatorWatch {
+pub struct OperatorWatch {
     state: Option<OperatorState>,
     /// Revision after which the watch continues; 0 to start with a complete read.
     after: u64,
 }
 
+/// What an answer of the store tells of the operator state.
+enum OperatorNews {
+    /// All of it.
+    Snapshot(StoreRead<OperatorState>),
+    /// Changes since the last answer.
+    Changes(StoreRead<OperatorChanges>),
+}
+
 impl OperatorWatch {
+    /// Waits for the next answer of the store, and returns the operator state if it has changed. After a failure the
+    /// state has to be read completely: a short call shows at once whether the store is back, while a watch may
+    /// hang until long after that.
+    pub async fn next<S>(
+        &mut self,
+        store: &S,
+        times: &ReadTimes,
+        link: StoreLink,
+    ) -> Result<StoreRead<Option<OperatorState>>, StoreFault>
+    where
+        S: PublishedStore,
+    {
+        let is_watch = self.is_watch();
+        // If the call fails, or is dropped, the next one is a complete read.
+        let after = std::mem::take(&mut self.after);
+        let snapshot = || async { store.read_operator().await.map(OperatorNews::Snapshot) };
+        let news = match is_watch {
+            false => read_store("operator", store, times, link, snapshot).await?,
+            true => {
+                let limit = times.next_watch(rand::rng().random_range(0.0..1.0));
+                let watch =
+                    async { store.watch_operator(after, limit).await.map(OperatorNews::Changes) };
+                let patience = limit + times.patience;
+                let whole = patience + times.answer;
+                with_timeout(whole, hedge("operator", store, patience, watch, snapshot)).await?
+            }
+        };
+        match news {
+            OperatorNews::Snapshot(StoreRead { value: snapshot, skipped }) => {
+                Ok(StoreRead { value: self.apply_snapshot(snapshot), skipped })
+            }
+            OperatorNews::Changes(StoreRead { value: changes, skipped }) => {
+                if self.state.as_ref().is_some_and(|known| known.era != changes.era) {
+                    return Err(StoreFault::Restored);
+                }
+                self.after = after;
+                Ok(StoreRead { value: self.apply_changes(changes), skipped })
+            }
+        }
+    }
+
+    /// Whether the next call waits for changes.
+    pub fn is_watch(&self) -> bool {
+        self.after != 0 && self.state.is_some()
+    }
+
+    /// The next call reads the state completely.
+    pub fn restart(&mut self) {
+        self.after = 0;
+    }
+
     /// Applies a complete read. An unchanged state keeps its revision, so that peers with the same state
     /// don't pull it.
     fn apply_snapshot(&mut self, snapshot: OperatorState) -> Option<OperatorState> {
@@ -87,11 +138,28 @@
     call: &'static str,
     failed_since: Option<Instant>,
     delay: Duration,
+    max_delay: Duration,
+}
+
+/// Whether calls to the store may use a connection that earlier ones have left.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreLink {
+    /// The last call was answered.
+    Kept,
+    /// The last call failed: the next one needs a new connection.
+    Lost,
 }
 
 impl StoreRetry {
-    fn new(call: &'static str) -> StoreRetry {
-        StoreRetry { call, failed_since: None, delay: MIN_RETRY_DELAY }
+    fn new(call: &'static str, max_delay: Duration) -> StoreRetry {
+        StoreRetry { call, failed_since: None, delay: MIN_RETRY_DELAY.min(max_delay), max_delay }
+    }
+
+    fn link(&self) -> StoreLink {
+        match self.failed_since {
+            None => StoreLink::Kept,
+            Some(_) => StoreLink::Lost,
+        }
     }
 
     fn record_success(&mut self) {
@@ -99,7 +167,7 @@
             let away_ms = since.elapsed().as_millis() as u64;
             tracing::info!(call = self.call, away_ms, "store answers again");
         }
-        self.delay = MIN_RETRY_DELAY;
+        self.delay = MIN_RETRY_DELAY.min(self.max_delay);
     }
 
     /// Returns the delay before the next call, with jitter.
@@ -109,8 +177,8 @@
             self.failed_since = Some(Instant::now());
         }
         let delay = self.delay;
-        self.delay = (delay * 2).min(MAX_RETRY_DELAY);
-        delay.mul_f64(rand::rng().random_range(0.7..1.3))
+        self.delay = (delay * 2).min(self.max_delay);
+        delay.mul_f64(rand::rng().random_range(RETRY_JITTER))
     }
 }
 
@@ -119,19 +187,20 @@
 where
     S: PublishedStore,
 {
+    let times = context.node.view(FleetNode::read_times);
     let mut watch = OperatorWatch::default();
-    let mut retry = StoreRetry::new("operator");
+    let mut retry = StoreRetry::new("operator", times.max_retry_delay);
     // Whether the last watch couldn't be decoded. The read after it doesn't end that.
     let mut unreadable = false;
     loop {
         if !context.node.run(|node, now, _| node.reads_operator(now)) {
             // Meanwhile changes come from peers; the next watch starts with a complete read.
-            watch.after = 0;
-            sleep(STANDBY_CHECK_INTERVAL).await;
+            watch.restart();
+            sleep(times.standby_check).await;
             continue;
         }
-        let is_watch = watch.after != 0;
-        let fault = match next_change(&mut watch, &*store).await {
+        let is_watch = watch.is_watch();
+        let fault = match watch.next(&*store, &times, retry.link()).await {
             Ok(StoreRead { value: state, skipped }) => {
                 context.metrics.store_calls.with_label_values(&["operator", "answered"]).inc();
                 context.metrics.count_skipped_entries("operator", skipped);
@@ -150,11 +219,9 @@
         context.metrics.store_calls.with_label_values(&["operator", fault.name()]).inc();
         if matches!(fault, StoreFault::Compacted | StoreFault::Restored) {
             tracing::info!(
-                after = watch.after,
                 fault = fault.name(),
                 "watch can't continue; reading the operator state again"
             );
-            watch.after = 0;
             // All readers learn of it at the same time.
             let delay = MAX_REREAD_DELAY.mul_f64(rand::rng().random_range(0.0..1.0));
             sleep(delay).await;
@@ -162,32 +229,74 @@
         }
         if fault == StoreFault::Malformed {
             // Events that can't be read may be in each answer until the watch starts after them.
-            watch.after = 0;
             unreadable |= is_watch;
         }
         sleep(retry.record_failure(fault)).await;
     }
 }
 
-async fn next_change<S>(
-    watch: &mut OperatorWatch,
+/// Makes a read. If the store is silent, it is asked a second time over a new connection beside the first call: a
+/// slow store answers either of them, while a connection that has fallen silent never does.
+async fn read_store<T, S, C, F>(
+    call: &'static str,
+    store: &S,
+    times: &ReadTimes,
+    link: StoreLink,
+    read: C,
+) -> Result<T, StoreFault>
+where
+    S: PublishedStore,
+    C: Fn() -> F,
+    F: Future<Output = Result<T, StoreFault>>,
+{
+    match link {
+        StoreLink::Kept => {
+            let answer = hedge(call, store, times.patience, read(), &read);
+            with_timeout(times.answer, answer).await
+        }
+        StoreLink::Lost => {
+            store.close_idle();
+            with_timeout(times.answer, read()).await
+        }
+    }
+}
+
+/// Waits for a call, and from `patience` on for another one beside it over a new connection, whichever succeeds.
+async fn hedge<T, S, A, C, B>(
+    call: &'static str,
     store: &S,
-) -> Result<StoreRead<Option<OperatorState>>, StoreFault>
+    patience: Duration,
+    first: A,
+    second: C,
+) -> Result<T, StoreFault>
 where
     S: PublishedStore,
+    A: Future<Output = Result<T, StoreFault>>,
+    C: FnOnce() -> B,
+    B: Future<Output = Result<T, StoreFault>>,
 {
-    if watch.after == 0 || watch.state.is_none() {
-        let StoreRead { value: snapshot, skipped } =
-            with_timeout(ANSWER_TIMEOUT, store.read_operator()).await?;
-        return Ok(StoreRead { value: watch.apply_snapshot(snapshot), skipped });
+    tokio::pin!(first);
+    if let Ok(answer) = timeout(patience, &mut first).await {
+        return answer;
     }
-    let limit = WATCH_TIMEOUT + ANSWER_TIMEOUT;
-    let StoreRead { value: changes, skipped } =
-        with_timeout(limit, store.watch_operator(watch.after, WATCH_TIMEOUT)).await?;
-    if watch.state.as_ref().is_some_and(|known| known.era != changes.era) {
-        return Err(StoreFault::Restored);
+    tracing::info!(
+        call,
+        silent_ms = patience.as_millis() as u64,
+        "store is silent; asking it again over a new connection"
+    );
+    store.close_idle();
+    let second = second();
+    tokio::pin!(second);
+    tokio::select! {
+        answer = &mut first => match answer {
+            Ok(value) => Ok(value),
+            Err(_) => second.await,
+        },
+        answer = &mut second => match answer {
+            Ok(value) => Ok(value),
+            Err(_) => first.await,
+        },
     }
-    Ok(StoreRead { value: watch.apply_changes(changes), skipped })
 }
 
 /// Makes an operator state active.
@@ -207,14 +316,16 @@
 where
     S: PublishedStore,
 {
-    let mut retry = StoreRetry::new("targets");
+    let times = context.node.view(FleetNode::read_times);
+    let mut retry = StoreRetry::new("targets", times.max_retry_delay);
     loop {
         if !context.node.run(|node, now, _| node.reads_targets(now)) {
-            sleep(STANDBY_CHECK_INTERVAL).await;
+            sleep(times.standby_check).await;
             continue;
         }
         let started = Instant::now();
-        let pause = match with_timeout(ANSWER_TIMEOUT, store.read_targets()).await {
+        let read = || store.read_targets();
+        let pause = match read_store("targets", &*store, &times, retry.link(), read).await {
             Ok(StoreRead { value: listing, skipped }) => {
                 context.metrics.store_calls.with_label_values(&["targets", "answered"]).inc();
                 context.metrics.count_skipped_entries("targets", skipped);
@@ -222,7 +333,7 @@
                 // The listing may be as old as the start of the call.
                 apply_listing(&context, &listing, started.elapsed());
                 send_messages(&context).await;
-                LISTING_INTERVAL.mul_f64(rand::rng().random_range(0.9..1.1))
+                times.listing_interval.mul_f64(rand::rng().random_range(LISTING_JITTER))
             }
             Err(fault) => {
                 context.metrics.store_calls.with_label_values(&["targets", fault.name()]).inc();
@@ -239,15 +350,16 @@
     S: PublishedStore,
 {
     let end = Instant::now() + HISTORY_TIME;
-    let mut retry = StoreRetry::new("build_history");
+    let times = context.node.view(FleetNode::read_times);
+    let mut retry = StoreRetry::new("build_history", times.max_retry_delay);
     let mut pause = PEER_TIME;
     while Instant::now() < end {
         sleep(pause).await;
-        pause = STANDBY_CHECK_INTERVAL;
+        pause = times.standby_check;
         if !context.node.run(|node, now, _| node.lacks_builds(now) && node.reads_targets(now)) {
             continue;
         }
-        match with_timeout(ANSWER_TIMEOUT, store.read_build_history()).await {
+        match with_timeout(times.answer, store.read_build_history()).await {
             Ok(history) => {
                 context.metrics.store_calls.with_label_values(&["build_history", "answered"]).inc();
                 retry.record_success();
--- a/crates/tarragon-gateway/src/serve.rs
+++ b/crates/tarragon-gateway/src/serve.rs
@@ -201,6 +201,11 @@
                 overage: settings.bounds.quota_overage,
                 slack: settings.bounds.quota_slack,
             },
+            freshness: FreshnessBounds {
+                change: settings.bounds.change_time.min(settings.bounds.evacuation_time),
+                contact: settings.bounds.contact_time,
+                leave: settings.bounds.leave_time,
+            },
         },
         limits: QUEUE_LIMITS,
     }
