Bound the memory of endless answers on many connections at once

Reported by other operators: a runner sent bytes without end, the process that had called it ran out of memory, and the requests of other callers ended with it. Each kind of endless answer was bounded here, but not the sum over many calls: 96 calls at 24 such targets grew a process by 117 to 121 MB, on machines with 160 MB.

Cause: the room for whole answers counted the bytes of a body and not its buffer, which doubles; each connection could hold 400 KB ahead of its reader. The room is now taken before a buffer grows, and read buffers hold 64 KB at most.

--- a/crates/tarragon-server/src/target/body.rs
+++ b/crates/tarragon-server/src/target/body.rs
@@ -2,7 +2,7 @@
 
 use std::{future::Future, sync::Arc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{HeaderMap, Method, Response, StatusCode, header};
 use http_body_util::BodyExt;
 use hyper::body::Frame;
@@ -119,20 +119,28 @@
     collect_parts(TimedBody { body, idle }, limit, |_| Ok(())).await
 }
 
-/// Reads a body. `take` is asked for the room of each part.
+/// Smallest buffer of an answer, in bytes.
+const MIN_BUFFER_BYTES: usize = 4 << 10;
+
+/// Reads a body. `take` is asked for the room of the buffer, which grows in doubling steps.
 async fn collect_parts<S, F>(mut source: S, limit: usize, mut take: F) -> Result<Bytes, AnswerFault>
 where
     S: FrameSource,
     F: FnMut(usize) -> Result<(), AnswerFault>,
 {
-    let mut whole = BytesMut::new();
+    let mut whole = Vec::new();
     loop {
-        let Some(frame) = source.next_frame().await? else { return Ok(whole.freeze()) };
+        let Some(frame) = source.next_frame().await? else { return Ok(Bytes::from(whole)) };
         let Ok(data) = frame.map_err(|_| AnswerFault::CutShort)?.into_data() else { continue };
         if whole.len() + data.len() > limit {
             return Err(AnswerFault::TooLarge);
         }
-        take(data.len())?;
+        let (needed, capacity) = (whole.len() + data.len(), whole.capacity());
+        if needed > capacity {
+            let larger = (2 * capacity).max(MIN_BUFFER_BYTES).min(limit).max(needed);
+            take(larger - capacity)?;
+            whole.reserve_exact(larger - whole.len());
+        }
         whole.extend_from_slice(&data);
     }
 }
--- a/crates/tarragon-server/src/target/pool.rs
+++ b/crates/tarragon-server/src/target/pool.rs
@@ -39,6 +39,9 @@
 /// Largest head of an answer, and largest trailers, in bytes. Heads of the users' sheets have some hundred.
 const MAX_HEAD_BYTES: usize = 32 << 10;
 
+/// Largest read buffer of a connection, in bytes. There are hundreds of connections on the smallest VMs.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
+
 /// Wait for a pooled connection whose last answer was read a moment ago and whose task has yet to run.
 const READY_WAIT: Duration = Duration::from_millis(10);
 
@@ -130,6 +133,7 @@
         let stream = MeteredStream::new(stream, allowance.clone(), mark.clone());
         let handshake = http1::Builder::new()
             .max_header_size(MAX_HEAD_BYTES)
+            .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
             .await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
--- a/crates/tarragon-server/tests/serve/drain.rs
+++ b/crates/tarragon-server/tests/serve/drain.rs
@@ -61,3 +61,51 @@
     })
     .await;
 }
+
+struct ExitCase {
+    name: &'static str,
+    streamed: bool,
+}
+
+const EXITS: &[ExitCase] = &[
+    ExitCase { name: "a whole answer", streamed: false },
+    ExitCase { name: "a stream that has begun", streamed: true },
+];
+
+/// Guards against callers whose connections are closed without an answer when the process exits before their
+/// requests are complete, and against streams that then look complete.
+#[tokio::test]
+async fn requests_that_outlast_the_shutdown_get_a_final_answer() {
+    for (index, case) in EXITS.iter().enumerate() {
+        bounded(async {
+            let slow = HardwareProfile::first_generation();
+            let engine =
+                engine::start(EngineSettings::new("runner-1", slow, "small")).await.unwrap();
+            let targets = vec![target("runner-1", "pool", engine.address())];
+            let mut settings = settings(&format!("drain-{}", 3 + index), targets);
+            settings.drain_timeout = Duration::from_millis(1_500);
+            let handle = start(settings).await;
+            let address = handle.caller_address;
+            let call = TestCall::chat("long [answer=5000]", case.streamed);
+            let mut connection = connect(address).await;
+            let answer = tokio::spawn(async move { connection.send_request(call.request()).await });
+            until("it runs", || engine.occupied() == 1).await;
+            TestCall::new(Method::POST, "/admin/drain").send(handle.admin_address).await;
+            let report = handle.wait().await.unwrap();
+            assert_eq!((report.interrupted, report.aborted), (1, false), "{}", case.name);
+            let answer = answer.await.unwrap();
+            let answer = answer.unwrap_or_else(|error| panic!("{}: no answer: {error}", case.name));
+            let outcome = answer.headers().get("x-tarragon-outcome").cloned();
+            let status = answer.status().as_u16();
+            let body = http_body_util::BodyExt::collect(answer.into_body()).await;
+            match case.streamed {
+                false => {
+                    assert!(body.is_ok(), "{}: cut", case.name);
+                    assert_eq!(outcome.unwrap(), "unknown", "{}", case.name);
+                }
+                true => assert!(status == 200 && body.is_err(), "{}: {status}", case.name),
+            }
+        })
+        .await;
+    }
+}
