Count the wait for lapsed targets from the return of the store

Cause, from the logs: the store came back from a copy at 19.4 s. edge-owerri-eke-5 read the listing of the new era only at 25.3 s, with the removal: until then its content was the same, and digests only confirmed it. So it took the missing entry for one that had lapsed while the store was away, and waited 2.2 s for it. It knew the new era from the operator state all the time.

The directory now takes the beginning of the era from there. `targets_removed_long_after_a_restore_are_gone_at_once` has the case without that news, which waits as before.

--- a/crates/tarragon-fleet/src/directory.rs
+++ b/crates/tarragon-fleet/src/directory.rs
@@ -10,7 +10,7 @@
     build::build_key,
     hash::update_field,
     prelude::*,
-    published::{InstanceName, StorePosition},
+    published::{InstanceName, StoreEra, StorePosition},
 };
 
 /// Time without a listing after which an outage of the store is assumed. Entries may then have lapsed
@@ -150,6 +150,8 @@
     position: StorePosition,
     /// When the first listing of the current era was read, unless it is the first one known.
     era_began: Option<Instant>,
+    /// A later era of which another part of the store has told, and when.
+    next_era: Option<(StoreEra, Instant)>,
     /// The targets of the current listing, for peers.
     listed: Vec<ListedTarget>,
     /// Hash of the content of the current listing.
@@ -247,6 +249,15 @@
         changes
     }
 
+    /// Records that the store has come back from an older copy, as another part of it tells. The listing may show that
+    /// much later: processes that leave the reading to others get a new one only once its content has changed.
+    pub fn note_era(&mut self, era: StoreEra, now: Instant) {
+        let known = self.next_era.map_or(self.position.era, |(next, _)| next);
+        if self.read_at.is_some() && era > known {
+            self.next_era = Some((era, now));
+        }
+    }
+
     /// Handles that the store has come back from an older copy: targets that registered since get time to do so
     /// again, and those that were leaving still are, whatever the copy says.
     fn start_era(&mut self, position: StorePosition, read_at: Instant) {
@@ -257,8 +268,10 @@
             known_revision = self.position.revision,
             "store has come back from an older copy"
         );
-        self.returned = Some(read_at);
-        self.era_began = Some(read_at);
+        let noted = self.next_era.take().filter(|(era, _)| *era == position.era);
+        let began = noted.map_or(read_at, |(_, noted)| noted.min(read_at));
+        self.returned = Some(began);
+        self.era_began = Some(began);
         for entry in self.entries.values_mut().filter(|entry| entry.listed.leaving) {
             entry.notice.leaving.get_or_insert(read_at);
         }
--- a/crates/tarragon-fleet/src/node/updates.rs
+++ b/crates/tarragon-fleet/src/node/updates.rs
@@ -73,6 +73,7 @@
         if !self.operator_state.is_outdated_by(&state) {
             return false;
         }
+        self.directory.note_era(position.era, now);
         let state = self.merge_operator_state(state, now);
         tracing::info!(
             source, version, known_version, active_version = state.version(),
--- a/crates/tarragon-fleet/tests/fleet/directory.rs
+++ b/crates/tarragon-fleet/tests/fleet/directory.rs
@@ -117,3 +117,31 @@
     let entry = directory.get(&name(1)).unwrap();
     assert!(entry.in_service() && entry.is_cold(back));
 }
+
+/// Guards against targets that get requests long after their entries were removed, since a process learns from its
+/// listing only with that change that the store had come back from a copy, and waits for the entries to return.
+#[test]
+fn targets_removed_long_after_a_restore_are_gone_at_once() {
+    // Seconds after the restore at which the operator state tells of it, if it does.
+    for (noted, is_gone) in [(Some(0), true), (None, false), (Some(5), false)] {
+        let start = Instant::now();
+        let second = Duration::from_secs(1);
+        let mut directory = TargetDirectory::default();
+        for age in 0..3 {
+            read(&mut directory, start + age * second, 9, &[listed(1), listed(2)]);
+        }
+        let restored = start + 3 * second;
+        for age in 0..6 {
+            let now = restored + age * second;
+            if noted == Some(age) {
+                directory.note_era(1, now);
+            }
+            // Equal content of the new era only confirms the known listing.
+            directory.confirm(now);
+        }
+        let now = restored + 6 * second;
+        let without = TargetListing { era: 1, ..listing(7, vec![listed(2)]) };
+        directory.apply_listing(&without, now, cold);
+        assert_eq!(directory.get(&name(1)).is_none(), is_gone, "noted after {noted:?} s");
+    }
+}
