Divide the slots of targets among processes and lend them by urgency

Cause: each process used the slots that digests of 0.2 to 0.6 s ago showed as free, so several used one slot and urgent requests waited at one process while others sent normal work to the same targets.

Change: where a data centre has more processes than a target has slots, each slot has one owner (rendezvous hashing over the present processes). A process without an open slot asks peers by UDP; a peer lends an open slot at once or the next one that its own requests need less urgently. Loans end with the request, or when the borrower is silent or its digest shows no use.

--- a/crates/tarragon-config/src/settings/gateway.rs
+++ b/crates/tarragon-config/src/settings/gateway.rs
@@ -22,6 +22,8 @@
 const REQUIRED_PORTS: u16 = 4;
 /// Offset of the port at which a process carries attempts of peers, if its range of ports is large enough.
 const RELAY_PORT_OFFSET: u16 = 4;
+/// Offset of the port for loans of slots, if the range of ports is large enough.
+const LENDING_PORT_OFFSET: u16 = 5;
 const ADDRESS_EXAMPLE: &str = "\"10.0.0.1:8080\"";
 
 /// Settings of `serve` for a process that reads a shared store.
@@ -126,6 +128,13 @@
             .then(|| self.address_with_port_offset(RELAY_PORT_OFFSET))
     }
 
+    /// Address at which peers send messages about loans of slots. `None` if the range of ports has none left for it.
+    pub fn lending_address(&self) -> Option<SocketAddr> {
+        let (first, last) = self.peer_ports;
+        (last - first >= LENDING_PORT_OFFSET)
+            .then(|| self.address_with_port_offset(LENDING_PORT_OFFSET))
+    }
+
     /// Addresses at which the seed peers receive digests.
     pub fn seed_addresses(&self) -> Vec<SocketAddr> {
         self.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), self.peer_ports.0)).collect()
--- a/crates/tarragon-fleet/src/lib.rs
+++ b/crates/tarragon-fleet/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod hash;
 pub mod health;
 pub mod ledger;
+pub mod lending;
 pub mod link;
 pub mod member;
 pub mod node;
--- a/crates/tarragon-fleet/src/member.rs
+++ b/crates/tarragon-fleet/src/member.rs
@@ -123,6 +123,8 @@
     restarted: IndexSet<SocketAddr>,
     /// Increases when the set of known peers changes, which invalidates cached ranks.
     generation: u64,
+    /// Increases when the set of present peers changes, which invalidates the cached owners of slots.
+    presence: u64,
     /// Own usage that recent digests of this process reported.
     history: SentHistory,
     /// Relays of the sums of the own data centre.
@@ -154,6 +156,7 @@
             centres: IndexMap::new(),
             restarted: IndexSet::new(),
             generation: 0,
+            presence: 0,
             history: SentHistory::default(),
             relays: RelayTable::default(),
             most_met: 0,
@@ -208,6 +211,7 @@
             }
         }
         if !self.members.get(&from).is_some_and(|known| known.counted) {
+            self.presence += 1;
             tracing::info!(peer = %from, vm = &*digest.vm, incarnation = digest.incarnation, "peer is present");
         }
         centre.sums.add(&digest.target_uses, &digest.quota_usage);
@@ -227,6 +231,7 @@
     /// another one.
     fn remove_member(&mut self, address: SocketAddr) {
         let Some(member) = self.members.swap_remove(&address) else { return };
+        self.presence += 1;
         if let Some(centre) = self.centres.get_mut(&member.digest.data_centre) {
             centre.known -= 1;
             if member.counted {
@@ -295,6 +300,7 @@
             }
             tracing::info!(peer = %address, silent_ms = limit.as_millis() as u64, "peer is silent");
         }
+        self.presence += u64::from(changed);
         self.forget(now);
         self.centres.values_mut().for_each(|centre| centre.sums.remove_unused());
         let met = self.members.values().map(|member| member.digest.met as usize);
@@ -548,6 +554,45 @@
         2 * self.present().count() >= self.members.len() && !self.is_alone()
     }
 
+    /// Increases when the set of present peers changes.
+    pub fn presence(&self) -> u64 {
+        self.presence
+    }
+
+    /// Number of present processes of a data centre, this one included.
+    pub fn present_in(&self, data_centre: NameKey) -> usize {
+        let own = usize::from(data_centre == self.data_centre);
+        own + self.centres.get(&data_centre).map_or(0, |centre| centre.present)
+    }
+
+    /// Position of this process among the present ones of its data centre, in an order that depends on `key`.
+    pub fn rank_within(&self, key: u64) -> usize {
+        let own = weight(self.own, key);
+        let near = self.present().filter(|(_, member)| self.is_near(member));
+        near.filter(|(address, _)| weight(**address, key) < own).count()
+    }
+
+    /// Whether this process has heard from all processes that its peers have heard from.
+    pub fn has_met_all(&self) -> bool {
+        self.met() >= self.most_met
+    }
+
+    /// Addresses of the present peers of the own data centre (`near`) or of others, beginning at a rotating position.
+    pub fn present_from(&self, near: bool, position: usize) -> Vec<&SocketAddr> {
+        let peers = self.present().filter(|(_, member)| self.is_near(member) == near);
+        let mut peers = Vec::from_iter(peers.map(|(address, _)| address));
+        let count = peers.len();
+        if count > 0 {
+            peers.rotate_left(position % count);
+        }
+        peers
+    }
+
+    /// A present peer.
+    pub fn present_member(&self, address: &SocketAddr) -> Option<&Member> {
+        self.members.get(address).filter(|member| member.counted)
+    }
+
     /// Position of this process among those outside a data centre, in an order that depends on `key`.
     pub fn rank_outside(&self, data_centre: NameKey, key: u64) -> usize {
         let own = weight(self.own, key);
--- a/crates/tarragon-fleet/src/node.rs
+++ b/crates/tarragon-fleet/src/node.rs
@@ -2,6 +2,7 @@
 //! quotas.
 
 mod admit;
+mod lending;
 mod limits;
 mod links;
 mod origins;
@@ -10,6 +11,7 @@
 mod updates;
 
 pub use admit::{AdmissionRequest, wait_limit};
+pub use lending::LendingStatistics;
 pub use links::{RelayCandidate, RelayOffer};
 pub use origins::stream_span;
 pub use updates::DigestFollowUp;
@@ -27,9 +29,10 @@
     directory::TargetDirectory,
     health::TargetHealth,
     ledger::BuildLedger,
+    lending::SlotLedger,
     link::LinkTable,
     member::{DigestRecipients, MemberTable},
-    node::rejections::RejectionState,
+    node::{lending::LendingState, rejections::RejectionState},
     origin::OriginTable,
     prelude::*,
     published::InstanceName,
@@ -112,6 +115,10 @@
     /// Position of this process among all processes, and among those outside the target's data centre.
     ranks: [Option<CachedRank>; 2],
     rejections: RejectionState,
+    /// Slots that this process owns, has lent or has borrowed; `None` while the slots are not divided.
+    loans: Option<SlotLedger>,
+    /// Slots that this process owns, and the presence of peers for which that holds.
+    owned: Option<(u64, u32)>,
 }
 
 /// Makes the decisions of one process.
@@ -138,6 +145,7 @@
     forecasts: IndexMap<ServiceName, StartForecast>,
     calls: IndexMap<RequestId, OpenRequest>,
     links: LinkTable,
+    lending: LendingState,
     relay_offer: RelayOffer,
     origins: OriginTable,
     builds: BuildLedger,
@@ -179,6 +187,7 @@
             forecasts: IndexMap::new(),
             calls: IndexMap::new(),
             links: LinkTable::default(),
+            lending: LendingState::default(),
             relay_offer: RelayOffer::default(),
             origins: OriginTable::default(),
             builds,
@@ -310,6 +319,8 @@
         self.pace_starts(now, actions);
         self.update_trial_turn(now);
         self.schedule(now, SchedulerEvent::Tick, actions);
+        self.expire_loans(now, actions);
+        self.ask_for_slots(now);
     }
 
     /// Passes an event to the scheduler. Closes the requests that it refuses and refunds their quota units.
--- a/crates/tarragon-fleet/src/node/admit.rs
+++ b/crates/tarragon-fleet/src/node/admit.rs
@@ -60,6 +60,7 @@
         self.calls.insert(request, OpenRequest { charged: charge });
         let profile = Box::new(request_profile(order));
         self.schedule(now, SchedulerEvent::Arrived(profile), actions);
+        self.ask_for_slots(now);
     }
 
     /// Handles an event of a request or an attempt.
@@ -69,10 +70,14 @@
         event: SchedulerEvent,
         actions: &mut Vec<SchedulerAction>,
     ) {
-        if let SchedulerEvent::AttemptEnded(request, _, AttemptEnd::Finished) = &event {
-            self.calls.swap_remove(request);
+        if let SchedulerEvent::AttemptEnded(request, attempt, end) = &event {
+            if *end == AttemptEnd::Finished {
+                self.calls.swap_remove(request);
+            }
+            self.pass_on_slot((*request, *attempt), now, actions);
         }
         self.schedule(now, event, actions);
+        self.ask_for_slots(now);
     }
 
     /// Handles the end of an attempt, and counts its outcome for the health of the target that it was sent to.
--- a/crates/tarragon-fleet/src/node/limits.rs
+++ b/crates/tarragon-fleet/src/node/limits.rs
@@ -91,13 +91,19 @@
         let mut slots = bears.saturating_sub(used);
         let distant = listed.data_centre != self.settings.data_centre;
         let is_streamed = !self.unstreamed_services.contains(&listed.service);
-        if let Some(limit) = rejection_limit {
+        let has_local = local_services.contains(&listed.service);
+        let data_centre = name_key(&listed.data_centre);
+        let is_divisible = is_streamed && !is_limited && rejection_limit.is_none();
+        let divided =
+            if is_divisible { self.divided_slots(target, data_centre, bears) } else { None };
+        if divided.is_none() {
+            self.end_division(target);
+        }
+        if let Some(divided) = divided {
+            slots = divided;
+        } else if let Some(limit) = rejection_limit {
             slots = self.limited_places(target, limit, (bears, used), is_streamed, now);
-        } else if distant
-            && local_services.contains(&listed.service)
-            && self.members.rotates_far_peers()
-        {
-            let data_centre = name_key(&listed.data_centre);
+        } else if distant && has_local && self.members.rotates_far_peers() {
             let rank = self.target_rank(target, Some(data_centre));
             // Each process has its own part of a named rate, also at a distant target.
             let uses = rank < MAX_DISTANT_PROCESSES || is_limited;
--- a/crates/tarragon-fleet/tests/fleet/main.rs
+++ b/crates/tarragon-fleet/tests/fleet/main.rs
@@ -10,6 +10,7 @@
 mod directory;
 mod fleet_network;
 mod freshness;
+mod lending;
 mod limit_world;
 mod limits;
 mod links;
--- a/crates/tarragon-fleet/tests/fleet/support.rs
+++ b/crates/tarragon-fleet/tests/fleet/support.rs
@@ -289,6 +289,53 @@
         decided
     }
 
+    /// Delivers all messages about loans, also those that follow from them. Returns what the nodes decide.
+    pub fn deliver_loans(&mut self) -> Vec<(usize, SchedulerAction)> {
+        const MAX_ROUNDS: usize = 100;
+        let now = self.now;
+        let mut decided = Vec::new();
+        for _ in 0..MAX_ROUNDS {
+            let mut messages = Vec::new();
+            for (sender, node) in self.nodes.iter_mut().enumerate() {
+                let sent = node.take_lending_messages();
+                messages.extend(sent.into_iter().map(|(to, message)| (sender, to, message)));
+            }
+            if messages.is_empty() {
+                return decided;
+            }
+            for (sender, to, message) in messages {
+                let Some(receiver) = self.index_of(to) else { continue };
+                if self.dead.contains(&sender) || self.dead.contains(&receiver) {
+                    continue;
+                }
+                let mut actions = Vec::new();
+                let from = address(sender as u16 + 1);
+                self.nodes[receiver].receive_lending(now, from, message, &mut actions);
+                decided.extend(actions.into_iter().map(|action| (receiver, action)));
+            }
+        }
+        panic!("messages about loans follow from each other without end");
+    }
+
+    /// Runs a tick of all nodes that are alive.
+    pub fn tick_all(&mut self) {
+        for (index, node) in self.nodes.iter_mut().enumerate() {
+            if !self.dead.contains(&index) {
+                node.tick(self.now, &mut Vec::new());
+            }
+        }
+    }
+
+    /// Gives a request of a tier to a node and returns what it decides at once.
+    pub fn ask_in_tier(&mut self, node: usize, tier: Tier) -> Vec<SchedulerAction> {
+        self.next += 1;
+        let mut order = call_order(&self.nodes[node], self.next, self.next, 100, self.now);
+        order.routed.tier = tier;
+        let mut actions = Vec::new();
+        self.nodes[node].admit(self.now, order, &mut actions);
+        actions
+    }
+
     /// Gives a request to a node and returns what it decides at once.
     pub fn ask(&mut self, node: usize, tokens: u32) -> Vec<SchedulerAction> {
         self.next += 1;
--- a/crates/tarragon-gateway/src/lib.rs
+++ b/crates/tarragon-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod events;
 pub mod evidence;
 pub mod forward;
+pub mod lending;
 pub mod listener;
 pub mod metrics;
 pub mod origins;
--- a/crates/tarragon-gateway/src/serve.rs
+++ b/crates/tarragon-gateway/src/serve.rs
@@ -26,6 +26,7 @@
 use crate::{
     context::{ForwardLimits, GatewayContext},
     evidence::CacheEvidence,
+    lending::{self, LendingSender},
     listener::{ListenerSignals, PageAnswer, listen, serve_page},
     metrics::GatewayMetrics,
     origins::{self, OriginLink},
@@ -104,12 +105,23 @@
             None
         }
     };
+    let lending_socket = match settings.lending_address() {
+        Some(address) => Some(bind_lending(address).await?),
+        None => {
+            tracing::warn!("peer_ports has no port for loans of slots; slots are not divided");
+            None
+        }
+    };
+    let (lending_sender, lending_socket) = lending_socket.unzip();
     let caller_address = caller_listener.local_addr()?;
-    let node =
-        FleetNode::new(node_settings(&settings), options.seed.unwrap_or_else(rand::random), now());
+    let seed = options.seed.unwrap_or_else(rand::random);
+    let mut node = FleetNode::new(node_settings(&settings), seed, now());
+    if lending_sender.is_some() {
+        node.open_lending();
+    }
     let context = Arc::new(GatewayContext {
         protocol,
-        node: Arc::new(SharedNode::new(node)),
+        node: Arc::new(SharedNode::new(node, lending_sender)),
         origins: OriginLink::new(origin_socket),
         evidence: CacheEvidence::default(),
         pool: ConnectionPool::with_dialer(options.dialer),
@@ -129,6 +141,12 @@
         .context("the server for pulls can't be started")?;
     let signals = ListenerSignals::default();
     spawn_followers(&context, &Arc::new(socket), &Arc::new(store));
+    if let Some(socket) = lending_socket {
+        let (shared, socket) = (context.clone(), Arc::new(socket));
+        context.spawn_background("loans", move || {
+            lending::receive_messages(shared.clone(), socket.clone())
+        });
+    }
     tokio::spawn(listen(caller_listener, context.clone(), signals.clone()));
     if let Some(listener) = relay_listener {
         context.node.run(|node, _, _| node.open_relay());
@@ -152,6 +170,16 @@
     Ok(GatewayHandle { caller_address, context, signals, pull_server, grace })
 }
 
+/// Binds the socket for messages about loans of slots. The sender has a handle of its own, which doesn't block.
+async fn bind_lending(address: SocketAddr) -> anyhow::Result<(LendingSender, UdpSocket)> {
+    let socket = UdpSocket::bind(address)
+        .await
+        .with_context(|| format!("peer_ports: {address} can't be bound"))?;
+    let socket = socket.into_std()?;
+    let sender = LendingSender::new(socket.try_clone()?, address.port());
+    Ok((sender, UdpSocket::from_std(socket)?))
+}
+
 /// Starts the tasks that exchange digests and read published values.
 fn spawn_followers<D, S>(context: &Arc<GatewayContext<D>>, socket: &Arc<UdpSocket>, store: &Arc<S>)
 where
--- a/crates/tarragon-gateway/src/shared_node.rs
+++ b/crates/tarragon-gateway/src/shared_node.rs
@@ -14,6 +14,8 @@
     mpsc::{self, error::TrySendError},
 };
 
+use crate::lending::LendingSender;
+
 /// Decisions that can be queued for the task of one request.
 const DECISION_QUEUE_LENGTH: usize = 8;
 
@@ -44,6 +46,8 @@
 pub struct SharedNode {
     node: Guarded<FleetNode>,
     open: Guarded<IndexMap<RequestId, OpenRequest>>,
+    /// Sends messages about loans of slots; `None` if there is no port for them.
+    lending: Option<LendingSender>,
     /// Notified when a digest has to be sent to peers without waiting for the next tick.
     pub urgent_digest: Notify,
 }
@@ -53,11 +57,12 @@
 pub struct SharedNodeLink(pub Arc<SharedNode>);
 
 impl SharedNode {
-    /// Wraps a node.
-    pub fn new(node: FleetNode) -> SharedNode {
+    /// Wraps a node. `lending` sends its messages about loans of slots.
+    pub fn new(node: FleetNode, lending: Option<LendingSender>) -> SharedNode {
         SharedNode {
             node: Guarded::new(node),
             open: Guarded::default(),
+            lending,
             urgent_digest: Notify::new(),
         }
     }
@@ -68,10 +73,18 @@
         W: FnOnce(&mut FleetNode, Instant, &mut Vec<SchedulerAction>) -> R,
     {
         let mut actions = Vec::new();
-        let result = self.node.with(|node| work(node, now(), &mut actions));
+        let (result, messages) = self.node.with(|node| {
+            let result = work(node, now(), &mut actions);
+            (result, node.take_lending_messages())
+        });
         for action in actions {
             self.deliver(action);
         }
+        if let Some(lending) = &self.lending {
+            for (peer, message) in messages {
+                lending.send(peer, &message);
+            }
+        }
         result
     }
 
--- a/crates/tarragon-scheduler/src/job.rs
+++ b/crates/tarragon-scheduler/src/job.rs
@@ -119,6 +119,12 @@
         usize::from(self.profile.options.rank).min(RANK_COUNT - 1)
     }
 
+    /// Position of its lateness and rank in the dispatch order of its tier.
+    pub fn order_in_tier(&self) -> u8 {
+        let late = if self.late { RANK_COUNT } else { 0 };
+        (late + self.rank()) as u8
+    }
+
     /// Order in which requests of one service are sent if each has to wait for a permit: least first.
     pub fn urgency(&self) -> (Reverse<Tier>, bool, bool, usize, u64) {
         (Reverse(self.tier()), !self.goes_on(), self.late, self.rank(), self.sequence)
--- a/crates/tarragon-scheduler/src/scheduler.rs
+++ b/crates/tarragon-scheduler/src/scheduler.rs
@@ -18,7 +18,7 @@
 
 pub use dump::{SchedulerDump, TargetDump, WorkspaceDump};
 pub use explain::{ChoiceExplanation, TargetExplanation};
-pub use slot_needs::SlotUsage;
+pub use slot_needs::{SlotUsage, WaitingHead};
 
 use std::{
     sync::Arc,
