Refuse requests at once that will clearly not start in time

Under overload, requests waited until their latest start and were refused then. The rule at arrival judged by tokens: one huge request ahead made it refuse the small ones behind it, and it did not follow the slots.

A record per pool counts the starts of this process while requests waited. From it, from the queue's own order and from the arrivals that go ahead, the scheduler forecasts the start of each waiting request at arrival and on ticks. It refuses those that miss their latest start by a clear margin. The retry-after time is spread and at most a third of the time left; a request that comes back as told has the place of its first arrival. The rule by tokens remains for streams that go on, near the end of the process, for services with a start forecast, and where starts are rare.

The sort key of a lane is split, so that the forecast asks the lane which ranks go before a request.

--- a/crates/tarragon-scheduler/src/job.rs
+++ b/crates/tarragon-scheduler/src/job.rs
@@ -48,6 +48,8 @@
     pub cost: u64,
     /// Start and finish tag of the fair queueing.
     pub tags: (u64, u64),
+    /// Start tag of its first arrival, if it was refused and came back as told.
+    pub first_tag: Option<u64>,
     /// Attempts dispatched so far.
     pub attempts: u32,
     /// Attempts that reached a target, whether it ran them or not.
@@ -92,6 +94,7 @@
             output: prediction.output,
             cost: prediction.cost,
             tags: (0, 0),
+            first_tag: None,
             attempts: 0,
             sent: 0,
             late: false,
@@ -124,6 +127,11 @@
         (Reverse(self.tier()), !self.goes_on(), self.late, self.rank(), self.sequence)
     }
 
+    /// Start tag by which it is ordered.
+    pub fn order_tag(&self) -> u64 {
+        self.first_tag.unwrap_or(self.tags.0)
+    }
+
     /// When the first part of the answer should be sent. A stream that goes on has begun.
     pub fn objective(&self) -> Option<Instant> {
         self.profile.options.first_output_objective.filter(|_| !self.goes_on())
--- a/crates/tarragon-scheduler/src/queue.rs
+++ b/crates/tarragon-scheduler/src/queue.rs
@@ -7,7 +7,7 @@
 use indexmap::IndexMap;
 use tarragon_protocol::request::RANK_COUNT;
 
-use crate::{hash::NumberHash, job::Job, prelude::*, queue::lane::Lane};
+use crate::{forecast::WorkAhead, hash::NumberHash, job::Job, prelude::*, queue::lane::Lane};
 
 /// With this many lanes, further models and builds of a service share one lane. Callers choose the model names, so the
 /// number of lanes must be bounded.
@@ -233,6 +233,23 @@
         self.lanes[lane].ready(tier).filter_map(|request| self.get(request))
     }
 
+    /// Number and cost of the ready requests of a tier of a lane.
+    pub fn ready_work(&self, lane: usize, tier: Tier) -> WorkAhead {
+        let (requests, cost) =
+            (self.lanes[lane].len(tier), self.lanes[lane].ready_cost[tier.index()]);
+        WorkAhead { requests: requests as f64, cost: cost as f64 }
+    }
+
+    /// Ready requests of its lane and tier that go before a job that is not queued yet, in order.
+    pub fn ready_before(&self, job: &Job) -> impl Iterator<Item = &Job> {
+        self.lanes[job.lane].ready_before(job).filter_map(|request| self.get(request))
+    }
+
+    /// Start tag by which a job would be ordered if it were queued now.
+    pub fn new_tag(&self, job: &Job) -> u64 {
+        self.lanes[job.lane].new_tag(job)
+    }
+
     /// Records that another request overtook this one.
     pub fn record_overtaken(&mut self, request: RequestId) {
         if let Some(entry) = self.entries.get_mut(&request) {
--- a/crates/tarragon-scheduler/src/queue/lane.rs
+++ b/crates/tarragon-scheduler/src/queue/lane.rs
@@ -36,6 +36,8 @@
     pub build: Option<BuildKey>,
     /// Tokens of waiting requests by tier and rank, ready or not.
     pub tokens: [[u64; RANK_COUNT]; Tier::COUNT],
+    /// Cost of ready requests by tier.
+    pub ready_cost: [u64; Tier::COUNT],
     tiers: [TierQueue; Tier::COUNT],
 }
 
@@ -43,7 +45,7 @@
     /// An empty lane.
     pub fn new(pool: usize, build: Option<BuildKey>) -> Lane {
         let tokens = [[0; RANK_COUNT]; Tier::COUNT];
-        Lane { pool, build, tokens, tiers: Default::default() }
+        Lane { pool, build, tokens, ready_cost: [0; Tier::COUNT], tiers: Default::default() }
     }
 
     /// Assigns the start and finish tags of a new request.
@@ -54,14 +56,20 @@
         cost: u64,
         weight: u32,
     ) -> (u64, u64) {
+        let start = self.next_tag(tier, workspace);
         let lane = &mut self.tiers[tier.index()];
-        let last = lane.finish_tags.entry(workspace).or_insert(lane.virtual_time);
-        let start = (*last).max(lane.virtual_time);
         let finish = start.saturating_add(cost.saturating_mul(TAG_UNIT) / u64::from(weight.max(1)));
-        *last = finish;
+        lane.finish_tags.insert(workspace, finish);
         (start, finish)
     }
 
+    /// Start tag of the next new request of a workspace.
+    pub fn next_tag(&self, tier: Tier, workspace: u64) -> u64 {
+        let lane = &self.tiers[tier.index()];
+        let last = lane.finish_tags.get(&workspace).copied();
+        last.map_or(lane.virtual_time, |last| last.max(lane.virtual_time))
+    }
+
     /// Refunds the charge of a request that will not run, if its workspace has queued nothing behind it.
     pub fn refund(&mut self, tier: Tier, workspace: u64, tags: (u64, u64)) {
         let lane = &mut self.tiers[tier.index()];
@@ -90,13 +98,17 @@
     /// Adds a ready request.
     pub fn insert(&mut self, job: &Job) {
         let key = (sort_key(job), job.sequence, job.request());
-        self.tiers[job.tier().index()].ready.insert(key);
+        if self.tiers[job.tier().index()].ready.insert(key) {
+            self.ready_cost[job.tier().index()] += job.cost;
+        }
     }
 
     /// Removes a ready request.
     pub fn remove(&mut self, job: &Job) {
         let key = (sort_key(job), job.sequence, job.request());
-        self.tiers[job.tier().index()].ready.remove(&key);
+        if self.tiers[job.tier().index()].ready.remove(&key) {
+            self.ready_cost[job.tier().index()] -= job.cost;
+        }
     }
 
     /// The ready request that comes first.
@@ -109,6 +121,18 @@
         self.tiers[tier.index()].ready.iter().map(|(_, _, request)| *request)
     }
 
+    /// Start tag by which a job would be ordered if it were queued now.
+    pub fn new_tag(&self, job: &Job) -> u64 {
+        job.first_tag.unwrap_or_else(|| self.next_tag(job.tier(), job.workspace_key))
+    }
+
+    /// Ready requests that go before a job that is not queued yet.
+    pub fn ready_before(&self, job: &Job) -> impl Iterator<Item = RequestId> + '_ {
+        let class = order_class(job.late, job.rank());
+        let bound = (class | self.new_tag(job), job.sequence, 0);
+        self.tiers[job.tier().index()].ready.range(..bound).map(|(_, _, request)| *request)
+    }
+
     /// Number of ready requests of a tier.
     pub fn len(&self, tier: Tier) -> usize {
         self.tiers[tier.index()].ready.len()
@@ -132,6 +156,16 @@
 
 /// Orders requests in time before late ones, then by rank, lowest first, then by start tag.
 fn sort_key(job: &Job) -> u64 {
-    let late = if job.late { LATE_BIT } else { 0 };
-    late | (job.rank() as u64) << RANK_SHIFT | job.tags.0
+    order_class(job.late, job.rank()) | job.order_tag()
+}
+
+/// The part of the sort key above the start tag.
+fn order_class(late: bool, rank: usize) -> u64 {
+    let late = if late { LATE_BIT } else { 0 };
+    late | (rank as u64) << RANK_SHIFT
+}
+
+/// Whether new requests of a rank go before a job of their tier, whatever their tags.
+pub fn goes_behind_new(job: &Job, rank: usize) -> bool {
+    order_class(false, rank) < order_class(job.late, job.rank())
 }
--- a/crates/tarragon-scheduler/src/scheduler.rs
+++ b/crates/tarragon-scheduler/src/scheduler.rs
@@ -10,6 +10,7 @@
 mod dump;
 mod ending;
 mod explain;
+mod forecast;
 mod preempt;
 mod report;
 mod shed;
@@ -32,6 +33,7 @@
 
 use crate::{
     cost::CostTable,
+    forecast::StartRecord,
     inflight::{CancelCause, InFlightTable},
     invariant::InvariantCounters,
     job::Job,
@@ -40,6 +42,7 @@
     pressure::PressureTable,
     queue::{Queue, WaitState},
     retry::{RetryBudget, RetryLimits},
+    returns::ReturnTable,
     scheduler::candidate::CandidateList,
     share::WorkspaceTable,
     suspect::SuspectTable,
@@ -85,6 +88,10 @@
     costs: CostTable,
     pressure: PressureTable,
     suspects: SuspectTable,
+    /// Recent starts by pool index.
+    start_records: Vec<StartRecord>,
+    /// Places of refused requests that may come back.
+    returns: ReturnTable,
     /// Retry budgets by pool index; a single shared budget if `retry_limits` is `None`.
     retry_budgets: Vec<RetryBudget>,
     /// Limits of the per-service retry budgets; without them all services share one default budget.
@@ -134,6 +141,8 @@
             costs: CostTable::default(),
             pressure: PressureTable::default(),
             suspects: SuspectTable::default(),
+            start_records: Vec::new(),
+            returns: ReturnTable::default(),
             retry_budgets: Vec::new(),
             retry_limits: None,
             preemption_enabled: true,
@@ -172,6 +181,7 @@
     ) {
         let is_tick = matches!(event, SchedulerEvent::Tick);
         self.refresh_if_late(now);
+        self.advance_start_records(now);
         // Requests that can no longer be served must not cause others to be shed or pre-empted.
         self.refuse_past_latest_start(now, actions);
         match event {
@@ -244,6 +254,7 @@
             self.refuse_past_latest_start(now + REFUSAL_LEAD, actions);
         }
         self.update_floor(now, actions);
+        self.update_start_records(now);
     }
 
     /// Number of waiting requests by tier.
--- a/crates/tarragon-scheduler/src/scheduler/arrival.rs
+++ b/crates/tarragon-scheduler/src/scheduler/arrival.rs
@@ -92,11 +92,13 @@
         if let Err(refusal) = self.check_arrival(&profile, now) {
             return self.refuse(request, tier, refusal, actions);
         }
-        let job = self.new_job(profile, now);
+        let mut job = self.new_job(profile, now);
+        self.restore_place(&mut job, now);
         if let Err(refusal) = self.admit(&job, now, actions) {
             return self.refuse(request, tier, refusal, actions);
         }
         self.targets.record_admitted(job.pool, tier, job.tokens());
+        self.start_record(job.pool).record_arrival(tier, job.rank(), now);
         self.enqueue_new(job);
     }
 
@@ -243,7 +245,14 @@
     }
 
     /// Refuses a job that would wait too long.
-    fn check_wait(&self, job: &Job, now: Instant) -> Result<(), Refusal> {
+    fn check_wait(&mut self, job: &Job, now: Instant) -> Result<(), Refusal> {
+        if let Some(forecast) = self.forecast_new(job, now) {
+            if !forecast.misses(job.latest_start.saturating_duration_since(now)) {
+                return Ok(());
+            }
+            let tag = self.queue.new_tag(job);
+            return Err(self.refusal_by_forecast(job, tag, &forecast, now));
+        }
         let (wait, message) = match self.targets.pool(job.pool).forecast {
             Some(forecast) => {
                 let ahead = forecast.delaying(self.waiting_ahead(job));
@@ -253,6 +262,7 @@
                 }
                 (start.saturating_duration_since(now), LIMITED_MESSAGE)
             }
+            None if !self.is_judged_by_tokens(job, now) => return Ok(()),
             None => {
                 let wait = self.expected_wait(job);
                 // Later arrivals never go ahead of the highest tier, nor those of its own tier ahead of a stream
--- a/crates/tarragon-scheduler/src/scheduler/shed.rs
+++ b/crates/tarragon-scheduler/src/scheduler/shed.rs
@@ -87,10 +87,17 @@
     }
 
     /// Refuses early those waiting requests that can't meet their deadline because of the waiting work of
-    /// higher tiers.
+    /// higher tiers, at pools where starts are rare. The others are refused by their forecast.
     pub(super) fn refuse_starved(&mut self, now: Instant, actions: &mut Vec<SchedulerAction>) {
         for tier in Tier::DESCENDING {
-            while let Some(request) = self.find_starved(tier, now) {
+            let is_starved = |job: &&Job| {
+                job.tier() == tier
+                    && job.latest_start < now + self.delay_by_higher_tiers(job.pool, tier)
+                    && self.is_judged_by_tokens(job, now)
+            };
+            let starved: Vec<RequestId> =
+                self.queue.iter().filter(is_starved).map(Job::request).collect();
+            for request in starved {
                 let wait = self.queue.get(request).map(|job| self.expected_wait(job));
                 self.refuse_late(request, wait.unwrap_or_default(), DEADLINE_MESSAGE, actions);
             }
--- a/crates/tarragon-scheduler/src/scheduler/tick.rs
+++ b/crates/tarragon-scheduler/src/scheduler/tick.rs
@@ -25,7 +25,10 @@
         self.update_assumed_models(now);
         self.targets.refresh_all(now);
         self.queue.mark_late(now);
+        self.hold_start_records();
+        self.returns.sweep(now);
         self.refuse_starved(now, actions);
+        self.refuse_unreachable(now, actions);
         self.refuse_beyond_end(now, actions);
         self.stop_attempts(now, actions);
         self.refuse_without_target(now, actions);
--- a/crates/tarragon-scheduler/src/statistics.rs
+++ b/crates/tarragon-scheduler/src/statistics.rs
@@ -20,6 +20,12 @@
     pub refused: IndexMap<RefusalCode, [u64; Tier::COUNT]>,
     /// Requests that were refused for overload after they had waited in the queue, by tier.
     pub displaced: [u64; Tier::COUNT],
+    /// Requests that were refused because they would have started too late, by tier.
+    pub forecast_refusals: [u64; Tier::COUNT],
+    /// Refused requests that came back as told and were placed by their first arrival.
+    pub returns_placed: u64,
+    /// Refused requests that came back earlier than told.
+    pub returns_early: u64,
     /// Attempts after the first that follow a failure.
     pub retries: u64,
     /// Retries that were not made because the budget was used up.
--- a/crates/tarragon-scheduler/src/targets.rs
+++ b/crates/tarragon-scheduler/src/targets.rs
@@ -250,6 +250,11 @@
         self.used as f32 / self.windows.max(1) as f32
     }
 
+    /// Sum of the windows of all members.
+    pub fn window_sum(&self) -> u64 {
+        self.windows
+    }
+
     /// Replaces a member's contribution to the sums.
     fn update_sums(&mut self, old: &TargetSummary, new: &TargetSummary) {
         self.open = self.open + u32::from(new.is_open()) - u32::from(old.is_open());
@@ -567,6 +572,18 @@
         rows.filter(|row| row.accepts_work()).map(|row| row.starts.permits(now)).sum()
     }
 
+    /// Whether at least half of the members that accept work are cold, or half of those that this process may use.
+    pub fn is_half_cold(&self, pool: usize) -> bool {
+        let members = self.pools[pool].members.iter().filter_map(|index| self.row(*index));
+        let (mut all, mut usable) = ([0, 0], [0, 0]);
+        for row in members.filter(|row| row.accepts_work()) {
+            let cold = usize::from(row.window.is_cold());
+            all[cold] += 1;
+            usable[cold] += u32::from(row.is_usable());
+        }
+        [all, usable].iter().any(|[warm, cold]| *cold > 0 && cold >= warm)
+    }
+
     /// Records the tokens of an admitted request.
     pub fn record_admitted(&mut self, pool: usize, tier: Tier, tokens: u64) {
         self.pools[pool].arrived[tier.index()] += tokens;
--- a/crates/tarragon-scheduler/tests/rules/driver.rs
+++ b/crates/tarragon-scheduler/tests/rules/driver.rs
@@ -12,6 +12,7 @@
     pub actions: Vec<SchedulerAction>,
     next: RequestId,
     reporting: Vec<String>,
+    running: Vec<(RequestId, AttemptNumber)>,
 }
 
 /// A request to submit. The default is an idempotent model call that every target can take.
@@ -60,6 +61,7 @@
             actions: Vec::new(),
             next: 1,
             reporting: Vec::new(),
+            running: Vec::new(),
         }
     }
 
@@ -74,7 +76,12 @@
 
     pub fn handle(&mut self, event: SchedulerEvent) -> &[SchedulerAction] {
         self.actions.clear();
+        if let SchedulerEvent::AttemptEnded(request, attempt, _) = event {
+            self.running.retain(|running| *running != (request, attempt));
+        }
         self.scheduler.handle(self.now, event, &mut self.actions);
+        let started = self.dispatched();
+        self.running.extend(started.into_iter().map(|(request, attempt, _)| (request, attempt)));
         &self.actions
     }
 
@@ -151,6 +158,11 @@
         self.handle(SchedulerEvent::LoadReported { target: name.into(), report, age })
     }
 
+    /// Id of the next request to be sent.
+    pub fn next_request(&self) -> RequestId {
+        self.next
+    }
+
     pub fn send(&mut self, ask: Call) -> RequestId {
         let request = self.next;
         self.next += 1;
@@ -235,6 +247,11 @@
             .collect()
     }
 
+    /// Attempts that have not ended, in the order of their dispatch.
+    pub fn running(&self) -> Vec<(RequestId, AttemptNumber)> {
+        self.running.clone()
+    }
+
     /// Request, code and outcome of each refusal of the last event.
     pub fn refused(&self) -> Vec<(RequestId, RefusalCode, CallOutcome)> {
         self.actions
