--- a/crates/tarragon-gateway/src/metrics.rs
+++ b/crates/tarragon-gateway/src/metrics.rs
@@ -7,6 +7,7 @@
     Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
     Registry, TextEncoder,
 };
+use tarragon_scheduler::prelude::{SchedulerStatistics, Tier};
 
 /// Bucket bounds of the histograms.
 const TIME_BUCKETS_SECONDS: [f64; 12] =
@@ -72,6 +73,10 @@
     pub unannounced_suspects: IntGauge,
     /// Streams that callers have taken up, by how the build that began them became known.
     pub take_ups: IntCounterVec,
+    /// Requests refused because they would have started too late, by tier.
+    pub forecast_refusals: IntCounterVec,
+    /// Refused requests that came back, by whether they did so as told.
+    pub returned_requests: IntCounterVec,
 }
 
 impl GatewayMetrics {
@@ -159,6 +164,16 @@
                 "Streams that callers take up by how the build that began them is known",
                 &["source"],
             )?,
+            forecast_refusals: counter_vec(
+                "forecast_refusals_total",
+                "Requests refused because they would have started too late",
+                &["tier"],
+            )?,
+            returned_requests: counter_vec(
+                "returned_requests_total",
+                "Requests that came back after such a refusal",
+                &["kind"],
+            )?,
             registry,
         };
         metrics.register()?;
@@ -194,7 +209,9 @@
         registry.register(Box::new(self.limited_targets.clone()))?;
         registry.register(Box::new(self.suspects.clone()))?;
         registry.register(Box::new(self.unannounced_suspects.clone()))?;
-        registry.register(Box::new(self.take_ups.clone()))
+        registry.register(Box::new(self.take_ups.clone()))?;
+        registry.register(Box::new(self.forecast_refusals.clone()))?;
+        registry.register(Box::new(self.returned_requests.clone()))
     }
 
     /// Encodes all metrics in the Prometheus text format.
@@ -214,6 +231,16 @@
         self.skipped_entries.with_label_values(&[call]).inc_by(skipped as u64);
     }
 
+    /// Takes over what the scheduler has counted.
+    pub fn take_counts(&self, statistics: &SchedulerStatistics) {
+        for tier in Tier::DESCENDING {
+            let counter = self.forecast_refusals.with_label_values(&[tier.name()]);
+            raise(&counter, statistics.forecast_refusals[tier.index()]);
+        }
+        raise(&self.returned_requests.with_label_values(&["placed"]), statistics.returns_placed);
+        raise(&self.returned_requests.with_label_values(&["early"]), statistics.returns_early);
+    }
+
     /// Records the time to the first part of an answer.
     pub fn observe_first_part(&self, streamed: bool, time: Duration) {
         self.first_part.with_label_values(&[answer_form(streamed)]).observe(time.as_secs_f64());
@@ -229,6 +256,11 @@
     if streamed { "stream" } else { "plain" }
 }
 
+/// Raises a counter to a count that is kept elsewhere.
+fn raise(counter: &IntCounter, count: u64) {
+    counter.inc_by(count.saturating_sub(counter.get()));
+}
+
 fn metric_name(suffix: &str) -> String {
     format!("tarragon_gateway_{suffix}")
 }
--- a/crates/tarragon-gateway/src/peers.rs
+++ b/crates/tarragon-gateway/src/peers.rs
@@ -142,6 +142,7 @@
         let digest = node.next_digest(now);
         let present = node.members().present().count();
         let suspects = node.scheduler().suspect_count();
+        context.metrics.take_counts(node.scheduler().statistics());
         let directory = node.directory();
         let limited = [directory.limited().count(), directory.rejection_limited().count()];
         (digest, node.recipients(urgent, now), present, suspects, limited)
