--- a/crates/tarragon-scheduler/tests/rules/forecast.rs
+++ b/crates/tarragon-scheduler/tests/rules/forecast.rs
@@ -156,6 +156,24 @@
     }
 }
 
+/// Guards against refusals by the rate that was measured while half of the targets were cold. Behind 60 requests the
+/// wait at the other target is 6 s; whether the cold one soon serves more can't be known.
+#[test]
+fn there_is_no_forecast_while_half_of_the_targets_are_cold() {
+    for (name, cold, refused) in [("warm", false, true), ("cold", true, false)] {
+        let mut driver = saturated_driver(1);
+        driver.list_target("pool", "t1", true);
+        driver.set_slots("t1", 0, cold);
+        serve(&mut driver, 1, Duration::from_secs(1));
+        let missing = 60 - driver.waiting();
+        (0..missing).for_each(|_| _ = driver.send(waiting()));
+        let call = impatient(&driver, 77);
+        driver.send(call);
+        let by_forecast: u64 = driver.scheduler.statistics().forecast_refusals.iter().sum();
+        assert_eq!(by_forecast > 0, refused, "{name}");
+    }
+}
+
 /// A driver whose only target has had all slots taken for two seconds while requests waited.
 fn saturated_driver(slots: u32) -> Driver {
     let mut driver = Driver::with_targets(1, slots);
