Refuse by forecast and order late requests by rank only under contention

Small fleets, whose processes do not divide the slots, keep the earlier rules. Late requests go behind the next lower rank instead of behind all requests in time: an urgent answer that is late is worth more than routine work.

--- a/crates/tarragon-fleet/src/node/limits.rs
+++ b/crates/tarragon-fleet/src/node/limits.rs
@@ -58,6 +58,8 @@
             let limit = self.rejection_limit(target, &rejection_limits);
             self.update_slots(target, (used, limit), &local_services, now, actions);
         }
+        let is_divided = self.targets.values().any(|target_state| target_state.loans.is_some());
+        self.scheduler.set_contended(is_divided);
     }
 
     /// Services with a target in service in this process's data centre.
--- a/crates/tarragon-scheduler/src/queue/lane.rs
+++ b/crates/tarragon-scheduler/src/queue/lane.rs
@@ -5,15 +5,17 @@
 use indexmap::IndexMap;
 use tarragon_protocol::request::RANK_COUNT;
 
-use crate::{hash::NumberHash, job::Job, prelude::*};
+use crate::{
+    hash::NumberHash,
+    job::{Job, order_in_tier},
+    prelude::*,
+};
 
 /// Tag units per token at weight 1.
 const TAG_UNIT: u64 = 1 << 10;
 
-/// Bit set in the sort key of late requests, so that they come after those that can still meet their objective.
-const LATE_BIT: u64 = 1 << 63;
-/// Bit position of the rank in the sort key, above any start tag.
-const RANK_SHIFT: u32 = 60;
+/// Bit position of the order by lateness and rank in the sort key, above any start tag.
+const ORDER_SHIFT: u32 = 59;
 
 /// While requests are ready, finish tags are swept only above this number.
 const SWEEP_ABOVE: usize = 64;
@@ -128,8 +130,7 @@
 
     /// Ready requests that go before a job that is not queued yet.
     pub fn ready_before(&self, job: &Job) -> impl Iterator<Item = RequestId> + '_ {
-        let class = order_class(job.late, job.rank());
-        let bound = (class | self.new_tag(job), job.sequence, 0);
+        let bound = (order_class(job) | self.new_tag(job), job.sequence, 0);
         self.tiers[job.tier().index()].ready.range(..bound).map(|(_, _, request)| *request)
     }
 
@@ -154,18 +155,17 @@
     }
 }
 
-/// Orders requests in time before late ones, then by rank, lowest first, then by start tag.
+/// Orders requests by lateness and rank, then by start tag.
 fn sort_key(job: &Job) -> u64 {
-    order_class(job.late, job.rank()) | job.order_tag()
+    order_class(job) | job.order_tag()
 }
 
 /// The part of the sort key above the start tag.
-fn order_class(late: bool, rank: usize) -> u64 {
-    let late = if late { LATE_BIT } else { 0 };
-    late | (rank as u64) << RANK_SHIFT
+fn order_class(job: &Job) -> u64 {
+    u64::from(job.order_in_tier()) << ORDER_SHIFT
 }
 
 /// Whether new requests of a rank go before a job of their tier, whatever their tags.
 pub fn goes_behind_new(job: &Job, rank: usize) -> bool {
-    order_class(false, rank) < order_class(job.late, job.rank())
+    order_in_tier(false, job.late_by_rank, rank) < job.order_in_tier()
 }
--- a/crates/tarragon-scheduler/src/scheduler.rs
+++ b/crates/tarragon-scheduler/src/scheduler.rs
@@ -98,6 +98,8 @@
     retry_limits: Option<RetryLimits>,
     /// Whether routine streams may be pre-empted for urgent work.
     preemption_enabled: bool,
+    /// See [`Scheduler::set_contended`].
+    contended: bool,
     candidates: CandidateList,
     statistics: SchedulerStatistics,
     invariants: InvariantCounters,
@@ -146,6 +148,7 @@
             retry_budgets: Vec::new(),
             retry_limits: None,
             preemption_enabled: true,
+            contended: false,
             candidates: CandidateList::default(),
             statistics: SchedulerStatistics::default(),
             invariants: InvariantCounters::default(),
@@ -166,6 +169,13 @@
         self
     }
 
+    /// Sets whether many processes compete for the slots of the targets, so that waits are long and their end depends
+    /// on others. Requests that will clearly not start in time are then refused by a forecast, and late requests are
+    /// ordered by rank as well.
+    pub fn set_contended(&mut self, contended: bool) {
+        self.contended = contended;
+    }
+
     /// Gives each service its own retry budget with these limits.
     pub fn set_retry_limits(&mut self, limits: RetryLimits) {
         self.retry_limits = Some(limits);
--- a/crates/tarragon-scheduler/src/scheduler/forecast.rs
+++ b/crates/tarragon-scheduler/src/scheduler/forecast.rs
@@ -65,7 +65,7 @@
     /// speed has been learned.
     pub(super) fn start_rate(&self, pool: usize, now: Instant) -> Option<StartRate> {
         let service = self.targets.pool(pool);
-        if service.forecast.is_some() || service.fastest.is_none() {
+        if !self.contended || service.forecast.is_some() || service.fastest.is_none() {
             return None;
         }
         self.start_records.get(pool).filter(|record| record.is_busy())?.rate(now)
@@ -74,7 +74,7 @@
     /// Whether the wait of a request is judged by the tokens that its pool processes. Where the forecast decides but
     /// no rate of starts is known, this needs requests that have waited for long: starts are rare there.
     pub(super) fn is_judged_by_tokens(&self, job: &Job, now: Instant) -> bool {
-        if !is_forecast(job) || self.targets.pool(job.pool).forecast.is_some() {
+        if !self.contended || !is_forecast(job) || self.targets.pool(job.pool).forecast.is_some() {
             return true;
         }
         let record = self.start_records.get(job.pool);
--- a/crates/tarragon-scheduler/src/scheduler/shed.rs
+++ b/crates/tarragon-scheduler/src/scheduler/shed.rs
@@ -90,6 +90,12 @@
     /// higher tiers, at pools where starts are rare. The others are refused by their forecast.
     pub(super) fn refuse_starved(&mut self, now: Instant, actions: &mut Vec<SchedulerAction>) {
         for tier in Tier::DESCENDING {
+            if !self.contended {
+                while let Some(request) = self.find_starved(tier, now) {
+                    self.refuse_starving(request, actions);
+                }
+                continue;
+            }
             let is_starved = |job: &&Job| {
                 job.tier() == tier
                     && job.latest_start < now + self.delay_by_higher_tiers(job.pool, tier)
@@ -98,12 +104,16 @@
             let starved: Vec<RequestId> =
                 self.queue.iter().filter(is_starved).map(Job::request).collect();
             for request in starved {
-                let wait = self.queue.get(request).map(|job| self.expected_wait(job));
-                self.refuse_late(request, wait.unwrap_or_default(), DEADLINE_MESSAGE, actions);
+                self.refuse_starving(request, actions);
             }
         }
     }
 
+    fn refuse_starving(&mut self, request: RequestId, actions: &mut Vec<SchedulerAction>) {
+        let wait = self.queue.get(request).map(|job| self.expected_wait(job));
+        self.refuse_late(request, wait.unwrap_or_default(), DEADLINE_MESSAGE, actions);
+    }
+
     /// Refuses the waiting requests of services whose targets all need permits for starts, if the next permits
     /// go to more urgent ones and the next after those comes too late. Their callers learn at once when to
     /// come back.
--- a/crates/tarragon-scheduler/tests/rules/driver.rs
+++ b/crates/tarragon-scheduler/tests/rules/driver.rs
@@ -66,6 +66,13 @@
     }
 
     /// Warm targets `t0`, `t1`, … of the service `pool`, with this many slots each.
+    /// A scheduler whose targets many processes compete for.
+    pub fn contended(targets: usize, slots: u32) -> Driver {
+        let mut driver = Driver::with_targets(targets, slots);
+        driver.scheduler.set_contended(true);
+        driver
+    }
+
     pub fn with_targets(targets: usize, slots: u32) -> Driver {
         let mut driver = Driver::new(SchedulerLimits::default());
         for index in 0..targets {
--- a/crates/tarragon-scheduler/tests/rules/forecast.rs
+++ b/crates/tarragon-scheduler/tests/rules/forecast.rs
@@ -176,7 +176,7 @@
 
 /// A driver whose only target has had all slots taken for two seconds while requests waited.
 fn saturated_driver(slots: u32) -> Driver {
-    let mut driver = Driver::with_targets(1, slots);
+    let mut driver = Driver::contended(1, slots);
     (0..2 * SLOTS).for_each(|_| _ = driver.send(waiting()));
     serve(&mut driver, slots, Duration::from_secs(2));
     driver
--- a/crates/tarragon-scheduler/tests/rules/play.rs
+++ b/crates/tarragon-scheduler/tests/rules/play.rs
@@ -188,7 +188,7 @@
 
 impl Play {
     pub fn run(script: PlayScript, seed: u64) -> PlayResult {
-        let driver = Driver::with_targets(script.targets, SLOTS);
+        let driver = Driver::contended(script.targets, SLOTS);
         let begun = driver.now;
         let mut play = Play {
             driver,
