Use the pace that targets tell with their answers

Targets may report with each answer how long work takes on their machine now. The scheduler treated a slow spell of 600 ms like the usual speed: it kept sending there, and learned the spell as lasting speed.

What it learns is divided by the mean pace over the time of the work. A new process at the target discards it. Figures from peers carry none and leave it as it is. - A target that tells fewer slots than listed is used with the fewer.

Targets that tell no pace are handled as before: all factors are 1.

--- a/crates/tarragon-fleet/src/call.rs
+++ b/crates/tarragon-fleet/src/call.rs
@@ -36,6 +36,19 @@
     pub parts: Vec<(u64, u32)>,
 }
 
+/// Load that a target reports with an answer.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct AnswerLoad {
+    /// Running requests.
+    pub running: u16,
+    /// Requests that are queued inside the target.
+    pub waiting: u16,
+    /// Requests that the target runs concurrently, if it tells that.
+    pub slots: Option<u32>,
+    /// How long work takes on its machine now, in percent of the usual, if it tells that.
+    pub pace_percent: Option<u32>,
+}
+
 /// A request whose route and workspace are known.
 #[derive(Debug, Clone)]
 pub struct RoutedCall {
--- a/crates/tarragon-fleet/src/node.rs
+++ b/crates/tarragon-fleet/src/node.rs
@@ -98,6 +98,14 @@
     position: usize,
 }
 
+/// Number of slots that a target told with an answer.
+#[derive(Debug, Clone, Copy)]
+struct ToldSlots {
+    slots: u32,
+    /// Start of its process as known then.
+    restart: RestartId,
+}
+
 /// State of a target, with the limits that were last passed to the scheduler.
 #[derive(Debug, Default)]
 struct TargetState {
@@ -105,6 +113,8 @@
     start_limit: Option<u32>,
     /// Last reported load, and when the target reported it.
     load: Option<(TargetUse, Instant)>,
+    /// Number of slots that the target last told.
+    told_slots: Option<ToldSlots>,
     health: TargetHealth,
     /// Time on the fleet's clock up to which this process has got its part of the starts; `None` while the
     /// target names no rate.
--- a/crates/tarragon-fleet/src/node/limits.rs
+++ b/crates/tarragon-fleet/src/node/limits.rs
@@ -85,7 +85,10 @@
     ) {
         let Some(entry) = self.directory.get(target) else { return };
         let listed = &entry.listed;
-        let bears = listed.slots;
+        let told = self.targets.get(target).and_then(|state| state.told_slots);
+        let told = told.filter(|told| told.restart == entry.restart_id);
+        // Never more than listed: other processes may have seen no answer of the target yet.
+        let bears = told.map_or(listed.slots, |told| told.slots.min(listed.slots));
         let cold = entry.is_cold(now);
         let is_limited = entry.rate_limit().is_some();
         let mut slots = bears.saturating_sub(used);
--- a/crates/tarragon-fleet/src/node/updates.rs
+++ b/crates/tarragon-fleet/src/node/updates.rs
@@ -11,7 +11,7 @@
     digest::{ReportedLoad, name_key},
     directory::DirectoryChange,
     member::{MAX_ANSWER_ADDRESSES, MAX_NAMED_ADDRESSES},
-    node::{FleetNode, limits::SMALL_FLEET_SIZE, rejections::RejectionState},
+    node::{FleetNode, ToldSlots, limits::SMALL_FLEET_SIZE, rejections::RejectionState},
     prelude::*,
     published::StorePosition,
 };
@@ -184,7 +184,8 @@
                         target_state.load = None;
                     }
                     self.announce_target(&target, now, actions);
-                    self.update_scheduler_load(now, &target, 0, 0, Duration::ZERO, actions);
+                    let load = AnswerLoad::default();
+                    self.update_scheduler_load(now, &target, load, Duration::ZERO, actions);
                 }
                 DirectoryChange::Removed(target) => {
                     self.targets.swap_remove(&target);
@@ -338,14 +339,38 @@
         &mut self,
         now: Instant,
         target: &TargetName,
-        running: u16,
-        waiting: u16,
+        answered: AnswerLoad,
         actions: &mut Vec<SchedulerAction>,
     ) {
         let Some(target_state) = self.targets.get_mut(target) else { return };
+        let AnswerLoad { running, waiting, .. } = answered;
         let load = Some(ReportedLoad { running, waiting, age_ms: 0 });
         target_state.load = Some((TargetUse { target: name_key(target), in_flight: 0, load }, now));
-        self.update_scheduler_load(now, target, running, waiting, Duration::ZERO, actions);
+        if let Some(slots) = answered.slots {
+            self.update_told_slots(target, slots);
+        }
+        self.update_scheduler_load(now, target, answered, Duration::ZERO, actions);
+    }
+
+    /// Records the number of slots that a target told with an answer.
+    fn update_told_slots(&mut self, target: &TargetName, slots: u32) {
+        let Some(entry) = self.directory.get(target) else { return };
+        let Some(target_state) = self.targets.get_mut(target) else { return };
+        let told = ToldSlots { slots, restart: entry.restart_id };
+        let before = target_state.told_slots.replace(told);
+        let before = before.filter(|before| before.restart == entry.restart_id);
+        let listed = entry.listed.slots;
+        let before = before.map_or(listed, |before| before.slots);
+        if slots != before {
+            tracing::warn!(
+                target_address = &**target,
+                instance = &*entry.listed.instance,
+                listed,
+                told = slots,
+                before,
+                "number of slots that the target tells has changed"
+            );
+        }
     }
 
     /// Records that another instance answered at a target's address.
@@ -451,7 +476,9 @@
                 continue;
             }
             target_state.load = Some((*one, reported_at));
-            self.update_scheduler_load(now, &target, load.running, load.waiting, age, actions);
+            let ReportedLoad { running, waiting, .. } = load;
+            let load = AnswerLoad { running, waiting, ..AnswerLoad::default() };
+            self.update_scheduler_load(now, &target, load, age, actions);
         }
     }
 
@@ -460,14 +487,18 @@
         &mut self,
         now: Instant,
         target: &TargetName,
-        running: u16,
-        waiting: u16,
+        load: AnswerLoad,
         age: Duration,
         actions: &mut Vec<SchedulerAction>,
     ) {
         let Some(entry) = self.directory.get(target) else { return };
         let cold = entry.is_cold(now);
-        let load = TargetLoad { running: running.into(), waiting: waiting.into(), cold };
+        let load = TargetLoad {
+            running: load.running.into(),
+            waiting: load.waiting.into(),
+            cold,
+            pace_percent: load.pace_percent,
+        };
         let event = SchedulerEvent::ResponseLoadReported { target: target.clone(), load, age };
         self.schedule(now, event, actions);
     }
--- a/crates/tarragon-fleet/src/prelude.rs
+++ b/crates/tarragon-fleet/src/prelude.rs
@@ -3,7 +3,7 @@
 pub use tarragon_scheduler::prelude::*;
 
 pub use crate::{
-    call::{CallFault, CallHead, GenerationHead, RoutedCall},
+    call::{AnswerLoad, CallFault, CallHead, GenerationHead, RoutedCall},
     digest::{PeerDigest, TargetUse, UsageSum},
     freshness::{FreshnessBounds, ReadTimes},
     node::{FleetBounds, FleetNode, FleetSettings, SendGrant},
--- a/crates/tarragon-fleet/tests/fleet/brittle_world.rs
+++ b/crates/tarragon-fleet/tests/fleet/brittle_world.rs
@@ -456,7 +456,8 @@
             let instance = listed(target as u8 + 1).instance;
             let answer = RejectionAnswer { request: "", instance: &instance, sent, statement };
             let changed = self.network.run(node, |node, now, out| {
-                node.update_target_load(now, &name, load.0, load.1, out);
+                let load = AnswerLoad { running: load.0, waiting: load.1, ..AnswerLoad::default() };
+                node.update_target_load(now, &name, load, out);
                 node.apply_rejections(now, &name, &answer, out)
             });
             if changed {
--- a/crates/tarragon-fleet/tests/fleet/crash_world.rs
+++ b/crates/tarragon-fleet/tests/fleet/crash_world.rs
@@ -541,7 +541,8 @@
         if target.listed.instance != grant.instance {
             let instance = grant.instance;
             self.decide(node, |node, now, actions| {
-                node.update_target_load(now, to, running, 0, actions);
+                let load = AnswerLoad { running, ..AnswerLoad::default() };
+                node.update_target_load(now, to, load, actions);
                 node.mark_target_replaced(now, to, &instance, actions);
             });
             return self.end(node, request, attempt, AttemptEnd::Rejected);
@@ -602,7 +603,8 @@
         let (name, running) = (target.listed.address.clone(), target.running.len() as u16);
         self.tally.finished += 1;
         self.decide(call.node, |node, now, actions| {
-            node.update_target_load(now, &name, running, 0, actions);
+            let load = AnswerLoad { running, ..AnswerLoad::default() };
+            node.update_target_load(now, &name, load, actions);
         });
         self.end(call.node, request, call.attempt, AttemptEnd::Finished);
     }
--- a/crates/tarragon-fleet/tests/fleet/crashing.rs
+++ b/crates/tarragon-fleet/tests/fleet/crashing.rs
@@ -98,7 +98,8 @@
         fleet.advance(Duration::from_secs(1));
         for _ in 0..3 {
             let now = fleet.now;
-            fleet.nodes[0].update_target_load(now, &target, 0, 0, &mut Vec::new());
+            let load = AnswerLoad::default();
+            fleet.nodes[0].update_target_load(now, &target, load, &mut Vec::new());
             fleet.advance(Duration::from_millis(200));
         }
         fleet.publish(2, 1, vec![(case.listed)()]);
--- a/crates/tarragon-fleet/tests/fleet/node.rs
+++ b/crates/tarragon-fleet/tests/fleet/node.rs
@@ -329,3 +329,38 @@
         assert_eq!(dispatched(&fleet.ask(1, 100)).len(), case.dispatched, "{}", case.name);
     }
 }
+
+/// Guards against more requests at a target than it runs, and against a restarted target that is used by what its
+/// previous process told.
+#[test]
+fn a_target_gets_no_more_than_it_lists_and_tells() {
+    struct ToldCase {
+        name: &'static str,
+        told: Option<u32>,
+        slots: u32,
+    }
+    let cases = [
+        ToldCase { name: "tells nothing", told: None, slots: 4 },
+        ToldCase { name: "tells what is listed", told: Some(4), slots: 4 },
+        ToldCase { name: "tells fewer", told: Some(2), slots: 2 },
+        ToldCase { name: "tells more", told: Some(100_000), slots: 4 },
+    ];
+    for case in cases {
+        let mut fleet = Fleet::start(1, 1);
+        let target = listed(1).address;
+        let load = AnswerLoad { slots: case.told, ..AnswerLoad::default() };
+        let now = fleet.now;
+        fleet.nodes[0].update_target_load(now, &target, load, &mut Vec::new());
+        let load = AnswerLoad::default();
+        fleet.nodes[0].update_target_load(now, &target, load, &mut Vec::new());
+        fleet.advance(Duration::from_millis(400));
+        let slots =
+            |fleet: &Fleet| fleet.nodes[0].scheduler().slot_usage(&target).map(|used| used.slots);
+        assert_eq!(slots(&fleet), Some(case.slots), "{}", case.name);
+        let restarted =
+            ListedTarget { instance: "i-9".into(), started_ms: 9_000, revision: 6, ..listed(1) };
+        fleet.publish(2, 1, vec![restarted]);
+        fleet.advance(Duration::from_secs(4));
+        assert_eq!(slots(&fleet), Some(4), "{} after a restart", case.name);
+    }
+}
--- a/crates/tarragon-gateway/src/forward/notices.rs
+++ b/crates/tarragon-gateway/src/forward/notices.rs
@@ -115,7 +115,7 @@
     let TargetNotice { target, instance, tag } = notice;
     if let Some(load) = head.load {
         context.node.run(|node, now, actions| {
-            node.update_target_load(now, target, load.running, load.waiting, actions);
+            node.update_target_load(now, target, load, actions);
         });
     }
     if head.leaving {
--- a/crates/tarragon-gateway/src/platform.rs
+++ b/crates/tarragon-gateway/src/platform.rs
@@ -50,15 +50,6 @@
     pub rejections: RejectionStatement,
 }
 
-/// Load that a target reports with an answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct AnswerLoad {
-    /// Running requests.
-    pub running: u16,
-    /// Requests that are queued inside the target.
-    pub waiting: u16,
-}
-
 /// Which request an answer names.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AnswerEcho {
--- a/crates/tarragon-scheduler/src/event.rs
+++ b/crates/tarragon-scheduler/src/event.rs
@@ -196,7 +196,7 @@
 }
 
 /// Load of a target at one moment.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct TargetLoad {
     /// Requests that run.
     pub running: u32,
@@ -204,6 +204,8 @@
     pub waiting: u32,
     /// Whether the target counts as cold.
     pub cold: bool,
+    /// How long work takes there now, in percent of the usual, if the target itself has just told it.
+    pub pace_percent: Option<u32>,
 }
 
 /// This process's part of a target's capacity.
--- a/crates/tarragon-scheduler/src/inflight.rs
+++ b/crates/tarragon-scheduler/src/inflight.rs
@@ -6,7 +6,11 @@
 use tarragon_protocol::peer::SuspectCause;
 
 use crate::{
-    hash::NumberHash, job::Job, prelude::*, suspect::CauseList, targets::estimate::CostEstimate,
+    hash::NumberHash,
+    job::Job,
+    prelude::*,
+    suspect::CauseList,
+    targets::{estimate::CostEstimate, pace::PaceMark},
 };
 
 /// Reason for cancelling an attempt.
@@ -45,6 +49,8 @@
     pub tokens: u32,
     /// Expected times at dispatch.
     pub estimate: CostEstimate,
+    /// Pace of the target at dispatch, then at the first token.
+    pub pace: PaceMark,
     /// Prompt tokens that the target has to compute: the expected number, then the one that the target reports.
     pub uncached: u32,
     /// Tokens of this attempt that are counted in the target's pending prefill; 0 after the first token.
--- a/crates/tarragon-scheduler/src/scheduler/attempt.rs
+++ b/crates/tarragon-scheduler/src/scheduler/attempt.rs
@@ -129,8 +129,11 @@
             self.statistics.prefill_tokens += u64::from(prefill);
         }
         let computed = u64::from(running.uncached) + running.ahead;
-        let observed = progress.first_token.as_secs_f64();
-        let expected = f64::from(running.estimate.first_token);
+        let mean = row.pace.mean_since(&running.pace, now);
+        let first_token = progress.first_token.div_f64(mean);
+        let observed = first_token.as_secs_f64();
+        let expected = f64::from(running.estimate.first_token) / running.pace.factor;
+        running.pace = row.pace.mark(now);
         let target = running.target;
         let foreign = FOREIGN_PREFILL * row.rates.prefill;
         let jump =
@@ -142,7 +145,7 @@
             return;
         }
         let Some(row) = self.targets.row_mut(target) else { return };
-        row.rates.learn_first_token(computed.min(u64::from(u32::MAX)) as u32, progress.first_token);
+        row.rates.learn_first_token(computed.min(u64::from(u32::MAX)) as u32, first_token);
         row.window.grow_ramp();
     }
 
@@ -320,8 +323,9 @@
         row.window.record_activity(now);
         let mut jump = false;
         if job.model().is_none() {
-            let elapsed = now.saturating_duration_since(running.dispatched);
-            let expected = f64::from(running.estimate.first_token);
+            let mean = row.pace.mean_since(&running.pace, now);
+            let elapsed = now.saturating_duration_since(running.dispatched).div_f64(mean);
+            let expected = f64::from(running.estimate.first_token) / running.pace.factor;
             jump = row.rates.samples >= MIN_SAMPLES
                 && row.window.observe(elapsed.as_secs_f64(), expected, 0.0);
             // The rest of a stream says nothing about a whole call.
@@ -329,7 +333,8 @@
                 row.rates.learn_call(elapsed);
             }
         } else if let Some(first) = running.first_token {
-            let elapsed = now.saturating_duration_since(first);
+            let mean = row.pace.mean_since(&running.pace, now);
+            let elapsed = now.saturating_duration_since(first).div_f64(mean);
             row.rates.learn_decode(running.tokens.saturating_sub(1), elapsed);
         }
         if jump {
--- a/crates/tarragon-scheduler/src/scheduler/dispatch.rs
+++ b/crates/tarragon-scheduler/src/scheduler/dispatch.rs
@@ -249,7 +249,7 @@
         let uncached = prompt.saturating_sub(estimate.cached);
         let tier = job.tier().index();
         let row = self.targets.row_mut(candidate.target)?;
-        let (ahead, restart) = (row.pending_prefill, row.restart);
+        let (ahead, restart, pace) = (row.pending_prefill, row.restart, row.pace.mark(now));
         row.in_flight += 1;
         row.starts.record(now);
         row.by_tier[tier] += 1;
@@ -268,6 +268,7 @@
             first_token: None,
             tokens: 0,
             estimate,
+            pace,
             uncached,
             pending: u64::from(uncached),
             ahead,
--- a/crates/tarragon-scheduler/src/scheduler/dump.rs
+++ b/crates/tarragon-scheduler/src/scheduler/dump.rs
@@ -76,6 +76,8 @@
     pub pending_prefill: u64,
     /// Learned speed.
     pub rates: RateEstimate,
+    /// How long work takes now, as a multiple of the learned times.
+    pub pace: f64,
     /// Models held, if known.
     pub models: Vec<ModelName>,
     /// Confidence in the prefix index for this target, from 0 to 1.
@@ -133,6 +135,7 @@
             window_state: row.window.clone(),
             pending_prefill: row.pending_prefill,
             rates: row.rates,
+            pace: row.pace.factor(now),
             models: row.models.clone(),
             cache_trust: row.trust.value(now),
             report_age_ms: row.report.as_ref().map(|report| age(report.taken)),
--- a/crates/tarragon-scheduler/src/scheduler/preempt.rs
+++ b/crates/tarragon-scheduler/src/scheduler/preempt.rs
@@ -100,7 +100,7 @@
 fn remaining_seconds(running: &RunningAttempt, row: &TargetRow, now: Instant) -> f64 {
     if running.first_token.is_some() {
         let left = running.job.size().output.saturating_sub(running.tokens);
-        return f64::from(left) * row.rates.decode;
+        return f64::from(left) * row.rates.decode * row.pace.factor(now);
     }
     let elapsed = now.saturating_duration_since(running.dispatched).as_secs_f64();
     (f64::from(running.estimate.last_token) - elapsed).max(0.0)
--- a/crates/tarragon-scheduler/src/targets.rs
+++ b/crates/tarragon-scheduler/src/targets.rs
@@ -2,6 +2,7 @@
 
 pub mod estimate;
 pub mod models;
+pub mod pace;
 pub mod prefix;
 pub mod rate;
 pub mod starts;
@@ -20,6 +21,7 @@
     targets::{
         estimate::TargetSummary,
         models::{ModelBits, OTHER_MODEL},
+        pace::TargetPace,
         prefix::PrefixIndex,
         rate::RateEstimate,
         starts::{StartForecast, StartLimit},
@@ -96,6 +98,8 @@
     pub pending_prefill: u64,
     /// Learned speed.
     pub rates: RateEstimate,
+    /// How long work takes now, compared with the learned speed.
+    pub pace: TargetPace,
     /// Whether it is in another data centre.
     pub remote: bool,
     /// Build of its software, if it is published.
@@ -139,6 +143,7 @@
             suspects: [0; Tier::COUNT],
             pending_prefill: 0,
             rates,
+            pace: TargetPace::default(),
             remote: entry.remote,
             build: entry.build,
             starts: StartLimit::default(),
@@ -204,6 +209,7 @@
         let ended = EndedProcess { restart: before, planned: self.leaving };
         self.ended = Some(ended);
         self.trust.restart();
+        self.pace.discard(now);
         self.forget_models();
         self.window.mark_suspicious(now);
         Some(ended)
@@ -505,6 +511,9 @@
         let Some(row) = self.rows.get_mut(index).and_then(Option::as_mut) else { return };
         if let Some(taken) = now.checked_sub(age).filter(|taken| row.is_current(*taken)) {
             row.set_report(load.running, load.waiting, own, taken);
+            if let Some(percent) = load.pace_percent {
+                row.pace.record(percent, taken);
+            }
         }
     }
 
--- a/crates/tarragon-scheduler/src/targets/estimate.rs
+++ b/crates/tarragon-scheduler/src/targets/estimate.rs
@@ -120,7 +120,8 @@
         let capacity = f64::from(row.capacity.max(1));
         let occupancy = (f64::from(row.in_flight) + running) / capacity;
         let ahead = row.pending_prefill as f64 + waiting * FOREIGN_PROMPT;
-        let RateEstimate { base, prefill, decode, call, .. } = row.rates;
+        let RateEstimate { base, prefill, decode, call, .. } =
+            row.rates.at_pace(row.pace.factor(now));
         TargetSummary {
             in_flight: row.in_flight,
             window: if row.may_start(now) { row.safe_window(now) } else { 0 },
--- a/crates/tarragon-scheduler/src/targets/rate.rs
+++ b/crates/tarragon-scheduler/src/targets/rate.rs
@@ -46,6 +46,17 @@
         self.samples >= TRUSTED_SAMPLES
     }
 
+    /// The expected times if work takes this multiple of the usual time.
+    pub fn at_pace(self, factor: f64) -> RateEstimate {
+        RateEstimate {
+            base: self.base * factor,
+            prefill: self.prefill * factor,
+            decode: self.decode * factor,
+            call: self.call * factor,
+            samples: self.samples,
+        }
+    }
+
     /// Learns from a first token that followed the prefill of `tokens` prompt tokens, of the request and
     /// those ahead.
     pub fn learn_first_token(&mut self, tokens: u32, elapsed: Duration) {
--- a/crates/tarragon-scheduler/tests/rules/suspect.rs
+++ b/crates/tarragon-scheduler/tests/rules/suspect.rs
@@ -96,7 +96,7 @@
 
 /// Load that a process at the target reported to a peer, which passes it on late.
 fn response_load(target: &str) -> SchedulerEvent {
-    let load = TargetLoad { running: 0, waiting: 0, cold: false };
+    let load = TargetLoad::default();
     SchedulerEvent::ResponseLoadReported { target: target.into(), load, age: Duration::ZERO }
 }
 
