Weigh what a cached prefix saves against the wait for its holder

A prompt whose holder was busy went to an open target and was computed there again, even if the holder was free a moment later. The prefix index also took a block for held until its own table was full, whatever the engine had read since.

- `kv-tokens` of a service's engine is decoded and passed to the scheduler.
It is one more field of the service in what peers pull as JSON, with a default.
- A block counts as evicted once a target has read as many tokens as fit beside its running requests since the block was last used.
Ages are counted in quarters of that, in two more bits for each block and target.
- A request that isn't urgent waits for a busy holder while the saved prefill exceeds the expected wait, as long as the open target could still meet its objective.
`targets/holder.rs` decides that without I/O or a clock.
- Requests that wait by choice don't count when the throughput of a pool is learned.

Without `kv-tokens`, nothing changes.

--- a/crates/tarragon-fleet/src/node/updates.rs
+++ b/crates/tarragon-fleet/src/node/updates.rs
@@ -86,13 +86,36 @@
         self.directory.set_named_services(
             configuration.map(FleetConfiguration::named_services).unwrap_or_default(),
         );
-        self.operator_state = state;
+        let before = std::mem::replace(&mut self.operator_state, state);
+        self.update_memories(&before, now, actions);
         self.update_retries();
         self.update_evacuations(now, actions);
         self.update_targets(now, actions);
         true
     }
 
+    /// Passes the memory of the engines of each service to the scheduler, where it has changed.
+    fn update_memories(
+        &mut self,
+        before: &OperatorState,
+        now: Instant,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        let services = |state: &OperatorState| -> IndexSet<ServiceName> {
+            let configuration = state.configuration.as_deref();
+            configuration.into_iter().flat_map(|known| known.services.keys().cloned()).collect()
+        };
+        let memory = |state: &OperatorState, service: &str| {
+            state.service_configuration(service).map_or(0, |terms| terms.memory_tokens)
+        };
+        for service in services(before).union(&services(&self.operator_state)) {
+            let tokens = memory(&self.operator_state, service);
+            if tokens != memory(before, service) {
+                self.schedule(now, SchedulerEvent::CacheSized(service.clone(), tokens), actions);
+            }
+        }
+    }
+
     /// Combines the known operator state with another one that has a later position in the history of the store,
     /// a newer configuration, or both. A configuration never goes back to an older version. If the store has
     /// come back from a copy, data centres stay out of service until operators have had time to write that
--- a/crates/tarragon-fleet/src/published.rs
+++ b/crates/tarragon-fleet/src/published.rs
@@ -80,6 +80,10 @@
     pub cold_starts: f64,
     /// Tokens in one event of a stream.
     pub event_tokens: u32,
+    /// Tokens that the memory of each of its engines holds; 0 if unknown. Builds before this one neither send nor
+    /// read it.
+    #[serde(default)]
+    pub memory_tokens: u64,
 }
 
 /// Configuration of one workspace.
--- a/crates/tarragon-fleet/tests/fleet/node.rs
+++ b/crates/tarragon-fleet/tests/fleet/node.rs
@@ -364,3 +364,21 @@
         assert_eq!(slots(&fleet), Some(4), "{} after a restart", case.name);
     }
 }
+
+/// Guards against prompts that are placed by an engine memory that is no longer configured.
+#[test]
+fn a_change_of_the_engine_memory_reaches_the_scheduler() {
+    let mut fleet = Fleet::start(1, 1);
+    let now = fleet.now;
+    for (revision, memory_tokens) in [(2, 0), (3, 492_727), (4, 1_000), (5, 0)] {
+        let mut configuration = configuration(revision);
+        configuration.services[SERVICE].memory_tokens = memory_tokens;
+        let state = OperatorState {
+            configuration: Some(configuration.into()),
+            ..operator(revision, revision)
+        };
+        fleet.nodes[0].apply_operator_state(now, state, "store", &mut Vec::new());
+        let dump = fleet.nodes[0].scheduler().dump(now);
+        assert_eq!(dump.targets[0].memory_tokens, memory_tokens, "revision {revision}");
+    }
+}
--- a/crates/tarragon-fleet/tests/fleet/support.rs
+++ b/crates/tarragon-fleet/tests/fleet/support.rs
@@ -44,6 +44,7 @@
         cold_time: Duration::from_secs(3),
         cold_starts: 8.1,
         event_tokens: 5,
+        memory_tokens: 0,
     };
     let workspace = WorkspaceConfiguration {
         rate: 50_000.0,
--- a/crates/tarragon-gateway/src/metrics.rs
+++ b/crates/tarragon-gateway/src/metrics.rs
@@ -40,6 +40,8 @@
     pub restarted_tasks: IntCounterVec,
     /// Times when the event loop stalled.
     pub stalls: IntCounter,
+    /// Requests that waited for a busy target which had their prompt cached.
+    pub holder_waits: IntCounter,
     /// Bytes of digests by direction.
     pub peer_bytes: IntCounterVec,
     /// Version of the active configuration.
@@ -109,6 +111,10 @@
                 metric_name("stalls_total"),
                 "Times when the event loop stalled",
             )?,
+            holder_waits: IntCounter::new(
+                metric_name("holder_waits_total"),
+                "Requests that waited for a busy target which had their prompt cached",
+            )?,
             restarted_tasks: counter_vec(
                 "restarted_tasks_total",
                 "Tasks that ended by a panic",
@@ -179,6 +185,7 @@
         registry.register(Box::new(self.skipped_entries.clone()))?;
         registry.register(Box::new(self.restarted_tasks.clone()))?;
         registry.register(Box::new(self.stalls.clone()))?;
+        registry.register(Box::new(self.holder_waits.clone()))?;
         registry.register(Box::new(self.peer_bytes.clone()))?;
         registry.register(Box::new(self.configuration_version.clone()))?;
         registry.register(Box::new(self.relays_sent.clone()))?;
--- a/crates/tarragon-gateway/src/peers.rs
+++ b/crates/tarragon-gateway/src/peers.rs
@@ -137,15 +137,19 @@
 }
 
 async fn send_digests<D>(context: &GatewayContext<D>, socket: &UdpSocket, urgent: bool) {
-    let (digest, recipients, present, suspects, limited) = context.node.run(|node, now, _| {
-        node.set_carried(context.relays.carried.load(Ordering::Relaxed));
-        let digest = node.next_digest(now);
-        let present = node.members().present().count();
-        let suspects = node.scheduler().suspect_count();
-        let directory = node.directory();
-        let limited = [directory.limited().count(), directory.rejection_limited().count()];
-        (digest, node.recipients(urgent, now), present, suspects, limited)
-    });
+    let (digest, recipients, present, suspects, limited, waits) =
+        context.node.run(|node, now, _| {
+            node.set_carried(context.relays.carried.load(Ordering::Relaxed));
+            let digest = node.next_digest(now);
+            let present = node.members().present().count();
+            let suspects = node.scheduler().suspect_count();
+            let directory = node.directory();
+            let limited = [directory.limited().count(), directory.rejection_limited().count()];
+            let waits = node.scheduler().statistics().holder_waits;
+            (digest, node.recipients(urgent, now), present, suspects, limited, waits)
+        });
+    let holder_waits = &context.metrics.holder_waits;
+    holder_waits.inc_by(waits.saturating_sub(holder_waits.get()));
     let gauge_value = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
     context.metrics.peers.set(gauge_value(present));
     context.metrics.limited_targets.set(gauge_value(limited[0]));
--- a/crates/tarragon-scheduler/src/event.rs
+++ b/crates/tarragon-scheduler/src/event.rs
@@ -82,6 +82,9 @@
     },
     /// Cache events of an engine, in the order in which they arrived.
     CacheReported(TargetName, Vec<CacheEvent>),
+    /// Sets the tokens that the memory of each target of a service holds, for prompts and answers of running
+    /// requests and for cached prompts; 0 if unknown.
+    CacheSized(ServiceName, u64),
     /// A peer's digest with its shed floor and its demand.
     PeerReported(PeerPressure),
     /// Data of a peer is to be dropped, because the peer is down or this process was paused.
--- a/crates/tarragon-scheduler/src/job.rs
+++ b/crates/tarragon-scheduler/src/job.rs
@@ -62,6 +62,8 @@
     pub delivered: u32,
     /// How many later requests overtook it because a target had their prompts cached.
     pub overtaken_count: u8,
+    /// Until when it waits, or has waited, for busy targets that have its prompt cached.
+    pub holder_until: Option<Instant>,
     /// How often it was pre-empted.
     pub preemptions: u8,
     /// Since when it is held because it may crash targets.
@@ -99,6 +101,7 @@
             avoid: Vec::new(),
             delivered,
             overtaken_count: 0,
+            holder_until: None,
             preemptions: 0,
             held_since: None,
         }
--- a/crates/tarragon-scheduler/src/queue.rs
+++ b/crates/tarragon-scheduler/src/queue.rs
@@ -213,6 +213,12 @@
         self.entries.get(&request).map(|entry| &entry.job)
     }
 
+    /// Whether a request waits and is deferred.
+    pub fn is_deferred(&self, request: RequestId) -> bool {
+        let entry = self.entries.get(&request);
+        entry.is_some_and(|entry| matches!(entry.state, WaitState::Deferred(_)))
+    }
+
     /// A waiting request, to change what the order of the queue doesn't depend on.
     pub fn get_mut(&mut self, request: RequestId) -> Option<&mut Job> {
         self.entries.get_mut(&request).map(|entry| &mut entry.job)
--- a/crates/tarragon-scheduler/src/scheduler.rs
+++ b/crates/tarragon-scheduler/src/scheduler.rs
@@ -10,6 +10,7 @@
 mod dump;
 mod ending;
 mod explain;
+mod holder;
 mod preempt;
 mod report;
 mod shed;
@@ -92,6 +93,8 @@
     /// Whether routine streams may be pre-empted for urgent work.
     preemption_enabled: bool,
     candidates: CandidateList,
+    /// Requests that wait for a busy target, by target.
+    holder_waits: Vec<(usize, RequestId)>,
     statistics: SchedulerStatistics,
     invariants: InvariantCounters,
     rng: ChaCha8Rng,
@@ -138,6 +141,7 @@
             retry_limits: None,
             preemption_enabled: true,
             candidates: CandidateList::default(),
+            holder_waits: Vec::new(),
             statistics: SchedulerStatistics::default(),
             invariants: InvariantCounters::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -226,6 +230,10 @@
                         self.targets.apply_cache_events(index, &events, now);
                 }
             }
+            SchedulerEvent::CacheSized(service, tokens) => {
+                let pool = self.targets.pool_index(&service);
+                self.targets.set_cache_tokens(pool, tokens, now);
+            }
             SchedulerEvent::PeerReported(pressure) => self.pressure.record(pressure),
             SchedulerEvent::PeerForgotten(peer) => self.pressure.forget(&peer),
             SchedulerEvent::SuspectReported(entry) => self.merge_suspect(&entry, now, actions),
@@ -237,6 +245,7 @@
         }
         self.assess_suspects(false, None, now, actions);
         self.queue.release_due(now);
+        self.sweep_holder_waits();
         self.refuse_past_latest_start(now, actions);
         self.dispatch(now, actions);
         self.refuse_beyond_forecast(now, actions);
--- a/crates/tarragon-scheduler/src/scheduler/attempt.rs
+++ b/crates/tarragon-scheduler/src/scheduler/attempt.rs
@@ -178,6 +178,7 @@
             return;
         };
         self.release_slot(&running, now);
+        self.release_holder_waits(running.target);
         self.learn_from_end(&running, end, now, actions);
         self.targets.refresh(running.target, now);
         self.targets.remove_if_unused(running.target);
--- a/crates/tarragon-scheduler/src/scheduler/candidate.rs
+++ b/crates/tarragon-scheduler/src/scheduler/candidate.rs
@@ -4,7 +4,11 @@
     choose::ChooseCandidate,
     job::{Job, block_tokens},
     prelude::*,
-    targets::{TargetRow, TargetTable, estimate::AFFINITY_EXCESS, prefix::PrefixHits},
+    targets::{
+        TargetRow, TargetTable,
+        estimate::{AFFINITY_EXCESS, CostEstimate},
+        prefix::PrefixHits,
+    },
 };
 
 /// Candidates of one decision. The buffers are reused, so that a decision allocates nothing.
@@ -72,6 +76,43 @@
         }
     }
 
+    /// The busy target that would have the first token soonest once it has a free slot, if it has more of the prompt
+    /// cached than the open one. Valid after [`CandidateList::collect`] for the same job.
+    pub(super) fn busy_holder(
+        &self,
+        targets: &TargetTable,
+        job: &Job,
+        open: &ChooseCandidate,
+    ) -> Option<(usize, CostEstimate)> {
+        if !self.hits.any() || !targets.summary(open.target).is_measured() {
+            return None;
+        }
+        let pool = targets.pool(job.pool);
+        let affinity_limit = pool.used_share() + AFFINITY_EXCESS;
+        let models = targets.models_of(job);
+        let holders = pool.members.iter().filter_map(|index| {
+            let hit = block_tokens(self.hits.get(*index));
+            if hit <= open.estimate.cached {
+                return None;
+            }
+            let summary = targets.summary(*index);
+            let suits = summary.window > 0
+                && !summary.is_open()
+                && summary.is_measured()
+                && summary.models & models != 0
+                && !job.avoid.contains(index)
+                && targets.row(*index).is_some_and(|row| row.memory.is_known());
+            // The cache counts there only if that holds with one request less, too.
+            let left = summary.in_flight.saturating_sub(1) as f32;
+            if !suits || left > affinity_limit * summary.window as f32 {
+                return None;
+            }
+            let estimate = summary.estimate(job.size(), hit, job.tier());
+            (estimate.cached > open.estimate.cached).then_some((*index, estimate))
+        });
+        holders.min_by(|(_, one), (_, other)| one.first_token.total_cmp(&other.first_token))
+    }
+
     /// Removes targets that run a suspected request of a lower tier, unless there are no others.
     fn avoid_suspects(&mut self, targets: &TargetTable, tier: Tier) {
         let runs_lower = |candidate: &ChooseCandidate| {
--- a/crates/tarragon-scheduler/src/scheduler/dispatch.rs
+++ b/crates/tarragon-scheduler/src/scheduler/dispatch.rs
@@ -15,8 +15,10 @@
         RETRY_AFTER, Scheduler,
         arrival::conviction_message,
         candidate::{ChoiceBounds, may_run_suspect},
+        holder::HolderWait,
     },
     suspect::{CauseList, SUSPECT_LIFETIME, Suspicion},
+    targets::memory::CacheDemand,
 };
 
 /// A request that no open target can take is deferred for this time, so that it doesn't block those behind it.
@@ -45,6 +47,8 @@
     Send(ChooseCandidate, CauseList),
     /// Park it: its workspace is at its concurrency limit.
     Park,
+    /// Let it wait for a busy target that has its prompt cached.
+    Await(HolderWait),
     /// Defer it: no open target can take it, but one may take the next request.
     Defer,
     /// Stop: no target is open to the lane.
@@ -97,6 +101,7 @@
                     self.send(request, candidate, causes, now, actions)
                 }
                 DispatchStep::Park => self.park(request),
+                DispatchStep::Await(wait) => self.await_holder(request, wait, now),
                 DispatchStep::Defer => {
                     self.queue.set_state(request, WaitState::Deferred(now + RECHECK_DELAY))
                 }
@@ -183,6 +188,9 @@
         });
         let candidates = &self.candidates.items;
         let candidate = candidates.get(position).unwrap_or(&candidates[0]);
+        if !suspect && let Some(wait) = self.plan_holder_wait(request, candidate, now) {
+            return DispatchStep::Await(wait);
+        }
         if is_trial {
             self.suspects.record_trial();
         }
@@ -255,6 +263,13 @@
         row.by_tier[tier] += 1;
         row.suspects[tier] += u32::from(!suspect_causes.is_empty());
         row.pending_prefill += u64::from(uncached);
+        if prompt > 0 {
+            row.memory.record(CacheDemand {
+                held: u64::from(prompt) + u64::from(job.output),
+                added: u64::from(uncached) + u64::from(job.output),
+                time: Duration::from_secs_f32(estimate.last_token.clamp(0.0, 3_600.0)),
+            });
+        }
         self.targets.refresh(candidate.target, now);
         self.targets.prefixes.insert_prompt(candidate.target, job.blocks());
         let charged = job.output;
--- a/crates/tarragon-scheduler/src/scheduler/dump.rs
+++ b/crates/tarragon-scheduler/src/scheduler/dump.rs
@@ -82,6 +82,8 @@
     pub models: Vec<ModelName>,
     /// Confidence in the prefix index for this target, from 0 to 1.
     pub cache_trust: f32,
+    /// Tokens that the memory of its engine holds; 0 if unknown.
+    pub memory_tokens: u64,
     /// Milliseconds since the load in the last report was measured.
     pub report_age_ms: Option<u64>,
 }
@@ -138,6 +140,7 @@
             pace: row.pace.factor(now),
             models: row.models.clone(),
             cache_trust: row.trust.value(now),
+            memory_tokens: row.memory.capacity(),
             report_age_ms: row.report.as_ref().map(|report| age(report.taken)),
         }
     }
--- a/crates/tarragon-scheduler/src/scheduler/preempt.rs
+++ b/crates/tarragon-scheduler/src/scheduler/preempt.rs
@@ -97,7 +97,7 @@
 }
 
 /// Expected seconds until an attempt ends by itself.
-fn remaining_seconds(running: &RunningAttempt, row: &TargetRow, now: Instant) -> f64 {
+pub(super) fn remaining_seconds(running: &RunningAttempt, row: &TargetRow, now: Instant) -> f64 {
     if running.first_token.is_some() {
         let left = running.job.size().output.saturating_sub(running.tokens);
         return f64::from(left) * row.rates.decode * row.pace.factor(now);
--- a/crates/tarragon-scheduler/src/scheduler/tick.rs
+++ b/crates/tarragon-scheduler/src/scheduler/tick.rs
@@ -6,7 +6,7 @@
     inflight::{CancelCause, RunningAttempt},
     job::Job,
     prelude::*,
-    scheduler::{RETRY_AFTER, Scheduler},
+    scheduler::{RETRY_AFTER, Scheduler, holder::holder_tokens},
 };
 
 /// Interval at which the pools' rates are updated.
@@ -38,8 +38,11 @@
         let elapsed = now.saturating_duration_since(last);
         if elapsed >= POOL_INTERVAL {
             self.clocks.pools = Some(now);
-            let queue = &self.queue;
-            let busy = |pool| queue.pool_tokens(pool).iter().any(|tokens| *tokens > 0);
+            let (queue, waits) = (&self.queue, &self.holder_waits);
+            // Requests that wait by choice don't show how fast a pool is when all of it is in use.
+            let busy = |pool| {
+                queue.pool_tokens(pool).iter().sum::<u64>() > holder_tokens(queue, waits, pool)
+            };
             self.targets.refresh_pools(elapsed, busy, now);
             self.workspaces.sweep(now);
             self.queue.sweep();
--- a/crates/tarragon-scheduler/src/statistics.rs
+++ b/crates/tarragon-scheduler/src/statistics.rs
@@ -34,6 +34,8 @@
     pub cached_tokens: u64,
     /// Signs that a target has restarted or become cold again.
     pub cold_signs: u64,
+    /// Requests that waited for a busy target which had their prompt cached.
+    pub holder_waits: u64,
     /// Gaps in the sequence numbers of cache events.
     pub cache_gaps: u64,
     /// Requests convicted of crashing targets.
--- a/crates/tarragon-scheduler/src/targets.rs
+++ b/crates/tarragon-scheduler/src/targets.rs
@@ -1,6 +1,8 @@
 //! The target table: the state of each target, and which targets are open.
 
 pub mod estimate;
+pub mod holder;
+pub mod memory;
 pub mod models;
 pub mod pace;
 pub mod prefix;
@@ -20,6 +22,7 @@
     suspect::BrokenAttempt,
     targets::{
         estimate::TargetSummary,
+        memory::{CacheMemory, GENERATIONS},
         models::{ModelBits, OTHER_MODEL},
         pace::TargetPace,
         prefix::PrefixIndex,
@@ -124,6 +127,8 @@
     pub model_set: u64,
     /// Confidence in the prefix index.
     pub trust: CacheTrust,
+    /// Memory of its cache.
+    pub memory: CacheMemory,
     /// Attempts whose connection broke here recently.
     pub broken: Vec<BrokenAttempt>,
 }
@@ -156,6 +161,7 @@
             assumed_set: u64::MAX,
             model_set: u64::MAX,
             trust: CacheTrust::default(),
+            memory: CacheMemory::default(),
             broken: Vec::new(),
         }
     }
@@ -209,6 +215,7 @@
         let ended = EndedProcess { restart: before, planned: self.leaving };
         self.ended = Some(ended);
         self.trust.restart();
+        self.memory.restart();
         self.pace.discard(now);
         self.forget_models();
         self.window.mark_suspicious(now);
@@ -226,6 +233,8 @@
     /// Sums of the own requests in flight and of the windows of all members.
     used: u64,
     windows: u64,
+    /// Tokens that the memory of each member holds; 0 if unknown.
+    cache_tokens: u64,
     /// Position of the target that was chosen last.
     pub last: usize,
     /// Lowest expected times of the members with enough samples.
@@ -381,7 +390,9 @@
             None => self.add(entry, pool, now),
         };
         self.move_pool(index, pool);
+        let cache_tokens = self.pools[pool].cache_tokens;
         if let Some(row) = self.row_mut(index) {
+            row.memory.set_capacity(cache_tokens);
             row.in_service = entry.in_service;
             row.remote = entry.remote;
             row.build = entry.build;
@@ -450,6 +461,32 @@
     /// Recomputes the summaries of all targets after time has passed.
     pub fn refresh_all(&mut self, now: Instant) {
         for index in 0..self.rows.len() {
+            self.age_prefixes(index, now);
+            self.refresh(index, now);
+        }
+    }
+
+    /// Evicts the prefixes that a target has probably evicted by now.
+    fn age_prefixes(&mut self, index: usize, now: Instant) {
+        let Some(row) = self.rows.get_mut(index).and_then(Option::as_mut) else { return };
+        if !row.memory.is_known() {
+            return;
+        }
+        let (foreign, _) = row.foreign(now);
+        let running = f64::from(row.in_flight) + foreign;
+        match row.memory.advance(foreign, running, now) {
+            GENERATIONS => self.prefixes.clear_target(index),
+            ended => (0..ended).for_each(|_| self.prefixes.age_target(index)),
+        }
+    }
+
+    /// Sets the tokens that the memory of each target of a pool holds; 0 if unknown.
+    pub fn set_cache_tokens(&mut self, pool: usize, tokens: u64, now: Instant) {
+        self.pools[pool].cache_tokens = tokens;
+        for index in self.pools[pool].members.clone() {
+            if let Some(row) = self.row_mut(index) {
+                row.memory.set_capacity(tokens);
+            }
             self.refresh(index, now);
         }
     }
@@ -461,7 +498,10 @@
             let Some(row) = self.rows.get_mut(index).and_then(Option::as_mut) else { break };
             gaps += u64::from(row.trust.check_sequence(event.sequence, now));
             match event.change {
-                CacheChange::Stored => self.prefixes.insert(index, &event.blocks),
+                CacheChange::Stored => {
+                    row.memory.record_use();
+                    self.prefixes.insert(index, &event.blocks);
+                }
                 CacheChange::Evicted => self.prefixes.remove(index, &event.blocks),
                 CacheChange::Cleared => {
                     row.trust.reset();
--- a/crates/tarragon-scheduler/src/targets/estimate.rs
+++ b/crates/tarragon-scheduler/src/targets/estimate.rs
@@ -107,6 +107,8 @@
     call: f32,
     /// Confidence in expected cache hits.
     trust: f32,
+    /// Most tokens that can be cached beside the running requests.
+    room: u32,
     /// Whether the expected times are based on enough samples.
     is_measured: bool,
     /// Factor on the score.
@@ -132,6 +134,10 @@
             decode: (decode * (1.0 + LOAD_SLOPE * occupancy)) as f32,
             call: (call * (1.0 + occupancy)) as f32,
             trust: row.trust.value(now),
+            room: row
+                .memory
+                .room(f64::from(row.in_flight) + running)
+                .map_or(u32::MAX, |room| u32::try_from(room).unwrap_or(u32::MAX)),
             is_measured: row.rates.is_trusted(),
             factor: row.risk_factor() * if row.remote { DISTANT_FACTOR } else { 1.0 },
         }
@@ -147,6 +153,16 @@
         self.backlog > PREFILL_BACKLOG[tier.index()]
     }
 
+    /// Whether the expected times are based on enough samples.
+    pub fn is_measured(&self) -> bool {
+        self.is_measured
+    }
+
+    /// Seconds of prefill of so many prompt tokens.
+    pub fn prefill_time(&self, tokens: u32) -> f32 {
+        tokens as f32 * self.prefill
+    }
+
     /// Whether an estimate shows that the answer takes longer than this many seconds.
     pub fn exceeds(&self, estimate: &CostEstimate, seconds: f32) -> bool {
         self.is_measured && estimate.last_token > seconds
@@ -163,7 +179,7 @@
                 cached: 0,
             };
         };
-        let cached = (hit.min(prompt) as f32 * self.trust) as u32;
+        let cached = (hit.min(prompt).min(self.room) as f32 * self.trust) as u32;
         let computing = (prompt - cached) as f32 * self.prefill;
         let first = self.first + computing;
         let last = first + size.output as f32 * self.decode;
@@ -206,7 +222,7 @@
 
     /// Requests of other processes at the target, and requests that wait inside it, by the last report and
     /// weighted down by its age.
-    fn foreign(&self, now: Instant) -> (f64, f64) {
+    pub(super) fn foreign(&self, now: Instant) -> (f64, f64) {
         let Some(report) = &self.report else { return (0.0, 0.0) };
         let age = now.saturating_duration_since(report.taken).as_secs_f64();
         let weight = (1.0 - age / REPORT_LIFETIME.as_secs_f64()).max(0.0);
--- a/crates/tarragon-scheduler/src/targets/prefix.rs
+++ b/crates/tarragon-scheduler/src/targets/prefix.rs
@@ -4,7 +4,7 @@
 
 use crate::{hash::NumberHash, prelude::*};
 
-/// Maximum number of indexed blocks. At 384 targets a block takes about 100 bytes.
+/// Maximum number of indexed blocks. At 384 targets a block takes about 200 bytes.
 const MAX_BLOCKS: usize = 65_536;
 
 /// Blocks of one prompt that are looked up. Longer prompts are sampled evenly.
@@ -13,12 +13,15 @@
 /// Number of blocks compared for an eviction; the least recently used of them is evicted.
 const EVICTION_SAMPLE: usize = 4;
 
+/// Bits per block and target: whether it holds the block, and its age in generations as a number of two bits.
+const PLANES: usize = 3;
+
 /// Sets of targets by block hash.
 #[derive(Debug)]
 pub struct PrefixIndex {
     /// Time of last use by block, in the order of the rows of `holders`.
     blocks: IndexMap<BlockHash, u32, NumberHash>,
-    /// One row of `stride` words per block, with one bit per target.
+    /// One row per block: `PLANES` times `stride` words, with one bit per target in each.
     holders: Vec<u64>,
     stride: usize,
     clock: u32,
@@ -72,11 +75,11 @@
     pub fn remove(&mut self, target: usize, blocks: &[BlockHash]) {
         for block in blocks {
             let Some(row) = self.blocks.get_index_of(block) else { continue };
-            let start = row * self.stride;
+            let start = self.start(row);
             if let Some(word) = self.holders[start..start + self.stride].get_mut(target / 64) {
                 *word &= !(1 << (target % 64));
             }
-            if self.holders[start..start + self.stride].iter().all(|word| *word == 0) {
+            if self.holders_of(row).iter().all(|word| *word == 0) {
                 self.remove_row(row);
             }
         }
@@ -87,11 +90,31 @@
         if target / 64 >= self.stride {
             return;
         }
-        for row in self.holders.chunks_exact_mut(self.stride) {
+        for row in self.holders.chunks_exact_mut(PLANES * self.stride) {
             row[target / 64] &= !(1 << (target % 64));
         }
     }
 
+    /// Ends a generation of a target: the blocks that were last used there `GENERATIONS` ago are evicted.
+    pub fn age_target(&mut self, target: usize) {
+        let (word, bit) = (target / 64, 1 << (target % 64));
+        if word >= self.stride {
+            return;
+        }
+        for row in self.holders.chunks_exact_mut(PLANES * self.stride) {
+            let [held, low, high] = [word, self.stride + word, 2 * self.stride + word];
+            if row[held] & bit == 0 {
+                continue;
+            }
+            if row[low] & row[high] & bit != 0 {
+                row[held] &= !bit;
+            } else {
+                row[high] ^= row[low] & bit;
+                row[low] ^= bit;
+            }
+        }
+    }
+
     /// Finds how many leading blocks of the prompt each target holds. Searches from the longest prefix down,
     /// so the first hit of a target is its longest.
     pub fn lookup(&self, blocks: &[BlockHash], targets: usize, hits: &mut PrefixHits) {
@@ -103,8 +126,7 @@
         let mut end = blocks.len() - blocks.len() % step;
         while end > 0 {
             if let Some(row) = self.blocks.get_index_of(&blocks[end - 1]) {
-                let start = row * self.stride;
-                hits.mark(&self.holders[start..start + self.stride], end as u32);
+                hits.mark(self.holders_of(row), end as u32);
             }
             end -= step;
         }
@@ -133,8 +155,7 @@
 
     fn holds(&self, block: BlockHash, target: usize) -> bool {
         let Some(row) = self.blocks.get_index_of(&block) else { return false };
-        let holders = &self.holders[row * self.stride..(row + 1) * self.stride];
-        holders.get(target / 64).is_some_and(|word| word >> (target % 64) & 1 == 1)
+        self.holders_of(row).get(target / 64).is_some_and(|word| word >> (target % 64) & 1 == 1)
     }
 
     fn insert_block(&mut self, target: usize, block: BlockHash) {
@@ -143,7 +164,10 @@
             None => self.add_row(block),
         };
         self.blocks[row] = self.clock;
-        self.holders[row * self.stride + target / 64] |= 1 << (target % 64);
+        let (start, bit) = (self.start(row) + target / 64, 1 << (target % 64));
+        self.holders[start] |= bit;
+        self.holders[start + self.stride] &= !bit;
+        self.holders[start + 2 * self.stride] &= !bit;
     }
 
     fn widen(&mut self, target: usize) {
@@ -151,7 +175,7 @@
         if stride <= self.stride {
             return;
         }
-        let mut holders = vec![0; stride * self.blocks.len()];
+        let mut holders = vec![0; PLANES * stride * self.blocks.len()];
         for (old, new) in
             self.holders.chunks_exact(self.stride).zip(holders.chunks_exact_mut(stride))
         {
@@ -165,7 +189,7 @@
         if self.blocks.len() >= MAX_BLOCKS {
             self.evict();
         }
-        self.holders.resize(self.holders.len() + self.stride, 0);
+        self.holders.resize(self.holders.len() + PLANES * self.stride, 0);
         self.blocks.insert_full(block, self.clock).0
     }
 
@@ -183,10 +207,21 @@
     /// Removes a row by moving the last row into its place, as `swap_remove_index` does in the map.
     fn remove_row(&mut self, row: usize) {
         self.blocks.swap_remove_index(row);
-        let last = self.holders.len() - self.stride;
-        self.holders.copy_within(last.., row * self.stride);
+        let last = self.holders.len() - PLANES * self.stride;
+        let start = self.start(row);
+        self.holders.copy_within(last.., start);
         self.holders.truncate(last);
     }
+
+    /// Position of a row in `holders`.
+    fn start(&self, row: usize) -> usize {
+        row * PLANES * self.stride
+    }
+
+    /// Targets that hold the block of a row.
+    fn holders_of(&self, row: usize) -> &[u64] {
+        &self.holders[self.start(row)..][..self.stride]
+    }
 }
 
 /// Distance between the sampled blocks of a prompt. It is a power of two, so that prompts of different
@@ -199,6 +234,7 @@
 #[derive(Debug, Default)]
 pub struct PrefixHits {
     lengths: Vec<u32>,
+    any: bool,
     seen: Vec<u64>,
 }
 
@@ -208,9 +244,15 @@
         self.lengths.get(target).copied().unwrap_or(0)
     }
 
+    /// Whether any target holds a block.
+    pub fn any(&self) -> bool {
+        self.any
+    }
+
     fn reset(&mut self, targets: usize, stride: usize) {
         self.lengths.clear();
         self.lengths.resize(targets, 0);
+        self.any = false;
         self.seen.clear();
         self.seen.resize(stride, 0);
     }
@@ -224,6 +266,7 @@
                 new &= new - 1;
                 if let Some(known) = self.lengths.get_mut(target) {
                     *known = length;
+                    self.any = true;
                 }
             }
         }
--- a/crates/tarragon-scheduler/tests/rules/main.rs
+++ b/crates/tarragon-scheduler/tests/rules/main.rs
@@ -4,6 +4,7 @@
 mod choice;
 mod driver;
 mod ending;
+mod holder;
 mod pace;
 mod paced;
 mod placement;
