Test which requests wait for a busy holder of their prompt

Plays one target that holds the prompt and is busy beside an open one: the wait ends with the holder's slot, or at the open target if the holder stays busy. Urgent requests, holders that are free late and other prompts cause no wait.

--- a/crates/tarragon-scheduler/tests/rules/holder.rs
+++ b/crates/tarragon-scheduler/tests/rules/holder.rs
@@ -142,6 +142,74 @@
     assert_eq!(memory.advance(4.0, 9.0, start + ms(1_700)), 4, "all at most");
 }
 
+/// Two targets with one slot each and known speeds. The first holds a prompt, and is busy with another request of
+/// which about `left` tokens are missing.
+fn busy_holder(left: u32) -> (Driver, RequestId) {
+    let mut driver = Driver::with_targets(2, 1);
+    driver.handle(SchedulerEvent::CacheSized("pool".into(), 1_000_000));
+    let terms = CallOptions { expected_output: Some(100), ..CallOptions::default() };
+    let call = || Call { prompt: 6_400, terms, ..Call::default() };
+    for _ in 0..16 {
+        let pair = [driver.send(call()), driver.send(call())];
+        driver.advance(ms(1_600));
+        pair.iter().for_each(|request| driver.progress(*request, 1, 1, 1_600));
+        driver.advance(ms(2_000));
+        pair.iter().for_each(|request| driver.progress(*request, 1, 100, 1_600));
+        pair.iter().for_each(|request| driver.end(*request, 1, AttemptEnd::Finished));
+    }
+    driver.set_slots("t1", 0, false);
+    let first = driver.send(Call { blocks: (0..100).collect(), ..call() });
+    assert_eq!(&*driver.dispatched()[0].2, "t0");
+    driver.advance(ms(1_600));
+    driver.progress(first, 1, 100 - left, 1_600);
+    driver.set_slots("t1", 1, false);
+    (driver, first)
+}
+
+struct BusyCase {
+    name: &'static str,
+    /// Tokens that the running request has left, 20 ms each.
+    left: u32,
+    tier: Tier,
+    blocks: std::ops::Range<u64>,
+    waits: bool,
+}
+
+const BUSY_CASES: &[BusyCase] = &[
+    BusyCase { name: "free soon", left: 20, tier: Tier::Normal, blocks: 0..100, waits: true },
+    BusyCase { name: "urgent", left: 20, tier: Tier::Urgent, blocks: 0..100, waits: false },
+    BusyCase { name: "free late", left: 99, tier: Tier::Normal, blocks: 0..100, waits: false },
+    BusyCase { name: "not held", left: 20, tier: Tier::Normal, blocks: 500..600, waits: false },
+];
+
+/// Guards against requests that wait for a holder for nothing, and against a wait that no free slot ends.
+#[test]
+fn a_request_waits_only_for_a_holder_that_is_free_soon() {
+    for case in BUSY_CASES {
+        for is_free in [true, false] {
+            let (mut driver, running) = busy_holder(case.left);
+            let terms = CallOptions { expected_output: Some(100), ..CallOptions::default() };
+            let blocks = case.blocks.clone().collect();
+            let request =
+                driver.send(Call { prompt: 6_400, blocks, terms, ..Call::tier(case.tier) });
+            let sent = driver.dispatched();
+            if !case.waits {
+                assert_eq!(sent, [(request, 1, "t1".into())], "{}", case.name);
+                continue;
+            }
+            assert_eq!(sent, [], "{}", case.name);
+            let expected = if is_free {
+                driver.end(running, 1, AttemptEnd::Finished);
+                "t0"
+            } else {
+                driver.advance(ms(1_700));
+                "t1"
+            };
+            assert_eq!(driver.dispatched(), [(request, 1, expected.into())], "{}", case.name);
+        }
+    }
+}
+
 /// Tokens of a block.
 const BLOCK: u32 = 64;
 const TARGETS: usize = 6;
