--- a/crates/tarragon-gateway/src/metrics.rs
+++ b/crates/tarragon-gateway/src/metrics.rs
@@ -7,7 +7,10 @@
     Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
     Registry, TextEncoder,
 };
-use tarragon_scheduler::prelude::{SchedulerStatistics, Tier};
+use tarragon_fleet::{
+    node::LendingStatistics,
+    prelude::{SchedulerStatistics, Tier},
+};
 
 /// Bucket bounds of the histograms.
 const TIME_BUCKETS_SECONDS: [f64; 12] =
@@ -41,6 +44,8 @@
     pub restarted_tasks: IntCounterVec,
     /// Times when the event loop stalled.
     pub stalls: IntCounter,
+    /// Requests that waited for a busy target which had their prompt cached.
+    pub holder_waits: IntCounter,
     /// Bytes of digests by direction.
     pub peer_bytes: IntCounterVec,
     /// Version of the active configuration.
@@ -71,6 +76,8 @@
     pub suspects: IntGauge,
     /// Suspects that the last digest left out.
     pub unannounced_suspects: IntGauge,
+    /// Slots of targets that peers were asked for, and loans of them, by step.
+    pub slot_loans: IntCounterVec,
     /// Streams that callers have taken up, by how the build that began them became known.
     pub take_ups: IntCounterVec,
     /// Requests refused because they would have started too late, by tier.
@@ -114,6 +121,10 @@
                 metric_name("stalls_total"),
                 "Times when the event loop stalled",
             )?,
+            holder_waits: IntCounter::new(
+                metric_name("holder_waits_total"),
+                "Requests that waited for a busy target which had their prompt cached",
+            )?,
             restarted_tasks: counter_vec(
                 "restarted_tasks_total",
                 "Tasks that ended by a panic",
@@ -159,6 +170,11 @@
                 "untold_suspects",
                 "Suspects that the last digest left out",
             )?,
+            slot_loans: counter_vec(
+                "slot_loans_total",
+                "Slots of targets that peers were asked for, lent and borrowed",
+                &["step"],
+            )?,
             take_ups: counter_vec(
                 "take_ups_total",
                 "Streams that callers take up by how the build that began them is known",
@@ -194,6 +210,7 @@
         registry.register(Box::new(self.skipped_entries.clone()))?;
         registry.register(Box::new(self.restarted_tasks.clone()))?;
         registry.register(Box::new(self.stalls.clone()))?;
+        registry.register(Box::new(self.holder_waits.clone()))?;
         registry.register(Box::new(self.peer_bytes.clone()))?;
         registry.register(Box::new(self.configuration_version.clone()))?;
         registry.register(Box::new(self.relays_sent.clone()))?;
@@ -209,6 +226,7 @@
         registry.register(Box::new(self.limited_targets.clone()))?;
         registry.register(Box::new(self.suspects.clone()))?;
         registry.register(Box::new(self.unannounced_suspects.clone()))?;
+        registry.register(Box::new(self.slot_loans.clone()))?;
         registry.register(Box::new(self.take_ups.clone()))?;
         registry.register(Box::new(self.forecast_refusals.clone()))?;
         registry.register(Box::new(self.returned_requests.clone()))
@@ -239,6 +257,22 @@
         }
         raise(&self.returned_requests.with_label_values(&["placed"]), statistics.returns_placed);
         raise(&self.returned_requests.with_label_values(&["early"]), statistics.returns_early);
+        raise(&self.holder_waits, statistics.holder_waits);
+    }
+
+    /// Takes over what the node has counted of loans of slots.
+    pub fn take_loan_counts(&self, loans: &LendingStatistics) {
+        let LendingStatistics { asked, lent, borrowed, declined, expired } = *loans;
+        let counts = [
+            ("asked", asked),
+            ("lent", lent),
+            ("borrowed", borrowed),
+            ("declined", declined),
+            ("expired", expired),
+        ];
+        for (step, count) in counts {
+            raise(&self.slot_loans.with_label_values(&[step]), count);
+        }
     }
 
     /// Records the time to the first part of an answer.
--- a/crates/tarragon-gateway/src/peers.rs
+++ b/crates/tarragon-gateway/src/peers.rs
@@ -143,6 +143,7 @@
         let present = node.members().present().count();
         let suspects = node.scheduler().suspect_count();
         context.metrics.take_counts(node.scheduler().statistics());
+        context.metrics.take_loan_counts(&node.lending_statistics());
         let directory = node.directory();
         let limited = [directory.limited().count(), directory.rejection_limited().count()];
         (digest, node.recipients(urgent, now), present, suspects, limited)
--- a/crates/tarragon-scheduler/src/event.rs
+++ b/crates/tarragon-scheduler/src/event.rs
@@ -82,6 +82,9 @@
     },
     /// Cache events of an engine, in the order in which they arrived.
     CacheReported(TargetName, Vec<CacheEvent>),
+    /// Sets the tokens that the memory of each target of a service holds, for prompts and answers of running
+    /// requests and for cached prompts; 0 if unknown.
+    CacheSized(ServiceName, u64),
     /// A peer's digest with its shed floor and its demand.
     PeerReported(PeerPressure),
     /// Data of a peer is to be dropped, because the peer is down or this process was paused.
@@ -196,7 +199,7 @@
 }
 
 /// Load of a target at one moment.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct TargetLoad {
     /// Requests that run.
     pub running: u32,
@@ -204,6 +207,8 @@
     pub waiting: u32,
     /// Whether the target counts as cold.
     pub cold: bool,
+    /// How long work takes there now, in percent of the usual, if the target itself has just told it.
+    pub pace_percent: Option<u32>,
 }
 
 /// This process's part of a target's capacity.
--- a/crates/tarragon-scheduler/src/scheduler.rs
+++ b/crates/tarragon-scheduler/src/scheduler.rs
@@ -11,6 +11,7 @@
 mod ending;
 mod explain;
 mod forecast;
+mod holder;
 mod preempt;
 mod report;
 mod shed;
@@ -101,6 +102,8 @@
     /// See [`Scheduler::set_contended`].
     contended: bool,
     candidates: CandidateList,
+    /// Requests that wait for a busy target, by target.
+    holder_waits: Vec<(usize, RequestId)>,
     statistics: SchedulerStatistics,
     invariants: InvariantCounters,
     rng: ChaCha8Rng,
@@ -150,6 +153,7 @@
             preemption_enabled: true,
             contended: false,
             candidates: CandidateList::default(),
+            holder_waits: Vec::new(),
             statistics: SchedulerStatistics::default(),
             invariants: InvariantCounters::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -246,6 +250,10 @@
                         self.targets.apply_cache_events(index, &events, now);
                 }
             }
+            SchedulerEvent::CacheSized(service, tokens) => {
+                let pool = self.targets.pool_index(&service);
+                self.targets.set_cache_tokens(pool, tokens, now);
+            }
             SchedulerEvent::PeerReported(pressure) => self.pressure.record(pressure),
             SchedulerEvent::PeerForgotten(peer) => self.pressure.forget(&peer),
             SchedulerEvent::SuspectReported(entry) => self.merge_suspect(&entry, now, actions),
@@ -257,6 +265,7 @@
         }
         self.assess_suspects(false, None, now, actions);
         self.queue.release_due(now);
+        self.sweep_holder_waits();
         self.refuse_past_latest_start(now, actions);
         self.dispatch(now, actions);
         self.refuse_beyond_forecast(now, actions);
--- a/crates/tarragon-scheduler/src/scheduler/dump.rs
+++ b/crates/tarragon-scheduler/src/scheduler/dump.rs
@@ -76,10 +76,14 @@
     pub pending_prefill: u64,
     /// Learned speed.
     pub rates: RateEstimate,
+    /// How long work takes now, as a multiple of the learned times.
+    pub pace: f64,
     /// Models held, if known.
     pub models: Vec<ModelName>,
     /// Confidence in the prefix index for this target, from 0 to 1.
     pub cache_trust: f32,
+    /// Tokens that the memory of its engine holds; 0 if unknown.
+    pub memory_tokens: u64,
     /// Milliseconds since the load in the last report was measured.
     pub report_age_ms: Option<u64>,
 }
@@ -133,8 +137,10 @@
             window_state: row.window.clone(),
             pending_prefill: row.pending_prefill,
             rates: row.rates,
+            pace: row.pace.factor(now),
             models: row.models.clone(),
             cache_trust: row.trust.value(now),
+            memory_tokens: row.memory.capacity(),
             report_age_ms: row.report.as_ref().map(|report| age(report.taken)),
         }
     }
--- a/crates/tarragon-scheduler/tests/rules/driver.rs
+++ b/crates/tarragon-scheduler/tests/rules/driver.rs
@@ -65,7 +65,6 @@
         }
     }
 
-    /// Warm targets `t0`, `t1`, … of the service `pool`, with this many slots each.
     /// A scheduler whose targets many processes compete for.
     pub fn contended(targets: usize, slots: u32) -> Driver {
         let mut driver = Driver::with_targets(targets, slots);
@@ -73,6 +72,7 @@
         driver
     }
 
+    /// Warm targets `t0`, `t1`, … of the service `pool`, with this many slots each.
     pub fn with_targets(targets: usize, slots: u32) -> Driver {
         let mut driver = Driver::new(SchedulerLimits::default());
         for index in 0..targets {
--- a/crates/tarragon-scheduler/tests/rules/main.rs
+++ b/crates/tarragon-scheduler/tests/rules/main.rs
@@ -5,6 +5,8 @@
 mod driver;
 mod ending;
 mod forecast;
+mod holder;
+mod pace;
 mod paced;
 mod placement;
 mod play;
