--- a/crates/tarragon-fleet/src/node/lending.rs
+++ b/crates/tarragon-fleet/src/node/lending.rs
@@ -32,7 +32,7 @@
 /// data centres is expensive.
 const FAR_FANOUT: usize = 2;
 /// Rounds that ask near peers only.
-const NEAR_ROUNDS: u32 = 3;
+const NEAR_ROUNDS: u32 = 1;
 /// Most slots that one message asks for.
 const MAX_ASKED_SLOTS: u32 = 4;
 
