Ask peers once about a target that has crashed

A failed connection now leads to one check of the link, for which other failures at the target wait, and peers get a question in place of the request. What they tell is kept with the start of the target's process for 100 ms, and longer if neither can connect, the target refuses connections and other links bring answers.

The first refusal still asks peers.

--- a/crates/tarragon-fleet/src/link.rs
+++ b/crates/tarragon-fleet/src/link.rs
@@ -1,7 +1,10 @@
 //! Links of this process to targets. A link is lost if this process can't connect to a target that a peer reaches:
 //! that says nothing about the target.
 
-use std::time::{Duration, Instant};
+use std::{
+    io,
+    time::{Duration, Instant},
+};
 
 use indexmap::IndexMap;
 
@@ -18,6 +21,67 @@
 /// Lost links that are probed at once.
 pub const MAX_PROBES: usize = 2;
 
+/// Time for which what peers told of a target is used again. It is shorter than the restart of a target.
+const FINDING_TIME: Duration = Duration::from_millis(100);
+
+/// How a connection to a target failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectFault {
+    /// It was refused: no process listens at the target's port, or something on the way refuses for it.
+    Refused,
+    /// It timed out, or was closed before it could be used.
+    Other,
+}
+
+impl ConnectFault {
+    /// Name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            ConnectFault::Refused => "refused",
+            ConnectFault::Other => "other",
+        }
+    }
+}
+
+impl From<&io::Error> for ConnectFault {
+    fn from(error: &io::Error) -> ConnectFault {
+        match error.kind() {
+            io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset => {
+                ConnectFault::Refused
+            }
+            _ => ConnectFault::Other,
+        }
+    }
+}
+
+/// What peers told of a target to which this process could not connect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PeerFinding {
+    /// They can't connect to it either.
+    Unreached,
+    /// None told whether it can connect to it.
+    Unknown,
+}
+
+impl PeerFinding {
+    /// Name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            PeerFinding::Unreached => "unreached",
+            PeerFinding::Unknown => "unknown",
+        }
+    }
+}
+
+/// A finding of peers that is used again.
+#[derive(Debug, Clone, Copy)]
+struct KnownFinding {
+    finding: PeerFinding,
+    /// Start of the target's process that it is about.
+    restart: RestartId,
+    at: Instant,
+}
+
 /// Why a link counts as lost.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LossCause {
@@ -55,6 +119,8 @@
     contact: Option<Instant>,
     /// When a connection last failed, if none has been made since.
     failed: Option<Instant>,
+    /// What peers last told of the target, if no connection has been made since.
+    finding: Option<KnownFinding>,
     lost: Option<LostLink>,
 }
 
@@ -122,6 +188,7 @@
         self.record_contact(target, now);
         let link = self.links.get_mut(target)?;
         link.failed = None;
+        link.finding = None;
         let lost = link.lost.take()?;
         self.lost -= 1;
         if self.lost == 0 {
@@ -139,6 +206,53 @@
         self.links.entry(target.clone()).or_default().failed = Some(now);
     }
 
+    /// Records what peers told of a process of a target to which this process could not connect.
+    pub fn record_finding(
+        &mut self,
+        target: &TargetName,
+        restart: RestartId,
+        finding: PeerFinding,
+        now: Instant,
+    ) {
+        let known = KnownFinding { finding, restart, at: now };
+        self.links.entry(target.clone()).or_default().finding = Some(known);
+    }
+
+    /// What peers told of a process of a target, with its age, if they need not be asked again after another
+    /// connection has failed. A finding is used for a short time. That they can't connect to it either is used for
+    /// longer if the target still refuses connections while the links to others are sound.
+    pub fn known_finding(
+        &self,
+        target: &TargetName,
+        restart: RestartId,
+        fault: ConnectFault,
+        now: Instant,
+    ) -> Option<(PeerFinding, Duration)> {
+        let known = self.links.get(target)?.finding?;
+        let age = now.saturating_duration_since(known.at);
+        let is_same = known.restart == restart;
+        let is_confirmed = known.finding == PeerFinding::Unreached
+            && fault == ConnectFault::Refused
+            && self.others_are_sound(target, known.at, now);
+        (is_same && (age < FINDING_TIME || is_confirmed)).then_some((known.finding, age))
+    }
+
+    /// Whether another target has answered since `since`, and no link to another one is lost or has failed lately
+    /// unless peers can't connect to that one either. Something that cuts this process off may refuse connections,
+    /// too, but those to several targets.
+    fn others_are_sound(&self, target: &TargetName, since: Instant, now: Instant) -> bool {
+        let is_doubtful = |link: &LinkState| {
+            let is_recent = |at| now.saturating_duration_since(at) < BURST_SPAN;
+            let unreached = |known: KnownFinding| known.finding == PeerFinding::Unreached;
+            link.failed.is_some_and(is_recent) && !link.finding.is_some_and(unreached)
+        };
+        let has_answered = |link: &LinkState| link.contact.is_some_and(|at| at > since);
+        let mut others = self.links.iter().filter(|(name, _)| *name != target);
+        self.lost == 0
+            && others.clone().any(|(_, link)| has_answered(link))
+            && !others.any(|(_, link)| is_doubtful(link))
+    }
+
     /// Records that a peer reaches a target that this process doesn't. Returns whether the link was not known to
     /// be lost.
     pub fn record_loss(&mut self, target: &TargetName, now: Instant) -> bool {
--- a/crates/tarragon-fleet/src/node/links.rs
+++ b/crates/tarragon-fleet/src/node/links.rs
@@ -1,12 +1,15 @@
 //! Links of this process to targets, and the peers that carry attempts over their own.
 
-use std::{net::SocketAddr, time::Instant};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use serde::{Deserialize, Serialize};
 
 use crate::{
     digest::name_key,
-    link::{LinkTable, LossCause},
+    link::{ConnectFault, LinkTable, LossCause, PeerFinding},
     node::FleetNode,
     prelude::*,
 };
@@ -98,6 +101,30 @@
         }
     }
 
+    /// Records what peers told of a process of a target to which this process could not connect.
+    pub fn record_peer_finding(
+        &mut self,
+        target: &TargetName,
+        restart: RestartId,
+        finding: PeerFinding,
+        now: Instant,
+    ) {
+        if self.directory.get(target).is_some() {
+            self.links.record_finding(target, restart, finding, now);
+        }
+    }
+
+    /// What peers told of a target, with its age, if they need not be asked again after a connection has failed.
+    pub fn peer_finding(
+        &self,
+        target: &TargetName,
+        fault: ConnectFault,
+        now: Instant,
+    ) -> Option<(PeerFinding, Duration)> {
+        let restart = self.directory.get(target)?.restart_id;
+        self.links.known_finding(target, restart, fault, now)
+    }
+
     /// Records that a peer reaches a target that this process doesn't. Returns whether the link was not known to
     /// be lost.
     pub fn record_link_loss(
--- a/crates/tarragon-fleet/tests/fleet/links.rs
+++ b/crates/tarragon-fleet/tests/fleet/links.rs
@@ -4,7 +4,7 @@
 
 use tarragon_fleet::{
     health::TargetHealth,
-    link::{LinkTable, LossCause, MAX_PROBES},
+    link::{ConnectFault, LinkTable, LossCause, MAX_PROBES, PeerFinding},
     node::RelayOffer,
 };
 
@@ -196,3 +196,101 @@
     assert_eq!(node.links().lost_count(), 0);
     assert!(node.record_link_loss(&listed(1).address, LossCause::Broken, now));
 }
+
+#[derive(Clone, Copy)]
+struct FindingCase {
+    name: &'static str,
+    finding: PeerFinding,
+    fault: ConnectFault,
+    /// Time since the finding.
+    age: Duration,
+    /// What happened at links to other targets since.
+    others: fn(&mut LinkTable, &[TargetName], Instant),
+    /// Start of the target's process now.
+    restart: RestartId,
+    /// Whether it is used.
+    is_known: bool,
+}
+
+const FINDING_CASE: FindingCase = FindingCase {
+    name: "just told",
+    finding: PeerFinding::Unreached,
+    fault: ConnectFault::Other,
+    age: Duration::from_millis(99),
+    others: |_, _, _| {},
+    restart: 1,
+    is_known: true,
+};
+
+/// Guards against peers that are asked about a crashed target over and over, and against lost links that are not
+/// found because what peers told once is used for too long.
+#[test]
+fn findings_of_peers_are_used_while_they_hold() {
+    let refused = FindingCase {
+        name: "still refused, others answer",
+        fault: ConnectFault::Refused,
+        age: Duration::from_millis(700),
+        others: |links, targets, now| links.record_contact(&targets[1], now),
+        ..FINDING_CASE
+    };
+    let doubted = FindingCase { is_known: false, ..refused };
+    let cases = [
+        FINDING_CASE,
+        refused,
+        FindingCase {
+            name: "old",
+            age: Duration::from_millis(100),
+            is_known: false,
+            ..FINDING_CASE
+        },
+        FindingCase { name: "new process", restart: 2, is_known: false, ..FINDING_CASE },
+        FindingCase { name: "nobody told", finding: PeerFinding::Unknown, ..FINDING_CASE },
+        FindingCase {
+            name: "another has crashed, too",
+            others: |links, targets, now| {
+                links.record_contact(&targets[1], now);
+                links.record_failure(&targets[2], now);
+                links.record_finding(&targets[2], 1, PeerFinding::Unreached, now);
+            },
+            ..refused
+        },
+        FindingCase { name: "still silent", fault: ConnectFault::Other, ..doubted },
+        FindingCase { name: "nobody told of it", finding: PeerFinding::Unknown, ..doubted },
+        FindingCase { name: "no other has answered", others: |_, _, _| {}, ..doubted },
+        FindingCase {
+            name: "another fails, too",
+            others: |links, targets, now| {
+                links.record_contact(&targets[1], now);
+                links.record_failure(&targets[2], now);
+            },
+            ..doubted
+        },
+        FindingCase {
+            name: "another link is lost",
+            others: |links, targets, now| {
+                links.record_contact(&targets[1], now);
+                links.record_loss(&targets[2], now);
+            },
+            ..doubted
+        },
+        FindingCase {
+            name: "a connection was made since",
+            others: |links, targets, now| {
+                links.record_contact(&targets[1], now);
+                links.record_connection(&targets[0], now);
+            },
+            ..doubted
+        },
+    ];
+    for case in cases {
+        let (start, mut links) = (Instant::now(), LinkTable::default());
+        let targets = targets(4);
+        links.record_failure(&targets[0], start);
+        links.record_finding(&targets[0], 1, case.finding, start);
+        let now = start + case.age;
+        (case.others)(&mut links, &targets, now - Duration::from_millis(1));
+        let finding = links.known_finding(&targets[0], case.restart, case.fault, now);
+        let expected = case.is_known.then_some((case.finding, case.age));
+        assert_eq!(finding, expected, "{}", case.name);
+    }
+}
--- a/crates/tarragon-gateway/src/forward.rs
+++ b/crates/tarragon-gateway/src/forward.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
-use tarragon_fleet::{link::LossCause, origin::StreamKey, prelude::*};
+use tarragon_fleet::{link::ConnectFault, origin::StreamKey, prelude::*};
 use tarragon_server::{
     caller::answer::CallerAnswer,
     process::Deadline,
@@ -216,7 +216,7 @@
         let is_lost = |node: &mut FleetNode, now, _: &mut _| node.avoids_link(&order.target, now);
         let is_lost = self.context.node.run(is_lost);
         if is_lost {
-            match self.attempt_over_peers(order, None).await {
+            match self.attempt_over_peers(order).await {
                 // No peer takes it. The link may be back, or was only presumed to be lost.
                 AttemptReport::Ended(AttemptEnd::Unreached) => {}
                 report => return report,
@@ -225,7 +225,7 @@
         let connection = match self.connect(order).await {
             Ok(connection) => connection,
             Err(_) if is_lost => return ended(AttemptEnd::Unreached),
-            Err(_) => return self.attempt_over_peers(order, Some(LossCause::ConnectFailed)).await,
+            Err(fault) => return self.attempt_after_fault(order, fault).await,
         };
         // The target may have been taken out of service while the connection was made.
         let service = &self.call.routed.service;
@@ -264,7 +264,7 @@
         );
         let answer = tokio::select! {
             answer = self.exchange(order, &order.address, connection, request, remaining) => {
-                answer.map_err(|fault| fault_end(&fault))
+                answer
             }
             () = interim.too_many.cancelled() => {
                 tracing::warn!(
@@ -272,7 +272,7 @@
                     target_address = &*order.target,
                     "too many interim answers from the target"
                 );
-                Err(AttemptEnd::Garbled)
+                return ended(AttemptEnd::Garbled);
             }
         };
         match answer {
@@ -288,18 +288,20 @@
                     report => report,
                 }
             }
-            Err(AttemptEnd::NotSent) => {
+            Err(ExchangeFault::Call(CallFault::NotSent(error))) => {
                 self.sent = self.sent.saturating_sub(1);
-                self.attempt_over_peers(order, Some(LossCause::ConnectFailed)).await
+                self.attempt_after_fault(order, ConnectFault::from(&error)).await
             }
-            Err(AttemptEnd::Broken) => ended(self.judge_break(order).await),
-            Err(end) => ended(end),
+            Err(ExchangeFault::Call(CallFault::Broken(_) | CallFault::TimedOut)) => {
+                ended(self.judge_break(order).await)
+            }
+            Err(ExchangeFault::Silent) => ended(AttemptEnd::Silent),
         }
     }
 
     /// Takes a pooled connection that has not carried the call, or opens a new one for a call that must not be
     /// repeated: if the target had just closed a pooled connection, the outcome of the call would be unknown.
-    async fn connect(&self, order: &DispatchOrder) -> Result<TargetConnection, AttemptEnd> {
+    async fn connect(&self, order: &DispatchOrder) -> Result<TargetConnection, ConnectFault> {
         let limit = self.context.limits.connect;
         let connection = if self.is_repeatable() {
             self.context.pool.checkout_other(&order.address, limit, &self.carriers).await
@@ -312,7 +314,7 @@
                 "failed to connect to the target"
             );
             self.context.node.run(|node, now, _| node.record_link_failure(&order.target, now));
-            AttemptEnd::NotSent
+            ConnectFault::from(&error)
         })?;
         if !connection.is_reused() {
             self.context.node.run(|node, now, _| node.record_link_connection(&order.target, now));
@@ -560,15 +562,6 @@
     }
 }
 
-/// How a fault of a connection to a target ends an attempt.
-fn fault_end(fault: &ExchangeFault) -> AttemptEnd {
-    match fault {
-        ExchangeFault::Call(CallFault::NotSent(_)) => AttemptEnd::NotSent,
-        ExchangeFault::Call(CallFault::Broken(_) | CallFault::TimedOut) => AttemptEnd::Broken,
-        ExchangeFault::Silent => AttemptEnd::Silent,
-    }
-}
-
 /// Whether callers conclude from a status that the request has not run.
 fn implies_not_run(status: StatusCode) -> bool {
     matches!(
--- a/crates/tarragon-gateway/src/forward/relayed.rs
+++ b/crates/tarragon-gateway/src/forward/relayed.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use http::{HeaderName, header};
-use tarragon_fleet::{link::LossCause, prelude::*};
+use tarragon_fleet::{
+    link::{ConnectFault, LossCause, PeerFinding},
+    prelude::*,
+};
 use tarragon_server::{
     request::{AttemptReport, DispatchOrder},
     target::pool::{CallFault, TargetConnection},
@@ -38,12 +41,28 @@
 where
     D: CallProtocol,
 {
-    /// Has peers carry an attempt, one after the other until one of them has sent it. `loss` tells why the link
-    /// counts as lost if a peer reaches the target.
+    /// Ends an attempt whose connection to the target has failed, or has peers carry it if they reach the target.
+    pub(super) async fn attempt_after_fault(
+        &mut self,
+        order: &DispatchOrder,
+        fault: ConnectFault,
+    ) -> AttemptReport<ForwardAnswer> {
+        let (target, service) = (&order.target, &self.call.routed.service);
+        if self.context.node.view(|node| node.may_send(target, service)).is_none() {
+            return AttemptReport::Ended(AttemptEnd::NotSent);
+        }
+        let verdict = check_failed_link(self.context, target, service, &self.call.tag, fault).await;
+        match verdict {
+            LinkVerdict::Lost => self.attempt_over_peers(order).await,
+            LinkVerdict::Sound => AttemptReport::Ended(AttemptEnd::NotSent),
+            LinkVerdict::Unknown => AttemptReport::Ended(AttemptEnd::Unreached),
+        }
+    }
+
+    /// Has peers carry an attempt, one after the other until one of them has sent it.
     pub(super) async fn attempt_over_peers(
         &mut self,
         order: &DispatchOrder,
-        loss: Option<LossCause>,
     ) -> AttemptReport<ForwardAnswer> {
         let (mut asked, mut unreaching) = (Vec::new(), 0);
         while asked.len() < MAX_ASKED_PEERS && unreaching < MAX_UNREACHING_PEERS {
@@ -51,7 +70,7 @@
             let choice = self.context.relays.choose(self.context, &asked, unreaching > 0);
             let Some(slot) = choice else { break };
             asked.push(slot.peer());
-            match self.attempt_over(order, slot, loss).await {
+            match self.attempt_over(order, slot).await {
                 RelayStep::Ended(report) => return report,
                 RelayStep::Unreachable => unreaching += 1,
                 RelayStep::Declined => {}
@@ -68,12 +87,7 @@
         AttemptReport::Ended(end)
     }
 
-    async fn attempt_over(
-        &mut self,
-        order: &DispatchOrder,
-        slot: PeerSlot,
-        loss: Option<LossCause>,
-    ) -> RelayStep {
+    async fn attempt_over(&mut self, order: &DispatchOrder, slot: PeerSlot) -> RelayStep {
         let ended = |end| RelayStep::Ended(AttemptReport::Ended(end));
         let connection = match self.connect_to_peer(&slot).await {
             Ok(connection) => connection,
@@ -148,9 +162,6 @@
             matches!(outcome, Some(RelayOutcome::Answered | RelayOutcome::AnsweredUnframed));
         match (outcome, answer) {
             (Some(outcome), Some(answer)) if is_answered => {
-                if let Some(cause) = loss {
-                    self.record_loss(order, cause);
-                }
                 let answer = relayed_answer(answer, slot, outcome);
                 let report = self.handle_answer(order, &grant, answer).await;
                 // The peer may have ended, or lost its link, in the middle of the answer.
@@ -196,10 +207,6 @@
         }
     }
 
-    fn record_loss(&self, order: &DispatchOrder, cause: LossCause) {
-        record_loss(self.context, &order.target, cause);
-    }
-
     /// Finds out whether an attempt broke at its target, or because this process has lost its link to it: then it
     /// says nothing about the target.
     pub(super) async fn judge_break(&self, order: &DispatchOrder) -> AttemptEnd {
@@ -252,12 +259,72 @@
 where
     D: CallProtocol,
 {
-    if context.node.view(|node| node.links().is_lost(target)) {
-        return LinkVerdict::Lost;
+    let lock = context.relays.check_lock(target);
+    let _held = lock.lock().await;
+    if let Some(verdict) = known_verdict(context, target, ConnectFault::Other) {
+        return verdict;
+    }
+    match probe_link(context, target).await {
+        Ok(()) => LinkVerdict::Sound,
+        Err(_) => ask_peers(context, target, service, tag, LossCause::Broken).await,
     }
-    if probe_link(context, target).await.is_ok() {
-        return LinkVerdict::Sound;
+}
+
+/// Asks peers about a target to which a connection has failed, unless it is known what they would tell.
+async fn check_failed_link<D>(
+    context: &GatewayContext<D>,
+    target: &TargetName,
+    service: &ServiceName,
+    tag: &str,
+    fault: ConnectFault,
+) -> LinkVerdict
+where
+    D: CallProtocol,
+{
+    let lock = context.relays.check_lock(target);
+    let _held = lock.lock().await;
+    match known_verdict(context, target, fault) {
+        Some(verdict) => verdict,
+        None => ask_peers(context, target, service, tag, LossCause::ConnectFailed).await,
     }
+}
+
+/// What is known of the link to a target after a connection to it has failed.
+fn known_verdict<D>(
+    context: &GatewayContext<D>,
+    target: &TargetName,
+    fault: ConnectFault,
+) -> Option<LinkVerdict> {
+    context.node.run(|node, now, _| {
+        if node.links().is_lost(target) {
+            return Some(LinkVerdict::Lost);
+        }
+        let (finding, age) = node.peer_finding(target, fault, now)?;
+        tracing::debug!(
+            target_address = &**target,
+            fault = fault.name(),
+            finding = finding.name(),
+            age_ms = age.as_millis() as u64,
+            "peers are not asked again about the target"
+        );
+        Some(match finding {
+            PeerFinding::Unreached => LinkVerdict::Sound,
+            PeerFinding::Unknown => LinkVerdict::Unknown,
+        })
+    })
+}
+
+/// Asks peers whether they can connect to a target to which this process can't.
+async fn ask_peers<D>(
+    context: &GatewayContext<D>,
+    target: &TargetName,
+    service: &ServiceName,
+    tag: &str,
+    cause: LossCause,
+) -> LinkVerdict
+where
+    D: CallProtocol,
+{
     let Some(grant) = context.node.view(|node| node.may_send(target, service)) else {
         return LinkVerdict::Unknown;
     };
@@ -273,6 +340,7 @@
     };
     let (mut asked, mut unreaching) = (Vec::new(), 0);
     while asked.len() < MAX_ASKED_PEERS && unreaching < MAX_UNREACHING_PEERS {
+        // Peers beside this process may have lost the same links a moment ago.
         let choice = context.relays.choose(context, &asked, !asked.is_empty());
         let Some(slot) = choice else { break };
         if context.node.view(|node| node.links().is_lost(target)) {
@@ -281,14 +349,28 @@
         asked.push(slot.peer());
         match ask_reach(context, &slot, &question).await {
             RelayOutcome::Answered | RelayOutcome::AnsweredUnframed => {
-                record_loss(context, target, LossCause::Broken);
+                record_loss(context, target, cause);
                 return LinkVerdict::Lost;
             }
             RelayOutcome::Unreachable => unreaching += 1,
             _ => {}
         }
     }
-    if unreaching > 0 { LinkVerdict::Sound } else { LinkVerdict::Unknown }
+    let (finding, verdict) = match unreaching {
+        0 => (PeerFinding::Unknown, LinkVerdict::Unknown),
+        _ => (PeerFinding::Unreached, LinkVerdict::Sound),
+    };
+    context.node.run(|node, now, _| {
+        node.record_peer_finding(target, grant.restart, finding, now);
+    });
+    tracing::info!(
+        request = tag,
+        target_address = &**target,
+        asked = asked.len(),
+        unreaching,
+        "no peer reaches the target"
+    );
+    verdict
 }
 
 /// Records that the link to a target is lost, and closes the idle connections over it.
--- a/crates/tarragon-gateway/src/relay.rs
+++ b/crates/tarragon-gateway/src/relay.rs
@@ -7,7 +7,7 @@
 use std::{
     io,
     net::{IpAddr, SocketAddr},
-    sync::{Arc, atomic::AtomicUsize},
+    sync::{Arc, Weak, atomic::AtomicUsize},
     time::Duration,
 };
 
@@ -21,7 +21,7 @@
     target::pool::{CallBody, ConnectionPool, TargetDialer},
 };
 use tokio::{
-    sync::Semaphore,
+    sync::{Mutex, Semaphore},
     time::{Instant, sleep},
 };
 
@@ -143,6 +143,8 @@
     pub carried: Arc<AtomicUsize>,
     /// Held while a peer is asked about a link of this process that failed for another peer.
     asking: Arc<Semaphore>,
+    /// Locks of the checks under way, by target.
+    checks: Arc<Guarded<IndexMap<TargetName, Weak<Mutex<()>>>>>,
     peers: Arc<Guarded<PeerUse>>,
 }
 
@@ -152,6 +154,7 @@
             pool: ConnectionPool::default(),
             carried: Arc::default(),
             asking: Arc::new(Semaphore::new(1)),
+            checks: Arc::default(),
             peers: Arc::default(),
         }
     }
@@ -198,6 +201,20 @@
         RelayLink { pool, ..RelayLink::default() }
     }
 
+    /// The lock that is held while the link to a target is checked: the end of a target breaks many calls at once,
+    /// and one of them asks peers for all.
+    pub fn check_lock(&self, target: &TargetName) -> Arc<Mutex<()>> {
+        self.checks.with(|checks| {
+            if let Some(lock) = checks.get(target).and_then(Weak::upgrade) {
+                return lock;
+            }
+            checks.retain(|_, lock| lock.strong_count() > 0);
+            let lock = Arc::default();
+            checks.insert(target.clone(), Arc::downgrade(&lock));
+            lock
+        })
+    }
+
     /// A peer to carry an attempt: of two at random that fit best, the one that carries less. None of `asked`; peers of other data
     /// centres first with `prefers_far`.
     pub fn choose<D>(
