Log suspicions that hold nothing back at debug

58,600 lines "suspicion of crashing targets has changed" were written for 453 causes, since a crash makes each request and prompt part that ran at the target a suspect. Only changes that start, end or change holding or refusing requests are now logged at info.

--- a/crates/tarragon-scheduler/src/scheduler/report.rs
+++ b/crates/tarragon-scheduler/src/scheduler/report.rs
@@ -162,19 +162,10 @@
         actions: &mut Vec<SchedulerAction>,
     ) {
         for change in self.suspects.assess_changes(due, now) {
-            let SuspicionChange { before, after, entry } = change;
-            tracing::info!(
-                cause = %entry.cause,
-                ?before,
-                ?after,
-                crashes = entry.crashes.len(),
-                confirmed = entry.crashes.iter().filter(|sighting| sighting.confirmed).count(),
-                age_ms = entry.age_ms,
-                finished_after_ms = entry.finished_after_ms,
-                told_by_peer = told.is_some_and(|told| told.cause == entry.cause),
-                "suspicion of crashing targets has changed"
-            );
-            let is_known = told.is_some_and(|told| told.cause == entry.cause && told.convicted);
+            let is_told = told.is_some_and(|told| told.cause == change.entry.cause);
+            log_change(&change, is_told);
+            let SuspicionChange { after, entry, .. } = change;
+            let is_known = is_told && told.is_some_and(|told| told.convicted);
             let is_grave = match entry.cause {
                 SuspectCause::Request(_) => after == Suspicion::Convicted,
                 SuspectCause::Part(_) => after >= Suspicion::Held,
@@ -194,3 +185,25 @@
         actions.push(SchedulerAction::AnnounceSuspect(entry));
     }
 }
+
+/// Logs a change. A crash makes each request and prompt part that ran there a suspect, so that changes which hold
+/// nothing back are too many for the log at info.
+fn log_change(change: &SuspicionChange, told_by_peer: bool) {
+    let SuspicionChange { before, after, entry } = change;
+    macro_rules! log {
+        ($level:ident) => {
+            tracing::$level!(
+                cause = %entry.cause,
+                ?before,
+                ?after,
+                crashes = entry.crashes.len(),
+                confirmed = entry.crashes.iter().filter(|sighting| sighting.confirmed).count(),
+                age_ms = entry.age_ms,
+                finished_after_ms = entry.finished_after_ms,
+                told_by_peer,
+                "suspicion of crashing targets has changed"
+            )
+        };
+    }
+    if change.affects_service() { log!(info) } else { log!(debug) }
+}
--- a/crates/tarragon-scheduler/src/suspect.rs
+++ b/crates/tarragon-scheduler/src/suspect.rs
@@ -93,6 +93,13 @@
     pub entry: SuspectEntry,
 }
 
+impl SuspicionChange {
+    /// Whether requests with the cause are held or refused from now on, or no longer.
+    pub fn affects_service(&self) -> bool {
+        self.before.max(self.after) >= Suspicion::Held
+    }
+}
+
 /// Crash histories by cause.
 #[derive(Debug, Default)]
 pub struct SuspectTable {
