Explain requests at processes that read a shared store

`tarragonfront explain` could ask only the administration interface of the project's own API. The metrics listener of the gateway has a page `explain` now; other paths stay the metrics page. It shows route, workspace, service, tier, rank, quota, candidates with expected times, the reason of each exclusion, and the refusal with its retry time, if any. The scheduler's explanation has that refusal, too, also for the project's own API.

Checks of an arrival are shared with the real ones; the quota is charged to a copy.

--- a/crates/tarragon-command/src/admin_client.rs
+++ b/crates/tarragon-command/src/admin_client.rs
@@ -5,7 +5,7 @@
 use anyhow::{Context, bail};
 use bpaf::Bpaf;
 use http_body_util::{BodyExt, Empty, Limited};
-use hyper::{Method, Request, body::Bytes, header::AUTHORIZATION};
+use hyper::{HeaderMap, Method, Request, body::Bytes, header::AUTHORIZATION};
 use hyper_util::{client::legacy::Client, rt::TokioExecutor};
 use tarragon_config::{check::check_files, settings::SecretText};
 use tokio::time::timeout;
@@ -64,19 +64,35 @@
 
     /// Sends a request and returns the body of a successful answer.
     pub(crate) async fn call(&self, method: Method, path: &str) -> anyhow::Result<String> {
-        let whole = timeout(CALL_TIMEOUT, self.exchange(method, path)).await;
+        self.call_with(method, path, HeaderMap::new()).await
+    }
+
+    /// Sends a request with headers and returns the body of a successful answer.
+    pub(crate) async fn call_with(
+        &self,
+        method: Method,
+        path: &str,
+        headers: HeaderMap,
+    ) -> anyhow::Result<String> {
+        let whole = timeout(CALL_TIMEOUT, self.exchange(method, path, headers)).await;
         let address = self.address;
         whole.with_context(|| format!("{address} did not answer within {CALL_TIMEOUT:?}"))?
     }
 
-    async fn exchange(&self, method: Method, path: &str) -> anyhow::Result<String> {
+    async fn exchange(
+        &self,
+        method: Method,
+        path: &str,
+        headers: HeaderMap,
+    ) -> anyhow::Result<String> {
         let client = Client::builder(TokioExecutor::new()).build_http();
         let uri = format!("http://{}{path}", self.address);
         let mut request = Request::builder().method(method).uri(uri);
         if let Some(key) = &self.key {
             request = request.header(AUTHORIZATION, format!("Bearer {}", key.expose()));
         }
-        let request = request.body(Empty::<Bytes>::new())?;
+        let mut request = request.body(Empty::<Bytes>::new())?;
+        request.headers_mut().extend(headers);
         let unreachable = || format!("{} can't be reached", self.address);
         let response = client.request(request).await.with_context(unreachable)?;
         let status = response.status();
--- a/crates/tarragon-fleet/src/node.rs
+++ b/crates/tarragon-fleet/src/node.rs
@@ -2,6 +2,7 @@
 //! quotas.
 
 mod admit;
+mod explain;
 mod limits;
 mod links;
 mod origins;
@@ -10,6 +11,7 @@
 mod updates;
 
 pub use admit::{AdmissionRequest, wait_limit};
+pub use explain::{CallExplanation, QuotaExplanation};
 pub use links::{RelayCandidate, RelayOffer};
 pub use origins::stream_span;
 pub use updates::DigestFollowUp;
--- a/crates/tarragon-fleet/src/node/admit.rs
+++ b/crates/tarragon-fleet/src/node/admit.rs
@@ -157,7 +157,7 @@
         }
     }
 
-    fn peer_usage(
+    pub(super) fn peer_usage(
         &self,
         workspace: &str,
         terms: &WorkspaceConfiguration,
@@ -188,7 +188,10 @@
 }
 
 /// Units that a request costs: tokens, or 1 where requests are counted.
-fn request_units(terms: &WorkspaceConfiguration, generation: Option<&GenerationHead>) -> u64 {
+pub(super) fn request_units(
+    terms: &WorkspaceConfiguration,
+    generation: Option<&GenerationHead>,
+) -> u64 {
     match generation {
         _ if !terms.by_tokens => 1,
         Some(generation) => u64::from(generation.prompt_tokens) + u64::from(generation.max_tokens),
@@ -196,7 +199,7 @@
     }
 }
 
-fn request_profile(order: AdmissionRequest) -> RequestProfile {
+pub(super) fn request_profile(order: AdmissionRequest) -> RequestProfile {
     let AdmissionRequest { request, routed, arrived, deadline, fingerprint, generation, progress } =
         order;
     let route = &routed.route;
--- a/crates/tarragon-fleet/src/quota.rs
+++ b/crates/tarragon-fleet/src/quota.rs
@@ -38,7 +38,7 @@
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(250);
 
 /// Usage of one workspace in the sliding window, in time steps.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct UsageWindow {
     steps: VecDeque<(Instant, u64)>,
     sum: u64,
@@ -190,7 +190,7 @@
 }
 
 /// The units that this process has admitted, by workspace.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct QuotaLedger {
     bounds: QuotaBounds,
     /// Start of this process, as long as its usage before that is unknown. `None` on the first start of the
--- a/crates/tarragon-gateway/src/lib.rs
+++ b/crates/tarragon-gateway/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod context;
 pub mod events;
 pub mod evidence;
+pub mod explain;
 pub mod forward;
 pub mod listener;
 pub mod metrics;
--- a/crates/tarragon-gateway/src/serve.rs
+++ b/crates/tarragon-gateway/src/serve.rs
@@ -26,6 +26,7 @@
 use crate::{
     context::{ForwardLimits, GatewayContext},
     evidence::CacheEvidence,
+    explain::{EXPLAIN_PATH, explain_page},
     listener::{ListenerSignals, PageAnswer, listen, serve_page},
     metrics::GatewayMetrics,
     origins::{self, OriginLink},
@@ -40,6 +41,9 @@
 const QUEUE_LIMITS: SchedulerLimits =
     SchedulerLimits { waiting: 2_048, waiting_tokens: 32_000_000 };
 
+/// Media type of the metrics page.
+pub(crate) const METRICS_TYPE: &str = "text/plain; version=0.0.4";
+
 /// Options that tests override.
 #[derive(Debug, Clone)]
 pub struct GatewayOptions {
@@ -139,7 +143,7 @@
     let pages = context.clone();
     tokio::spawn(serve_page(
         metrics_listener,
-        move |message| metrics_page(pages.clone(), message),
+        move |message| observer_page(pages.clone(), message),
         abort,
     ));
     tracing::info!(
@@ -214,27 +218,32 @@
 async fn readiness_page<D>(context: Arc<GatewayContext<D>>) -> PageAnswer {
     let ready = context.node.view(FleetNode::is_ready);
     let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-    page(status, Bytes::new())
+    page(status, METRICS_TYPE, Bytes::new())
 }
 
-async fn metrics_page<D>(
-    context: Arc<GatewayContext<D>>,
-    _message: Request<Incoming>,
-) -> PageAnswer {
+/// The explanation of a request on its path, the metrics on any other.
+async fn observer_page<D>(context: Arc<GatewayContext<D>>, message: Request<Incoming>) -> PageAnswer
+where
+    D: CallProtocol,
+{
+    if message.uri().path() == EXPLAIN_PATH {
+        return explain_page(context, message).await;
+    }
     match context.metrics.encode() {
-        Ok(text) => page(StatusCode::OK, text.into()),
+        Ok(text) => page(StatusCode::OK, METRICS_TYPE, text.into()),
         Err(error) => {
             tracing::error!(%error, "failed to encode metrics");
-            page(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
+            page(StatusCode::INTERNAL_SERVER_ERROR, METRICS_TYPE, Bytes::new())
         }
     }
 }
 
-fn page(status: StatusCode, body: Bytes) -> PageAnswer {
+/// A page of a media type.
+pub(crate) fn page(status: StatusCode, media_type: &'static str, body: Bytes) -> PageAnswer {
     let mut answer = Response::new(Full::new(body));
     *answer.status_mut() = status;
-    let text = header::HeaderValue::from_static("text/plain; version=0.0.4");
-    answer.headers_mut().insert(header::CONTENT_TYPE, text);
+    let media_type = header::HeaderValue::from_static(media_type);
+    answer.headers_mut().insert(header::CONTENT_TYPE, media_type);
     answer
 }
 
--- a/crates/tarragon-scheduler/src/scheduler.rs
+++ b/crates/tarragon-scheduler/src/scheduler.rs
@@ -17,7 +17,7 @@
 mod tick;
 
 pub use dump::{SchedulerDump, TargetDump, WorkspaceDump};
-pub use explain::{ChoiceExplanation, TargetExplanation};
+pub use explain::{ChoiceExplanation, RefusalExplanation, TargetExplanation};
 pub use slot_needs::SlotUsage;
 
 use std::{
--- a/crates/tarragon-scheduler/src/scheduler/arrival.rs
+++ b/crates/tarragon-scheduler/src/scheduler/arrival.rs
@@ -101,7 +101,11 @@
     }
 
     /// Checks for reasons to refuse that don't depend on the load.
-    fn check_arrival(&mut self, profile: &RequestProfile, now: Instant) -> Result<(), Refusal> {
+    pub(super) fn check_arrival(
+        &self,
+        profile: &RequestProfile,
+        now: Instant,
+    ) -> Result<(), Refusal> {
         if self.draining {
             let refusal = Refusal::not_run(RefusalCode::ShuttingDown, "the process shuts down");
             return Err(refusal.with_retry_after(RETRY_AFTER));
@@ -243,7 +247,7 @@
     }
 
     /// Refuses a job that would wait too long.
-    fn check_wait(&self, job: &Job, now: Instant) -> Result<(), Refusal> {
+    pub(super) fn check_wait(&self, job: &Job, now: Instant) -> Result<(), Refusal> {
         let (wait, message) = match self.targets.pool(job.pool).forecast {
             Some(forecast) => {
                 let ahead = forecast.delaying(self.waiting_ahead(job));
--- a/crates/tarragon-scheduler/src/scheduler/explain.rs
+++ b/crates/tarragon-scheduler/src/scheduler/explain.rs
@@ -36,10 +36,30 @@
     pub chosen: Option<TargetName>,
     /// Why this target, or why none.
     pub reason: String,
+    /// How it would be refused at once, if it would. Limits of the workspace and a full queue are left out.
+    pub refusal: Option<RefusalExplanation>,
     /// All targets of the service.
     pub targets: Vec<TargetExplanation>,
 }
 
+/// A refusal that a request would get.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct RefusalExplanation {
+    /// Human-readable cause.
+    pub message: String,
+    /// Milliseconds after which a retry makes sense.
+    pub retry_after_ms: Option<u64>,
+}
+
+impl From<Refusal> for RefusalExplanation {
+    fn from(refusal: Refusal) -> RefusalExplanation {
+        RefusalExplanation {
+            message: refusal.message,
+            retry_after_ms: refusal.retry_after.map(|delay| delay.as_millis() as u64),
+        }
+    }
+}
+
 /// How one target was rated for the request.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct TargetExplanation {
@@ -66,7 +86,11 @@
     pub fn explain(&self, profile: &RequestProfile, now: Instant) -> ChoiceExplanation {
         let pool = self.targets.find_pool(&profile.service);
         let policy = PolicyChoice::select(&self.rules, &profile.service);
-        let job = self.trial_job(profile, pool.unwrap_or(usize::MAX));
+        let mut job = self.trial_job(profile, pool.unwrap_or(usize::MAX));
+        let refusal = self.check_arrival(profile, now).and_then(|()| {
+            self.set_latest_start(&mut job, now);
+            self.check_wait(&job, now)
+        });
         let (_, suspicion) = self.suspects.check_request(profile, now);
         let suspect = suspicion == Suspicion::Suspect;
         let bounds = self.choice_bounds(suspect, now);
@@ -85,6 +109,7 @@
             ahead: self.ahead(profile.tier),
             reason: reason(profile, suspicion, floor, chosen, policy.choose.name),
             chosen: chosen.and_then(|chosen| Some(self.targets.row(chosen.target)?.name.clone())),
+            refusal: refusal.err().map(RefusalExplanation::from),
             targets,
         }
     }
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -34,6 +34,21 @@
         CallCase { arguments: &["serve", "no-such-file"], code: 1, output: "can't be read" },
         CallCase { arguments: &["dump"], code: 1, output: "name the process by --settings" },
         CallCase { arguments: &["demo", "--seconds", "100"], code: 1, output: "write 3 to 25" },
+        CallCase {
+            arguments: &["explain", "--metrics", "127.0.0.1:9"],
+            code: 1,
+            output: "name the request by --path PATH or --head FILE",
+        },
+        CallCase {
+            arguments: &["explain", "--metrics", "127.0.0.1:9", "--path", "/read/1"],
+            code: 1,
+            output: "127.0.0.1:9 can't be reached",
+        },
+        CallCase {
+            arguments: &["explain", "--address", "127.0.0.1:9"],
+            code: 1,
+            output: "name the workspace by --workspace NAME",
+        },
         CallCase { arguments: &["--help"], code: 0, output: "Available commands" },
     ];
     for CallCase { arguments, code, output } in cases {
--- a/tests/failed_requests.rs
+++ b/tests/failed_requests.rs
@@ -212,3 +212,27 @@
         assert!(waited.is_none_or(|waited| waited < 800), "{kind}: {trace_text}");
     }
 }
+
+/// Guards against an explanation that is missing for a process that reads a shared store, and one that shows a key.
+#[tokio::test]
+async fn a_request_is_explained_from_its_head() {
+    let target = || ScriptedTarget::start(vec![vec![]]);
+    let (ledger, engine) = (target().await.unwrap(), target().await.unwrap());
+    let process = ServedProcess::start("explain", &ledger, &engine).await;
+    let head = process.folder.join("head.txt");
+    std::fs::write(&head, request("POST", "/stream/1", "Token-Count: 70,30\n", "")).unwrap();
+    let metrics = SocketAddr::new(process.caller.ip(), 7_602).to_string();
+    let output = Command::new(env!("CARGO_BIN_EXE_tarragonfront"))
+        .args(["explain", "--metrics", &metrics, "--head"])
+        .arg(&head)
+        .output()
+        .unwrap();
+    let text = String::from_utf8(output.stdout).unwrap();
+    eprintln!("{text}");
+    assert!(output.status.success(), "{text}{}", String::from_utf8_lossy(&output.stderr));
+    let address = engine.address().to_string();
+    let expected = ["\"workspace\": \"depot\"", "\"units\": 100", "\"chosen\": \"", &address];
+    expected.iter().for_each(|expected| assert!(text.contains(expected), "{expected}: {text}"));
+    assert!(!text.contains(CALLER_KEY), "{text}");
+    assert_eq!(ledger.seen().len() + engine.seen().len(), 0);
+}
