Keep the table of log messages in step with the code

The table lists messages at info and above only, and the test of the table reads logging macros by their level.

--- a/crates/tarragon-scheduler/src/scheduler/report.rs
+++ b/crates/tarragon-scheduler/src/scheduler/report.rs
@@ -190,20 +190,26 @@
 /// nothing back are too many for the log at info.
 fn log_change(change: &SuspicionChange, told_by_peer: bool) {
     let SuspicionChange { before, after, entry } = change;
-    macro_rules! log {
-        ($level:ident) => {
-            tracing::$level!(
-                cause = %entry.cause,
-                ?before,
-                ?after,
-                crashes = entry.crashes.len(),
-                confirmed = entry.crashes.iter().filter(|sighting| sighting.confirmed).count(),
-                age_ms = entry.age_ms,
-                finished_after_ms = entry.finished_after_ms,
-                told_by_peer,
-                "suspicion of crashing targets has changed"
-            )
-        };
+    if !change.affects_service() {
+        tracing::debug!(
+            cause = %entry.cause,
+            ?before,
+            ?after,
+            crashes = entry.crashes.len(),
+            told_by_peer,
+            "suspicion of crashing targets has changed"
+        );
+        return;
     }
-    if change.affects_service() { log!(info) } else { log!(debug) }
+    tracing::info!(
+        cause = %entry.cause,
+        ?before,
+        ?after,
+        crashes = entry.crashes.len(),
+        confirmed = entry.crashes.iter().filter(|sighting| sighting.confirmed).count(),
+        age_ms = entry.age_ms,
+        finished_after_ms = entry.finished_after_ms,
+        told_by_peer,
+        "suspicion of crashing targets has changed"
+    );
 }
