--- a/crates/tarragon-fleet/src/node.rs
+++ b/crates/tarragon-fleet/src/node.rs
@@ -2,6 +2,7 @@
 //! quotas.
 
 mod admit;
+mod explain;
 mod lending;
 mod limits;
 mod links;
@@ -11,6 +12,7 @@
 mod updates;
 
 pub use admit::{AdmissionRequest, wait_limit};
+pub use explain::{CallExplanation, QuotaExplanation};
 pub use lending::LendingStatistics;
 pub use links::{RelayCandidate, RelayOffer};
 pub use origins::stream_span;
--- a/crates/tarragon-scheduler/src/scheduler/arrival.rs
+++ b/crates/tarragon-scheduler/src/scheduler/arrival.rs
@@ -103,7 +103,11 @@
     }
 
     /// Checks for reasons to refuse that don't depend on the load.
-    fn check_arrival(&mut self, profile: &RequestProfile, now: Instant) -> Result<(), Refusal> {
+    pub(super) fn check_arrival(
+        &self,
+        profile: &RequestProfile,
+        now: Instant,
+    ) -> Result<(), Refusal> {
         if self.draining {
             let refusal = Refusal::not_run(RefusalCode::ShuttingDown, "the process shuts down");
             return Err(refusal.with_retry_after(RETRY_AFTER));
@@ -254,6 +258,11 @@
             let tag = self.queue.new_tag(job);
             return Err(self.refusal_by_forecast(job, tag, &forecast, now));
         }
+        self.check_wait_by_tokens(job, now)
+    }
+
+    /// Refuses a job that would wait too long for the tokens that are processed before it.
+    pub(super) fn check_wait_by_tokens(&self, job: &Job, now: Instant) -> Result<(), Refusal> {
         let (wait, message) = match self.targets.pool(job.pool).forecast {
             Some(forecast) => {
                 let ahead = forecast.delaying(self.waiting_ahead(job));
