Keep a process within the memory and descriptors of its machine

Cause: bodies of callers and peers were bounded one by one, but not their sum, and connections were bounded by a constant, idle ones included. 60 clients with bodies of 4 MB took 268 MB.

Change: one account of memory from the new setting `memory_mb`, charged before bytes are read and for each connection, with reserved parts; what doesn't fit within 500 ms gets 503 with retry-after and has not run. Receive buffers are 64 KB. The bound on connections follows from `max_descriptors`; from three quarters on the process is not ready and closes connections that have been idle for longer than callers use them again. The tests' settings get the bounds that were fixed before.

--- a/crates/tarragon-config/src/settings/gateway.rs
+++ b/crates/tarragon-config/src/settings/gateway.rs
@@ -1,6 +1,6 @@
 //! Settings of a gateway process, which forwards calls from callers to the targets listed in a shared store.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, ops::RangeInclusive, time::Duration};
 
 use jsonc_parser::ast::Value;
 use tarragon_protocol::prelude::*;
@@ -49,6 +49,10 @@
     pub grace: Duration,
     /// Interval between two heartbeats of a target's registration.
     pub heartbeat: Duration,
+    /// Memory of the machine, in bytes. A process that exceeds it is killed.
+    pub memory_bytes: usize,
+    /// Most descriptors that the process may have open.
+    pub max_descriptors: usize,
     /// Limits that apply to the fleet as a whole.
     pub bounds: GatewayBounds,
 }
@@ -98,6 +102,15 @@
 /// Default of [`GatewaySettings::heartbeat`].
 const DEFAULT_HEARTBEAT: Duration = Duration::from_millis(1_200);
 
+/// Default of [`GatewaySettings::memory_bytes`], in MB.
+const DEFAULT_MEMORY_MB: f64 = 256.0;
+/// Default of [`GatewaySettings::max_descriptors`].
+const DEFAULT_MAX_DESCRIPTORS: f64 = 4_100.0;
+/// Values outside these ranges are taken as their ends: a process that doesn't start serves nobody.
+const MEMORY_RANGE_MB: RangeInclusive<f64> = 32.0..=1_048_576.0;
+/// Range of [`GatewaySettings::max_descriptors`].
+const DESCRIPTORS_RANGE: RangeInclusive<f64> = 128.0..=1_048_576.0;
+
 impl GatewaySettings {
     /// Address at which peers send digests.
     pub fn peer_address(&self) -> SocketAddr {
@@ -176,6 +189,9 @@
         let log_format = self.log_format();
         let grace = self.duration("grace_s", DEFAULT_GRACE);
         let heartbeat = self.milliseconds("heartbeat_ms", DEFAULT_HEARTBEAT);
+        let memory_mb = self.clamped("memory_mb", DEFAULT_MEMORY_MB, MEMORY_RANGE_MB);
+        let max_descriptors =
+            self.clamped("max_descriptors", DEFAULT_MAX_DESCRIPTORS, DESCRIPTORS_RANGE);
         let bounds = self.bounds();
         Some(GatewaySettings {
             vm: vm?,
@@ -189,6 +205,8 @@
             log_format,
             grace,
             heartbeat,
+            memory_bytes: (memory_mb as usize) << 20,
+            max_descriptors: max_descriptors as usize,
             bounds,
         })
     }
@@ -210,6 +228,10 @@
         address_value(self.document, value)
     }
 
+    fn clamped(&mut self, name: &'static str, default: f64, range: RangeInclusive<f64>) -> f64 {
+        self.non_negative(name, default).clamp(*range.start(), *range.end())
+    }
+
     fn milliseconds(&mut self, name: &'static str, default: Duration) -> Duration {
         let milliseconds = self.non_negative(name, default.as_secs_f64() * 1_000.0);
         Duration::from_secs_f64((milliseconds / 1_000.0).min(MAX_TIME_S))
--- a/crates/tarragon-gateway/src/caller.rs
+++ b/crates/tarragon-gateway/src/caller.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode, header};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use tarragon_fleet::{
     hash::update_field,
     node::{AdmissionRequest, stream_span, wait_limit},
@@ -14,8 +14,12 @@
 use tarragon_server::{
     caller::{
         answer::{AnswerBody, CallerAnswer, ErrorBody},
-        body::{BodyFault, BodyLimits, discard_body, read_body},
+        body::{
+            BodyFault, BodyLimits, BodyRoom, ChargedBody, SMALL_BODY_BYTES, discard_body,
+            discard_rest, read_charged_body,
+        },
     },
+    memory::{MemoryCharge, MemoryShare},
     process::Deadline,
     request::{RequestDriver, RequestEnd},
 };
@@ -28,6 +32,7 @@
     context::GatewayContext,
     evidence::find_build_by_part,
     forward::{ForwardAnswer, ForwardCall, ForwardRunner, whole_response},
+    listener::RECEIVE_BUFFER_BYTES,
     origins::{StreamLookup, find_build},
     platform::CallProtocol,
     shared_node::SharedNodeLink,
@@ -35,6 +40,14 @@
 
 /// Longest wait for the next part of a caller's body.
 const BODY_PART_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest wait for memory for a body. Nothing is read from the connection meanwhile.
+const MEMORY_WAIT: Duration = Duration::from_millis(500);
+/// Retry-after time of requests for whose bodies there is no memory. A body that stops is given up after
+/// [`BODY_PART_TIMEOUT`], so memory that untrusted clients hold is free by then or soon after.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(2);
+/// Longest time to read on from a refused body. A connection that is closed with unread bytes is reset, and the answer
+/// may be lost.
+const REFUSED_BODY_TIME: Duration = Duration::from_secs(1);
 /// Retry-after time for callers who take up a stream right after the start of a process, which has yet to hear
 /// from its peers.
 const ORIGIN_KNOWN_SOON: Duration = Duration::from_millis(500);
@@ -53,7 +66,7 @@
     D: CallProtocol,
 {
     let arrived = Instant::now();
-    let (head, body) = message.into_parts();
+    let (head, mut body) = message.into_parts();
     let (call_head, routed) = match route(&context, &head) {
         Ok(routed) => routed,
         Err(answer) => {
@@ -68,11 +81,13 @@
     let wait = wait_limit(&routed.route, call_head.time_left);
     let deadline = Deadline::after(&context.clock, wait);
     let limits = body_limits(context.caller_limits(), wait);
-    let body = match before_end(&context, &call_head.tag, read_body(body, limits)).await {
-        Ok(Ok(body)) => body,
-        Ok(Err(fault)) => return body_fault_answer(&context, &call_head.tag, fault),
-        Err(answer) => return *answer,
-    };
+    let expects_continue = head.headers.contains_key(header::EXPECT);
+    let received = receive_body(&context, &call_head.tag, &mut body, limits, expects_continue);
+    let ChargedBody { bytes: body, charge: memory } =
+        match before_end(&context, &call_head.tag, received).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(answer)) | Err(answer) => return *answer,
+        };
     watch.set_state(AnswerState::Waiting);
     let event_tokens = context.node.view(|node| {
         let terms = node.operator_state().service_configuration(&routed.service);
@@ -91,6 +106,7 @@
         path: head.uri,
         headers: head.headers,
         body,
+        memory,
         arrived,
         deadline,
         resume_after: call_head.resume_after,
@@ -249,10 +265,88 @@
     }
 }
 
+/// Receives the body of a request. If that fails, the answer tells why, and the connection is closed after it.
+async fn receive_body<D>(
+    context: &GatewayContext<D>,
+    tag: &str,
+    body: &mut Incoming,
+    limits: BodyLimits,
+    expects_continue: bool,
+) -> Result<ChargedBody, Box<CallerAnswer>>
+where
+    D: CallProtocol,
+{
+    // Reading on from a refused body asks a caller that has not sent it yet to do so.
+    let is_awaited = expects_continue && !body.is_end_stream();
+    let Ok(_unread) = charge_unread(context, body) else {
+        return Err(Box::new(memory_refusal(context, tag)));
+    };
+    let room = BodyRoom {
+        account: &context.memory,
+        share: MemoryShare::CallerBodies,
+        small_share: MemoryShare::SmallBodies,
+        wait: MEMORY_WAIT,
+    };
+    let fault = match read_charged_body(body, limits, room).await {
+        Ok(received) => return Ok(received),
+        Err(fault) => fault,
+    };
+    let answer = match fault {
+        BodyFault::NoRoom => memory_refusal(context, tag),
+        _ => body_fault_answer(context, tag, fault),
+    };
+    if matches!(fault, BodyFault::NoRoom | BodyFault::TooLarge) && !is_awaited {
+        discard_rest(body, limits.bytes, REFUSED_BODY_TIME).await;
+    }
+    Err(Box::new(answer))
+}
+
+/// Charges what the kernel may hold of a body that isn't read, or whose length isn't announced. The memory of other
+/// small bodies covers it.
+fn charge_unread<D>(
+    context: &GatewayContext<D>,
+    body: &Incoming,
+) -> Result<Option<MemoryCharge>, BodyFault> {
+    if body.size_hint().exact().is_some_and(|bytes| bytes <= SMALL_BODY_BYTES as u64) {
+        return Ok(None);
+    }
+    let charge = context.memory.try_charge(MemoryShare::Connections, RECEIVE_BUFFER_BYTES);
+    charge.map(Some).ok_or(BodyFault::NoRoom)
+}
+
+/// The answer to a request for whose body there is no memory.
+fn memory_refusal<D>(context: &GatewayContext<D>, tag: &str) -> CallerAnswer
+where
+    D: CallProtocol,
+{
+    let refusal = Refusal::not_run(RefusalCode::Shed, BodyFault::NoRoom.message())
+        .with_retry_after(MEMORY_RETRY_AFTER);
+    let used_mb = |share| context.memory.used(share) >> 20;
+    tracing::info!(
+        request = tag,
+        caller_mb = used_mb(MemoryShare::CallerBodies),
+        small_mb = used_mb(MemoryShare::SmallBodies),
+        peer_mb = used_mb(MemoryShare::PeerBodies),
+        answer_mb = used_mb(MemoryShare::Answers),
+        connection_mb = used_mb(MemoryShare::Connections),
+        "refused: no memory for the body"
+    );
+    let share = MemoryShare::CallerBodies.name();
+    context.metrics.memory_refusals.with_label_values(&[share]).inc();
+    context.metrics.count_answer("not_run", "memory");
+    closing(refusal_answer(context, &refusal))
+}
+
 fn body_fault_answer<D>(context: &GatewayContext<D>, tag: &str, fault: BodyFault) -> CallerAnswer {
     tracing::info!(request = tag, ?fault, "refused: request body could not be read");
     context.metrics.count_answer("not_run", "invalid_body");
-    text_answer(fault.status(), HeaderMap::new(), fault.message())
+    closing(text_answer(fault.status(), HeaderMap::new(), fault.message()))
+}
+
+/// Tells the caller that the connection is closed after the answer, since its body has not been read.
+fn closing(mut answer: CallerAnswer) -> CallerAnswer {
+    answer.headers_mut().insert(header::CONNECTION, header::HeaderValue::from_static("close"));
+    answer
 }
 
 /// Serves a call in a separate task. The returned future, or the body of a streamed answer, holds a guard
--- a/crates/tarragon-gateway/src/connection.rs
+++ b/crates/tarragon-gateway/src/connection.rs
@@ -46,10 +46,33 @@
     received: Instant,
 }
 
+/// Since when a connection has had no request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct IdleState {
+    /// When the last answer was complete, or the connection was accepted.
+    pub since: Instant,
+    /// Whether a request has come on it.
+    pub was_used: bool,
+}
+
+#[derive(Debug)]
+struct WatchState {
+    open: Option<OpenRequest>,
+    idle: IdleState,
+}
+
 /// Follows the current request of a connection. Clones follow the same one.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct ConnectionWatch {
-    open: Arc<Guarded<Option<OpenRequest>>>,
+    state: Arc<Guarded<WatchState>>,
+}
+
+impl Default for ConnectionWatch {
+    /// Watches a connection that has just been accepted.
+    fn default() -> ConnectionWatch {
+        let idle = IdleState { since: Instant::now(), was_used: false };
+        ConnectionWatch { state: Arc::new(Guarded::new(WatchState { open: None, idle })) }
+    }
 }
 
 impl ConnectionWatch {
@@ -57,22 +80,33 @@
     pub fn open_request(&self) {
         let received = Instant::now();
         let opened = OpenRequest { tag: String::new(), state: AnswerState::Reading, received };
-        self.open.with(|open| *open = Some(opened));
+        self.state.with(|state| {
+            state.open = Some(opened);
+            state.idle.was_used = true;
+        });
+    }
+
+    /// Since when there has been no request; `None` if there is one.
+    pub fn idle_state(&self) -> Option<IdleState> {
+        self.state.with(|state| state.open.is_none().then_some(state.idle))
     }
 
     /// The id of the request is known.
     pub fn set_tag(&self, tag: &str) {
-        self.open.with(|open| open.iter_mut().for_each(|open| open.tag = tag.to_owned()));
+        self.state.with(|state| state.open.iter_mut().for_each(|open| open.tag = tag.to_owned()));
     }
 
     /// The request has come so far.
     pub fn set_state(&self, state: AnswerState) {
-        self.open.with(|open| open.iter_mut().for_each(|open| open.state = state));
+        self.state.with(|watched| watched.open.iter_mut().for_each(|open| open.state = state));
     }
 
     /// The answer is complete.
     fn complete(&self) {
-        self.open.with(|open| *open = None);
+        self.state.with(|state| {
+            state.open = None;
+            state.idle.since = Instant::now();
+        });
     }
 }
 
@@ -184,7 +218,7 @@
 
 impl Drop for ConnectionReport {
     fn drop(&mut self) {
-        let Some(open) = self.watch.open.with(Option::take) else { return };
+        let Some(open) = self.watch.state.with(|state| state.open.take()) else { return };
         let (state, cause) = (open.state.name(), self.end.name());
         self.metrics.cut_requests.with_label_values(&[state, cause]).inc();
         let open_ms = open.received.elapsed().as_millis() as u64;
--- a/crates/tarragon-gateway/src/context.rs
+++ b/crates/tarragon-gateway/src/context.rs
@@ -6,6 +6,7 @@
 use tarragon_fleet::prelude::*;
 use tarragon_server::{
     clock::ProcessClock,
+    memory::MemoryAccount,
     process::RequestIds,
     target::{body::AnswerRoom, pool::ConnectionPool},
 };
@@ -13,8 +14,8 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
-    evidence::CacheEvidence, metrics::GatewayMetrics, origins::OriginLink, relay::RelayLink,
-    shared_node::SharedNode,
+    connections::ConnectionTable, evidence::CacheEvidence, metrics::GatewayMetrics,
+    origins::OriginLink, relay::RelayLink, shared_node::SharedNode,
 };
 
 /// Delay before a task that has panicked is started again, so that one that keeps failing uses little.
@@ -74,8 +75,12 @@
     pub clock: ProcessClock,
     /// Time limits.
     pub limits: ForwardLimits,
-    /// Memory budget for answers that are buffered.
+    /// Account of the memory that is held for callers, peers and answers.
+    pub memory: MemoryAccount,
+    /// Room in that account for answers that are buffered.
     pub answers: AnswerRoom,
+    /// Open connections of callers.
+    pub connections: Arc<ConnectionTable>,
     /// Generates the process's own ids of requests.
     pub ids: RequestIds,
     /// Tasks that shutdown waits for.
--- a/crates/tarragon-gateway/src/forward.rs
+++ b/crates/tarragon-gateway/src/forward.rs
@@ -12,6 +12,7 @@
 use tarragon_fleet::{link::LossCause, origin::StreamKey, prelude::*};
 use tarragon_server::{
     caller::answer::CallerAnswer,
+    memory::MemoryCharge,
     process::Deadline,
     request::{AttemptReport, AttemptRunner, DispatchOrder},
     target::{
@@ -59,6 +60,8 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
+    /// Memory of the body.
+    pub memory: MemoryCharge,
     /// When it arrived.
     pub arrived: Instant,
     /// When the caller stops waiting for the answer.
--- a/crates/tarragon-gateway/src/lib.rs
+++ b/crates/tarragon-gateway/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod caller;
 pub mod connection;
+pub mod connections;
 pub mod context;
 pub mod events;
 pub mod evidence;
--- a/crates/tarragon-gateway/src/listener.rs
+++ b/crates/tarragon-gateway/src/listener.rs
@@ -1,30 +1,38 @@
 //! Accepts connections of callers and serves HTTP/1.1 on them. Also serves the readiness page for the load
 //! balancer and the metrics page.
 
-use std::{convert::Infallible, future::Future, sync::Arc, time::Duration};
+use std::{convert::Infallible, future::Future, net::SocketAddr, sync::Arc, time::Duration};
 
+use anyhow::Context;
 use bytes::Bytes;
 use http::{Method, Request, Response};
 use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tarragon_server::caller::write_limit::WriteLimit;
+use tarragon_server::{caller::write_limit::WriteLimit, memory::MemoryShare};
 use tokio::{
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     sync::Semaphore,
-    time::timeout,
+    time::{Instant, sleep, timeout},
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
     caller,
     connection::{ConnectionEnd, ConnectionReport, ConnectionWatch, WatchedBody},
+    connections::{IdleBounds, OpenConnection},
     context::GatewayContext,
     platform::CallProtocol,
 };
 
-/// Most concurrent connections of callers, below the limit of file descriptors on a small VM.
-const MAX_CONNECTIONS: usize = 3_000;
+/// Memory of an open connection: its read buffer and its task.
+const CONNECTION_BYTES: usize = 12 << 10;
+/// Receive buffer of a socket. Without a bound, the kernel keeps megabytes of a body that isn't read.
+pub const RECEIVE_BUFFER_BYTES: usize = 64 << 10;
+/// Connections that wait to be accepted.
+const ACCEPT_BACKLOG: u32 = 1_024;
+/// Interval at which idle connections are closed while connections run low.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Most concurrent connections to one page.
 const MAX_PAGE_CONNECTIONS: usize = 32;
 /// Most headers of one request.
@@ -57,19 +65,67 @@
 ) where
     D: CallProtocol,
 {
-    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
-    while let Some((stream, permit)) = accept(&listener, &permits, &signals.close).await {
+    tokio::select! {
+        () = accept_callers(&listener, &context, &signals) => {}
+        () = close_idle_connections(&context) => {}
+    }
+}
+
+async fn accept_callers<D>(
+    listener: &TcpListener,
+    context: &Arc<GatewayContext<D>>,
+    signals: &ListenerSignals,
+) where
+    D: CallProtocol,
+{
+    let permits = Arc::new(Semaphore::new(context.connections.bounds().most));
+    loop {
+        let charge = tokio::select! {
+            biased;
+            () = signals.close.cancelled() => return,
+            charge = context.memory.charge(MemoryShare::Connections, CONNECTION_BYTES) => charge,
+        };
+        let Some((stream, permit)) = accept(listener, &permits, &signals.close).await else {
+            return;
+        };
+        let watch = ConnectionWatch::default();
+        let open = context.connections.open(watch.clone());
         let (context, signals) = (context.clone(), signals.clone());
         let tracker = signals.connections.clone();
         tracker.spawn(async move {
             context.metrics.connections.inc();
-            serve_connection(stream, &context, &signals).await;
+            serve_connection(stream, &context, &signals, watch, &open).await;
             context.metrics.connections.dec();
-            drop(permit);
+            drop((open, charge, permit));
         });
     }
 }
 
+/// Closes idle connections while connections run low.
+async fn close_idle_connections<D>(context: &GatewayContext<D>) {
+    loop {
+        sleep(IDLE_CHECK_INTERVAL).await;
+        let bounds = IdleBounds::of(&context.caller_limits());
+        let closed = context.connections.close_idle(bounds, Instant::now());
+        if closed > 0 {
+            context.metrics.idle_closed.inc_by(closed as u64);
+            tracing::info!(closed, "idle connections are closed, since connections run low");
+        }
+    }
+}
+
+/// Binds an address at which untrusted clients connect, with bounded receive buffers.
+pub fn bind_bounded(address: SocketAddr, name: &str) -> anyhow::Result<TcpListener> {
+    let bind = || {
+        let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+        socket.set_reuseaddr(true)?;
+        socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES as u32)?;
+        socket.bind(address)?;
+        socket.listen(ACCEPT_BACKLOG)
+    };
+    bind().with_context(|| format!("{name} {address} can't be bound"))
+}
+
 /// Accepts a connection as soon as there is a permit for it; `None` after `close` was cancelled.
 pub async fn accept(
     listener: &TcpListener,
@@ -99,6 +155,8 @@
     stream: TcpStream,
     context: &Arc<GatewayContext<D>>,
     signals: &ListenerSignals,
+    watch: ConnectionWatch,
+    open: &OpenConnection,
 ) where
     D: CallProtocol,
 {
@@ -115,7 +173,6 @@
         .max_headers(MAX_HEADERS)
         .max_buf_size(limits.header_bytes.max(MIN_HEADER_BUFFER_BYTES));
     let request_received = CancellationToken::new();
-    let watch = ConnectionWatch::default();
     let mut report = ConnectionReport::new(watch.clone(), context.metrics.clone());
     let service = service_fn(|message: Request<Incoming>| {
         request_received.cancel();
@@ -137,6 +194,7 @@
     };
     tokio::pin!(drain);
     let mut draining = false;
+    let mut closing = false;
     let ended = loop {
         tokio::select! {
             ended = connection.as_mut() => break ended,
@@ -144,6 +202,15 @@
                 report.end = ConnectionEnd::Aborted;
                 return;
             }
+            () = open.close.cancelled(), if !closing => {
+                // The HTTP library doesn't end a connection on which no request has come.
+                if watch.idle_state().is_some_and(|idle| !idle.was_used) {
+                    report.end = ConnectionEnd::TimedOut;
+                    return;
+                }
+                closing = true;
+                connection.as_mut().graceful_shutdown();
+            }
             () = &mut drain, if !draining => {
                 draining = true;
                 connection.as_mut().graceful_shutdown();
--- a/crates/tarragon-gateway/src/metrics.rs
+++ b/crates/tarragon-gateway/src/metrics.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
-    Registry, TextEncoder,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
 /// Bucket bounds of the histograms.
@@ -72,6 +72,12 @@
     pub unannounced_suspects: IntGauge,
     /// Streams that callers have taken up, by how the build that began them became known.
     pub take_ups: IntCounterVec,
+    /// Bytes that are charged to the memory account, by share.
+    pub memory_bytes: IntGaugeVec,
+    /// Bodies that were refused because there was no memory for them, by share.
+    pub memory_refusals: IntCounterVec,
+    /// Idle connections that were closed because connections ran low.
+    pub idle_closed: IntCounter,
 }
 
 impl GatewayMetrics {
@@ -159,6 +165,19 @@
                 "Streams that callers take up by how the build that began them is known",
                 &["source"],
             )?,
+            memory_bytes: IntGaugeVec::new(
+                Opts::new(metric_name("memory_bytes"), "Bytes that are charged, by share"),
+                &["share"],
+            )?,
+            memory_refusals: counter_vec(
+                "memory_refusals_total",
+                "Bodies that were refused because there was no memory for them",
+                &["share"],
+            )?,
+            idle_closed: IntCounter::new(
+                metric_name("idle_connections_closed_total"),
+                "Idle connections that were closed because connections ran low",
+            )?,
             registry,
         };
         metrics.register()?;
@@ -194,7 +213,10 @@
         registry.register(Box::new(self.limited_targets.clone()))?;
         registry.register(Box::new(self.suspects.clone()))?;
         registry.register(Box::new(self.unannounced_suspects.clone()))?;
-        registry.register(Box::new(self.take_ups.clone()))
+        registry.register(Box::new(self.take_ups.clone()))?;
+        registry.register(Box::new(self.memory_bytes.clone()))?;
+        registry.register(Box::new(self.memory_refusals.clone()))?;
+        registry.register(Box::new(self.idle_closed.clone()))
     }
 
     /// Encodes all metrics in the Prometheus text format.
--- a/crates/tarragon-gateway/src/relay/server.rs
+++ b/crates/tarragon-gateway/src/relay/server.rs
@@ -22,9 +22,10 @@
 use tarragon_fleet::prelude::*;
 use tarragon_server::{
     caller::{
-        body::{BodyLimits, read_body},
+        body::{BodyFault, BodyLimits, BodyRoom, ChargedBody, discard_rest, read_charged_body},
         write_limit::WriteLimit,
     },
+    memory::{MemoryCharge, MemoryShare},
     target::{
         metered::TargetBody,
         pool::{CallBody, CallFault, ConnectionPool, TargetConnection},
@@ -51,8 +52,8 @@
     shared_node::SharedNode,
 };
 
-/// Most connections of peers.
-const MAX_CONNECTIONS: usize = 512;
+/// Largest head of an attempt: that of a caller's request, and the description of the attempt.
+const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Most attempts of peers at once. The rest is declined, so that the peer asks another one.
 const MAX_CARRIED: usize = 256;
 /// Longest time that a connection of a peer is idle, above that for which peers use it.
@@ -79,7 +80,7 @@
 ) where
     D: CallProtocol,
 {
-    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    let permits = Arc::new(Semaphore::new(context.connections.bounds().peers));
     while let Some((stream, permit)) = accept(&listener, &permits, &signals.close).await {
         let (context, signals) = (context.clone(), signals.clone());
         let tracker = signals.connections.clone();
@@ -109,7 +110,7 @@
         async move { Ok::<_, Infallible>(answer_peer(&context, message, from).await) }
     });
     let mut builder = http1::Builder::new();
-    builder.timer(TokioTimer::new()).header_read_timeout(IDLE_TIME);
+    builder.timer(TokioTimer::new()).header_read_timeout(IDLE_TIME).max_buf_size(MAX_HEAD_BYTES);
     let stream = TokioIo::new(WriteLimit::new(stream, context.limits.caller_stall));
     let connection = builder.serve_connection(stream, service);
     tokio::pin!(connection);
@@ -179,7 +180,7 @@
     context: &Arc<GatewayContext<D>>,
     attempt: &RelayedAttempt,
     mut head: http::request::Parts,
-    body: Incoming,
+    mut body: Incoming,
     from: IpAddr,
 ) -> Result<(RelayOutcome, PeerAnswer), (RelayOutcome, &'static str)>
 where
@@ -187,7 +188,7 @@
 {
     let declined = |cause| (RelayOutcome::Declined, cause);
     let until = Instant::now() + Duration::from_millis(attempt.time_ms);
-    let slot = match attempt.is_question {
+    let mut slot = match attempt.is_question {
         true => None,
         false => Some(CarriedSlot::take(&context.relays).ok_or(declined("full"))?),
     };
@@ -211,10 +212,30 @@
         part: BODY_PART_TIMEOUT,
         whole: Duration::from_millis(attempt.time_ms),
     };
-    let body = tokio::select! {
-        body = read_body(body, limits) => body.map_err(|_| declined("body"))?,
+    // Another peer may have memory at once, so there is no wait.
+    let room = BodyRoom {
+        account: &context.memory,
+        share: MemoryShare::PeerBodies,
+        small_share: MemoryShare::PeerBodies,
+        wait: Duration::ZERO,
+    };
+    let read = tokio::select! {
+        read = read_charged_body(&mut body, limits, room) => read,
         () = context.ending.cancelled() => return Err(declined("process_ends")),
     };
+    let ChargedBody { bytes: body, charge } = match read {
+        Ok(read) => read,
+        Err(BodyFault::NoRoom) => {
+            context.metrics.memory_refusals.with_label_values(&[room.share.name()]).inc();
+            // The peer that still writes would take a reset connection for a lost attempt.
+            discard_rest(&mut body, limits.bytes, BODY_PART_TIMEOUT).await;
+            return Err(declined("memory"));
+        }
+        Err(_) => return Err(declined("body")),
+    };
+    if let Some(slot) = &mut slot {
+        slot.memory = Some(charge);
+    }
     let opened = if attempt.may_reuse && !attempt.is_question {
         context.pool.checkout(target, RELAY_CONNECT_LIMIT).await
     } else {
@@ -436,15 +457,16 @@
     }
 }
 
-/// Counts an attempt of a peer until the drop.
+/// Counts an attempt of a peer until the drop, and holds the memory of its body.
 struct CarriedSlot {
     relays: RelayLink,
+    memory: Option<MemoryCharge>,
 }
 
 impl CarriedSlot {
     fn take(relays: &RelayLink) -> Option<CarriedSlot> {
         let before = relays.carried.fetch_add(1, Ordering::Relaxed);
-        let slot = CarriedSlot { relays: relays.clone() };
+        let slot = CarriedSlot { relays: relays.clone(), memory: None };
         (before < MAX_CARRIED).then_some(slot)
     }
 }
--- a/crates/tarragon-gateway/src/serve.rs
+++ b/crates/tarragon-gateway/src/serve.rs
@@ -13,6 +13,7 @@
 use tarragon_server::{
     clock::{ProcessClock, SystemClock, now},
     guarded::Guarded,
+    memory::{AccountBounds, MemoryAccount, MemoryShare},
     process::RequestIds,
     serve::bind,
     target::{
@@ -24,9 +25,10 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
+    connections::{ConnectionBounds, ConnectionTable},
     context::{ForwardLimits, GatewayContext},
     evidence::CacheEvidence,
-    listener::{ListenerSignals, PageAnswer, listen, serve_page},
+    listener::{ListenerSignals, PageAnswer, bind_bounded, listen, serve_page},
     metrics::GatewayMetrics,
     origins::{self, OriginLink},
     peers,
@@ -86,7 +88,7 @@
     D: CallProtocol,
     S: PublishedStore,
 {
-    let caller_listener = bind(settings.caller_address, "caller_address").await?;
+    let caller_listener = bind_bounded(settings.caller_address, "caller_address")?;
     let ready_listener = bind(settings.ready_address, "ready_address").await?;
     let metrics_listener = bind(settings.metrics_address(), "peer_ports").await?;
     let peer_address = settings.peer_address();
@@ -98,7 +100,7 @@
         .await
         .with_context(|| format!("peer_ports: {origin_address} can't be bound"))?;
     let relay_listener = match settings.relay_address() {
-        Some(address) => Some(bind(address, "peer_ports").await?),
+        Some(address) => Some(bind_bounded(address, "peer_ports")?),
         None => {
             tracing::warn!("peer_ports has no port for attempts of peers; none are taken or sent");
             None
@@ -107,6 +109,8 @@
     let caller_address = caller_listener.local_addr()?;
     let node =
         FleetNode::new(node_settings(&settings), options.seed.unwrap_or_else(rand::random), now());
+    let memory = MemoryAccount::new(AccountBounds::for_memory(settings.memory_bytes));
+    let connection_bounds = ConnectionBounds::for_descriptors(settings.max_descriptors);
     let context = Arc::new(GatewayContext {
         protocol,
         node: Arc::new(SharedNode::new(node)),
@@ -117,7 +121,9 @@
         metrics: GatewayMetrics::new()?,
         clock: options.clock,
         limits: options.limits,
-        answers: AnswerRoom::default(),
+        answers: AnswerRoom::new(memory.clone()),
+        memory,
+        connections: ConnectionTable::new(connection_bounds),
         ids: RequestIds::new(rand::random()),
         tasks: TaskTracker::new(),
         ending: CancellationToken::new(),
@@ -212,7 +218,7 @@
 }
 
 async fn readiness_page<D>(context: Arc<GatewayContext<D>>) -> PageAnswer {
-    let ready = context.node.view(FleetNode::is_ready);
+    let ready = context.node.view(FleetNode::is_ready) && !context.connections.is_low();
     let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
     page(status, Bytes::new())
 }
@@ -221,6 +227,10 @@
     context: Arc<GatewayContext<D>>,
     _message: Request<Incoming>,
 ) -> PageAnswer {
+    for share in MemoryShare::ALL {
+        let used = i64::try_from(context.memory.used(share)).unwrap_or(i64::MAX);
+        context.metrics.memory_bytes.with_label_values(&[share.name()]).set(used);
+    }
     match context.metrics.encode() {
         Ok(text) => page(StatusCode::OK, text.into()),
         Err(error) => {
--- a/crates/tarragon-server/src/lib.rs
+++ b/crates/tarragon-server/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod clock;
 pub mod explain;
 pub mod guarded;
+pub mod memory;
 pub mod metrics;
 pub mod node_task;
 pub mod peer;
--- a/crates/tarragon-server/src/target/body.rs
+++ b/crates/tarragon-server/src/target/body.rs
@@ -1,21 +1,17 @@
 //! Reads the body of a target's answer whole.
 
-use std::{future::Future, sync::Arc, time::Duration};
+use std::{future::Future, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Response, StatusCode, header};
 use http_body_util::BodyExt;
 use hyper::body::Frame;
-use tokio::{
-    sync::{Semaphore, SemaphorePermit},
-    time::timeout,
-};
-
-use crate::target::metered::TargetBody;
+use tokio::time::timeout;
 
-/// Bytes of all answers that are being read whole. The smallest VMs have 160 MB, and a target may send bytes
-/// without end to each of its callers.
-const ROOM_BYTES: usize = 32 << 20;
+use crate::{
+    memory::{MemoryAccount, MemoryCharge, MemoryShare},
+    target::metered::TargetBody,
+};
 
 /// Why a body is not whole.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -54,19 +50,19 @@
     }
 }
 
-/// Room for the bytes of all answers that are read whole at once.
+/// Room for the bytes of all answers that are read whole at once. A target may send bytes without end to each of its
+/// callers.
 #[derive(Debug, Clone)]
 pub struct AnswerRoom {
-    free: Arc<Semaphore>,
+    account: MemoryAccount,
 }
 
-impl Default for AnswerRoom {
-    fn default() -> AnswerRoom {
-        AnswerRoom { free: Arc::new(Semaphore::new(ROOM_BYTES)) }
+impl AnswerRoom {
+    /// Room in the answers' share of an account.
+    pub fn new(account: MemoryAccount) -> AnswerRoom {
+        AnswerRoom { account }
     }
-}
 
-impl AnswerRoom {
     /// Reads a body like [`collect_body`], as long as there is room.
     pub async fn collect(
         &self,
@@ -82,15 +78,16 @@
     where
         S: FrameSource,
     {
-        let mut held: Option<SemaphorePermit<'_>> = None;
+        let mut held: Option<MemoryCharge> = None;
         let take = |bytes: usize| {
-            let count = u32::try_from(bytes).map_err(|_| AnswerFault::TooLarge)?;
-            let part = self.free.try_acquire_many(count).map_err(|_| AnswerFault::NoRoom)?;
-            match &mut held {
-                Some(held) => held.merge(part),
-                None => held = Some(part),
-            }
-            Ok(())
+            let fits = match &mut held {
+                Some(held) => held.try_grow(bytes),
+                None => {
+                    held = self.account.try_charge(MemoryShare::Answers, bytes);
+                    held.is_some()
+                }
+            };
+            if fits { Ok(()) } else { Err(AnswerFault::NoRoom) }
         };
         collect_parts(source, limit, take).await
     }
--- a/tests/untrusted_clients.rs
+++ b/tests/untrusted_clients.rs
@@ -90,6 +90,7 @@
             "caller_address": address(CALLER_PORT), "ready_address": address(7_599),
             "peer_ports": [7_600, 7_615], "seeds": [], "store_address": store.address(),
             "first_start": true, "log_format": "json", "grace_s": 4.0,
+            "memory_mb": MEMORY_MB, "max_descriptors": MAX_DESCRIPTORS,
         });
         let settings_file = folder.join("settings.jsonc");
         std::fs::write(&settings_file, settings.to_string()).unwrap();
