--- a/crates/tarragon-config/tests/settings.rs
+++ b/crates/tarragon-config/tests/settings.rs
@@ -143,6 +143,39 @@
     assert!(!is_gateway_settings(&example));
 }
 
+struct MachineCase {
+    added: &'static str,
+    memory_mb: usize,
+    descriptors: usize,
+}
+
+/// Guards against a process that doesn't start, or can't serve, because of what the platform tells of its machine.
+#[test]
+fn limits_of_the_machine_are_taken_or_have_defaults() {
+    let cases = [
+        MachineCase { added: "", memory_mb: 256, descriptors: 4_100 },
+        MachineCase {
+            added: "\"memory_mb\": 160, \"max_descriptors\": 1024,",
+            memory_mb: 160,
+            descriptors: 1_024,
+        },
+        MachineCase {
+            added: "\"memory_mb\": 511.5, \"max_descriptors\": 0,",
+            memory_mb: 511,
+            descriptors: 128,
+        },
+        MachineCase { added: "\"memory_mb\": 1,", memory_mb: 32, descriptors: 4_100 },
+    ];
+    for MachineCase { added, memory_mb, descriptors } in cases {
+        let text = GATEWAY.replacen('{', &format!("{{{added}"), 1);
+        let (settings, findings) = parse_gateway_settings("settings", &text);
+        assert_eq!(findings, FindingList::default(), "{added}");
+        let settings = settings.unwrap();
+        assert_eq!(settings.memory_bytes, memory_mb << 20, "{added}");
+        assert_eq!(settings.max_descriptors, descriptors, "{added}");
+    }
+}
+
 struct GatewayFaultCase {
     old: &'static str,
     new: &'static str,
