--- a/crates/tarragon-gateway/src/metrics.rs
+++ b/crates/tarragon-gateway/src/metrics.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
-    Registry, TextEncoder,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
 use tarragon_fleet::{
     node::LendingStatistics,
@@ -84,6 +84,12 @@
     pub forecast_refusals: IntCounterVec,
     /// Refused requests that came back, by whether they did so as told.
     pub returned_requests: IntCounterVec,
+    /// Bytes that are charged to the memory account, by share.
+    pub memory_bytes: IntGaugeVec,
+    /// Bodies that were refused because there was no memory for them, by share.
+    pub memory_refusals: IntCounterVec,
+    /// Idle connections that were closed because connections ran low.
+    pub idle_closed: IntCounter,
 }
 
 impl GatewayMetrics {
@@ -190,6 +196,19 @@
                 "Requests that came back after such a refusal",
                 &["kind"],
             )?,
+            memory_bytes: IntGaugeVec::new(
+                Opts::new(metric_name("memory_bytes"), "Bytes that are charged, by share"),
+                &["share"],
+            )?,
+            memory_refusals: counter_vec(
+                "memory_refusals_total",
+                "Bodies that were refused because there was no memory for them",
+                &["share"],
+            )?,
+            idle_closed: IntCounter::new(
+                metric_name("idle_connections_closed_total"),
+                "Idle connections that were closed because connections ran low",
+            )?,
             registry,
         };
         metrics.register()?;
@@ -229,7 +248,10 @@
         registry.register(Box::new(self.slot_loans.clone()))?;
         registry.register(Box::new(self.take_ups.clone()))?;
         registry.register(Box::new(self.forecast_refusals.clone()))?;
-        registry.register(Box::new(self.returned_requests.clone()))
+        registry.register(Box::new(self.returned_requests.clone()))?;
+        registry.register(Box::new(self.memory_bytes.clone()))?;
+        registry.register(Box::new(self.memory_refusals.clone()))?;
+        registry.register(Box::new(self.idle_closed.clone()))
     }
 
     /// Encodes all metrics in the Prometheus text format.
--- a/crates/tarragon-gateway/src/serve.rs
+++ b/crates/tarragon-gateway/src/serve.rs
@@ -13,6 +13,7 @@
 use tarragon_server::{
     clock::{ProcessClock, SystemClock, now},
     guarded::Guarded,
+    memory::{AccountBounds, MemoryAccount, MemoryShare},
     process::RequestIds,
     serve::bind,
     target::{
@@ -24,11 +25,12 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
+    connections::{ConnectionBounds, ConnectionTable},
     context::{ForwardLimits, GatewayContext},
     evidence::CacheEvidence,
     explain::{EXPLAIN_PATH, explain_page},
     lending::{self, LendingSender},
-    listener::{ListenerSignals, PageAnswer, listen, serve_page},
+    listener::{ListenerSignals, PageAnswer, bind_bounded, listen, serve_page},
     metrics::GatewayMetrics,
     origins::{self, OriginLink},
     peers,
@@ -91,7 +93,7 @@
     D: CallProtocol,
     S: PublishedStore,
 {
-    let caller_listener = bind(settings.caller_address, "caller_address").await?;
+    let caller_listener = bind_bounded(settings.caller_address, "caller_address")?;
     let ready_listener = bind(settings.ready_address, "ready_address").await?;
     let metrics_listener = bind(settings.metrics_address(), "peer_ports").await?;
     let peer_address = settings.peer_address();
@@ -103,7 +105,7 @@
         .await
         .with_context(|| format!("peer_ports: {origin_address} can't be bound"))?;
     let relay_listener = match settings.relay_address() {
-        Some(address) => Some(bind(address, "peer_ports").await?),
+        Some(address) => Some(bind_bounded(address, "peer_ports")?),
         None => {
             tracing::warn!("peer_ports has no port for attempts of peers; none are taken or sent");
             None
@@ -123,6 +125,8 @@
     if lending_sender.is_some() {
         node.open_lending();
     }
+    let memory = MemoryAccount::new(AccountBounds::for_memory(settings.memory_bytes));
+    let connection_bounds = ConnectionBounds::for_descriptors(settings.max_descriptors);
     let context = Arc::new(GatewayContext {
         protocol,
         node: Arc::new(SharedNode::new(node, lending_sender)),
@@ -133,7 +137,9 @@
         metrics: GatewayMetrics::new()?,
         clock: options.clock,
         limits: options.limits,
-        answers: AnswerRoom::default(),
+        answers: AnswerRoom::new(memory.clone()),
+        memory,
+        connections: ConnectionTable::new(connection_bounds),
         ids: RequestIds::new(rand::random()),
         tasks: TaskTracker::new(),
         ending: CancellationToken::new(),
@@ -244,7 +250,7 @@
 }
 
 async fn readiness_page<D>(context: Arc<GatewayContext<D>>) -> PageAnswer {
-    let ready = context.node.view(FleetNode::is_ready);
+    let ready = context.node.view(FleetNode::is_ready) && !context.connections.is_low();
     let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
     page(status, METRICS_TYPE, Bytes::new())
 }
@@ -257,6 +263,10 @@
     if message.uri().path() == EXPLAIN_PATH {
         return explain_page(context, message).await;
     }
+    for share in MemoryShare::ALL {
+        let used = i64::try_from(context.memory.used(share)).unwrap_or(i64::MAX);
+        context.metrics.memory_bytes.with_label_values(&[share.name()]).set(used);
+    }
     match context.metrics.encode() {
         Ok(text) => page(StatusCode::OK, METRICS_TYPE, text.into()),
         Err(error) => {
