--- a/crates/tarragon-fleet/src/member.rs
+++ b/crates/tarragon-fleet/src/member.rs
@@ -572,6 +572,11 @@
         near.filter(|(address, _)| weight(**address, key) < own).count()
     }
 
+    /// Whether the own data centre has so many peers that digests go to them in rotation.
+    pub fn rotates_near_peers(&self) -> bool {
+        self.near_count() > NEAR_FANOUT
+    }
+
     /// Whether this process has heard from all processes that its peers have heard from.
     pub fn has_met_all(&self) -> bool {
         self.met() >= self.most_met
--- a/crates/tarragon-fleet/src/node/lending.rs
+++ b/crates/tarragon-fleet/src/node/lending.rs
@@ -1,8 +1,8 @@
 //! Slots of targets that are divided among the processes of a data centre, and their loans between processes.
 //!
-//! Where a data centre has more processes than a target has slots, digests are too old to show which slots are free:
-//! several processes would use the same one, and urgent work would wait inside the target behind other work. Each
-//! slot then belongs to one process. A process without an open slot asks peers for one.
+//! Where a data centre has more processes than a target has slots, and so many that their digests go to peers in
+//! rotation, digests are too old to show which slots are free: several processes would use the same one, and urgent
+//! work would wait inside the target behind other work. Each slot then belongs to one process. A process without an open slot asks peers for one.
 
 use std::{
     net::SocketAddr,
@@ -104,7 +104,8 @@
         capacity: u32,
     ) -> Option<u32> {
         let processes = self.members.present_in(data_centre);
-        if !self.lending.is_open || processes <= capacity as usize {
+        let is_crowded = processes > capacity as usize && self.members.rotates_near_peers();
+        if !self.lending.is_open || !is_crowded {
             return None;
         }
         let presence = self.members.presence();
