--- a/crates/tarragon-fleet/src/node/admit.rs
+++ b/crates/tarragon-fleet/src/node/admit.rs
@@ -225,7 +225,6 @@
             max_attempts: route.max_attempts.max(1),
             first_output_objective: route.objective.map(|objective| arrived + objective),
             first_output_deadline: route.patience.map(|patience| arrived + patience),
-            longest_pause: route.longest_pause,
             // The tier of the workspace takes precedence; among requests of one tier, that of the route
             // decides.
             rank: (Tier::COUNT - 1 - route.tier.index()) as u8,
--- a/crates/tarragon-fleet/src/published.rs
+++ b/crates/tarragon-fleet/src/published.rs
@@ -61,9 +61,6 @@
     pub objective: Option<Duration>,
     /// Time without an event after which callers abandon a stream, also before its first event.
     pub patience: Option<Duration>,
-    /// Longest pause between two events of a stream that is in time. Older builds don't send it to their peers.
-    #[serde(default)]
-    pub longest_pause: Option<Duration>,
     /// Number of targets that one request may be sent to.
     pub max_attempts: u32,
     /// Urgency of the requests.
--- a/crates/tarragon-fleet/tests/fleet/support.rs
+++ b/crates/tarragon-fleet/tests/fleet/support.rs
@@ -32,7 +32,6 @@
         timeout: Duration::from_secs(8),
         objective: Some(Duration::from_millis(800)),
         patience: Some(Duration::from_millis(3_200)),
-        longest_pause: None,
         max_attempts: 2,
         tier: Tier::Urgent,
         public: false,
--- a/crates/tarragon-protocol/src/request.rs
+++ b/crates/tarragon-protocol/src/request.rs
@@ -1,7 +1,7 @@
 //! Requests as the scheduler sees them, without their bodies, which stay with the task that serves the
 //! caller.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use crate::prelude::*;
 
@@ -46,8 +46,6 @@
     pub first_output_objective: Option<Instant>,
     /// Time at which the caller gives up if it has received no part of the answer.
     pub first_output_deadline: Option<Instant>,
-    /// Longest pause between two outputs of a stream that is in time.
-    pub longest_pause: Option<Duration>,
     /// Priority within the tier: requests of a lower rank are served first.
     pub rank: u8,
     /// Number of tokens that the caller expects in the answer to a model call.
@@ -74,7 +72,6 @@
             max_attempts: DEFAULT_ATTEMPTS,
             first_output_objective: None,
             first_output_deadline: None,
-            longest_pause: None,
             rank: 0,
             expected_output: None,
             rejection_means_not_run: false,
--- a/crates/tarragon-scheduler/src/job.rs
+++ b/crates/tarragon-scheduler/src/job.rs
@@ -56,9 +56,8 @@
     pub sent: u32,
     /// Whether it has waited longer than its objective allows.
     pub late: bool,
-    /// Whether many processes competed for the slots when it arrived, see
-    /// [`Scheduler::set_contended`](crate::scheduler::Scheduler::set_contended).
-    pub is_contended: bool,
+    /// Whether lateness puts it behind the next lower rank only, and not behind all requests in time.
+    pub late_by_rank: bool,
     /// Whether an earlier attempt may have run at a target.
     pub may_have_run: bool,
     /// Targets to avoid because an earlier attempt failed or was cancelled there.
@@ -103,7 +102,7 @@
             attempts: 0,
             sent: 0,
             late: false,
-            is_contended: false,
+            late_by_rank: false,
             may_have_run: false,
             avoid: Vec::new(),
             delivered,
@@ -131,7 +130,7 @@
 
     /// Position of its lateness and rank in the dispatch order of its tier.
     pub fn order_in_tier(&self) -> u8 {
-        order_in_tier(self.late, self.is_contended, self.rank())
+        order_in_tier(self.late, self.late_by_rank, self.rank())
     }
 
     /// Order in which requests of one service are sent if each has to wait for a permit: least first.
@@ -197,9 +196,9 @@
 }
 
 /// Position of a rank in the dispatch order of its tier, below [`RANK_COUNT`] * 4. A late request is worth less to its
-/// caller, but often more than one of a lower rank in time: under contention it goes behind the next lower rank only.
-pub fn order_in_tier(late: bool, is_contended: bool, rank: usize) -> u8 {
-    let order = match (late, is_contended) {
+/// caller, but often more than one of a lower rank in time: by rank, it goes behind the next lower rank.
+pub fn order_in_tier(late: bool, late_by_rank: bool, rank: usize) -> u8 {
+    let order = match (late, late_by_rank) {
         (false, _) => 2 * rank,
         (true, true) => 2 * (rank + 1) + 1,
         (true, false) => 2 * (RANK_COUNT + rank) + 1,
--- a/crates/tarragon-scheduler/src/queue/lane.rs
+++ b/crates/tarragon-scheduler/src/queue/lane.rs
@@ -167,5 +167,5 @@
 
 /// Whether new requests of a rank go before a job of their tier, whatever their tags.
 pub fn goes_behind_new(job: &Job, rank: usize) -> bool {
-    order_in_tier(false, job.is_contended, rank) < job.order_in_tier()
+    order_in_tier(false, job.late_by_rank, rank) < job.order_in_tier()
 }
--- a/crates/tarragon-scheduler/src/scheduler/arrival.rs
+++ b/crates/tarragon-scheduler/src/scheduler/arrival.rs
@@ -159,7 +159,7 @@
         let sequence = self.sequence;
         let keys = JobKeys { pool, lane, models, workspace, workspace_key, sequence };
         let mut job = Job::new(profile, keys, prediction);
-        job.is_contended = self.contended;
+        job.late_by_rank = self.contended;
         self.set_latest_start(&mut job, now);
         job
     }
--- a/crates/tarragon-scheduler/src/scheduler/candidate.rs
+++ b/crates/tarragon-scheduler/src/scheduler/candidate.rs
@@ -1,7 +1,5 @@
 //! The targets that can take a request now, with their estimated times.
 
-use std::time::Duration;
-
 use crate::{
     choose::ChooseCandidate,
     job::{Job, block_tokens},
@@ -18,8 +16,6 @@
 pub(super) struct CandidateList {
     /// Candidate targets, in the order of the target table.
     pub items: Vec<ChooseCandidate>,
-    /// Whether open targets were left out because they are too slow for the prompt beside other streams.
-    pub left_out_slow: bool,
     hits: PrefixHits,
 }
 
@@ -39,14 +35,12 @@
     /// Collects all targets that can take the job now.
     pub(super) fn collect(&mut self, targets: &TargetTable, job: &Job, bounds: ChoiceBounds) {
         self.items.clear();
-        self.left_out_slow = false;
         let blocks = job.blocks();
         targets.prefixes.lookup(blocks, targets.capacity(), &mut self.hits);
         let pool = targets.pool(job.pool);
         let affinity_limit = pool.used_share() + AFFINITY_EXCESS;
         let models = targets.models_of(job);
         let size = job.size();
-        let longest_pause = longest_pause(targets, job);
         for index in &pool.members {
             let summary = targets.summary(*index);
             if !summary.is_open() || summary.models & models == 0 || job.avoid.contains(index) {
@@ -63,12 +57,6 @@
             if bounds.suspect && !targets.row(*index).is_some_and(suits) {
                 continue;
             }
-            if let Some(pause) = longest_pause
-                && summary.interrupts_streams(size, pause)
-            {
-                self.left_out_slow = true;
-                continue;
-            }
             let affinity_allowed =
                 summary.in_flight as f32 <= affinity_limit * summary.window as f32;
             let hit = if affinity_allowed { self.hits.get(*index) } else { 0 };
@@ -138,14 +126,6 @@
     }
 }
 
-/// Longest pause that a job may cause in other streams. There is none for a job that is late already or that no target
-/// of its pool could read in time: it would wait in vain.
-fn longest_pause(targets: &TargetTable, job: &Job) -> Option<Duration> {
-    let pause = job.profile.options.longest_pause.filter(|_| job.is_contended && !job.late)?;
-    let fastest = targets.pool(job.pool).fastest?;
-    (!fastest.interrupts_streams(job.size(), pause)).then_some(pause)
-}
-
 /// Whether a suspected request of this tier may run at a target: only if no other suspect runs there and no
 /// request of a higher tier, which would be lost in a crash.
 pub(super) fn may_run_suspect(row: &TargetRow, tier: Tier) -> bool {
--- a/crates/tarragon-scheduler/src/scheduler/dispatch.rs
+++ b/crates/tarragon-scheduler/src/scheduler/dispatch.rs
@@ -51,8 +51,6 @@
     Await(HolderWait),
     /// Defer it: no open target can take it, but one may take the next request.
     Defer,
-    /// Try the next request: the open targets are too slow for the prompt of this one.
-    Skip,
     /// Stop: no target is open to the lane.
     Closed,
     /// Hold it: a part of its prompt may crash targets, and it isn't known yet whether some have crashed.
@@ -92,13 +90,8 @@
         actions: &mut Vec<SchedulerAction>,
     ) {
         let pool = self.queue.lane_pool(lane);
-        let mut skipped = 0;
         for _ in 0..MAX_STEPS_PER_LANE {
-            let request = match skipped {
-                0 => self.next_request(lane, tier),
-                _ => self.queue.ready(lane, tier).nth(skipped).map(Job::request),
-            };
-            let Some(request) = request else { return };
+            let Some(request) = self.next_request(lane, tier) else { return };
             let step = match self.targets.pool(pool).open {
                 0 => DispatchStep::Closed,
                 _ => self.plan_dispatch(request, now),
@@ -112,7 +105,6 @@
                 DispatchStep::Defer => {
                     self.queue.set_state(request, WaitState::Deferred(now + RECHECK_DELAY))
                 }
-                DispatchStep::Skip => skipped += 1,
                 DispatchStep::Hold => self.hold(request, now, actions),
                 DispatchStep::Convicted(cause) => self.refuse_convicted(request, cause, actions),
                 DispatchStep::Closed => {
@@ -185,11 +177,7 @@
             let shares_lane = job.build != self.queue.lane_build(job.lane);
             let particular =
                 suspect || !job.avoid.is_empty() || shares_lane || self.work_end.is_some();
-            return match (particular, self.candidates.left_out_slow) {
-                (true, _) => DispatchStep::Defer,
-                (false, true) => DispatchStep::Skip,
-                (false, false) => DispatchStep::Closed,
-            };
+            return if particular { DispatchStep::Defer } else { DispatchStep::Closed };
         }
         let pool = job.pool;
         let choose = self.policy(pool).choose;
--- a/crates/tarragon-scheduler/src/targets/estimate.rs
+++ b/crates/tarragon-scheduler/src/targets/estimate.rs
@@ -47,14 +47,6 @@
     CostWeights { wait: 4.0, prefill: 3.0 },
 ];
 
-/// Most prompt tokens of one request that an engine reads between two outputs of another one: engines read prompts in
-/// chunks, and an output of several tokens has a chunk before each token.
-const MAX_INTERLEAVED_TOKENS: u32 = 8_192;
-
-/// Part of the longest pause between two outputs that reading the prompts of other requests may take. The rest is for
-/// generating the output itself.
-const READING_PART: f64 = 0.7;
-
 /// Factor on the score of a cold target.
 const COLD_FACTOR: f32 = 2.0;
 
@@ -176,11 +168,6 @@
         self.is_measured && estimate.last_token > seconds
     }
 
-    /// Whether reading the prompt of a request would interrupt other streams here for longer than their callers accept.
-    pub fn interrupts_streams(&self, size: RequestSize, longest_pause: Duration) -> bool {
-        self.is_measured && interrupts_streams(f64::from(self.prefill), size, longest_pause)
-    }
-
     /// Estimates a request of a tier of which `hit` leading prompt tokens are believed to be cached.
     pub fn estimate(&self, size: RequestSize, hit: u32, tier: Tier) -> CostEstimate {
         let Some(prompt) = size.prompt else {
@@ -245,19 +232,7 @@
     }
 }
 
-/// Whether an engine that takes this many seconds per prompt token would be busy with the prompt of a request for longer
-/// than other streams may pause.
-fn interrupts_streams(prefill: f64, size: RequestSize, longest_pause: Duration) -> bool {
-    let tokens = size.prompt.unwrap_or(0).min(MAX_INTERLEAVED_TOKENS);
-    f64::from(tokens) * prefill > longest_pause.as_secs_f64() * READING_PART
-}
-
 impl RateEstimate {
-    /// See [`TargetSummary::interrupts_streams`].
-    pub fn interrupts_streams(&self, size: RequestSize, longest_pause: Duration) -> bool {
-        interrupts_streams(self.prefill, size, longest_pause)
-    }
-
     /// Time to the first token of a request at an idle target that has to compute the whole prompt.
     pub fn first_time(&self, size: RequestSize) -> Duration {
         let prompt = size.prompt.unwrap_or(0);
