Share what the load features wrote twice, and skip their work without contention

- The start of a process of the binary stands once for both test programs that need one.
Their settings and assertions are unchanged.
- The gateway uses the server's function that raises a counter.
- The server's metrics of forecast refusals are gone: its scheduler makes no forecasts, so they were always 0.
- Waiting requests are searched for loans, and starts recorded for forecasts, only while slots are divided.
Small fleets did this work with each event for nothing.
When contention begins, the record of starts begins empty, as after a start of the process.
- An unused accessor of the slot ledger is removed.

--- a/crates/tarragon-fleet/src/lending.rs
+++ b/crates/tarragon-fleet/src/lending.rs
@@ -8,6 +8,7 @@
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
+use tarragon_scheduler::scheduler::WaitingHead;
 
 use crate::digest::NameKey;
 
@@ -43,6 +44,12 @@
     }
 }
 
+impl From<&WaitingHead> for WaitUrgency {
+    fn from(head: &WaitingHead) -> WaitUrgency {
+        WaitUrgency { class: head.class, slack_ms: head.slack_ms }
+    }
+}
+
 /// Message between processes about loans of slots.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum LendingMessage {
@@ -111,11 +118,6 @@
         self.owned.saturating_sub(lent).saturating_add(borrowed)
     }
 
-    /// Slots that are lent and borrowed, for logs and tests.
-    pub fn loans(&self) -> (usize, usize) {
-        (self.lent.len(), self.borrowed.len())
-    }
-
     /// Records that a slot is lent to a peer.
     pub fn lend(&mut self, peer: SocketAddr, now: Instant) {
         self.lent.push(SlotLoan { peer, granted: now });
--- a/crates/tarragon-fleet/src/node/lending.rs
+++ b/crates/tarragon-fleet/src/node/lending.rs
@@ -142,7 +142,7 @@
         now: Instant,
         actions: &mut Vec<SchedulerAction>,
     ) {
-        if !self.lending.is_open {
+        if !self.scheduler.is_contended() {
             return;
         }
         let Some(target) = self.scheduler.attempt_target(request, attempt).cloned() else { return };
@@ -277,7 +277,7 @@
 
     /// Asks peers for slots for the requests that wait without an open one.
     pub(super) fn ask_for_slots(&mut self, now: Instant) {
-        if !self.lending.is_open {
+        if !self.scheduler.is_contended() {
             return;
         }
         for head in self.scheduler.waiting_heads(now) {
@@ -296,7 +296,7 @@
             self.lending.rounds.insert(head.service.clone(), AskRounds { last: now, count });
             let ask = SlotAsk {
                 service: name_key(&head.service),
-                urgency: WaitUrgency { class: head.class, slack_ms: head.slack_ms },
+                urgency: WaitUrgency::from(&head),
                 count: head.count.min(MAX_ASKED_SLOTS) as u8,
             };
             let mut peers = self.least_loaded_peers(true, NEAR_FANOUT);
@@ -391,8 +391,7 @@
     fn own_urgency(&self, target: &str, now: Instant) -> Option<WaitUrgency> {
         let service = &self.directory.get(target)?.listed.service;
         let heads = self.scheduler.waiting_heads(now);
-        let head = heads.into_iter().find(|head| head.service == *service)?;
-        Some(WaitUrgency { class: head.class, slack_ms: head.slack_ms })
+        heads.iter().find(|head| head.service == *service).map(WaitUrgency::from)
     }
 
     fn in_flight_at(&self, target: &str) -> u32 {
--- a/crates/tarragon-gateway/src/metrics.rs
+++ b/crates/tarragon-gateway/src/metrics.rs
@@ -11,6 +11,7 @@
     node::LendingStatistics,
     prelude::{SchedulerStatistics, Tier},
 };
+use tarragon_server::metrics::raise;
 
 /// Bucket bounds of the histograms.
 const TIME_BUCKETS_SECONDS: [f64; 12] =
@@ -312,11 +313,6 @@
     if streamed { "stream" } else { "plain" }
 }
 
-/// Raises a counter to a count that is kept elsewhere.
-fn raise(counter: &IntCounter, count: u64) {
-    counter.inc_by(count.saturating_sub(counter.get()));
-}
-
 fn metric_name(suffix: &str) -> String {
     format!("tarragon_gateway_{suffix}")
 }
--- a/crates/tarragon-scheduler/src/forecast.rs
+++ b/crates/tarragon-scheduler/src/forecast.rs
@@ -270,7 +270,7 @@
     }
 
     /// Whether a request with this much time left will clearly not start in it: the work ahead exceeds the starts
-    /// that are possible. Both sides are taken two standard deviations in favour of the request.
+    /// that are possible. Both sides are taken [`DEVIATIONS`] in favour of the request.
     pub fn misses(&self, left: Duration) -> bool {
         let starts = self.rate.per_second * left.as_secs_f64();
         let samples = f64::from(self.rate.samples).min(starts).max(1e-9);
--- a/crates/tarragon-scheduler/src/scheduler.rs
+++ b/crates/tarragon-scheduler/src/scheduler.rs
@@ -178,6 +178,14 @@
     /// ordered by rank as well.
     pub fn set_contended(&mut self, contended: bool) {
         self.contended = contended;
+        if !contended {
+            self.start_records.clear();
+        }
+    }
+
+    /// See [`Scheduler::set_contended`].
+    pub fn is_contended(&self) -> bool {
+        self.contended
     }
 
     /// Gives each service its own retry budget with these limits.
--- a/crates/tarragon-scheduler/src/scheduler/arrival.rs
+++ b/crates/tarragon-scheduler/src/scheduler/arrival.rs
@@ -98,7 +98,9 @@
             return self.refuse(request, tier, refusal, actions);
         }
         self.targets.record_admitted(job.pool, tier, job.tokens());
-        self.start_record(job.pool).record_arrival(tier, job.rank(), now);
+        if let Some(record) = self.start_record(job.pool) {
+            record.record_arrival(tier, job.rank(), now);
+        }
         self.enqueue_new(job);
     }
 
--- a/crates/tarragon-scheduler/src/scheduler/dispatch.rs
+++ b/crates/tarragon-scheduler/src/scheduler/dispatch.rs
@@ -230,7 +230,9 @@
         self.check_dispatch(&job, candidate.target, !causes.is_empty(), now);
         self.queue.advance(job.lane, job.tier(), job.tags.0);
         self.targets.set_last(job.pool, candidate.target);
-        self.start_record(job.pool).record_start(job.cost, now);
+        if let Some(record) = self.start_record(job.pool) {
+            record.record_start(job.cost, now);
+        }
         job.attempts += 1;
         let tier = job.tier().index();
         self.statistics.dispatched[tier] += 1;
--- a/crates/tarragon-scheduler/src/scheduler/forecast.rs
+++ b/crates/tarragon-scheduler/src/scheduler/forecast.rs
@@ -22,12 +22,15 @@
 const FORECAST_MESSAGE: &str = "the request would start too late behind the work that waits";
 
 impl Scheduler {
-    /// The record of a pool's starts.
-    pub(super) fn start_record(&mut self, pool: usize) -> &mut StartRecord {
+    /// The record of a pool's starts. Records are kept only under contention, since no forecast is made otherwise.
+    pub(super) fn start_record(&mut self, pool: usize) -> Option<&mut StartRecord> {
+        if !self.contended {
+            return None;
+        }
         if self.start_records.len() <= pool {
             self.start_records.resize_with(pool + 1, StartRecord::default);
         }
-        &mut self.start_records[pool]
+        self.start_records.get_mut(pool)
     }
 
     /// Counts the time until this event in the records.
@@ -38,6 +41,9 @@
     /// Notes for which pools requests wait that could be sent if there were room. Streams that go on wait for the
     /// targets of one build, and requests below the shed floor for the floor.
     pub(super) fn update_start_records(&mut self, now: Instant) {
+        if !self.contended {
+            return;
+        }
         let floor = self.pressure.floor(now);
         for (pool, record) in self.start_records.iter_mut().enumerate() {
             record.set_busy(false, self.targets.pool(pool).window_sum());
@@ -49,7 +55,9 @@
             {
                 let pool = self.queue.lane_pool(lane);
                 let slots = self.targets.pool(pool).window_sum();
-                self.start_record(pool).set_busy(true, slots);
+                if let Some(record) = self.start_record(pool) {
+                    record.set_busy(true, slots);
+                }
             }
         }
     }
--- a/crates/tarragon-server/src/metrics.rs
+++ b/crates/tarragon-server/src/metrics.rs
@@ -34,10 +34,6 @@
     pub retries: IntCounter,
     /// Streams cancelled in favour of urgent work.
     pub preemptions: IntCounter,
-    /// Requests refused because they would have started too late, by tier.
-    pub forecast_refusals: IntCounterVec,
-    /// Refused requests that came back, by whether they did so as told.
-    pub returned_requests: IntCounterVec,
     /// Chunks that belonged to another request.
     pub foreign_chunks: IntCounter,
     /// Version of the configuration in force.
@@ -112,16 +108,6 @@
                 "preemptions_total",
                 "Streams cancelled in favour of urgent work",
             )?,
-            forecast_refusals: counters(
-                "forecast_refusals_total",
-                "Requests refused because they would have started too late",
-                &["tier"],
-            )?,
-            returned_requests: counters(
-                "returned_requests_total",
-                "Requests that came back after such a refusal",
-                &["kind"],
-            )?,
             foreign_chunks: counter("foreign_chunks_total", "Chunks of another request")?,
             configuration_version: gauge(
                 "configuration_version",
@@ -161,8 +147,6 @@
         registry.register(Box::new(self.wasted_prefill.clone()))?;
         registry.register(Box::new(self.retries.clone()))?;
         registry.register(Box::new(self.preemptions.clone()))?;
-        registry.register(Box::new(self.forecast_refusals.clone()))?;
-        registry.register(Box::new(self.returned_requests.clone()))?;
         registry.register(Box::new(self.foreign_chunks.clone()))?;
         registry.register(Box::new(self.configuration_version.clone()))?;
         registry.register(Box::new(self.refused_versions.clone()))?;
@@ -221,12 +205,6 @@
         raise(&self.wasted_prefill, statistics.wasted_prefill_tokens);
         raise(&self.retries, statistics.retries);
         raise(&self.preemptions, statistics.preemptions);
-        for tier in Tier::DESCENDING {
-            let counter = self.forecast_refusals.with_label_values(&[tier.name()]);
-            raise(&counter, statistics.forecast_refusals[tier.index()]);
-        }
-        raise(&self.returned_requests.with_label_values(&["placed"]), statistics.returns_placed);
-        raise(&self.returned_requests.with_label_values(&["early"]), statistics.returns_early);
     }
 
     /// Takes over the number of refused older configurations.
@@ -288,7 +266,7 @@
 }
 
 /// Raises a counter to a count that is kept elsewhere.
-fn raise(counter: &IntCounter, count: u64) {
+pub fn raise(counter: &IntCounter, count: u64) {
     counter.inc_by(count.saturating_sub(counter.get()));
 }
 
--- a/tests/failed_requests.rs
+++ b/tests/failed_requests.rs
@@ -1,17 +1,14 @@
 //! Failed requests of real processes, explained with the commands in `docs/OPERATIONS.md`.
 
+#[path = "common/served_process.rs"]
+mod served_process;
 #[path = "../platform/tests/calls/wire.rs"]
 mod wire;
 
-use std::{
-    fs::File,
-    net::SocketAddr,
-    path::{Path, PathBuf},
-    process::{Child, Command, Stdio},
-    time::Duration,
-};
+use std::{net::SocketAddr, path::Path, process::Command, time::Duration};
 
 use serde_json::json;
+use served_process::ServedProcess;
 use tarragon_standin::{
     scripted_target::{ScriptedTarget, TargetStep},
     shared_store::SharedStore,
@@ -19,82 +16,28 @@
 use tokio::time::{Instant, sleep};
 use wire::*;
 
-/// A process of the binary that logs to a file. It is killed when it is dropped.
-struct ServedProcess {
-    child: Child,
-    folder: PathBuf,
-    caller: SocketAddr,
-    _store: SharedStore,
+/// Starts a process whose services have one target each.
+async fn start(name: &str, ledger: &ScriptedTarget, engine: &ScriptedTarget) -> ServedProcess {
+    let store = SharedStore::start().await.unwrap();
+    store.put_json("op/config", &configuration(1));
+    register(&store, "ledger", ledger, "ready");
+    register(&store, "pool", engine, "ready");
+    let bounds = json!({
+        "retry_ratio": 0.2, "retry_slack": 50.0, "quota_window_s": 8.0,
+        "quota_overage": 0.25, "quota_slack": 100.0,
+    });
+    ServedProcess::start(name, store, json!({ "bounds": bounds })).await
 }
 
-impl ServedProcess {
-    async fn start(name: &str, ledger: &ScriptedTarget, engine: &ScriptedTarget) -> ServedProcess {
-        let store = SharedStore::start().await.unwrap();
-        store.put_json("op/config", &configuration(1));
-        register(&store, "ledger", ledger, "ready");
-        register(&store, "pool", engine, "ready");
-        let folder = std::env::temp_dir().join(format!("tarragon-{name}-{}", std::process::id()));
-        std::fs::create_dir_all(&folder).unwrap();
-        let ip = unique_loopback_ip();
-        let address = |port: u16| SocketAddr::from((ip, port));
-        let settings = json!({
-            "vm": "vm-1", "data_centre": "north",
-            "caller_address": address(7_598), "ready_address": address(7_599),
-            "peer_ports": [7_600, 7_615], "seeds": [], "store_address": store.address(),
-            "first_start": true, "log_format": "json", "grace_s": 4.0,
-            "bounds": {
-                "retry_ratio": 0.2, "retry_slack": 50.0, "quota_window_s": 8.0,
-                "quota_overage": 0.25, "quota_slack": 100.0,
-            },
-        });
-        let settings_file = folder.join("settings.jsonc");
-        std::fs::write(&settings_file, settings.to_string()).unwrap();
-        let log = File::create(folder.join("vm-1.log")).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_tarragonfront"))
-            .arg("serve")
-            .arg(&settings_file)
-            .stdout(log)
-            .stderr(Stdio::null())
-            .spawn()
-            .unwrap();
-        let process = ServedProcess { child, folder, caller: address(7_598), _store: store };
-        process.wait_until_ready(address(7_599)).await;
-        process
-    }
-
-    async fn wait_until_ready(&self, address: SocketAddr) {
-        let end = Instant::now() + TEST_TIMEOUT;
-        loop {
-            if tokio::net::TcpStream::connect(address).await.is_ok() {
-                let page = "GET /-/readyz HTTP/1.1\nhost: x\nconnection: close\n\n";
-                if status(&send(address, page).await) == 200 {
-                    return;
-                }
-            }
-            assert!(Instant::now() < end, "the process is not ready in time");
-            sleep(Duration::from_millis(50)).await;
+/// Output of `trace` for a request, once it contains the expected last message or the wait times out.
+async fn await_trace(process: &ServedProcess, request: &str, last_message: &str) -> String {
+    let end = Instant::now() + TEST_TIMEOUT;
+    loop {
+        let trace_text = run_trace(&process.folder.join("vm-1.log"), request);
+        if trace_text.contains(last_message) || Instant::now() >= end {
+            return trace_text;
         }
-    }
-
-    /// Output of `trace` for a request, once it contains the expected last message or the wait times out.
-    async fn run_trace(&self, request: &str, last_message: &str) -> String {
-        let end = Instant::now() + TEST_TIMEOUT;
-        loop {
-            let trace_text = run_trace(&self.folder.join("vm-1.log"), request);
-            if trace_text.contains(last_message) || Instant::now() >= end {
-                return trace_text;
-            }
-            sleep(Duration::from_millis(50)).await;
-        }
-    }
-}
-
-impl Drop for ServedProcess {
-    fn drop(&mut self) {
-        // Failures are ignored: the process has already ended, or the folder is already removed.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_dir_all(&self.folder);
+        sleep(Duration::from_millis(50)).await;
     }
 }
 
@@ -195,12 +138,12 @@
     let ledger = ScriptedTarget::start(vec![truncated]).await.unwrap();
     let late = vec![TargetStep::Pause(ANSWER_DELAY), stream_head(), event(1), stream_end()];
     let engine = ScriptedTarget::start(vec![late]).await.unwrap();
-    let process = ServedProcess::start("failures", &ledger, &engine).await;
+    let process = start("failures", &ledger, &engine).await;
     for case in CASES {
         let FailureCase { kind, id, path, tokens, last_message, expected_texts, .. } = case;
         let answer = send(process.caller, &request_with_id(id, path, tokens)).await;
         assert_eq!(status(&answer), case.status, "{kind}: {answer}");
-        let trace_text = process.run_trace(id, last_message).await;
+        let trace_text = await_trace(&process, id, last_message).await;
         let mut rest = trace_text.as_str();
         for text in *expected_texts {
             let found = rest.find(text);
@@ -218,7 +161,7 @@
 async fn a_request_is_explained_from_its_head() {
     let target = || ScriptedTarget::start(vec![vec![]]);
     let (ledger, engine) = (target().await.unwrap(), target().await.unwrap());
-    let process = ServedProcess::start("explain", &ledger, &engine).await;
+    let process = start("explain", &ledger, &engine).await;
     let head = process.folder.join("head.txt");
     std::fs::write(&head, request("POST", "/stream/1", "Token-Count: 70,30\n", "")).unwrap();
     let metrics = SocketAddr::new(process.caller.ip(), 7_602).to_string();
--- a/tests/untrusted_clients.rs
+++ b/tests/untrusted_clients.rs
@@ -4,19 +4,16 @@
 //! The bounds and the sizes of the crowds belong together: without an account of its memory, a process that keeps
 //! what each crowd sends is over the bound.
 
+#[path = "common/served_process.rs"]
+mod served_process;
 #[allow(dead_code, reason = "these tests need only some of the messages")]
 #[path = "../platform/tests/calls/wire.rs"]
 mod wire;
 
-use std::{
-    fs::File,
-    net::SocketAddr,
-    path::PathBuf,
-    process::{Child, Command, Stdio},
-    time::Duration,
-};
+use std::{net::SocketAddr, time::Duration};
 
 use serde_json::{Value, json};
+use served_process::ServedProcess;
 use tarragon_standin::{scripted_target::ScriptedTarget, shared_store::SharedStore};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -41,17 +38,13 @@
 const CROWD_TIME: Duration = Duration::from_secs(4);
 /// Interval of the samples of memory and descriptors.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(20);
-const CALLER_PORT: u16 = 7_598;
 
 /// The tests measure memory, so only one process may be under load at a time.
 static ONE_AT_A_TIME: Mutex<()> = Mutex::const_new(());
 
-/// A process of the binary that logs to a file. It is killed when it is dropped.
-struct ServedProcess {
-    child: Child,
-    folder: PathBuf,
-    caller: SocketAddr,
-    _store: SharedStore,
+/// A process under load, with its only target.
+struct CrowdedProcess {
+    served: ServedProcess,
     target: ScriptedTarget,
 }
 
@@ -75,60 +68,23 @@
     terms
 }
 
-impl ServedProcess {
-    async fn start(name: &str) -> ServedProcess {
+impl CrowdedProcess {
+    async fn start(name: &str) -> CrowdedProcess {
         let store = SharedStore::start().await.unwrap();
         let target = ScriptedTarget::start(vec![vec![answer_step()]]).await.unwrap();
         store.put_json("op/config", &crowd_configuration());
         register(&store, "ledger", &target, "ready");
-        let folder = std::env::temp_dir().join(format!("tarragon-{name}-{}", std::process::id()));
-        std::fs::create_dir_all(&folder).unwrap();
-        let ip = unique_loopback_ip();
-        let address = |port: u16| SocketAddr::from((ip, port));
-        let settings = json!({
-            "vm": "vm-1", "data_centre": "north",
-            "caller_address": address(CALLER_PORT), "ready_address": address(7_599),
-            "peer_ports": [7_600, 7_615], "seeds": [], "store_address": store.address(),
-            "first_start": true, "log_format": "json", "grace_s": 4.0,
-            "memory_mb": MEMORY_MB, "max_descriptors": MAX_DESCRIPTORS,
-        });
-        let settings_file = folder.join("settings.jsonc");
-        std::fs::write(&settings_file, settings.to_string()).unwrap();
-        let log = File::create(folder.join("vm-1.log")).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_tarragonfront"))
-            .arg("serve")
-            .arg(&settings_file)
-            .stdout(log)
-            .stderr(Stdio::null())
-            .spawn()
-            .unwrap();
-        let caller = address(CALLER_PORT);
-        let process = ServedProcess { child, folder, caller, _store: store, target };
-        process.wait_until_ready(address(7_599)).await;
-        process
-    }
-
-    async fn wait_until_ready(&self, address: SocketAddr) {
-        let end = Instant::now() + TEST_TIMEOUT;
-        loop {
-            if TcpStream::connect(address).await.is_ok() {
-                let page = "GET /-/readyz HTTP/1.1\nhost: x\nconnection: close\n\n";
-                if status(&send(address, page).await) == 200 {
-                    return;
-                }
-            }
-            assert!(Instant::now() < end, "the process is not ready in time");
-            sleep(Duration::from_millis(50)).await;
-        }
+        let machine = json!({ "memory_mb": MEMORY_MB, "max_descriptors": MAX_DESCRIPTORS });
+        CrowdedProcess { served: ServedProcess::start(name, store, machine).await, target }
     }
 
     fn lives(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(None))
+        matches!(self.served.child.try_wait(), Ok(None))
     }
 
     /// A value of `/proc/PID/status`, in KB.
     fn status_kb(&self, name: &str) -> u64 {
-        let path = format!("/proc/{}/status", self.child.id());
+        let path = format!("/proc/{}/status", self.served.child.id());
         let text = std::fs::read_to_string(path).unwrap_or_default();
         let line = text.lines().find_map(|line| line.strip_prefix(name));
         line.and_then(|value| value.split_whitespace().next()?.parse().ok()).unwrap_or(0)
@@ -136,7 +92,9 @@
 
     /// Bytes that callers have sent and the process has not read, in KB.
     fn unread_kb(&self) -> u64 {
-        let SocketAddr::V4(caller) = self.caller else { unreachable!("the address is IPv4") };
+        let SocketAddr::V4(caller) = self.served.caller else {
+            unreachable!("the address is IPv4")
+        };
         let ip = u32::from_ne_bytes(caller.ip().octets());
         let local = format!("{ip:08X}:{:04X}", caller.port());
         let table = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
@@ -152,7 +110,7 @@
     }
 
     fn descriptors(&self) -> usize {
-        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).map_or(0, Iterator::count)
+        std::fs::read_dir(format!("/proc/{}/fd", self.served.child.id())).map_or(0, Iterator::count)
     }
 
     /// Samples memory and descriptors while a crowd is there.
@@ -170,14 +128,6 @@
     }
 }
 
-impl Drop for ServedProcess {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_dir_all(&self.folder);
-    }
-}
-
 fn answer_step() -> tarragon_standin::scripted_target::TargetStep {
     write(&format!("HTTP/1.1 200 OK\nrequest-id: {{id}}\n{SIGNATURE}\ncontent-length: 4\n\ndone"))
 }
@@ -272,8 +222,8 @@
 
 async fn play_crowd(case: CrowdCase) {
     let _alone = ONE_AT_A_TIME.lock().await;
-    let mut process = ServedProcess::start(case.name).await;
-    let caller = process.caller;
+    let mut process = CrowdedProcess::start(case.name).await;
+    let caller = process.served.caller;
     assert_eq!(status(&ordinary_answer(caller).await), 200, "before the crowd");
     let mut crowd = JoinSet::new();
     for number in 0..case.clients {
@@ -347,9 +297,9 @@
 async fn a_body_of_the_largest_size_that_comes_slowly_is_served() {
     const PIECES: usize = 64;
     let _alone = ONE_AT_A_TIME.lock().await;
-    let mut process = ServedProcess::start("slow-body").await;
+    let mut process = CrowdedProcess::start("slow-body").await;
     for framing in [format!("content-length: {BODY_BYTES}"), "transfer-encoding: chunked".into()] {
-        let mut stream = TcpStream::connect(process.caller).await.unwrap();
+        let mut stream = TcpStream::connect(process.served.caller).await.unwrap();
         let head = format!(
             "POST /once/1 HTTP/1.1\r\nhost: calls.example\r\nrequest-id: 9c41d07be2a35f68\r\n\
              deadline-ms: 15000\r\nauthorization: Bearer {CALLER_KEY}\r\nconnection: close\r\n\
