Give processes of the server's tests addresses of their own

Cause: free_address found a port of 127.0.0.1 and released it before the process bound it.

Change: the port is found on a loopback address that only this call returns, as the platform's tests do.

--- a/crates/tarragon-server/tests/serve/support.rs
+++ b/crates/tarragon-server/tests/serve/support.rs
@@ -13,6 +13,7 @@
     serve::{ServeOptions, ServerHandle, start_with},
     settings::{ProcessLimits, SecretText, ServeSettings},
 };
+use tarragon_standin::loopback::unique_loopback_ip;
 use tokio::net::TcpStream;
 
 /// Longest time for a test.
@@ -215,7 +216,9 @@
     matching.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok()).sum()
 }
 
-/// A port that was free a moment ago.
+/// A free port of an address that nothing else uses. On 127.0.0.1 a parallel test could take the port before the
+/// process binds it.
 pub fn free_address() -> SocketAddr {
-    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    let ip = unique_loopback_ip();
+    std::net::TcpListener::bind(SocketAddr::from((ip, 0))).unwrap().local_addr().unwrap()
 }
--- a/crates/tarragon-standin/src/lib.rs
+++ b/crates/tarragon-standin/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod configuration_service;
 pub mod engine;
 mod listener;
+pub mod loopback;
 mod respond;
 pub mod scripted_target;
 pub mod service;
