--- a/tests/untrusted_clients.rs
+++ b/tests/untrusted_clients.rs
@@ -4,6 +4,8 @@
 //! The bounds and the sizes of the crowds belong together: without an account of its memory, a process that keeps
 //! what each crowd sends is over the bound.
 
+#[path = "common/process_meter.rs"]
+mod process_meter;
 #[path = "common/served_process.rs"]
 mod served_process;
 #[allow(dead_code, reason = "these tests need only some of the messages")]
@@ -12,6 +14,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use process_meter::ProcessMeter;
 use serde_json::{Value, json};
 use served_process::ServedProcess;
 use tarragon_standin::{scripted_target::ScriptedTarget, shared_store::SharedStore};
@@ -20,7 +23,7 @@
     net::TcpStream,
     sync::Mutex,
     task::JoinSet,
-    time::{Instant, sleep, timeout},
+    time::{sleep, timeout},
 };
 use wire::*;
 
@@ -36,8 +39,6 @@
 const IDLE_CROWD: usize = 600;
 /// How long a crowd stays. Bodies that stop are given up by a process after five seconds.
 const CROWD_TIME: Duration = Duration::from_secs(4);
-/// Interval of the samples of memory and descriptors.
-const SAMPLE_INTERVAL: Duration = Duration::from_millis(20);
 
 /// The tests measure memory, so only one process may be under load at a time.
 static ONE_AT_A_TIME: Mutex<()> = Mutex::const_new(());
@@ -48,14 +49,6 @@
     target: ScriptedTarget,
 }
 
-/// Highest values that were seen.
-#[derive(Debug, Default)]
-struct PeakUse {
-    /// Resident memory and bytes that were received and not read, in KB.
-    memory_kb: u64,
-    descriptors: usize,
-}
-
 fn crowd_configuration() -> Value {
     let mut terms = configuration(1);
     terms["limits"] = json!({
@@ -82,49 +75,8 @@
         matches!(self.served.child.try_wait(), Ok(None))
     }
 
-    /// A value of `/proc/PID/status`, in KB.
-    fn status_kb(&self, name: &str) -> u64 {
-        let path = format!("/proc/{}/status", self.served.child.id());
-        let text = std::fs::read_to_string(path).unwrap_or_default();
-        let line = text.lines().find_map(|line| line.strip_prefix(name));
-        line.and_then(|value| value.split_whitespace().next()?.parse().ok()).unwrap_or(0)
-    }
-
-    /// Bytes that callers have sent and the process has not read, in KB.
-    fn unread_kb(&self) -> u64 {
-        let SocketAddr::V4(caller) = self.served.caller else {
-            unreachable!("the address is IPv4")
-        };
-        let ip = u32::from_ne_bytes(caller.ip().octets());
-        let local = format!("{ip:08X}:{:04X}", caller.port());
-        let table = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
-        /// State of a listener, whose queue counts connections.
-        const LISTENING: &str = "0A";
-        let bytes = table.lines().filter_map(|line| {
-            let fields: Vec<&str> = line.split_whitespace().collect();
-            let [_, own, _, state, queues, ..] = fields[..] else { return None };
-            let (_, received) = queues.split_once(':')?;
-            (own == local && state != LISTENING).then(|| u64::from_str_radix(received, 16).ok())?
-        });
-        bytes.sum::<u64>() >> 10
-    }
-
-    fn descriptors(&self) -> usize {
-        std::fs::read_dir(format!("/proc/{}/fd", self.served.child.id())).map_or(0, Iterator::count)
-    }
-
-    /// Samples memory and descriptors while a crowd is there.
-    async fn watch(&self, time: Duration) -> PeakUse {
-        let end = Instant::now() + time;
-        let mut peak = PeakUse::default();
-        while Instant::now() < end {
-            let memory_kb = self.status_kb("VmRSS:") + self.unread_kb();
-            peak.memory_kb = peak.memory_kb.max(memory_kb);
-            peak.descriptors = peak.descriptors.max(self.descriptors());
-            sleep(SAMPLE_INTERVAL).await;
-        }
-        peak.memory_kb = peak.memory_kb.max(self.status_kb("VmHWM:"));
-        peak
+    fn meter(&self) -> ProcessMeter {
+        ProcessMeter::new(self.served.child.id(), self.served.caller)
     }
 }
 
@@ -229,7 +181,7 @@
     for number in 0..case.clients {
         crowd.spawn(play_client(caller, number, case.action));
     }
-    let peak = process.watch(CROWD_TIME).await;
+    let peak = process.meter().watch(CROWD_TIME).await;
     eprintln!("{}: {peak:?}", case.name);
     assert!(process.lives(), "{}: the process has ended", case.name);
     assert!(peak.memory_kb <= MEMORY_MB << 10, "{}: {peak:?} over {MEMORY_MB} MB", case.name);
