Bound the blocks of a prompt prefix by its tokens and a constant

One request of 260 bytes whose Prompt-Prefix names 4,000,000,000 tokens twice took a process from 13 MB to 967 MB, and to its end on a machine of 260 MB.

Cause: prefix_block_hashes made a hash for each 64 tokens that the caller stated for a part, whatever the prompt had. The blocks of a request are now at most those of the prompt's own tokens (Token-Count) and one a part, and at most 16,384, those of a prompt of a million tokens.

--- a/crates/tarragon-fleet/src/node.rs
+++ b/crates/tarragon-fleet/src/node.rs
@@ -11,7 +11,7 @@
 mod rejections;
 mod updates;
 
-pub use admit::{AdmissionRequest, wait_limit};
+pub use admit::{AdmissionRequest, MAX_PREFIX_BLOCKS, prefix_block_count, wait_limit};
 pub use explain::{CallExplanation, QuotaExplanation};
 pub use lending::LendingStatistics;
 pub use links::{RelayCandidate, RelayOffer};
--- a/crates/tarragon-fleet/src/node/admit.rs
+++ b/crates/tarragon-fleet/src/node/admit.rs
@@ -15,6 +15,10 @@
 /// Most prompt parts of a request that are kept with it.
 const MAX_SHARED_PARTS: usize = 64;
 
+/// Most blocks of a request's prefix, those of a prompt of a million tokens. A longer prefix is matched by its
+/// beginning.
+pub const MAX_PREFIX_BLOCKS: usize = 1 << 14;
+
 /// A request to be admitted.
 #[derive(Debug, Clone)]
 pub struct AdmissionRequest {
@@ -234,7 +238,7 @@
         },
         kind: generation.map_or(CallKind::Plain, |generation| {
             CallKind::Model(ModelCall {
-                blocks: prefix_block_hashes(&generation.parts),
+                blocks: prefix_block_hashes(&generation),
                 model: generation.model,
                 prompt_tokens: generation.prompt_tokens,
                 max_tokens: generation.max_tokens,
@@ -249,14 +253,26 @@
     generation.parts[..shared].iter().map(|(part, _)| *part).take(MAX_SHARED_PARTS).collect()
 }
 
+/// Most blocks that the shared parts of a prompt can have. Callers state the tokens of each part, so these are bounded
+/// by those of the whole prompt. Each part ends a block.
+pub fn prefix_block_count(generation: &GenerationHead) -> usize {
+    let shared = generation.parts.len().saturating_sub(1);
+    let tokens = usize::try_from(generation.prompt_tokens).unwrap_or(usize::MAX);
+    (tokens / TOKENS_PER_PART_BLOCK as usize).saturating_add(shared)
+}
+
 /// Chained hashes that represent the shared parts of a prompt, as blocks of its prefix. The last part belongs
 /// to this request alone and is left out.
-fn prefix_block_hashes(parts: &[(u64, u32)]) -> Vec<BlockHash> {
-    let shared = parts.len().saturating_sub(1);
+fn prefix_block_hashes(generation: &GenerationHead) -> Vec<BlockHash> {
+    let shared = generation.parts.len().saturating_sub(1);
+    let most = prefix_block_count(generation).min(MAX_PREFIX_BLOCKS);
     let mut blocks = Vec::new();
     let mut chain = 0;
-    for (id, tokens) in &parts[..shared] {
+    for (id, tokens) in &generation.parts[..shared] {
         for block in 0..tokens.div_ceil(TOKENS_PER_PART_BLOCK) {
+            if blocks.len() == most {
+                return blocks;
+            }
             let key = [chain, *id, u64::from(block)].map(u64::to_le_bytes).concat();
             chain = xxhash_rust::xxh3::xxh3_64(&key);
             blocks.push(chain);
--- a/crates/tarragon-gateway/src/caller.rs
+++ b/crates/tarragon-gateway/src/caller.rs
@@ -7,7 +7,7 @@
 use hyper::body::{Body, Incoming};
 use tarragon_fleet::{
     hash::update_field,
-    node::{AdmissionRequest, stream_span, wait_limit},
+    node::{AdmissionRequest, MAX_PREFIX_BLOCKS, prefix_block_count, stream_span, wait_limit},
     origin::{StreamKey, stream_key},
     prelude::*,
 };
@@ -437,6 +437,17 @@
         open = context.metrics.open_requests.get(),
         "request received"
     );
+    if let Some(generation) = &call.generation
+        && prefix_block_count(generation) > MAX_PREFIX_BLOCKS
+    {
+        context.metrics.cut_prompts.inc();
+        tracing::info!(
+            request = call.tag,
+            prompt_tokens = generation.prompt_tokens,
+            parts = generation.parts.len(),
+            "only the beginning of the prompt is matched"
+        );
+    }
     let decisions = context.node.admit(order, &call.tag);
     let link = SharedNodeLink(context.node.clone());
     let driver = RequestDriver::of(&link, call.request, call.deadline, abandoned, decisions);
--- a/crates/tarragon-gateway/src/metrics.rs
+++ b/crates/tarragon-gateway/src/metrics.rs
@@ -91,6 +91,8 @@
     pub memory_refusals: IntCounterVec,
     /// Idle connections that were closed because connections ran low.
     pub idle_closed: IntCounter,
+    /// Prompts of which only the beginning is matched with what engines hold.
+    pub cut_prompts: IntCounter,
 }
 
 impl GatewayMetrics {
@@ -210,6 +212,10 @@
                 metric_name("idle_connections_closed_total"),
                 "Idle connections that were closed because connections ran low",
             )?,
+            cut_prompts: IntCounter::new(
+                metric_name("cut_prompts_total"),
+                "Prompts of which only the beginning is matched with what engines hold",
+            )?,
             registry,
         };
         metrics.register()?;
@@ -252,7 +258,8 @@
         registry.register(Box::new(self.returned_requests.clone()))?;
         registry.register(Box::new(self.memory_bytes.clone()))?;
         registry.register(Box::new(self.memory_refusals.clone()))?;
-        registry.register(Box::new(self.idle_closed.clone()))
+        registry.register(Box::new(self.idle_closed.clone()))?;
+        registry.register(Box::new(self.cut_prompts.clone()))
     }
 
     /// Encodes all metrics in the Prometheus text format.
