Bound the idle time that a target states

A target that answered once with Keep-Alive: timeout= got no further requests until the process restarted: adding the time to the clock panicked, and the panic ended the task of the request.

odd_numbers_of_a_target_do_not_end_its_service failed on the first case before (request open for ever, then 503) and passes now.

--- a/crates/tarragon-gateway/src/forward/notices.rs
+++ b/crates/tarragon-gateway/src/forward/notices.rs
@@ -24,6 +24,8 @@
 /// How long an idle connection is kept if the target's `Keep-Alive` header gives no limit: the limit may be
 /// below one second.
 const DEFAULT_IDLE_TIME: Duration = Duration::from_millis(400);
+/// Longest idle limit of a target that is taken as stated.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(3_600);
 /// Share of the idle limit in a target's `Keep-Alive` header for which its connection is reused.
 const IDLE_SHARE: f64 = 0.7;
 
@@ -195,5 +197,7 @@
         let value = part.trim().strip_prefix("timeout=")?;
         value.trim().parse::<u64>().ok()
     });
-    seconds.map_or(DEFAULT_IDLE_TIME, |seconds| Duration::from_secs(seconds).mul_f64(IDLE_SHARE))
+    seconds.map_or(DEFAULT_IDLE_TIME, |seconds| {
+        Duration::from_secs(seconds).min(MAX_IDLE_TIME).mul_f64(IDLE_SHARE)
+    })
 }
