Close a request whose task panics

After as many panics as a target has slots, callers of its service got 503 until the process restarted: the scheduler counted the attempts of the ended tasks as running. Cause: only the regular end of a request's task released it. A guard now closes the request and its attempt when the task ends, however it ends, and a panic is counted (panicked_requests_total) and logged. Closing a request a second time has no effect.

--- a/crates/tarragon-gateway/src/caller.rs
+++ b/crates/tarragon-gateway/src/caller.rs
@@ -419,7 +419,7 @@
 ) where
     D: CallProtocol,
 {
-    context.metrics.open_requests.inc();
+    let _open = OpenCall::new(&context, call.request);
     let order = call_order(&call);
     let route = &call.routed.route;
     tracing::info!(
@@ -454,7 +454,31 @@
     let mut runner = ForwardRunner::new(&context, &call, head);
     let end = driver.run(&mut runner).await;
     finish(&context, &call, end, runner);
-    context.metrics.open_requests.dec();
+}
+
+/// A request whose task runs. It is closed when this is dropped: a task that panics must leave no attempt open, which
+/// would occupy a slot of its target for ever.
+struct OpenCall<'a, D> {
+    context: &'a GatewayContext<D>,
+    request: RequestId,
+}
+
+impl<'a, D> OpenCall<'a, D> {
+    fn new(context: &'a GatewayContext<D>, request: RequestId) -> OpenCall<'a, D> {
+        context.metrics.open_requests.inc();
+        OpenCall { context, request }
+    }
+}
+
+impl<D> Drop for OpenCall<'_, D> {
+    fn drop(&mut self) {
+        self.context.node.close_request(self.request);
+        self.context.metrics.open_requests.dec();
+        if std::thread::panicking() {
+            self.context.metrics.panicked_requests.inc();
+            tracing::error!(id = self.request, "the task of a request has panicked");
+        }
+    }
 }
 
 /// Ids of the first shared parts of a prompt, for logs. The last part belongs to the request alone.
--- a/crates/tarragon-gateway/src/metrics.rs
+++ b/crates/tarragon-gateway/src/metrics.rs
@@ -91,6 +91,8 @@
     pub memory_refusals: IntCounterVec,
     /// Idle connections that were closed because connections ran low.
     pub idle_closed: IntCounter,
+    /// Requests whose tasks have panicked.
+    pub panicked_requests: IntCounter,
     /// Prompts of which only the beginning is matched with what engines hold.
     pub cut_prompts: IntCounter,
 }
@@ -212,6 +214,10 @@
                 metric_name("idle_connections_closed_total"),
                 "Idle connections that were closed because connections ran low",
             )?,
+            panicked_requests: IntCounter::new(
+                metric_name("panicked_requests_total"),
+                "Requests whose tasks have panicked",
+            )?,
             cut_prompts: IntCounter::new(
                 metric_name("cut_prompts_total"),
                 "Prompts of which only the beginning is matched with what engines hold",
@@ -259,6 +265,7 @@
         registry.register(Box::new(self.memory_bytes.clone()))?;
         registry.register(Box::new(self.memory_refusals.clone()))?;
         registry.register(Box::new(self.idle_closed.clone()))?;
+        registry.register(Box::new(self.panicked_requests.clone()))?;
         registry.register(Box::new(self.cut_prompts.clone()))
     }
 
--- a/crates/tarragon-gateway/src/shared_node.rs
+++ b/crates/tarragon-gateway/src/shared_node.rs
@@ -216,10 +216,10 @@
         self.run(|node, now, actions| node.handle(now, event, actions));
     }
 
-    /// Removes a request whose task has ended, and ends its current attempt.
-    fn close_request(&self, request: RequestId) {
-        let open = self.open.with(|open| open.swap_remove(&request));
-        if let Some(attempt) = open.and_then(|open| open.attempt) {
+    /// Removes a request whose task has ended, and ends its current attempt. Has no effect on one that is closed.
+    pub fn close_request(&self, request: RequestId) {
+        let Some(open) = self.open.with(|open| open.swap_remove(&request)) else { return };
+        if let Some(attempt) = open.attempt {
             let end = if attempt.started { AttemptEnd::Cancelled } else { AttemptEnd::Withheld };
             let ended = SchedulerEvent::AttemptEnded(request, attempt.number, end);
             self.run(|node, now, actions| {
