Charge all that a process holds for callers to one account

What callers saw: crowds that the account did not know took processes over the memory of their machines, or kept ready processes from accepting. The cause of all was one: charges covered bodies and answers only while these were read.

- Requests are charged from their head to their end, with the blocks of their prompts.
They took 50 to 60 KB each, uncharged.
- Answers stay charged until their callers have taken the last byte: the charge is attached to the bytes.
They were released when the target had been read.
- Receive buffers have a share of their own and are 32 KB; they took the share of connections, so 64 KB bodies kept connections from being accepted.
Bytes behind a request that still runs are charged, too.
- The share of connections is reserved whole and bounds their number, so the account and readiness agree.
Connections beyond the bound are closed at once: in the queue of the listener they held what their callers sent, uncharged.
- Slow transfers are given up when others wait for their memory, largest first: a body or an answer that moves less than a tenth of its charge a second.
A byte every two seconds held a charge until the deadline, which callers choose.
- Attempts that are carried for peers are charged for their buffers.
- The future of a request is boxed, so that idle connections don't hold it.

Every share has a reserved part; a single request inside the limits is served as before. New counters: connections_refused_total, connections_given_up_total, given_up_transfers, memory_bytes and memory_refusals_total by nine shares.

--- a/crates/tarragon-gateway/src/caller.rs
+++ b/crates/tarragon-gateway/src/caller.rs
@@ -28,11 +28,11 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
-    connection::{AnswerState, ConnectionWatch},
+    connection::{AnswerState, BytesBehind, ConnectionWatch},
     context::GatewayContext,
     evidence::find_build_by_part,
-    forward::{ForwardAnswer, ForwardCall, ForwardRunner, whole_response},
-    listener::RECEIVE_BUFFER_BYTES,
+    forward::{CallMemory, ForwardAnswer, ForwardCall, ForwardRunner, whole_response},
+    listener::UNREAD_BYTES,
     origins::{StreamLookup, find_build},
     platform::CallProtocol,
     shared_node::SharedNodeLink,
@@ -40,6 +40,13 @@
 
 /// Longest wait for the next part of a caller's body.
 const BODY_PART_TIMEOUT: Duration = Duration::from_secs(5);
+/// Memory of a request that waits, beside its head, its body and its connection: its tasks, channels and headers for the
+/// target.
+const REQUEST_BYTES: usize = 40 << 10;
+/// Memory of a stream: small events that its caller has yet to take, and the read buffer of its target's connection.
+const STREAM_BYTES: usize = 32 << 10;
+/// How often the bytes of a head are kept: as they arrived, decoded, and for the target.
+const HEAD_COPIES: usize = 3;
 /// Longest wait for memory for a body. Nothing is read from the connection meanwhile.
 const MEMORY_WAIT: Duration = Duration::from_millis(500);
 /// Retry-after time of requests for whose bodies there is no memory. A body that stops is given up after
@@ -81,7 +88,14 @@
     let wait = wait_limit(&routed.route, call_head.time_left);
     let deadline = Deadline::after(&context.clock, wait);
     let limits = body_limits(context.caller_limits(), wait);
+    let head_bytes = head_bytes(&head);
+    let held = charge_request(&context, &call_head, &routed.route, head_bytes);
     let expects_continue = head.headers.contains_key(header::EXPECT);
+    let Some(held) = held else {
+        let refused = refuse_unread(&context, &mut body, MemoryShare::Requests, &call_head.tag);
+        return refused.await;
+    };
+    let is_announced = body.size_hint().exact().is_some();
     let received = receive_body(&context, &call_head.tag, &mut body, limits, expects_continue);
     let ChargedBody { bytes: body, charge: memory } =
         match before_end(&context, &call_head.tag, received).await {
@@ -89,6 +103,15 @@
             Ok(Err(answer)) | Err(answer) => return *answer,
         };
     watch.set_state(AnswerState::Waiting);
+    // The size of a body in chunks tells nothing of the bytes that it took.
+    let may_hold_more = watch.take_request(head_bytes + body.len()) || !is_announced;
+    let behind = match may_hold_more {
+        true => match BytesBehind::charge(&context.memory, watch) {
+            Some(behind) => Some(behind),
+            None => return memory_refusal(&context, &call_head.tag, MemoryShare::Unread),
+        },
+        false => None,
+    };
     let event_tokens = context.node.view(|node| {
         let terms = node.operator_state().service_configuration(&routed.service);
         terms.map_or(1, |terms| terms.event_tokens.max(1))
@@ -106,7 +129,7 @@
         path: head.uri,
         headers: head.headers,
         body,
-        memory,
+        memory: CallMemory { body: memory, request: held, behind },
         arrived,
         deadline,
         resume_after: call_head.resume_after,
@@ -115,7 +138,55 @@
         stream,
         generation: call_head.generation,
     };
-    serve_call(context, call).await
+    let answer = serve_call(context.clone(), call).await;
+    let bytes = answer.body().size_hint().exact().unwrap_or(0) as usize;
+    if bytes > SMALL_BODY_BYTES {
+        watch.begin_answer(context.memory.open_transfer(bytes, watch.give_up.clone()));
+    }
+    answer
+}
+
+/// About as many bytes as the head of a request had.
+fn head_bytes(head: &http::request::Parts) -> usize {
+    /// Version, separators and line ends of the request line.
+    const LINE_BYTES: usize = 12 + 2;
+    /// Separator and line end of a header.
+    const SEPARATOR_BYTES: usize = 4;
+    let header = |(name, value): (&http::HeaderName, &http::HeaderValue)| {
+        name.as_str().len() + value.len() + SEPARATOR_BYTES
+    };
+    let path = head.uri.path_and_query().map_or(0, |path| path.as_str().len());
+    let line = head.method.as_str().len() + path + LINE_BYTES;
+    line + head.headers.iter().map(header).sum::<usize>()
+}
+
+/// Charges what a request holds beside its body until it has ended.
+fn charge_request<D>(
+    context: &GatewayContext<D>,
+    head: &CallHead,
+    route: &CallRoute,
+    head_bytes: usize,
+) -> Option<MemoryCharge> {
+    let blocks = head.generation.as_ref().map_or(0, prefix_block_count).min(MAX_PREFIX_BLOCKS);
+    let stream_bytes = if route.streamed { STREAM_BYTES } else { 0 };
+    let bytes = REQUEST_BYTES + stream_bytes + HEAD_COPIES * head_bytes;
+    let bytes = bytes + blocks * size_of::<BlockHash>();
+    context.memory.charge_now(MemoryShare::Requests, bytes)
+}
+
+/// Refuses a request whose body has not been read.
+async fn refuse_unread<D>(
+    context: &GatewayContext<D>,
+    body: &mut Incoming,
+    share: MemoryShare,
+    tag: &str,
+) -> CallerAnswer
+where
+    D: CallProtocol,
+{
+    let limit = context.caller_limits().body_bytes;
+    discard_rest(body, limit, REFUSED_BODY_TIME).await;
+    memory_refusal(context, tag, share)
 }
 
 /// Awaits what a request needs before it is admitted. If the process is about to end first, the request is refused.
@@ -278,8 +349,8 @@
 {
     // Reading on from a refused body asks a caller that has not sent it yet to do so.
     let is_awaited = expects_continue && !body.is_end_stream();
-    let Ok(_unread) = charge_unread(context, body) else {
-        return Err(Box::new(memory_refusal(context, tag)));
+    let Some(_unread) = charge_unread(context, body) else {
+        return Err(Box::new(memory_refusal(context, tag, MemoryShare::Unread)));
     };
     let room = BodyRoom {
         account: &context.memory,
@@ -292,10 +363,13 @@
         Err(fault) => fault,
     };
     let answer = match fault {
-        BodyFault::NoRoom => memory_refusal(context, tag),
+        BodyFault::NoRoom | BodyFault::GivenUp => {
+            memory_refusal(context, tag, MemoryShare::CallerBodies)
+        }
         _ => body_fault_answer(context, tag, fault),
     };
-    if matches!(fault, BodyFault::NoRoom | BodyFault::TooLarge) && !is_awaited {
+    let is_refused = matches!(fault, BodyFault::NoRoom | BodyFault::GivenUp | BodyFault::TooLarge);
+    if is_refused && !is_awaited {
         discard_rest(body, limits.bytes, REFUSED_BODY_TIME).await;
     }
     Err(Box::new(answer))
@@ -303,36 +377,35 @@
 
 /// Charges what the kernel may hold of a body that isn't read, or whose length isn't announced. The memory of other
 /// small bodies covers it.
-fn charge_unread<D>(
-    context: &GatewayContext<D>,
-    body: &Incoming,
-) -> Result<Option<MemoryCharge>, BodyFault> {
+fn charge_unread<D>(context: &GatewayContext<D>, body: &Incoming) -> Option<Option<MemoryCharge>> {
     if body.size_hint().exact().is_some_and(|bytes| bytes <= SMALL_BODY_BYTES as u64) {
-        return Ok(None);
+        return Some(None);
     }
-    let charge = context.memory.try_charge(MemoryShare::Connections, RECEIVE_BUFFER_BYTES);
-    charge.map(Some).ok_or(BodyFault::NoRoom)
+    context.memory.charge_now(MemoryShare::Unread, UNREAD_BYTES).map(Some)
 }
 
-/// The answer to a request for whose body there is no memory.
-fn memory_refusal<D>(context: &GatewayContext<D>, tag: &str) -> CallerAnswer
+/// The answer to a request for which there is no memory.
+fn memory_refusal<D>(context: &GatewayContext<D>, tag: &str, share: MemoryShare) -> CallerAnswer
 where
     D: CallProtocol,
 {
-    let refusal = Refusal::not_run(RefusalCode::Shed, BodyFault::NoRoom.message())
-        .with_retry_after(MEMORY_RETRY_AFTER);
+    let message = "the process has no memory for the request at present; repeat later";
+    let refusal = Refusal::not_run(RefusalCode::Shed, message).with_retry_after(MEMORY_RETRY_AFTER);
     let used_mb = |share| context.memory.used(share) >> 20;
     tracing::info!(
         request = tag,
+        share = share.name(),
         caller_mb = used_mb(MemoryShare::CallerBodies),
         small_mb = used_mb(MemoryShare::SmallBodies),
+        unread_mb = used_mb(MemoryShare::Unread),
         peer_mb = used_mb(MemoryShare::PeerBodies),
-        answer_mb = used_mb(MemoryShare::Answers),
+        answer_mb = used_mb(MemoryShare::Answers) + used_mb(MemoryShare::SmallAnswers),
+        stream_mb = used_mb(MemoryShare::Streams),
+        request_mb = used_mb(MemoryShare::Requests),
         connection_mb = used_mb(MemoryShare::Connections),
-        "refused: no memory for the body"
+        "refused: no memory"
     );
-    let share = MemoryShare::CallerBodies.name();
-    context.metrics.memory_refusals.with_label_values(&[share]).inc();
+    context.metrics.memory_refusals.with_label_values(&[share.name()]).inc();
     context.metrics.count_answer("not_run", "memory");
     closing(refusal_answer(context, &refusal))
 }
--- a/crates/tarragon-gateway/src/connection.rs
+++ b/crates/tarragon-gateway/src/connection.rs
@@ -2,9 +2,10 @@
 //! not, why.
 
 use std::{
+    io,
     pin::Pin,
     sync::Arc,
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
 };
 
 use bytes::Bytes;
@@ -12,10 +13,18 @@
 use tarragon_server::{
     caller::answer::{AnswerBody, BodyCutShort},
     guarded::Guarded,
+    memory::{MemoryAccount, MemoryCharge, MemoryShare, MemoryTransfer},
 };
-use tokio::time::Instant;
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    time::Instant,
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{listener::UNREAD_BYTES, metrics::GatewayMetrics};
 
-use crate::metrics::GatewayMetrics;
+/// Largest error of the size that is computed for a request from its parsed head.
+const REQUEST_SIZE_ERROR: usize = 256;
 
 /// How far the current request of a connection has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -59,19 +68,27 @@
 struct WatchState {
     open: Option<OpenRequest>,
     idle: IdleState,
+    /// Bytes that were read and belong to no request that is known.
+    read: usize,
+    /// The large answer that is being written.
+    answer: Option<MemoryTransfer>,
 }
 
 /// Follows the current request of a connection. Clones follow the same one.
 #[derive(Debug, Clone)]
 pub struct ConnectionWatch {
     state: Arc<Guarded<WatchState>>,
+    /// Cancelled when others need the memory that the connection holds.
+    pub give_up: CancellationToken,
 }
 
 impl Default for ConnectionWatch {
     /// Watches a connection that has just been accepted.
     fn default() -> ConnectionWatch {
         let idle = IdleState { since: Instant::now(), was_used: false };
-        ConnectionWatch { state: Arc::new(Guarded::new(WatchState { open: None, idle })) }
+        let state = WatchState { open: None, idle, read: 0, answer: None };
+        let give_up = CancellationToken::new();
+        ConnectionWatch { state: Arc::new(Guarded::new(state)), give_up }
     }
 }
 
@@ -101,15 +118,154 @@
         self.state.with(|watched| watched.open.iter_mut().for_each(|open| open.state = state));
     }
 
+    /// Bytes have arrived. Returns whether they come behind a request that has been read whole.
+    fn count_read(&self, bytes: usize) -> bool {
+        self.state.with(|state| {
+            state.read = state.read.saturating_add(bytes);
+            state.open.as_ref().is_some_and(|open| open.state != AnswerState::Reading)
+        })
+    }
+
+    /// A request of about so many bytes has been read whole. Returns whether further bytes came with it.
+    pub fn take_request(&self, bytes: usize) -> bool {
+        self.state.with(|state| {
+            state.read = state.read.saturating_sub(bytes);
+            state.read > 0
+        })
+    }
+
+    /// The answer is large and holds memory until the caller has taken it.
+    pub fn begin_answer(&self, answer: MemoryTransfer) {
+        self.state.with(|state| state.answer = Some(answer));
+    }
+
+    fn count_written(&self, bytes: usize) {
+        self.state.with(|state| state.answer.iter().for_each(|answer| answer.add(bytes)));
+    }
+
+    /// Nothing is left to be written.
+    fn flushed(&self) {
+        self.state.with(|state| {
+            if state.open.is_none() {
+                state.answer = None;
+            }
+        });
+    }
+
     /// The answer is complete.
     fn complete(&self) {
         self.state.with(|state| {
             state.open = None;
             state.idle.since = Instant::now();
+            // What is left is within the error of the sizes of requests.
+            if state.read <= REQUEST_SIZE_ERROR {
+                state.read = 0;
+            }
         });
     }
 }
 
+/// Memory of the bytes that a caller sends behind a request that still runs. The connection is given up if others wait
+/// for that memory.
+#[derive(Debug)]
+pub struct BytesBehind {
+    _charge: MemoryCharge,
+    _transfer: MemoryTransfer,
+}
+
+impl BytesBehind {
+    /// Charges what the socket of a connection may hold.
+    pub fn charge(memory: &MemoryAccount, watch: &ConnectionWatch) -> Option<BytesBehind> {
+        let charge = memory.charge_now(MemoryShare::Unread, UNREAD_BYTES)?;
+        let transfer = memory.open_transfer(UNREAD_BYTES, watch.give_up.clone());
+        Some(BytesBehind { _charge: charge, _transfer: transfer })
+    }
+}
+
+/// A connection that tells its watch what it reads and writes, and charges what comes behind a request that still runs.
+pub struct WatchedStream<C> {
+    connection: C,
+    watch: ConnectionWatch,
+    memory: MemoryAccount,
+    /// What came behind the request.
+    behind: Option<BytesBehind>,
+}
+
+impl<C> WatchedStream<C> {
+    /// Watches a connection.
+    pub fn new(connection: C, watch: ConnectionWatch, memory: MemoryAccount) -> WatchedStream<C> {
+        WatchedStream { connection, watch, memory, behind: None }
+    }
+
+    fn charge_behind(&mut self, is_behind: bool) -> io::Result<()> {
+        if !is_behind {
+            self.behind = None;
+            return Ok(());
+        }
+        if self.behind.is_none() {
+            self.behind = BytesBehind::charge(&self.memory, &self.watch);
+        }
+        let message = "no memory for what the caller sends behind its request";
+        self.behind.as_ref().map(drop).ok_or(io::Error::new(io::ErrorKind::OutOfMemory, message))
+    }
+}
+
+impl<C> AsyncRead for WatchedStream<C>
+where
+    C: AsyncRead + Unpin,
+{
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut self.connection).poll_read(context, buffer))?;
+        let bytes = buffer.filled().len() - before;
+        let is_behind = bytes > 0 && self.watch.count_read(bytes);
+        Poll::Ready(self.charge_behind(is_behind))
+    }
+}
+
+impl<C> AsyncWrite for WatchedStream<C>
+where
+    C: AsyncWrite + Unpin,
+{
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = ready!(Pin::new(&mut self.connection).poll_write(context, bytes))?;
+        self.watch.count_written(written);
+        Poll::Ready(Ok(written))
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = ready!(Pin::new(&mut self.connection).poll_write_vectored(context, slices))?;
+        self.watch.count_written(written);
+        Poll::Ready(Ok(written))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.connection.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(Pin::new(&mut self.connection).poll_flush(context))?;
+        self.watch.flushed();
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.connection).poll_shutdown(context)
+    }
+}
+
 /// The body of an answer that tells the watch when it is complete.
 #[derive(Debug)]
 pub struct WatchedBody {
@@ -163,6 +319,8 @@
     AnswerCutShort,
     /// The caller was idle, or read nothing, for too long.
     TimedOut,
+    /// The caller read slowly, or sent more than its request, while others waited for memory.
+    GivenUp,
     /// The caller's bytes are no HTTP.
     InvalidBytes,
     /// Reading or writing failed.
@@ -193,6 +351,7 @@
             ConnectionEnd::CallerClosed => "caller_closed",
             ConnectionEnd::AnswerCutShort => "answer_cut_short",
             ConnectionEnd::TimedOut => "timed_out",
+            ConnectionEnd::GivenUp => "given_up",
             ConnectionEnd::InvalidBytes => "invalid_bytes",
             ConnectionEnd::Failed => "failed",
             ConnectionEnd::Aborted => "aborted",
@@ -214,6 +373,11 @@
     pub fn new(watch: ConnectionWatch, metrics: GatewayMetrics) -> ConnectionReport {
         ConnectionReport { watch, metrics, end: ConnectionEnd::TaskEnded }
     }
+
+    /// What follows the requests of the connection.
+    pub fn watch(&self) -> &ConnectionWatch {
+        &self.watch
+    }
 }
 
 impl Drop for ConnectionReport {
--- a/crates/tarragon-gateway/src/connections.rs
+++ b/crates/tarragon-gateway/src/connections.rs
@@ -39,13 +39,17 @@
     /// Bounds for a process that may have so many descriptors.
     pub fn for_descriptors(descriptors: usize) -> ConnectionBounds {
         let reserved = RESERVED_DESCRIPTORS.min(descriptors * 3 / 10);
-        let most = (descriptors - reserved).max(1);
-        ConnectionBounds {
-            most,
-            high: (most * 3 / 4).max(1),
-            low: (most * 5 / 8).max(1),
-            peers: (reserved / 2).clamp(1, 512),
-        }
+        ConnectionBounds::with_most(descriptors - reserved, (reserved / 2).clamp(1, 512))
+    }
+
+    /// The bounds with at most so many connections.
+    pub fn at_most(self, most: usize) -> ConnectionBounds {
+        ConnectionBounds::with_most(self.most.min(most), self.peers)
+    }
+
+    fn with_most(most: usize, peers: usize) -> ConnectionBounds {
+        let most = most.max(1);
+        ConnectionBounds { most, high: (most * 3 / 4).max(1), low: (most * 5 / 8).max(1), peers }
     }
 }
 
--- a/crates/tarragon-gateway/src/forward.rs
+++ b/crates/tarragon-gateway/src/forward.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
+use hyper::body::Body;
 use tarragon_fleet::{link::ConnectFault, origin::StreamKey, prelude::*};
 use tarragon_server::{
     caller::answer::CallerAnswer,
@@ -16,7 +17,7 @@
     process::Deadline,
     request::{AttemptReport, AttemptRunner, DispatchOrder},
     target::{
-        body::{AnswerFault, collect_body},
+        body::{AnswerFault, AnswerLimits, collect_body},
         metered::TargetBody,
         pool::{CallBody, CallFault, ConnectionId, TargetConnection},
     },
@@ -33,6 +34,7 @@
     TargetNotice, answers_the_call, apply_answer_head, idle_limit, watch_interim_answers,
 };
 use crate::{
+    connection::BytesBehind,
     context::GatewayContext,
     platform::{AnswerKind, CallMetadata, CallProtocol},
     relay::PeerSlot,
@@ -43,6 +45,17 @@
 /// A call is not sent with less time left, since its answer could not arrive before the deadline.
 const MIN_REMAINING_TIME: Duration = Duration::from_millis(3);
 
+/// The charges of a call.
+#[derive(Debug)]
+pub struct CallMemory {
+    /// For its body.
+    pub body: MemoryCharge,
+    /// For its head, tasks and channels.
+    pub request: MemoryCharge,
+    /// For bytes that its caller has sent behind it.
+    pub behind: Option<BytesBehind>,
+}
+
 /// A call of a caller, with its complete body.
 #[derive(Debug)]
 pub struct ForwardCall {
@@ -60,8 +73,8 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
-    /// Memory of the body.
-    pub memory: MemoryCharge,
+    /// Memory that is held until it has ended.
+    pub memory: CallMemory,
     /// When it arrived.
     pub arrived: Instant,
     /// When the caller stops waiting for the answer.
@@ -532,9 +545,10 @@
         let IncomingAnswer { connection, head, body, peer, .. } = answer;
         let remaining = self.call.deadline.remaining(&self.context.clock);
         let patience = self.patience(remaining);
+        let announced = body.size_hint().exact();
         let source = ReplaceableBody { runner: &*self, order, patience, body };
-        let limit = self.context.limits.answer_bytes;
-        let body = match self.context.answers.collect_from(source, limit).await {
+        let limits = AnswerLimits { bytes: self.context.limits.answer_bytes, wait: remaining };
+        let body = match self.context.answers.collect_from(source, announced, limits).await {
             Ok(body) => body,
             Err(AnswerFault::Silent) => return AttemptReport::Ended(AttemptEnd::Silent),
             Err(fault) => {
--- a/crates/tarragon-gateway/src/listener.rs
+++ b/crates/tarragon-gateway/src/listener.rs
@@ -9,26 +9,31 @@
 use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tarragon_server::{caller::write_limit::WriteLimit, memory::MemoryShare};
+use tarragon_server::{
+    caller::write_limit::WriteLimit,
+    memory::{AccountBounds, MemoryShare},
+};
 use tokio::{
     net::{TcpListener, TcpSocket, TcpStream},
-    sync::Semaphore,
+    sync::{OwnedSemaphorePermit, Semaphore},
     time::{Instant, sleep, timeout},
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
     caller,
-    connection::{ConnectionEnd, ConnectionReport, ConnectionWatch, WatchedBody},
+    connection::{ConnectionEnd, ConnectionReport, ConnectionWatch, WatchedBody, WatchedStream},
     connections::{IdleBounds, OpenConnection},
     context::GatewayContext,
     platform::CallProtocol,
 };
 
 /// Memory of an open connection: its read buffer and its task.
-const CONNECTION_BYTES: usize = 12 << 10;
+const CONNECTION_BYTES: usize = 16 << 10;
 /// Receive buffer of a socket. Without a bound, the kernel keeps megabytes of a body that isn't read.
-pub const RECEIVE_BUFFER_BYTES: usize = 64 << 10;
+const RECEIVE_BUFFER_BYTES: usize = 32 << 10;
+/// Bytes that a socket may hold unread. The kernel doubles the size of the buffer.
+pub const UNREAD_BYTES: usize = 2 * RECEIVE_BUFFER_BYTES;
 /// Connections that wait to be accepted.
 const ACCEPT_BACKLOG: u32 = 1_024;
 /// Interval at which idle connections are closed while connections run low.
@@ -57,6 +62,11 @@
     pub connections: TaskTracker,
 }
 
+/// Connections that fit into their share of an account.
+pub fn connections_by_memory(bounds: &AccountBounds) -> usize {
+    bounds.shares[MemoryShare::Connections as usize].most / CONNECTION_BYTES
+}
+
 /// Accepts connections of callers until `signals.close` is cancelled.
 pub async fn listen<D>(
     listener: TcpListener,
@@ -80,14 +90,16 @@
 {
     let permits = Arc::new(Semaphore::new(context.connections.bounds().most));
     loop {
-        let charge = tokio::select! {
-            biased;
-            () = signals.close.cancelled() => return,
-            charge = context.memory.charge(MemoryShare::Connections, CONNECTION_BYTES) => charge,
-        };
         let Some((stream, permit)) = accept(listener, &permits, &signals.close).await else {
             return;
         };
+        let charge = context.memory.try_charge(MemoryShare::Connections, CONNECTION_BYTES);
+        // A connection that is not accepted would hold what its caller sends.
+        let (Some(permit), Some(charge)) = (permit, charge) else {
+            context.metrics.refused_connections.inc();
+            tracing::debug!("connection is refused: too many are open");
+            continue;
+        };
         let watch = ConnectionWatch::default();
         let open = context.connections.open(watch.clone());
         let (context, signals) = (context.clone(), signals.clone());
@@ -126,24 +138,21 @@
     bind().with_context(|| format!("{name} {address} can't be bound"))
 }
 
-/// Accepts a connection as soon as there is a permit for it; `None` after `close` was cancelled.
+/// Accepts a connection, with a permit if there is one; `None` after `close` was cancelled.
 pub async fn accept(
     listener: &TcpListener,
     permits: &Arc<Semaphore>,
     close: &CancellationToken,
-) -> Option<(TcpStream, tokio::sync::OwnedSemaphorePermit)> {
+) -> Option<(TcpStream, Option<OwnedSemaphorePermit>)> {
     loop {
         let accepted = tokio::select! {
             biased;
             () = close.cancelled() => return None,
-            accepted = async {
-                let permit = permits.clone().acquire_owned().await.ok()?;
-                Some((listener.accept().await, permit))
-            } => accepted?,
+            accepted = listener.accept() => accepted,
         };
         match accepted {
-            (Ok((stream, _)), permit) => return Some((stream, permit)),
-            (Err(error), _) => {
+            Ok((stream, _)) => return Some((stream, permits.clone().try_acquire_owned().ok())),
+            Err(error) => {
                 tracing::warn!(%error, "a connection could not be accepted");
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
@@ -179,12 +188,15 @@
         watch.open_request();
         let (context, watch) = (context.clone(), watch.clone());
         let has_body = message.method() != Method::HEAD;
-        async move {
+        // The HTTP library keeps the memory of this future with each connection, also while that is idle.
+        Box::pin(async move {
             let answer = caller::handle(context, message, &watch).await;
             Ok::<_, Infallible>(answer.map(|body| WatchedBody::new(body, has_body, watch)))
-        }
+        })
     });
-    let stream = TokioIo::new(WriteLimit::new(stream, context.limits.caller_stall));
+    let stream = WriteLimit::new(stream, context.limits.caller_stall);
+    let stream = WatchedStream::new(stream, report.watch().clone(), context.memory.clone());
+    let stream = TokioIo::new(stream);
     let connection = builder.serve_connection(stream, service);
     tokio::pin!(connection);
     // A new connection is probably about to send a request, which would be lost if it were closed now.
@@ -202,6 +214,12 @@
                 report.end = ConnectionEnd::Aborted;
                 return;
             }
+            () = report.watch().give_up.cancelled() => {
+                report.end = ConnectionEnd::GivenUp;
+                context.metrics.given_up_connections.inc();
+                tracing::info!("connection is given up: others wait for the memory that it holds");
+                return;
+            }
             () = open.close.cancelled(), if !closing => {
                 // The HTTP library doesn't end a connection on which no request has come.
                 if watch.idle_state().is_some_and(|idle| !idle.was_used) {
@@ -234,6 +252,7 @@
 {
     let permits = Arc::new(Semaphore::new(MAX_PAGE_CONNECTIONS));
     while let Some((stream, permit)) = accept(&listener, &permits, &abort).await {
+        let Some(permit) = permit else { continue };
         let (page, abort) = (page.clone(), abort.clone());
         tokio::spawn(async move {
             let service = service_fn(move |message| {
--- a/crates/tarragon-gateway/src/metrics.rs
+++ b/crates/tarragon-gateway/src/metrics.rs
@@ -87,12 +87,18 @@
     pub returned_requests: IntCounterVec,
     /// Bytes that are charged to the memory account, by share.
     pub memory_bytes: IntGaugeVec,
-    /// Bodies that were refused because there was no memory for them, by share.
+    /// Requests and bodies that were refused because there was no memory for them, by share.
     pub memory_refusals: IntCounterVec,
     /// Idle connections that were closed because connections ran low.
     pub idle_closed: IntCounter,
     /// Requests whose tasks have panicked.
     pub panicked_requests: IntCounter,
+    /// Connections that were given up because others waited for the memory that they held.
+    pub given_up_connections: IntCounter,
+    /// Connections that were closed at once because too many were open.
+    pub refused_connections: IntCounter,
+    /// Slow bodies and answers that were given up for others since the start.
+    pub given_up_transfers: IntGauge,
     /// Prompts of which only the beginning is matched with what engines hold.
     pub cut_prompts: IntCounter,
 }
@@ -207,13 +213,25 @@
             )?,
             memory_refusals: counter_vec(
                 "memory_refusals_total",
-                "Bodies that were refused because there was no memory for them",
+                "Requests and bodies that were refused because there was no memory for them",
                 &["share"],
             )?,
             idle_closed: IntCounter::new(
                 metric_name("idle_connections_closed_total"),
                 "Idle connections that were closed because connections ran low",
             )?,
+            given_up_connections: IntCounter::new(
+                metric_name("connections_given_up_total"),
+                "Connections that were given up because others waited for the memory that they held",
+            )?,
+            refused_connections: IntCounter::new(
+                metric_name("connections_refused_total"),
+                "Connections that were closed at once because too many were open",
+            )?,
+            given_up_transfers: gauge(
+                "given_up_transfers",
+                "Slow bodies and answers that were given up for others since the start",
+            )?,
             panicked_requests: IntCounter::new(
                 metric_name("panicked_requests_total"),
                 "Requests whose tasks have panicked",
@@ -266,6 +284,9 @@
         registry.register(Box::new(self.memory_refusals.clone()))?;
         registry.register(Box::new(self.idle_closed.clone()))?;
         registry.register(Box::new(self.panicked_requests.clone()))?;
+        registry.register(Box::new(self.given_up_connections.clone()))?;
+        registry.register(Box::new(self.refused_connections.clone()))?;
+        registry.register(Box::new(self.given_up_transfers.clone()))?;
         registry.register(Box::new(self.cut_prompts.clone()))
     }
 
--- a/crates/tarragon-gateway/src/relay/server.rs
+++ b/crates/tarragon-gateway/src/relay/server.rs
@@ -56,6 +56,8 @@
 const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Most attempts of peers at once. The rest is declined, so that the peer asks another one.
 const MAX_CARRIED: usize = 256;
+/// Memory of an attempt that is carried, beside its body: its task and the buffers of its two connections.
+const CARRIED_BYTES: usize = 96 << 10;
 /// Longest time that a connection of a peer is idle, above that for which peers use it.
 const IDLE_TIME: Duration = Duration::from_secs(15);
 /// Longest wait for the next part of an attempt's body.
@@ -82,6 +84,11 @@
 {
     let permits = Arc::new(Semaphore::new(context.connections.bounds().peers));
     while let Some((stream, permit)) = accept(&listener, &permits, &signals.close).await {
+        let Some(permit) = permit else {
+            context.metrics.refused_connections.inc();
+            tracing::debug!("connection of a peer is refused: too many are open");
+            continue;
+        };
         let (context, signals) = (context.clone(), signals.clone());
         let tracker = signals.connections.clone();
         tracker.spawn(async move {
@@ -219,13 +226,20 @@
         small_share: MemoryShare::PeerBodies,
         wait: Duration::ZERO,
     };
+    let read = async {
+        let buffers = context.memory.try_charge(room.share, CARRIED_BYTES);
+        let mut charge = buffers.ok_or(BodyFault::NoRoom)?;
+        let read = read_charged_body(&mut body, limits, room).await?;
+        charge.merge(read.charge);
+        Ok(ChargedBody { bytes: read.bytes, charge })
+    };
     let read = tokio::select! {
-        read = read_charged_body(&mut body, limits, room) => read,
+        read = read => read,
         () = context.ending.cancelled() => return Err(declined("process_ends")),
     };
     let ChargedBody { bytes: body, charge } = match read {
         Ok(read) => read,
-        Err(BodyFault::NoRoom) => {
+        Err(BodyFault::NoRoom | BodyFault::GivenUp) => {
             context.metrics.memory_refusals.with_label_values(&[room.share.name()]).inc();
             // The peer that still writes would take a reset connection for a lost attempt.
             discard_rest(&mut body, limits.bytes, BODY_PART_TIMEOUT).await;
@@ -457,7 +471,7 @@
     }
 }
 
-/// Counts an attempt of a peer until the drop, and holds the memory of its body.
+/// Counts an attempt of a peer until the drop, and holds its memory.
 struct CarriedSlot {
     relays: RelayLink,
     memory: Option<MemoryCharge>,
--- a/crates/tarragon-gateway/src/serve.rs
+++ b/crates/tarragon-gateway/src/serve.rs
@@ -30,7 +30,9 @@
     evidence::CacheEvidence,
     explain::{EXPLAIN_PATH, explain_page},
     lending::{self, LendingSender},
-    listener::{ListenerSignals, PageAnswer, bind_bounded, listen, serve_page},
+    listener::{
+        ListenerSignals, PageAnswer, bind_bounded, connections_by_memory, listen, serve_page,
+    },
     metrics::GatewayMetrics,
     origins::{self, OriginLink},
     peers,
@@ -125,8 +127,10 @@
     if lending_sender.is_some() {
         node.open_lending();
     }
-    let memory = MemoryAccount::new(AccountBounds::for_memory(settings.memory_bytes));
-    let connection_bounds = ConnectionBounds::for_descriptors(settings.max_descriptors);
+    let bounds = AccountBounds::for_memory(settings.memory_bytes);
+    let connection_bounds = ConnectionBounds::for_descriptors(settings.max_descriptors)
+        .at_most(connections_by_memory(&bounds));
+    let memory = MemoryAccount::new(bounds);
     let context = Arc::new(GatewayContext {
         protocol,
         node: Arc::new(SharedNode::new(node, lending_sender)),
@@ -267,6 +271,8 @@
         let used = i64::try_from(context.memory.used(share)).unwrap_or(i64::MAX);
         context.metrics.memory_bytes.with_label_values(&[share.name()]).set(used);
     }
+    let given_up = context.memory.given_up_transfers();
+    context.metrics.given_up_transfers.set(i64::try_from(given_up).unwrap_or(i64::MAX));
     match context.metrics.encode() {
         Ok(text) => page(StatusCode::OK, METRICS_TYPE, text.into()),
         Err(error) => {
--- a/crates/tarragon-server/src/caller/body.rs
+++ b/crates/tarragon-server/src/caller/body.rs
@@ -9,6 +9,7 @@
 use hyper::body::Body;
 use memmap2::MmapMut;
 use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
 
 use crate::memory::{MemoryAccount, MemoryCharge, MemoryShare};
 
@@ -41,6 +42,8 @@
     TooSlow,
     /// The process has no memory for it.
     NoRoom,
+    /// Its parts came slowly while others waited for its memory.
+    GivenUp,
 }
 
 impl BodyFault {
@@ -50,7 +53,7 @@
             BodyFault::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             BodyFault::CutShort => StatusCode::BAD_REQUEST,
             BodyFault::TooSlow => StatusCode::REQUEST_TIMEOUT,
-            BodyFault::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
+            BodyFault::NoRoom | BodyFault::GivenUp => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
@@ -61,6 +64,9 @@
             BodyFault::CutShort => "the body ended before its stated length; send it whole",
             BodyFault::TooSlow => "the body did not arrive in time; send it without pauses",
             BodyFault::NoRoom => "the process has no memory for the body at present; repeat later",
+            BodyFault::GivenUp => {
+                "the body came too slowly while others waited for its memory; repeat later"
+            }
         }
     }
 }
@@ -161,20 +167,31 @@
     if announced.lower() > limits.bytes as u64 {
         return Err(BodyFault::TooLarge);
     }
+    let given_up = CancellationToken::new();
     let read = async {
         let mut buffer = match announced.exact() {
             Some(bytes) => BodyBuffer::announced(bytes as usize, room).await?,
             None => BodyBuffer::growing(limits.bytes, room).await?,
         };
+        if announced.exact() == Some(0) {
+            return Ok(buffer.finish());
+        }
+        let transfer = room.account.open_transfer(buffer.charge.bytes(), given_up.clone());
         while let Some(data) = next_part(body, limits.part).await? {
             if buffer.len() + data.len() > buffer.limit {
                 return Err(BodyFault::TooLarge);
             }
             buffer.append(&data, room).await?;
+            transfer.set_charged(buffer.charge.bytes());
+            transfer.add(data.len());
         }
         Ok(buffer.finish())
     };
-    timeout(limits.whole, read).await.unwrap_or(Err(BodyFault::TooSlow))
+    tokio::select! {
+        biased;
+        read = timeout(limits.whole, read) => read.unwrap_or(Err(BodyFault::TooSlow)),
+        () = given_up.cancelled() => Err(BodyFault::GivenUp),
+    }
 }
 
 enum BufferMemory {
@@ -185,7 +202,7 @@
 }
 
 /// A body that is being read, with the memory that is charged for it.
-struct BodyBuffer {
+pub(crate) struct BodyBuffer {
     memory: BufferMemory,
     charge: MemoryCharge,
     /// Largest body.
@@ -194,7 +211,10 @@
 
 impl BodyBuffer {
     /// A buffer for a body whose length is known.
-    async fn announced(bytes: usize, room: BodyRoom<'_>) -> Result<BodyBuffer, BodyFault> {
+    pub(crate) async fn announced(
+        bytes: usize,
+        room: BodyRoom<'_>,
+    ) -> Result<BodyBuffer, BodyFault> {
         let charge = room.charge(bytes).await?;
         let memory = match bytes <= SMALL_BODY_BYTES {
             true => BufferMemory::Heap(Vec::with_capacity(bytes)),
@@ -204,13 +224,13 @@
     }
 
     /// A buffer for a body of unknown length.
-    async fn growing(limit: usize, room: BodyRoom<'_>) -> Result<BodyBuffer, BodyFault> {
+    pub(crate) async fn growing(limit: usize, room: BodyRoom<'_>) -> Result<BodyBuffer, BodyFault> {
         let charge = room.charge(MIN_BUFFER_BYTES).await?;
         let memory = BufferMemory::Heap(Vec::with_capacity(MIN_BUFFER_BYTES));
         Ok(BodyBuffer { memory, charge, limit })
     }
 
-    fn len(&self) -> usize {
+    pub(crate) fn len(&self) -> usize {
         match &self.memory {
             BufferMemory::Heap(bytes) => bytes.len(),
             BufferMemory::Mapped { length, .. } => *length,
@@ -218,7 +238,11 @@
     }
 
     /// Appends a part after its memory has been charged. The whole is within the limit.
-    async fn append(&mut self, data: &[u8], room: BodyRoom<'_>) -> Result<(), BodyFault> {
+    pub(crate) async fn append(
+        &mut self,
+        data: &[u8],
+        room: BodyRoom<'_>,
+    ) -> Result<(), BodyFault> {
         let needed = self.len() + data.len();
         if let BufferMemory::Heap(bytes) = &self.memory
             && needed > bytes.capacity()
@@ -266,7 +290,7 @@
         Ok(())
     }
 
-    fn finish(self) -> ChargedBody {
+    pub(crate) fn finish(self) -> ChargedBody {
         let bytes = match self.memory {
             BufferMemory::Heap(bytes) => Bytes::from(bytes),
             BufferMemory::Mapped { map, length } => {
--- a/crates/tarragon-server/src/target/body.rs
+++ b/crates/tarragon-server/src/target/body.rs
@@ -5,11 +5,12 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Response, StatusCode, header};
 use http_body_util::BodyExt;
-use hyper::body::Frame;
+use hyper::body::{Body, Frame};
 use tokio::time::timeout;
 
 use crate::{
-    memory::{MemoryAccount, MemoryCharge, MemoryShare},
+    caller::body::{BodyBuffer, BodyRoom, ChargedBody},
+    memory::{MemoryAccount, MemoryShare},
     target::metered::TargetBody,
 };
 
@@ -50,15 +51,15 @@
     }
 }
 
-/// Room for the bytes of all answers that are read whole at once. A target may send bytes without end to each of its
-/// callers.
+/// Room for the bytes of all answers that are read whole, until their callers have taken them. A target may send bytes
+/// without end to each of its callers.
 #[derive(Debug, Clone)]
 pub struct AnswerRoom {
     account: MemoryAccount,
 }
 
 impl AnswerRoom {
-    /// Room in the answers' share of an account.
+    /// Room in the answers' shares of an account.
     pub fn new(account: MemoryAccount) -> AnswerRoom {
         AnswerRoom { account }
     }
@@ -70,29 +71,77 @@
         limit: usize,
         idle: Duration,
     ) -> Result<Bytes, AnswerFault> {
-        self.collect_from(TimedBody { body, idle }, limit).await
+        let announced = body.size_hint().exact();
+        let limits = AnswerLimits { bytes: limit, wait: idle };
+        self.collect_from(TimedBody { body, idle }, announced, limits).await
     }
 
-    /// Reads a body to its end, as long as there is room.
-    pub async fn collect_from<S>(&self, source: S, limit: usize) -> Result<Bytes, AnswerFault>
+    /// Reads a body like [`read_whole`], as long as there is room.
+    pub async fn read_whole(
+        &self,
+        method: &Method,
+        response: Response<TargetBody>,
+        limits: AnswerLimits,
+        idle: Duration,
+    ) -> Result<Bytes, AnswerFault> {
+        if !tells_its_end(method, response.status(), response.headers()) {
+            return Err(AnswerFault::CutShort);
+        }
+        let body = response.into_body();
+        let announced = body.size_hint().exact();
+        self.collect_from(TimedBody { body, idle }, announced, limits).await
+    }
+
+    /// Reads a body to its end, as long as there is room. The memory is charged until the last copy of the bytes is
+    /// dropped. An announced length is charged at once, so that answers that are read in part don't wait for each
+    /// other; other answers don't wait for room.
+    pub async fn collect_from<S>(
+        &self,
+        mut source: S,
+        announced: Option<u64>,
+        limits: AnswerLimits,
+    ) -> Result<Bytes, AnswerFault>
     where
         S: FrameSource,
     {
-        let mut held: Option<MemoryCharge> = None;
-        let take = |bytes: usize| {
-            let fits = match &mut held {
-                Some(held) => held.try_grow(bytes),
-                None => {
-                    held = self.account.try_charge(MemoryShare::Answers, bytes);
-                    held.is_some()
-                }
-            };
-            if fits { Ok(()) } else { Err(AnswerFault::NoRoom) }
+        if announced.is_some_and(|bytes| bytes > limits.bytes as u64) {
+            return Err(AnswerFault::TooLarge);
+        }
+        let room = BodyRoom {
+            account: &self.account,
+            share: MemoryShare::Answers,
+            small_share: MemoryShare::SmallAnswers,
+            wait: announced.map_or(Duration::ZERO, |_| limits.wait),
         };
-        collect_parts(source, limit, take).await
+        let no_room = |_| AnswerFault::NoRoom;
+        let mut buffer = match announced {
+            Some(bytes) => BodyBuffer::announced(bytes as usize, room).await,
+            None => BodyBuffer::growing(limits.bytes, room).await,
+        }
+        .map_err(no_room)?;
+        loop {
+            let Some(frame) = source.next_frame().await? else {
+                let ChargedBody { bytes, charge } = buffer.finish();
+                return Ok(charge.attach(bytes));
+            };
+            let Ok(data) = frame.map_err(|_| AnswerFault::CutShort)?.into_data() else { continue };
+            if buffer.len() + data.len() > limits.bytes {
+                return Err(AnswerFault::TooLarge);
+            }
+            buffer.append(&data, room).await.map_err(no_room)?;
+        }
     }
 }
 
+/// Bounds of an answer that is read whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AnswerLimits {
+    /// Largest answer, in bytes.
+    pub bytes: usize,
+    /// Longest wait for room, during which nothing is read.
+    pub wait: Duration,
+}
+
 /// Reads a whole body. `idle` bounds the wait for each part.
 pub async fn read_whole(
     method: &Method,
@@ -113,18 +162,7 @@
     limit: usize,
     idle: Duration,
 ) -> Result<Bytes, AnswerFault> {
-    collect_parts(TimedBody { body, idle }, limit, |_| Ok(())).await
-}
-
-/// Smallest buffer of an answer, in bytes.
-const MIN_BUFFER_BYTES: usize = 4 << 10;
-
-/// Reads a body. `take` is asked for the room of the buffer, which grows in doubling steps.
-async fn collect_parts<S, F>(mut source: S, limit: usize, mut take: F) -> Result<Bytes, AnswerFault>
-where
-    S: FrameSource,
-    F: FnMut(usize) -> Result<(), AnswerFault>,
-{
+    let mut source = TimedBody { body, idle };
     let mut whole = Vec::new();
     loop {
         let Some(frame) = source.next_frame().await? else { return Ok(Bytes::from(whole)) };
@@ -132,12 +170,6 @@
         if whole.len() + data.len() > limit {
             return Err(AnswerFault::TooLarge);
         }
-        let (needed, capacity) = (whole.len() + data.len(), whole.capacity());
-        if needed > capacity {
-            let larger = (2 * capacity).max(MIN_BUFFER_BYTES).min(limit).max(needed);
-            take(larger - capacity)?;
-            whole.reserve_exact(larger - whole.len());
-        }
         whole.extend_from_slice(&data);
     }
 }
