Charge the events of streams that wait for their callers

260 callers that read nothing and 40 that read slowly of events of 60 KB took a process to 118 MB of its 96 MB: up to 32 events a stream were queued uncharged, and each kept the buffer in which it had arrived.

Events are copied; those above 512 bytes are charged until they are written, and at most two of them wait for one caller, which holds the target back. A stream with more than 8 KB of incomplete events is charged 192 KB for its buffers. The read buffer of a connection to a target is 32 KB at most instead of 64 KB.

--- a/crates/tarragon-gateway/src/events.rs
+++ b/crates/tarragon-gateway/src/events.rs
@@ -56,6 +56,11 @@
         Some(RawEvent { bytes, number })
     }
 
+    /// Bytes that have not been taken as events.
+    pub fn buffered(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Whether the buffer holds bytes of an incomplete event.
     pub fn has_partial_event(&self) -> bool {
         !self.buffer.is_empty()
--- a/crates/tarragon-gateway/src/forward/stream.rs
+++ b/crates/tarragon-gateway/src/forward/stream.rs
@@ -1,6 +1,6 @@
 //! Forwards streams of events as they arrive: complete events only, in order, each once.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, Response, StatusCode, header, response};
@@ -8,11 +8,12 @@
 use tarragon_fleet::prelude::*;
 use tarragon_server::{
     caller::answer::{AnswerBody, BodyPart, CallerAnswer},
+    memory::{MemoryCharge, MemoryShare},
     request::{AttemptReport, DispatchOrder},
     target::metered::TargetBody,
 };
 use tokio::{
-    sync::{mpsc, oneshot},
+    sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot},
     time::{Instant, timeout},
 };
 
@@ -25,9 +26,29 @@
 
 /// Events that are buffered for a slow caller.
 const MAX_BUFFERED_PARTS: usize = 32;
+/// Largest event that is not charged for itself.
+const SMALL_EVENT_BYTES: usize = 512;
+/// Larger events of one stream that wait for its caller.
+const MAX_LARGE_EVENTS: usize = 2;
+/// Bytes of incomplete events up to which the charge for the request covers the buffers of a stream.
+const COVERED_BYTES: usize = 8 << 10;
+/// Memory of the buffers of a stream with larger events.
+const LARGE_STREAM_BYTES: usize = 192 << 10;
 /// Shortest interval between progress reports of one stream.
 const PROGRESS_INTERVAL: Duration = Duration::from_millis(200);
 
+/// An event that counts as waiting for its caller until the last copy of it is dropped.
+struct LargeEvent {
+    bytes: Bytes,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl AsRef<[u8]> for LargeEvent {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 /// The caller does not get a part of its answer.
 enum PartNotTaken {
     /// It has disconnected.
@@ -65,6 +86,8 @@
     position: Option<u64>,
     arrived: Instant,
     last_event: Option<Instant>,
+    /// Permits for large events that wait for the caller.
+    large_events: Arc<Semaphore>,
 }
 
 impl StreamSink {
@@ -84,6 +107,7 @@
             position,
             arrived,
             last_event: None,
+            large_events: Arc::new(Semaphore::new(MAX_LARGE_EVENTS)),
         }
     }
 
@@ -160,6 +184,8 @@
         // Whether the caller has the beginning of this stream from an earlier attempt.
         let continues = self.sink.has_begun();
         let mut splitter = EventSplitter::default();
+        // Memory of the buffers of a stream with large events.
+        let mut buffers: Option<MemoryCharge> = None;
         let mut progress =
             StreamProgress { events: 0, delivered: false, first_event: None, reported: None };
         loop {
@@ -171,6 +197,14 @@
             if splitter.push(&data).is_err() {
                 return self.end_stream(order, &mut progress, AttemptEnd::Garbled);
             }
+            drop(data);
+            if buffers.is_none() && splitter.buffered() > COVERED_BYTES {
+                let limit = self.context.limits.caller_stall;
+                buffers = match self.charge_stream(LARGE_STREAM_BYTES, limit).await {
+                    Ok(charge) => Some(charge),
+                    Err(fault) => return part_not_taken(fault),
+                };
+            }
             while let Some(event) = splitter.next_event() {
                 if continues && !progress.delivered && event.number.is_none() {
                     if event.is_comment() {
@@ -263,11 +297,40 @@
         }
         self.sink.unnumbered |= event.number.is_none() && !event.is_comment();
         let limit = self.context.limits.caller_stall;
-        self.sink.send(BodyPart::Data(event.bytes), limit).await?;
+        let bytes = self.hold_event(&event.bytes, limit).await?;
+        self.sink.send(BodyPart::Data(bytes), limit).await?;
         self.sink.position = event.number.or(self.sink.position);
         Ok(true)
     }
 
+    /// A copy of an event whose memory is charged until it has been written. Small events are covered by the charge
+    /// for their request. Without a copy, they would keep the buffer in which they arrived.
+    async fn hold_event(&self, event: &[u8], limit: Duration) -> Result<Bytes, PartNotTaken> {
+        let copy = || Bytes::copy_from_slice(event);
+        if event.len() <= SMALL_EVENT_BYTES {
+            return Ok(copy());
+        }
+        let turn = self.sink.large_events.clone().acquire_owned();
+        let Ok(Ok(permit)) = timeout(limit, turn).await else { return Err(PartNotTaken::Stalled) };
+        let charge = self.charge_stream(event.len(), limit).await?;
+        Ok(Bytes::from_owner(LargeEvent { bytes: charge.attach(copy()), _permit: permit }))
+    }
+
+    /// Charges memory of a stream beyond what the charge for its request covers.
+    async fn charge_stream(
+        &self,
+        bytes: usize,
+        limit: Duration,
+    ) -> Result<MemoryCharge, PartNotTaken> {
+        let share = MemoryShare::Streams;
+        let charge = self.context.memory.charge_within(share, bytes, limit).await;
+        charge.ok_or_else(|| {
+            self.context.metrics.memory_refusals.with_label_values(&[share.name()]).inc();
+            tracing::info!(request = self.call.tag, bytes, "no memory for events of a stream");
+            PartNotTaken::Stalled
+        })
+    }
+
     fn end_stream(
         &self,
         order: &DispatchOrder,
--- a/crates/tarragon-server/src/target/pool.rs
+++ b/crates/tarragon-server/src/target/pool.rs
@@ -40,7 +40,7 @@
 const MAX_HEAD_BYTES: usize = 32 << 10;
 
 /// Largest read buffer of a connection, in bytes. There are hundreds of connections on the smallest VMs.
-const MAX_BUFFER_BYTES: usize = 64 << 10;
+const MAX_BUFFER_BYTES: usize = 32 << 10;
 
 /// Wait for a pooled connection whose last answer was read a moment ago and whose task has yet to run.
 const READY_WAIT: Duration = Duration::from_millis(10);
