Give processes with rules of their own the memory account

100 callers with bodies of 4 MB took such a process (serve with caller_address) to 704 MB without their last byte and to 1,066 MB while the whole bodies waited; chunked bodies, slow readers of large answers and heads without an end took 454, 345 and 326 MB. It had no account, and kept a body up to three times.

The process now has the same account as one that reads a store: limits.memory_mb (256) and limits.max_descriptors (4,100). Bodies carry their charge with their bytes and are no longer copied (PlainCall and PlainAnswer hold Bytes; their JSON form is unchanged), decoded chat bodies are charged by their values, answers until they are written, requests until they end. Heads above 8 KB and bodies charge the buffers of their connection. Receive buffers, HTTP/2 windows and the parts of a relayed answer are bounded. Connections beyond the bound are closed at once, and from three quarters on the process is not ready.

--- a/crates/tarragon-cluster/benches/control.rs
+++ b/crates/tarragon-cluster/benches/control.rs
@@ -309,7 +309,7 @@
             method: "POST".to_owned(),
             path: index.to_string(),
             headers: Vec::new(),
-            body: Vec::new(),
+            body: Vec::new().into(),
         };
         let ticket_use = TicketUse {
             ticket: &ticket,
@@ -324,7 +324,7 @@
         let answer = if index % 2 == 0 {
             table.may_write(ticket.sequence, boot);
             let headers = vec![("content-type".to_owned(), "application/json".to_owned())];
-            TicketAnswer::Done(PlainAnswer { status: 200, headers, body: vec![b'x'; 480] })
+            TicketAnswer::Done(PlainAnswer { status: 200, headers, body: vec![b'x'; 480].into() })
         } else {
             let message = "the workspace is over its limit of concurrent requests";
             TicketAnswer::Refused(Refusal::not_run(RefusalCode::LimitReached, message))
--- a/crates/tarragon-cluster/src/ticket/tests.rs
+++ b/crates/tarragon-cluster/src/ticket/tests.rs
@@ -426,7 +426,7 @@
             method: "POST".to_owned(),
             path: option("call=").unwrap_or("x").to_owned(),
             headers: Vec::new(),
-            body: Vec::new(),
+            body: Vec::new().into(),
         };
         let ticket_use = TicketUse {
             ticket: &self.tickets[&name],
@@ -508,7 +508,7 @@
 fn answer_named(name: &str) -> TicketAnswer {
     let done = |bytes| {
         let body = vec![b'x'; bytes];
-        TicketAnswer::Done(PlainAnswer { status: 200, headers: Vec::new(), body })
+        TicketAnswer::Done(PlainAnswer { status: 200, headers: Vec::new(), body: body.into() })
     };
     match name {
         "done" => done(2),
--- a/crates/tarragon-cluster/tests/ticket_model.rs
+++ b/crates/tarragon-cluster/tests/ticket_model.rs
@@ -162,7 +162,7 @@
             method: "POST".to_owned(),
             path: call.to_string(),
             headers: Vec::new(),
-            body: Vec::new(),
+            body: Vec::new().into(),
         };
         let ticket_use = TicketUse {
             ticket: &self.tickets[index].ticket,
@@ -228,7 +228,11 @@
             (true, true) => TicketAnswer::Refused(Refusal::unknown(RefusalCode::TargetFailed, "")),
             (true, false) => {
                 let body = vec![0; bytes];
-                TicketAnswer::Done(PlainAnswer { status: 200, headers: Vec::new(), body })
+                TicketAnswer::Done(PlainAnswer {
+                    status: 200,
+                    headers: Vec::new(),
+                    body: body.into(),
+                })
             }
         };
         let sequence = model.ticket.sequence;
--- a/crates/tarragon-config/src/settings.rs
+++ b/crates/tarragon-config/src/settings.rs
@@ -119,6 +119,10 @@
     /// Maximum number of targets in a data centre that load one model at once, since they share the bandwidth
     /// of the weight store.
     pub concurrent_loads: u32,
+    /// Memory of the machine, in bytes. What the process holds for callers and peers is kept below it.
+    pub memory_bytes: usize,
+    /// Most open descriptors. The bound on connections of callers follows from it.
+    pub max_descriptors: usize,
 }
 
 impl Default for ProcessLimits {
@@ -132,6 +136,8 @@
             streams: 8192,
             grace_period: Duration::from_secs(20),
             concurrent_loads: 1,
+            memory_bytes: 256 << 20,
+            max_descriptors: 4_100,
         }
     }
 }
--- a/crates/tarragon-config/src/settings/read.rs
+++ b/crates/tarragon-config/src/settings/read.rs
@@ -1,6 +1,6 @@
 //! Parses [`ServeSettings`] and checks that its values are consistent.
 
-use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
+use std::{net::SocketAddr, ops::RangeInclusive, path::PathBuf, sync::Arc, time::Duration};
 
 use jsonc_parser::{ast::Value, common::Ranged};
 use tarragon_protocol::{platform::PublishedTarget, prelude::*};
@@ -16,6 +16,10 @@
 
 /// Maximum duration in any setting, in milliseconds.
 const MAX_TIMEOUT_MS: u64 = 3_600_000;
+/// Range of the setting `memory_mb`.
+const MEMORY_RANGE_MB: RangeInclusive<u64> = 32..=1_048_576;
+/// Range of the setting `max_descriptors`.
+const DESCRIPTORS_RANGE: RangeInclusive<u64> = 128..=1_048_576;
 /// Maximum value of the setting `body_bytes`.
 const MAX_BODY_BYTES: u64 = 64 * 1024 * 1024;
 const ADDRESS_EXAMPLE: &str = "\"127.0.0.1:8080\"";
@@ -186,9 +190,25 @@
         limits
     }
 
+    fn number_in(
+        &mut self,
+        name: &'static str,
+        default: usize,
+        range: RangeInclusive<u64>,
+    ) -> usize {
+        let number =
+            self.optional_value(name).and_then(|value| number_value(self.document, value, range));
+        number.and_then(|number| usize::try_from(number).ok()).unwrap_or(default)
+    }
+
     fn limit_values(&mut self, default: &ProcessLimits) -> ProcessLimits {
         let to_u32 = |number: u64| u32::try_from(number).unwrap_or(u32::MAX);
+        let memory_mb = self.number_in("memory_mb", default.memory_bytes >> 20, MEMORY_RANGE_MB);
+        let max_descriptors =
+            self.number_in("max_descriptors", default.max_descriptors, DESCRIPTORS_RANGE);
         ProcessLimits {
+            memory_bytes: memory_mb << 20,
+            max_descriptors,
             body_bytes: self.optional_number("body_bytes", default.body_bytes, MAX_BODY_BYTES),
             header_timeout: self.optional_duration("header_timeout_ms", default.header_timeout, 10),
             body_timeout: self.optional_duration("body_timeout_ms", default.body_timeout, 10),
--- a/crates/tarragon-lab/src/soak/target.rs
+++ b/crates/tarragon-lab/src/soak/target.rs
@@ -261,5 +261,9 @@
 
 /// The answer that a plain service gives to a call. It names the call, so that a foreign answer shows.
 pub(crate) fn plain_answer(call: usize) -> PlainAnswer {
-    PlainAnswer { status: 200, headers: Vec::new(), body: format!("call {call}").into_bytes() }
+    PlainAnswer {
+        status: 200,
+        headers: Vec::new(),
+        body: format!("call {call}").into_bytes().into(),
+    }
 }
--- a/crates/tarragon-lab/src/soak/world/ticket.rs
+++ b/crates/tarragon-lab/src/soak/world/ticket.rs
@@ -88,7 +88,7 @@
             method: "POST".to_owned(),
             path: self.callers.calls[call].plain_path.clone().unwrap_or_default(),
             headers: Vec::new(),
-            body: format!("call {call}").into_bytes(),
+            body: format!("call {call}").into_bytes().into(),
         }
     }
 
--- a/crates/tarragon-node/tests/ticket.rs
+++ b/crates/tarragon-node/tests/ticket.rs
@@ -99,7 +99,7 @@
             method: "POST".to_owned(),
             path: "/dispatch".to_owned(),
             headers: Vec::new(),
-            body: body.as_bytes().to_vec(),
+            body: body.as_bytes().to_vec().into(),
         };
         let profile = RequestProfile {
             parts: Vec::new(),
@@ -139,7 +139,7 @@
     TicketAnswer::Done(PlainAnswer {
         status: 200,
         headers: Vec::new(),
-        body: body.as_bytes().to_vec(),
+        body: body.as_bytes().to_vec().into(),
     })
 }
 
--- a/crates/tarragon-protocol/src/peer.rs
+++ b/crates/tarragon-protocol/src/peer.rs
@@ -1,5 +1,6 @@
 //! Messages exchanged by entry VMs.
 
+use bytes::Bytes;
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
@@ -248,7 +249,7 @@
     pub headers: Vec<(String, String)>,
     /// Body.
     #[serde(with = "base64_bytes")]
-    pub body: Vec<u8>,
+    pub body: Bytes,
 }
 
 /// The complete answer of a plain service.
@@ -260,7 +261,7 @@
     pub headers: Vec<(String, String)>,
     /// Body.
     #[serde(with = "base64_bytes")]
-    pub body: Vec<u8>,
+    pub body: Bytes,
 }
 
 /// The ticket owner's answer to a call.
@@ -351,6 +352,7 @@
 
 mod base64_bytes {
     use base64::{Engine, engine::general_purpose::STANDARD};
+    use bytes::Bytes;
     use serde::{Deserialize, Deserializer, Serializer, de::Error};
 
     pub(super) fn serialize<S>(bytes: &[u8], serializer: S) -> Result<S::Ok, S::Error>
@@ -360,11 +362,11 @@
         serializer.serialize_str(&STANDARD.encode(bytes))
     }
 
-    pub(super) fn deserialize<'de, D>(deserializer: D) -> Result<Vec<u8>, D::Error>
+    pub(super) fn deserialize<'de, D>(deserializer: D) -> Result<Bytes, D::Error>
     where
         D: Deserializer<'de>,
     {
         let text = String::deserialize(deserializer)?;
-        STANDARD.decode(text).map_err(D::Error::custom)
+        STANDARD.decode(text).map(Bytes::from).map_err(D::Error::custom)
     }
 }
--- a/crates/tarragon-server/src/admin.rs
+++ b/crates/tarragon-server/src/admin.rs
@@ -116,6 +116,7 @@
 
 async fn metrics(process: &ProcessContext) -> CallerAnswer {
     process.metrics.set_refused_versions(process.link.refused_versions().await);
+    process.metrics.observe_memory(&process.memory);
     let text = match process.metrics.encode() {
         Ok(text) => text,
         Err(error) => return fault(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
--- a/crates/tarragon-server/src/caller/arrival.rs
+++ b/crates/tarragon-server/src/caller/arrival.rs
@@ -1,11 +1,13 @@
 //! What is known of a caller's request once its headers, or all of it, have been read.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use http::Method;
 use tarragon_protocol::prelude::*;
 
 use super::header::CallerHeaders;
-use crate::process::Deadline;
+use crate::{memory::MemoryCharge, process::Deadline};
 
 /// A request that has arrived.
 #[derive(Debug, Clone)]
@@ -18,6 +20,8 @@
     pub deadline: Deadline,
     /// Whether another entry VM passed the request on, so that it must not be passed on again.
     pub relayed: bool,
+    /// Memory of its head and its tasks; absent for requests of this process and of peers.
+    pub memory: Option<Arc<MemoryCharge>>,
 }
 
 /// A whole request.
--- a/crates/tarragon-server/src/caller/body.rs
+++ b/crates/tarragon-server/src/caller/body.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::StatusCode;
 use http_body_util::BodyExt;
 use hyper::body::Body;
@@ -71,51 +71,27 @@
     }
 }
 
-/// Reads the whole body.
-pub async fn read_body<B>(body: B, limits: BodyLimits) -> Result<Bytes, BodyFault>
-where
-    B: Body<Data = Bytes> + Unpin,
-{
-    let mut whole = BytesMut::new();
-    read_parts(body, limits, |data| whole.extend_from_slice(&data)).await?;
-    Ok(whole.freeze())
-}
-
 /// Reads the whole body without keeping it, before a request is refused for its head. A connection that is closed
 /// while its caller is still sending is reset, and the answer is lost.
-pub async fn discard_body<B>(body: B, limits: BodyLimits) -> Result<(), BodyFault>
-where
-    B: Body<Data = Bytes> + Unpin,
-{
-    read_parts(body, limits, drop).await
-}
-
-async fn read_parts<B, K>(body: B, limits: BodyLimits, keep: K) -> Result<(), BodyFault>
+pub async fn discard_body<B>(mut body: B, limits: BodyLimits) -> Result<(), BodyFault>
 where
     B: Body<Data = Bytes> + Unpin,
-    K: FnMut(Bytes),
 {
     let announced = body.size_hint().lower();
     if announced > limits.bytes as u64 {
         return Err(BodyFault::TooLarge);
     }
-    timeout(limits.whole, pass_parts(body, limits, keep)).await.unwrap_or(Err(BodyFault::TooSlow))
-}
-
-async fn pass_parts<B, K>(mut body: B, limits: BodyLimits, mut keep: K) -> Result<(), BodyFault>
-where
-    B: Body<Data = Bytes> + Unpin,
-    K: FnMut(Bytes),
-{
-    let mut length = 0;
-    while let Some(data) = next_part(&mut body, limits.part).await? {
-        length += data.len();
-        if length > limits.bytes {
-            return Err(BodyFault::TooLarge);
+    let read = async {
+        let mut length = 0;
+        while let Some(data) = next_part(&mut body, limits.part).await? {
+            length += data.len();
+            if length > limits.bytes {
+                return Err(BodyFault::TooLarge);
+            }
         }
-        keep(data);
-    }
-    Ok(())
+        Ok(())
+    };
+    timeout(limits.whole, read).await.unwrap_or(Err(BodyFault::TooSlow))
 }
 
 /// From where the memory of a body is taken.
@@ -173,9 +149,6 @@
             Some(bytes) => BodyBuffer::announced(bytes as usize, room).await?,
             None => BodyBuffer::growing(limits.bytes, room).await?,
         };
-        if announced.exact() == Some(0) {
-            return Ok(buffer.finish());
-        }
         let transfer = room.account.open_transfer(buffer.charge.bytes(), given_up.clone());
         while let Some(data) = next_part(body, limits.part).await? {
             if buffer.len() + data.len() > buffer.limit {
--- a/crates/tarragon-server/src/caller/chat.rs
+++ b/crates/tarragon-server/src/caller/chat.rs
@@ -20,6 +20,7 @@
 };
 use crate::{
     clock::BootClock,
+    memory::{MemoryCharge, MemoryShare},
     process::ProcessContext,
     request::{RequestDriver, RequestEnd},
     target::{
@@ -39,6 +40,19 @@
     pub body: ChatBody,
     /// Whether the call must not be run twice.
     pub run_once: bool,
+    /// Memory of the decoded body and of its copies for targets.
+    pub memory: MemoryCharge,
+}
+
+/// Memory of a body that is being decoded, decoded, and encoded for a target. Each value of the JSON text ends with one
+/// of these characters or begins with one.
+pub fn decoded_bytes(body: &[u8]) -> usize {
+    /// Memory of one value with its key.
+    const VALUE_BYTES: usize = 160;
+    /// How often the text of the body is kept.
+    const COPIES: usize = 4;
+    let is_mark = |byte: &&u8| matches!(byte, b',' | b'[' | b'{' | b':');
+    body.iter().filter(is_mark).count() * VALUE_BYTES + body.len() * COPIES
 }
 
 /// What became of a chat request.
@@ -81,6 +95,7 @@
 
 /// Reads the body and finds the service.
 pub fn prepare_chat(process: &ProcessContext, call: &CallerCall) -> Result<ChatJob, Refusal> {
+    let memory = process.charge(MemoryShare::CallerBodies, decoded_bytes(&call.body))?;
     let body = ChatBody::parse(&call.body)
         .map_err(|message| Refusal::not_run(RefusalCode::InvalidBody, message))?;
     let rules = process.rules();
@@ -90,7 +105,7 @@
     })?;
     let rule = rules.services.get(&service);
     let run_once = must_run_once(rule, &call.arrival.headers);
-    Ok(ChatJob { arrival: call.arrival.clone(), service, body, run_once })
+    Ok(ChatJob { arrival: call.arrival.clone(), service, body, run_once, memory })
 }
 
 /// Serves a chat request that may be run again. The work goes on in a task of its own, which ends when
@@ -251,13 +266,13 @@
     match end {
         RequestEnd::Answered(EngineAnswer::Streamed) => {
             let headers = vec![("content-type".to_owned(), "application/json".to_owned())];
-            let body = whole_body(job, &position, created).into();
+            let body = whole_body(job, &position, created);
             RequestEnd::Answered(PlainAnswer { status: StatusCode::OK.as_u16(), headers, body })
         }
         RequestEnd::Answered(EngineAnswer::Rejected(answer)) => RequestEnd::Answered(PlainAnswer {
             status: answer.status.as_u16(),
             headers: answer.headers,
-            body: answer.body.into(),
+            body: answer.body,
         }),
         RequestEnd::Refused(refusal) => RequestEnd::Refused(refusal),
         RequestEnd::Relay(peers) => RequestEnd::Relay(peers),
--- a/crates/tarragon-server/src/caller/listener.rs
+++ b/crates/tarragon-server/src/caller/listener.rs
@@ -2,15 +2,20 @@
 
 use std::{
     convert::Infallible,
+    io,
+    net::SocketAddr,
+    pin::Pin,
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
     time::Duration,
 };
 
 use super::write_limit::WriteLimit;
+use crate::memory::{AccountBounds, MemoryAccount, MemoryCharge, MemoryShare};
+use anyhow::Context as _;
 use http::{Request, Response};
 use hyper::body::{Body, Incoming};
 use hyper_util::{
@@ -19,7 +24,8 @@
     service::TowerToHyperService,
 };
 use tokio::{
-    net::{TcpListener, TcpStream},
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::{TcpListener, TcpSocket, TcpStream},
     sync::Semaphore,
     time::sleep,
 };
@@ -32,6 +38,20 @@
 const MAX_HEADER_BYTES: usize = 64 << 10;
 /// Requests at once on one HTTP/2 connection.
 const MAX_STREAMS: u32 = 256;
+/// Memory of an open connection: its tasks and a small read buffer.
+const CONNECTION_BYTES: usize = 16 << 10;
+/// Receive buffer of a socket. The kernel doubles it.
+const RECEIVE_BUFFER_BYTES: usize = 32 << 10;
+/// Bytes of a head that the charge for the connection covers.
+const COVERED_BYTES: usize = 8 << 10;
+/// Memory of the read buffers of a connection that receives more.
+const READ_BYTES: usize = 96 << 10;
+/// Connections that wait to be accepted.
+const ACCEPT_BACKLOG: u32 = 1_024;
+/// Bytes that one HTTP/2 stream may send ahead of its reader.
+const STREAM_WINDOW_BYTES: u32 = 64 << 10;
+/// Bytes that all streams of an HTTP/2 connection may send ahead.
+const CONNECTION_WINDOW_BYTES: u32 = 64 << 10;
 /// Wait after a failed accept, as when the process has no free file descriptor.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Time beyond the limit for headers in which a new connection must bring its first request.
@@ -41,6 +61,34 @@
 /// Wait for the answer to an HTTP/2 ping.
 const PING_LIMIT: Duration = Duration::from_secs(10);
 
+/// What a listener counts, and where it charges memory.
+#[derive(Clone)]
+pub struct ListenerGauges {
+    /// Open connections.
+    pub open: prometheus::IntGauge,
+    /// Connections that were closed at once because too many were open.
+    pub refused: prometheus::IntCounter,
+    /// Account for the memory of connections. Those of peers and operators are not charged.
+    pub memory: Option<MemoryAccount>,
+}
+
+/// Connections that fit into their share of an account.
+pub fn connections_by_memory(bounds: &AccountBounds) -> usize {
+    bounds.shares[MemoryShare::Connections as usize].most / CONNECTION_BYTES
+}
+
+/// Binds an address at which untrusted clients connect, with bounded receive buffers.
+pub fn bind_callers(address: SocketAddr, name: &str) -> anyhow::Result<TcpListener> {
+    let bind = || {
+        let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+        socket.set_reuseaddr(true)?;
+        socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES as u32)?;
+        socket.bind(address)?;
+        socket.listen(ACCEPT_BACKLOG)
+    };
+    bind().with_context(|| format!("{name} {address} can't be bound"))
+}
+
 /// Bounds of a listener.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ListenerLimits {
@@ -70,7 +118,7 @@
     service: S,
     limits: ListenerLimits,
     signals: ListenerSignals,
-    open: prometheus::IntGauge,
+    gauges: ListenerGauges,
 ) where
     S: Service<Request<Incoming>, Response = Response<B>, Error = Infallible>,
     S: Clone + Send + 'static,
@@ -81,11 +129,6 @@
 {
     let permits = Arc::new(Semaphore::new(limits.connections));
     loop {
-        let permit = tokio::select! {
-            () = signals.close.cancelled() => return,
-            () = signals.abort.cancelled() => return,
-            permit = permits.clone().acquire_owned() => permit,
-        };
         let stream = tokio::select! {
             () = signals.close.cancelled() => return,
             () = signals.abort.cancelled() => return,
@@ -99,13 +142,24 @@
                 continue;
             }
         };
-        let connection = serve_connection(stream, service.clone(), limits, signals.clone());
-        let open = open.clone();
+        let memory = gauges.memory.clone();
+        let charge = match &memory {
+            Some(memory) => memory.try_charge(MemoryShare::Connections, CONNECTION_BYTES).map(Some),
+            None => Some(None),
+        };
+        // A connection that is not accepted would hold what the other side sends.
+        let (Ok(permit), Some(charge)) = (permits.clone().try_acquire_owned(), charge) else {
+            gauges.refused.inc();
+            tracing::debug!("connection is refused: too many are open");
+            continue;
+        };
+        let connection = serve_connection(stream, service.clone(), limits, signals.clone(), memory);
+        let open = gauges.open.clone();
         signals.connections.spawn(async move {
             open.inc();
             connection.await;
             open.dec();
-            drop(permit);
+            drop((permit, charge));
         });
     }
 }
@@ -115,6 +169,7 @@
     service: S,
     limits: ListenerLimits,
     signals: ListenerSignals,
+    memory: Option<MemoryAccount>,
 ) where
     S: Service<Request<Incoming>, Response = Response<B>, Error = Infallible>,
     S: Clone + Send + 'static,
@@ -128,8 +183,9 @@
         return;
     }
     let builder = connection_builder(limits);
+    let called = CallMark::default();
     let stream = WriteLimit::new(stream, limits.write);
-    let called = Arc::new(AtomicBool::new(false));
+    let stream = ChargedStream::new(stream, memory, called.clone());
     let service = TowerToHyperService::new(FirstCall { inner: service, called: called.clone() });
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
@@ -143,7 +199,7 @@
             ended = &mut connection => break ended,
             () = signals.abort.cancelled() => return,
             () = &mut first_request, if watching => {
-                if !called.load(Ordering::Relaxed) {
+                if !called.was_called() {
                     return;
                 }
                 watching = false;
@@ -159,11 +215,110 @@
     }
 }
 
+/// What a connection has brought.
+#[derive(Debug, Clone, Default)]
+struct CallMark {
+    called: Arc<AtomicBool>,
+    /// Bytes since the head of the last request.
+    unclaimed: Arc<AtomicUsize>,
+}
+
+impl CallMark {
+    fn was_called(&self) -> bool {
+        self.called.load(Ordering::Relaxed)
+    }
+
+    fn begin_call(&self) {
+        self.called.store(true, Ordering::Relaxed);
+        self.unclaimed.store(0, Ordering::Relaxed);
+    }
+
+    /// Counts bytes. Returns how many came since the head of the last request.
+    fn add(&self, bytes: usize) -> usize {
+        self.unclaimed.fetch_add(bytes, Ordering::Relaxed).saturating_add(bytes)
+    }
+}
+
+/// A connection that charges its read buffers while it receives more than a small head.
+struct ChargedStream<C> {
+    connection: C,
+    memory: Option<MemoryAccount>,
+    mark: CallMark,
+    charge: Option<MemoryCharge>,
+}
+
+impl<C> ChargedStream<C> {
+    fn new(connection: C, memory: Option<MemoryAccount>, mark: CallMark) -> ChargedStream<C> {
+        ChargedStream { connection, memory, mark, charge: None }
+    }
+
+    fn charge_read(&mut self, bytes: usize) -> io::Result<()> {
+        let Some(memory) = &self.memory else { return Ok(()) };
+        if self.mark.add(bytes) <= COVERED_BYTES {
+            self.charge = None;
+            return Ok(());
+        }
+        if self.charge.is_none() {
+            self.charge = memory.charge_now(MemoryShare::Unread, READ_BYTES);
+        }
+        let message = "no memory for what the caller sends";
+        self.charge.as_ref().map(drop).ok_or(io::Error::new(io::ErrorKind::OutOfMemory, message))
+    }
+}
+
+impl<C> AsyncRead for ChargedStream<C>
+where
+    C: AsyncRead + Unpin,
+{
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut self.connection).poll_read(context, buffer))?;
+        Poll::Ready(self.charge_read(buffer.filled().len() - before))
+    }
+}
+
+impl<C> AsyncWrite for ChargedStream<C>
+where
+    C: AsyncWrite + Unpin,
+{
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.connection).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.connection).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.connection.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.connection).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.connection).poll_shutdown(context)
+    }
+}
+
 /// Notes that a connection has brought a request.
 #[derive(Clone)]
 struct FirstCall<S> {
     inner: S,
-    called: Arc<AtomicBool>,
+    called: CallMark,
 }
 
 impl<S, T> Service<T> for FirstCall<S>
@@ -179,7 +334,7 @@
     }
 
     fn call(&mut self, request: T) -> S::Future {
-        self.called.store(true, Ordering::Relaxed);
+        self.called.begin_call();
         self.inner.call(request)
     }
 }
@@ -195,6 +350,8 @@
         .http2()
         .timer(TokioTimer::new())
         .max_concurrent_streams(MAX_STREAMS)
+        .initial_stream_window_size(STREAM_WINDOW_BYTES)
+        .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
         .max_header_list_size(MAX_HEADER_BYTES as u32)
         .keep_alive_interval(PING_INTERVAL)
         .keep_alive_timeout(PING_LIMIT);
--- a/crates/tarragon-server/src/caller/router.rs
+++ b/crates/tarragon-server/src/caller/router.rs
@@ -17,7 +17,9 @@
         CallerAnswer, error_answer, header_fault_answer, json_answer, refusal_answer, set_outcome,
     },
     arrival::{Arrival, CallerCall},
-    body::{BodyFault, BodyLimits, discard_body, read_body},
+    body::{
+        BodyFault, BodyLimits, BodyRoom, ChargedBody, discard_body, discard_rest, read_charged_body,
+    },
     chat::{ServedChat, prepare_chat, serve_chat},
     header::{CallerHeaders, forwarded_headers},
     layer::AssignedId,
@@ -25,6 +27,7 @@
 };
 use crate::{
     guarded::Guarded,
+    memory::MemoryShare,
     peer::relay::{open_relay, relay_call, stream_back},
     process::{Deadline, ProcessContext},
     ticket::{TicketedCall, serve_ticketed},
@@ -39,6 +42,15 @@
 
 /// Part of the room for open requests that each tier leaves to the tiers above it, as a divisor.
 const ROOM_PART: usize = 16;
+/// Memory of a request that waits, beside its body and its connection: its head, tasks and channels.
+const REQUEST_BYTES: usize = 32 << 10;
+/// Longest wait for memory for a body. Nothing is read from the connection meanwhile.
+const MEMORY_WAIT: Duration = Duration::from_millis(500);
+/// Longest time to read on from a refused body. A connection that is closed with unread bytes is reset, and the answer
+/// may be lost.
+const REFUSED_BODY_TIME: Duration = Duration::from_secs(1);
+/// Part of the connections from which on the process is not ready, so that the load balancer sends no more.
+const READY_PART: (usize, usize) = (3, 4);
 /// Delay that a caller is asked to wait when too many requests are open.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Longest time for a ticket to be issued by another VM.
@@ -66,7 +78,9 @@
 pub fn ready_answer(process: &ProcessContext) -> CallerAnswer {
     let ready = {
         let view = process.view.borrow();
-        view.ready && !view.draining
+        let open = usize::try_from(process.metrics.connections.get()).unwrap_or(0);
+        let has_room = open < process.max_connections * READY_PART.0 / READY_PART.1;
+        view.ready && !view.draining && has_room
     };
     let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
     json_answer(status, CallOutcome::Done, json!({"ready": ready}).to_string().into())
@@ -110,7 +124,13 @@
     };
     let deadline = Deadline::after(&process.clock, TICKET_LIMIT);
     CallerCall {
-        arrival: Arrival { request: process.ids.next(), headers, deadline, relayed: false },
+        arrival: Arrival {
+            request: process.ids.next(),
+            headers,
+            deadline,
+            relayed: false,
+            memory: None,
+        },
         method: Method::POST,
         path: TICKET_PATH.to_owned(),
         headers: Vec::new(),
@@ -149,9 +169,14 @@
     process: &ProcessContext,
     message: Request<Incoming>,
 ) -> Result<CallerCall, CallerAnswer> {
-    let (head, body) = message.into_parts();
-    let headers = match check_head(process, &head.headers) {
-        Ok(headers) => headers,
+    let (head, mut body) = message.into_parts();
+    let checked = check_head(process, &head.headers).and_then(|headers| {
+        let memory = process.charge(MemoryShare::Requests, REQUEST_BYTES);
+        let memory = memory.map_err(|refusal| refusal_answer(&refusal))?;
+        Ok((headers, Arc::new(memory)))
+    });
+    let (headers, memory) = match checked {
+        Ok(checked) => checked,
         Err(answer) => {
             if let Err(fault) = discard_body(body, body_limits(process)).await {
                 tracing::info!(?fault, "body of a refused request was not read to its end");
@@ -161,9 +186,9 @@
     };
     let deadline = Deadline::after(&process.clock, headers.deadline);
     let request = head.extensions.get::<AssignedId>().map_or_else(|| process.ids.next(), |id| id.0);
-    let body = read_body(body, body_limits(process)).await.map_err(body_fault_answer)?;
+    let body = receive_body(process, &mut body, CALLER_SHARES).await?;
     Ok(CallerCall {
-        arrival: Arrival { request, headers, deadline, relayed: false },
+        arrival: Arrival { request, headers, deadline, relayed: false, memory: Some(memory) },
         method: head.method,
         path: head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned(),
         headers: forwarded_headers(&head.headers),
@@ -172,6 +197,32 @@
     })
 }
 
+/// Shares to which large and small bodies are charged.
+type BodyShares = (MemoryShare, MemoryShare);
+
+/// For bodies of callers.
+const CALLER_SHARES: BodyShares = (MemoryShare::CallerBodies, MemoryShare::SmallBodies);
+/// For bodies of requests that other VMs pass on.
+const PEER_SHARES: BodyShares = (MemoryShare::PeerBodies, MemoryShare::PeerBodies);
+
+/// Reads a body whole. Its memory is charged until the last copy of it is dropped.
+async fn receive_body(
+    process: &ProcessContext,
+    body: &mut Incoming,
+    (share, small_share): BodyShares,
+) -> Result<Bytes, CallerAnswer> {
+    let limits = body_limits(process);
+    let room = BodyRoom { account: &process.memory, share, small_share, wait: MEMORY_WAIT };
+    match read_charged_body(body, limits, room).await {
+        Ok(ChargedBody { bytes, charge }) => Ok(charge.attach(bytes)),
+        Err(BodyFault::NoRoom | BodyFault::GivenUp) => {
+            discard_rest(body, limits.bytes, REFUSED_BODY_TIME).await;
+            Err(refusal_answer(&process.memory_refusal(share)))
+        }
+        Err(fault) => Err(body_fault_answer(fault)),
+    }
+}
+
 fn check_head(
     process: &ProcessContext,
     headers: &HeaderMap,
@@ -279,10 +330,10 @@
     seal: Arc<Guarded<MessageSigner>>,
     message: Request<Incoming>,
 ) -> CallerAnswer {
-    let (head, body) = message.into_parts();
-    let body: Bytes = match read_body(body, body_limits(&process)).await {
+    let (head, mut body) = message.into_parts();
+    let body = match receive_body(&process, &mut body, PEER_SHARES).await {
         Ok(body) => body,
-        Err(fault) => return body_fault_answer(fault),
+        Err(answer) => return answer,
     };
     let request = head.extensions.get::<AssignedId>().map_or_else(|| process.ids.next(), |id| id.0);
     match open_relay(&seal, &process, &head, body, request) {
--- a/crates/tarragon-server/src/caller/service.rs
+++ b/crates/tarragon-server/src/caller/service.rs
@@ -94,7 +94,7 @@
             method: call.method.as_str().to_owned(),
             path,
             headers: call.headers.clone(),
-            body: call.body.to_vec(),
+            body: call.body.clone(),
         },
         run_once: must_run_once(Some(rule), &call.arrival.headers),
     })
@@ -172,7 +172,7 @@
 
 /// The answer of a plain service as it goes to the caller.
 pub fn plain_answer(answer: PlainAnswer) -> CallerAnswer {
-    let mut response = Response::new(AnswerBody::Whole(Some(answer.body.into())));
+    let mut response = Response::new(AnswerBody::Whole(Some(answer.body)));
     *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
     apply_headers(response.headers_mut(), &answer.headers);
     set_outcome(&mut response, CallOutcome::Done);
--- a/crates/tarragon-server/src/metrics.rs
+++ b/crates/tarragon-server/src/metrics.rs
@@ -10,6 +10,8 @@
 use tarragon_scheduler::statistics::SchedulerStatistics;
 use tokio::time::Instant;
 
+use crate::memory::{MemoryAccount, MemoryShare};
+
 /// Bounds of the buckets for the time to the first token, in seconds. 0.33 s is the target.
 const FIRST_TOKEN_BUCKETS: [f64; 12] =
     [0.02, 0.05, 0.1, 0.2, 0.33, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0, 60.0];
@@ -48,6 +50,11 @@
     pub peer_connections: IntGauge,
     /// Open connections of operators.
     pub admin_connections: IntGauge,
+    /// Connections that were closed at once because too many were open.
+    pub refused_connections: IntCounter,
+    memory_bytes: IntGaugeVec,
+    memory_refusals: IntCounterVec,
+    given_up_transfers: IntGauge,
     /// Requests with an attempt number above 1.
     pub repeated_requests: IntCounter,
     /// Time that the node's task needs for one command.
@@ -121,6 +128,20 @@
             connections: gauge("connections", "Open connections of callers")?,
             peer_connections: gauge("peer_connections", "Open connections of other entry VMs")?,
             admin_connections: gauge("admin_connections", "Open connections of operators")?,
+            refused_connections: counter(
+                "connections_refused_total",
+                "Connections that were closed at once because too many were open",
+            )?,
+            memory_bytes: gauges("memory_bytes", "Bytes that are charged, by share", &["share"])?,
+            memory_refusals: counters(
+                "memory_refusals_total",
+                "Requests that were refused because there was no memory for them",
+                &["share"],
+            )?,
+            given_up_transfers: gauge(
+                "given_up_transfers",
+                "Slow bodies that were given up for others since the start",
+            )?,
             repeated_requests: counter(
                 "repeated_requests_total",
                 "Requests with an attempt number above 1",
@@ -135,9 +156,28 @@
         Ok(metrics)
     }
 
+    /// Counts a request for which there was no memory.
+    pub fn memory_refused(&self, share: MemoryShare) {
+        self.memory_refusals.with_label_values(&[share.name()]).inc();
+    }
+
+    /// Takes what an account holds.
+    pub fn observe_memory(&self, memory: &MemoryAccount) {
+        for share in MemoryShare::ALL {
+            let used = i64::try_from(memory.used(share)).unwrap_or(i64::MAX);
+            self.memory_bytes.with_label_values(&[share.name()]).set(used);
+        }
+        let given_up = i64::try_from(memory.given_up_transfers()).unwrap_or(i64::MAX);
+        self.given_up_transfers.set(given_up);
+    }
+
     fn register(&self) -> anyhow::Result<()> {
         let registry = &self.registry;
         registry.register(Box::new(self.requests.clone()))?;
+        registry.register(Box::new(self.refused_connections.clone()))?;
+        registry.register(Box::new(self.memory_bytes.clone()))?;
+        registry.register(Box::new(self.memory_refusals.clone()))?;
+        registry.register(Box::new(self.given_up_transfers.clone()))?;
         registry.register(Box::new(self.first_token.clone()))?;
         registry.register(Box::new(self.token_gap.clone()))?;
         registry.register(Box::new(self.in_flight.clone()))?;
--- a/crates/tarragon-server/src/node_task/run/tests.rs
+++ b/crates/tarragon-server/src/node_task/run/tests.rs
@@ -64,7 +64,7 @@
         method: "POST".to_owned(),
         path: "/dispatch".to_owned(),
         headers: Vec::new(),
-        body: b"truck 1".to_vec(),
+        body: b"truck 1".to_vec().into(),
     };
     TicketCall {
         binding: CallBinding::of("depot", "dispatch-app", &call),
@@ -136,7 +136,7 @@
     let answer = TicketAnswer::Done(PlainAnswer {
         status: 200,
         headers: Vec::new(),
-        body: b"sent".to_vec(),
+        body: b"sent".to_vec().into(),
     });
     task.link.finish_ticket(REQUEST, answer.clone()).await;
     drain(&mut task);
--- a/crates/tarragon-server/src/peer/relay.rs
+++ b/crates/tarragon-server/src/peer/relay.rs
@@ -38,8 +38,8 @@
 pub const RELAY_PREFIX: &str = "/relay";
 /// Times that a request is sealed for one peer.
 const SEAL_TRIES: usize = 3;
-/// Parts of a relayed answer that wait for a slow caller.
-const RELAY_PARTS: usize = 16;
+/// Parts of a relayed answer that wait for a slow caller. Each is as large as a read buffer.
+const RELAY_PARTS: usize = 2;
 /// Time that the answer of the other VM may take beyond the caller's deadline.
 const ANSWER_GRACE: Duration = Duration::from_secs(1);
 
@@ -276,7 +276,7 @@
     };
     let deadline = Deadline::after(&process.clock, remaining);
     Ok(CallerCall {
-        arrival: Arrival { request, headers, deadline, relayed: true },
+        arrival: Arrival { request, headers, deadline, relayed: true, memory: None },
         method: Method::from_bytes(proof.method.as_bytes())
             .map_err(|_| InvalidRelay("the method is not valid"))?,
         path: proof.path,
--- a/crates/tarragon-server/src/process.rs
+++ b/crates/tarragon-server/src/process.rs
@@ -22,14 +22,17 @@
 
 use crate::{
     clock::{BootClock, ProcessClock},
+    memory::{MemoryAccount, MemoryCharge, MemoryShare},
     metrics::ServerMetrics,
     node_task::NodeLink,
     peer::client::PeerClient,
     request::DispatchOrder,
     settings::ServeSettings,
-    target::{pool::ConnectionPool, timeouts::TargetTimeouts},
+    target::{body::AnswerRoom, pool::ConnectionPool, timeouts::TargetTimeouts},
 };
 
+/// Retry-after time of requests for which there is no memory.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(2);
 /// Interval of the checks while the node learns what happened during a pause.
 const WRITE_RETRY: Duration = Duration::from_millis(100);
 
@@ -102,6 +105,12 @@
     pub link: NodeLink,
     /// Connections to targets.
     pub pool: ConnectionPool,
+    /// Account of the memory that is held for callers, peers and answers.
+    pub memory: MemoryAccount,
+    /// Room in that account for answers that are read whole.
+    pub answers: AnswerRoom,
+    /// Most connections of callers.
+    pub max_connections: usize,
     /// Client for calls to other entry VMs.
     pub peers: PeerClient,
     /// Metrics.
@@ -153,6 +162,19 @@
         self.tasks.spawn(self.abort.clone().run_until_cancelled_owned(work));
     }
 
+    /// Charges memory if it fits now. A request that gets none is refused.
+    pub fn charge(&self, share: MemoryShare, bytes: usize) -> Result<MemoryCharge, Refusal> {
+        self.memory.charge_now(share, bytes).ok_or_else(|| self.memory_refusal(share))
+    }
+
+    /// The refusal of a request for which there is no memory.
+    pub fn memory_refusal(&self, share: MemoryShare) -> Refusal {
+        self.metrics.memory_refused(share);
+        tracing::info!(share = share.name(), used = self.memory.used(share), "refused: no memory");
+        let message = "the process has no memory for the request at present; repeat later";
+        Refusal::not_run(RefusalCode::Shed, message).with_retry_after(MEMORY_RETRY_AFTER)
+    }
+
     /// The rules in force.
     pub fn rules(&self) -> Arc<RuleSet> {
         self.view.borrow().rules.clone()
--- a/crates/tarragon-server/src/serve.rs
+++ b/crates/tarragon-server/src/serve.rs
@@ -15,11 +15,15 @@
     admin,
     caller::{
         layer::ContextLayer,
-        listener::{ListenerLimits, ListenerSignals, listen},
+        listener::{
+            ListenerGauges, ListenerLimits, ListenerSignals, bind_callers, connections_by_memory,
+            listen,
+        },
         router,
     },
     clock::{ProcessClock, SystemClock, now},
     guarded::Guarded,
+    memory::{AccountBounds, MemoryAccount},
     metrics::ServerMetrics,
     node_task::{NodeTask, NodeTaskParts},
     peer::{client::PeerClient, entry::PeerEntry, server::PeerServer},
@@ -27,9 +31,12 @@
     process::{ProcessContext, ProcessView, RequestIds},
     settings::ServeSettings,
     shutdown::{self, EndSignals, ShutdownReport},
-    target::{pool::ConnectionPool, timeouts::TargetTimeouts},
+    target::{body::AnswerRoom, pool::ConnectionPool, timeouts::TargetTimeouts},
 };
 
+/// Descriptors that are kept for connections to targets, those of peers and operators, and files, up to a part of the
+/// limit.
+const RESERVED_DESCRIPTORS: usize = 1_100;
 /// Connections of operators at once.
 const ADMIN_CONNECTIONS: usize = 64;
 /// Connections of other entry VMs at once, above the fleet of the design scale.
@@ -95,6 +102,7 @@
 
     /// Metrics in the prometheus format.
     pub fn metrics(&self) -> anyhow::Result<String> {
+        self.process.metrics.observe_memory(&self.process.memory);
         Ok(String::from_utf8(self.process.metrics.encode()?)?)
     }
 
@@ -171,6 +179,8 @@
     let seal = Arc::new(Guarded::new(seal));
     let (view_sender, view) = watch::channel(ProcessView::default());
     let seed = options.seed.unwrap_or_else(rand::random);
+    let bounds = AccountBounds::for_memory(settings.limits.memory_bytes)
+        .with_answer(options.timeouts.answer_bytes);
     let node_settings = listeners.node_settings(&settings, &identity, keys, options.settling);
     let node = Node::new(node_settings, seed, now());
     let parts = NodeTaskParts {
@@ -180,8 +190,17 @@
         metrics: metrics.clone(),
     };
     let (task, link) = NodeTask::new(parts);
+    let limits = &settings.limits;
+    // Callers keep connections open between requests.
+    let max_connections = (2 * limits.streams as usize)
+        .min(limits.max_descriptors - RESERVED_DESCRIPTORS.min(limits.max_descriptors * 3 / 10))
+        .min(connections_by_memory(&bounds));
+    let memory = MemoryAccount::new(bounds);
     let process = Arc::new(ProcessContext {
         settings: settings.clone(),
+        answers: AnswerRoom::new(memory.clone()),
+        memory,
+        max_connections,
         link,
         pool: ConnectionPool::default(),
         peers: PeerClient::new(seal.clone(), metrics.clone()),
@@ -231,7 +250,7 @@
 
 impl Listeners {
     async fn bind(settings: &ServeSettings) -> anyhow::Result<Listeners> {
-        let caller = bind(settings.caller_address, "caller_address").await?;
+        let caller = bind_callers(settings.caller_address, "caller_address")?;
         let peer = bind(settings.peer_address, "peer_address").await?;
         let admin = bind(settings.admin_address, "admin_address").await?;
         Ok(Listeners {
@@ -291,14 +310,17 @@
         let limits = &process.settings.limits;
         let headers = limits.header_timeout;
         let write = process.timeouts.caller_stall;
-        // Callers keep connections open between requests.
-        let connections = 2 * limits.streams as usize;
+        let connections = process.max_connections;
         tokio::spawn(listen(
             self.caller,
             caller_service(&process),
             ListenerLimits { connections, headers, write },
             callers.clone(),
-            process.metrics.connections.clone(),
+            ListenerGauges {
+                open: process.metrics.connections.clone(),
+                refused: process.metrics.refused_connections.clone(),
+                memory: Some(process.memory.clone()),
+            },
         ));
         let (stop, rpc_end) = jsonrpsee::server::stop_channel();
         let server = PeerServer { process: process.clone(), seal: seal.clone() };
@@ -308,7 +330,11 @@
             entry.into_service(),
             ListenerLimits { connections: PEER_CONNECTIONS, headers, write },
             others.clone(),
-            process.metrics.peer_connections.clone(),
+            ListenerGauges {
+                open: process.metrics.peer_connections.clone(),
+                refused: process.metrics.refused_connections.clone(),
+                memory: None,
+            },
         ));
         let admin = process.clone();
         tokio::spawn(listen(
@@ -316,7 +342,11 @@
             service_fn(move |message| admin::handle(admin.clone(), message)),
             ListenerLimits { connections: ADMIN_CONNECTIONS, headers, write },
             others.clone(),
-            process.metrics.admin_connections.clone(),
+            ListenerGauges {
+                open: process.metrics.admin_connections.clone(),
+                refused: process.metrics.refused_connections.clone(),
+                memory: None,
+            },
         ));
         let parts = shutdown::ShutdownParts {
             process: process.clone(),
--- a/crates/tarragon-server/src/target/plain.rs
+++ b/crates/tarragon-server/src/target/plain.rs
@@ -2,7 +2,6 @@
 
 use std::io;
 
-use bytes::Bytes;
 use http::{Method, Request, StatusCode, header};
 use tarragon_protocol::{
     header::REQUEST_ID,
@@ -12,7 +11,7 @@
 
 use super::{
     MAX_STATUS,
-    body::read_whole,
+    body::AnswerLimits,
     engine::fault_end,
     pool::{CallBody, TargetConnection},
 };
@@ -73,13 +72,14 @@
             return AttemptReport::Ended(AttemptEnd::Garbled);
         }
         let headers = forwarded_headers(response.headers());
-        match read_whole(&method, response, limits.answer_bytes, limits.idle).await {
+        let bounds = AnswerLimits { bytes: limits.answer_bytes, wait: remaining };
+        match self.process.answers.read_whole(&method, response, bounds, limits.idle).await {
             Ok(body) => {
                 if self.idempotent {
                     self.process.pool.give_back(&order.address, connection);
                 }
                 let status = status.as_u16();
-                AttemptReport::Answered(PlainAnswer { status, headers, body: body.into() })
+                AttemptReport::Answered(PlainAnswer { status, headers, body })
             }
             Err(fault) => {
                 let target = &*order.target;
@@ -105,7 +105,7 @@
 
     fn build_call(&self, order: &DispatchOrder) -> Option<Request<CallBody>> {
         let method = Method::from_bytes(self.call.method.as_bytes()).ok()?;
-        let body = Bytes::copy_from_slice(&self.call.body);
+        let body = self.call.body.clone();
         let mut request = Request::builder()
             .method(method)
             .uri(&self.call.path)
--- a/crates/tarragon-server/src/ticket.rs
+++ b/crates/tarragon-server/src/ticket.rs
@@ -21,12 +21,13 @@
     caller::{
         answer::{CallerAnswer, error_answer, refusal_answer, refusal_status},
         arrival::{Arrival, CallerCall},
-        chat::{ChatJob, run_chat_once},
+        chat::{ChatJob, decoded_bytes, run_chat_once},
         header::{CallerHeaders, forwarded_headers},
         prompt::ChatBody,
         router::{CHAT_PATH, SERVICE_PREFIX},
         service::{PlainJob, plain_answer},
     },
+    memory::MemoryShare,
     node_task::{TicketEntry, TicketWait},
     peer::{
         envelope::PeerMethod,
@@ -59,7 +60,7 @@
             method: call.method.as_str().to_owned(),
             path: CHAT_PATH.to_owned(),
             headers: call.headers.clone(),
-            body: call.body.to_vec(),
+            body: call.body.clone(),
         };
         TicketedCall { service, call }
     }
@@ -103,7 +104,8 @@
         attempt: 1,
     };
     let deadline = Deadline::after(&process.clock, remaining);
-    let arrival = Arrival { request: process.ids.next(), headers, deadline, relayed: false };
+    let arrival =
+        Arrival { request: process.ids.next(), headers, deadline, relayed: false, memory: None };
     let ticketed = TicketedCall { service: call.service, call: call.call };
     run_ticket(process, &arrival, call.ticket, ticketed, true).await
 }
@@ -198,10 +200,14 @@
         if !is_chat {
             return Ok(OwnedCall::Plain(PlainJob { arrival, service, call, run_once: true }));
         }
+        // The ticket may have been used before, and with another body.
+        let memory = process
+            .charge(MemoryShare::CallerBodies, decoded_bytes(&call.body))
+            .map_err(|refusal| Refusal { outcome: CallOutcome::Unknown, ..refusal })?;
         let body = ChatBody::parse(&call.body)
-            // The ticket may have been used with another body before.
             .map_err(|message| Refusal::unknown(RefusalCode::InvalidBody, message))?;
-        Ok(OwnedCall::Chat(Box::new(ChatJob { arrival, service, body, run_once: true }), call))
+        let job = ChatJob { arrival, service, body, run_once: true, memory };
+        Ok(OwnedCall::Chat(Box::new(job), call))
     }
 
     fn arrival(&self) -> &Arrival {
@@ -268,7 +274,7 @@
             method: Method::from_bytes(call.method.as_bytes()).unwrap_or(Method::POST),
             path,
             headers: call.headers.clone(),
-            body: Bytes::copy_from_slice(&call.body),
+            body: call.body.clone(),
             run_once: true,
         }
     }
@@ -294,7 +300,11 @@
         }
     };
     let answer = match end {
-        RequestEnd::Answered(answer) => Some(TicketAnswer::Done(answer)),
+        // The record keeps the answer long after its caller has taken it, within bounds of its own.
+        RequestEnd::Answered(PlainAnswer { status, headers, body }) => {
+            let body = Bytes::copy_from_slice(&body);
+            Some(TicketAnswer::Done(PlainAnswer { status, headers, body }))
+        }
         RequestEnd::Refused(refusal) => Some(TicketAnswer::Refused(refusal)),
         RequestEnd::Relay(peers) => Some(relay_owned(&process, &job, &peers).await),
         RequestEnd::Abandoned => None,
@@ -329,9 +339,7 @@
     let limits = process.timeouts;
     let whole = read_whole(&call.method, response, limits.answer_bytes, limits.idle).await;
     match (outcome.as_ref().and_then(|value| value.to_str().ok()), whole) {
-        (Some("done"), Ok(body)) => {
-            TicketAnswer::Done(PlainAnswer { status, headers, body: body.into() })
-        }
+        (Some("done"), Ok(body)) => TicketAnswer::Done(PlainAnswer { status, headers, body }),
         (Some("not-run"), _) => {
             process.link.relay_not_run(request).await;
             let message = format!("the VM of another data centre did not run the call ({RELAY})");
@@ -365,5 +373,5 @@
     });
     let body = format!("data: {chunk}\n\ndata: [DONE]\n\n").into_bytes();
     let headers = vec![("content-type".to_owned(), "text/event-stream".to_owned())];
-    PlainAnswer { status: answer.status, headers, body }
+    PlainAnswer { status: answer.status, headers, body: body.into() }
 }
