--- a/crates/tarragon-server/src/memory.rs
+++ b/crates/tarragon-server/src/memory.rs
@@ -109,11 +109,11 @@
         let base = BASE_BYTES.min(bytes / 4);
         let total = bytes - base - bytes / ALLOCATOR_PART;
         let part = |reserved: usize, most: usize| ShareBounds {
-            reserved: if reserved == 0 { 0 } else { total / reserved },
+            reserved: total / reserved,
             most: total / most,
         };
         let shares = MemoryShare::ALL.map(|share| match share {
-            MemoryShare::CallerBodies => part(0, 1),
+            MemoryShare::CallerBodies => ShareBounds { reserved: 0, most: total },
             MemoryShare::SmallBodies => part(16, 1),
             MemoryShare::Unread => part(32, 2),
             MemoryShare::PeerBodies => part(32, 4),
