Share the observer of connections and the settings of listeners

Both kinds of process observed their connections and bound their addresses with code of the same shape. ObservedStream passes reads and writes to a small trait; bind_bounded and the sizes of a connection stand once, in tarragon-server.

The count of bytes behind a request now also knows requests that are refused, which left their size uncounted: later requests on the same connection were charged for a receive buffer without need.

--- a/crates/tarragon-config/src/settings/read.rs
+++ b/crates/tarragon-config/src/settings/read.rs
@@ -203,12 +203,7 @@
 
     fn limit_values(&mut self, default: &ProcessLimits) -> ProcessLimits {
         let to_u32 = |number: u64| u32::try_from(number).unwrap_or(u32::MAX);
-        let memory_mb = self.number_in("memory_mb", default.memory_bytes >> 20, MEMORY_RANGE_MB);
-        let max_descriptors =
-            self.number_in("max_descriptors", default.max_descriptors, DESCRIPTORS_RANGE);
         ProcessLimits {
-            memory_bytes: memory_mb << 20,
-            max_descriptors,
             body_bytes: self.optional_number("body_bytes", default.body_bytes, MAX_BODY_BYTES),
             header_timeout: self.optional_duration("header_timeout_ms", default.header_timeout, 10),
             body_timeout: self.optional_duration("body_timeout_ms", default.body_timeout, 10),
@@ -229,6 +224,13 @@
                 default.concurrent_loads.into(),
                 1_000,
             )),
+            memory_bytes: self.number_in("memory_mb", default.memory_bytes >> 20, MEMORY_RANGE_MB)
+                << 20,
+            max_descriptors: self.number_in(
+                "max_descriptors",
+                default.max_descriptors,
+                DESCRIPTORS_RANGE,
+            ),
         }
     }
 
--- a/crates/tarragon-gateway/src/caller.rs
+++ b/crates/tarragon-gateway/src/caller.rs
@@ -18,6 +18,7 @@
             BodyFault, BodyLimits, BodyRoom, ChargedBody, SMALL_BODY_BYTES, discard_body,
             discard_rest, read_charged_body,
         },
+        listener::UNREAD_BYTES,
     },
     memory::{MemoryCharge, MemoryShare},
     process::Deadline,
@@ -32,7 +33,6 @@
     context::GatewayContext,
     evidence::find_build_by_part,
     forward::{CallMemory, ForwardAnswer, ForwardCall, ForwardRunner, whole_response},
-    listener::UNREAD_BYTES,
     origins::{StreamLookup, find_build},
     platform::CallProtocol,
     shared_node::SharedNodeLink,
@@ -74,6 +74,9 @@
 {
     let arrived = Instant::now();
     let (head, mut body) = message.into_parts();
+    let head_bytes = head_bytes(&head);
+    let announced = body.size_hint().exact();
+    watch.claim(head_bytes + announced.unwrap_or(0) as usize);
     let (call_head, routed) = match route(&context, &head) {
         Ok(routed) => routed,
         Err(answer) => {
@@ -88,14 +91,12 @@
     let wait = wait_limit(&routed.route, call_head.time_left);
     let deadline = Deadline::after(&context.clock, wait);
     let limits = body_limits(context.caller_limits(), wait);
-    let head_bytes = head_bytes(&head);
     let held = charge_request(&context, &call_head, &routed.route, head_bytes);
     let expects_continue = head.headers.contains_key(header::EXPECT);
     let Some(held) = held else {
         let refused = refuse_unread(&context, &mut body, MemoryShare::Requests, &call_head.tag);
         return refused.await;
     };
-    let is_announced = body.size_hint().exact().is_some();
     let received = receive_body(&context, &call_head.tag, &mut body, limits, expects_continue);
     let ChargedBody { bytes: body, charge: memory } =
         match before_end(&context, &call_head.tag, received).await {
@@ -103,9 +104,8 @@
             Ok(Err(answer)) | Err(answer) => return *answer,
         };
     watch.set_state(AnswerState::Waiting);
-    // The size of a body in chunks tells nothing of the bytes that it took.
-    let may_hold_more = watch.take_request(head_bytes + body.len()) || !is_announced;
-    let behind = match may_hold_more {
+    // The length of a body in chunks doesn't tell how many bytes brought it.
+    let behind = match announced.is_none() || watch.has_unclaimed() {
         true => match BytesBehind::charge(&context.memory, watch) {
             Some(behind) => Some(behind),
             None => return memory_refusal(&context, &call_head.tag, MemoryShare::Unread),
--- a/crates/tarragon-gateway/src/connection.rs
+++ b/crates/tarragon-gateway/src/connection.rs
@@ -5,26 +5,27 @@
     io,
     pin::Pin,
     sync::Arc,
-    task::{Context, Poll, ready},
+    task::{Context, Poll},
 };
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use tarragon_server::{
-    caller::answer::{AnswerBody, BodyCutShort},
+    caller::{
+        answer::{AnswerBody, BodyCutShort},
+        listener::UNREAD_BYTES,
+        observed_stream::StreamObserver,
+    },
     guarded::Guarded,
     memory::{MemoryAccount, MemoryCharge, MemoryShare, MemoryTransfer},
 };
-use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
-    time::Instant,
-};
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use crate::{listener::UNREAD_BYTES, metrics::GatewayMetrics};
+use crate::metrics::GatewayMetrics;
 
 /// Largest error of the size that is computed for a request from its parsed head.
-const REQUEST_SIZE_ERROR: usize = 256;
+const REQUEST_SIZE_ERROR: i64 = 256;
 
 /// How far the current request of a connection has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -68,8 +69,8 @@
 struct WatchState {
     open: Option<OpenRequest>,
     idle: IdleState,
-    /// Bytes that were read and belong to no request that is known.
-    read: usize,
+    /// Bytes that were read and belong to no request that is known. Negative while a known one is being read.
+    unclaimed: i64,
     /// The large answer that is being written.
     answer: Option<MemoryTransfer>,
 }
@@ -86,7 +87,7 @@
     /// Watches a connection that has just been accepted.
     fn default() -> ConnectionWatch {
         let idle = IdleState { since: Instant::now(), was_used: false };
-        let state = WatchState { open: None, idle, read: 0, answer: None };
+        let state = WatchState { open: None, idle, unclaimed: 0, answer: None };
         let give_up = CancellationToken::new();
         ConnectionWatch { state: Arc::new(Guarded::new(state)), give_up }
     }
@@ -121,17 +122,21 @@
     /// Bytes have arrived. Returns whether they come behind a request that has been read whole.
     fn count_read(&self, bytes: usize) -> bool {
         self.state.with(|state| {
-            state.read = state.read.saturating_add(bytes);
+            state.unclaimed = state.unclaimed.saturating_add_unsigned(bytes as u64);
             state.open.as_ref().is_some_and(|open| open.state != AnswerState::Reading)
         })
     }
 
-    /// A request of about so many bytes has been read whole. Returns whether further bytes came with it.
-    pub fn take_request(&self, bytes: usize) -> bool {
+    /// A request of about so many bytes is being read.
+    pub fn claim(&self, bytes: usize) {
         self.state.with(|state| {
-            state.read = state.read.saturating_sub(bytes);
-            state.read > 0
-        })
+            state.unclaimed = state.unclaimed.saturating_sub_unsigned(bytes as u64);
+        });
+    }
+
+    /// Whether bytes have come behind a request that has been read whole.
+    pub fn has_unclaimed(&self) -> bool {
+        self.state.with(|state| state.unclaimed > REQUEST_SIZE_ERROR)
     }
 
     /// The answer is large and holds memory until the caller has taken it.
@@ -157,9 +162,8 @@
         self.state.with(|state| {
             state.open = None;
             state.idle.since = Instant::now();
-            // What is left is within the error of the sizes of requests.
-            if state.read <= REQUEST_SIZE_ERROR {
-                state.read = 0;
+            if state.unclaimed <= REQUEST_SIZE_ERROR {
+                state.unclaimed = 0;
             }
         });
     }
@@ -182,87 +186,45 @@
     }
 }
 
-/// A connection that tells its watch what it reads and writes, and charges what comes behind a request that still runs.
-pub struct WatchedStream<C> {
-    connection: C,
+/// Tells a connection's watch what is read and written, and charges what comes behind a request that still runs.
+pub struct ConnectionObserver {
     watch: ConnectionWatch,
     memory: MemoryAccount,
     /// What came behind the request.
     behind: Option<BytesBehind>,
 }
 
-impl<C> WatchedStream<C> {
-    /// Watches a connection.
-    pub fn new(connection: C, watch: ConnectionWatch, memory: MemoryAccount) -> WatchedStream<C> {
-        WatchedStream { connection, watch, memory, behind: None }
+impl ConnectionObserver {
+    /// Observes a connection.
+    pub fn new(watch: ConnectionWatch, memory: MemoryAccount) -> ConnectionObserver {
+        ConnectionObserver { watch, memory, behind: None }
     }
+}
 
-    fn charge_behind(&mut self, is_behind: bool) -> io::Result<()> {
-        if !is_behind {
+impl StreamObserver for ConnectionObserver {
+    fn observe_read(&mut self, bytes: usize) -> io::Result<()> {
+        if !self.watch.count_read(bytes) || bytes == 0 {
             self.behind = None;
             return Ok(());
         }
         if self.behind.is_none() {
             self.behind = BytesBehind::charge(&self.memory, &self.watch);
         }
-        let message = "no memory for what the caller sends behind its request";
-        self.behind.as_ref().map(drop).ok_or(io::Error::new(io::ErrorKind::OutOfMemory, message))
-    }
-}
-
-impl<C> AsyncRead for WatchedStream<C>
-where
-    C: AsyncRead + Unpin,
-{
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        ready!(Pin::new(&mut self.connection).poll_read(context, buffer))?;
-        let bytes = buffer.filled().len() - before;
-        let is_behind = bytes > 0 && self.watch.count_read(bytes);
-        Poll::Ready(self.charge_behind(is_behind))
-    }
-}
-
-impl<C> AsyncWrite for WatchedStream<C>
-where
-    C: AsyncWrite + Unpin,
-{
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let written = ready!(Pin::new(&mut self.connection).poll_write(context, bytes))?;
-        self.watch.count_written(written);
-        Poll::Ready(Ok(written))
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        slices: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let written = ready!(Pin::new(&mut self.connection).poll_write_vectored(context, slices))?;
-        self.watch.count_written(written);
-        Poll::Ready(Ok(written))
+        match &self.behind {
+            Some(_) => Ok(()),
+            None => {
+                let message = "no memory for what the caller sends behind its request";
+                Err(io::Error::new(io::ErrorKind::OutOfMemory, message))
+            }
+        }
     }
 
-    fn is_write_vectored(&self) -> bool {
-        self.connection.is_write_vectored()
+    fn observe_write(&mut self, bytes: usize) {
+        self.watch.count_written(bytes);
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        ready!(Pin::new(&mut self.connection).poll_flush(context))?;
+    fn observe_flush(&mut self) {
         self.watch.flushed();
-        Poll::Ready(Ok(()))
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.connection).poll_shutdown(context)
     }
 }
 
--- a/crates/tarragon-gateway/src/listener.rs
+++ b/crates/tarragon-gateway/src/listener.rs
@@ -1,20 +1,21 @@
 //! Accepts connections of callers and serves HTTP/1.1 on them. Also serves the readiness page for the load
 //! balancer and the metrics page.
 
-use std::{convert::Infallible, future::Future, net::SocketAddr, sync::Arc, time::Duration};
+use std::{convert::Infallible, future::Future, sync::Arc, time::Duration};
 
-use anyhow::Context;
 use bytes::Bytes;
 use http::{Method, Request, Response};
 use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tarragon_server::{
-    caller::write_limit::WriteLimit,
-    memory::{AccountBounds, MemoryShare},
+    caller::{
+        listener::CONNECTION_BYTES, observed_stream::ObservedStream, write_limit::WriteLimit,
+    },
+    memory::MemoryShare,
 };
 use tokio::{
-    net::{TcpListener, TcpSocket, TcpStream},
+    net::{TcpListener, TcpStream},
     sync::{OwnedSemaphorePermit, Semaphore},
     time::{Instant, sleep, timeout},
 };
@@ -22,20 +23,14 @@
 
 use crate::{
     caller,
-    connection::{ConnectionEnd, ConnectionReport, ConnectionWatch, WatchedBody, WatchedStream},
+    connection::{
+        ConnectionEnd, ConnectionObserver, ConnectionReport, ConnectionWatch, WatchedBody,
+    },
     connections::{IdleBounds, OpenConnection},
     context::GatewayContext,
     platform::CallProtocol,
 };
 
-/// Memory of an open connection: its read buffer and its task.
-const CONNECTION_BYTES: usize = 16 << 10;
-/// Receive buffer of a socket. Without a bound, the kernel keeps megabytes of a body that isn't read.
-const RECEIVE_BUFFER_BYTES: usize = 32 << 10;
-/// Bytes that a socket may hold unread. The kernel doubles the size of the buffer.
-pub const UNREAD_BYTES: usize = 2 * RECEIVE_BUFFER_BYTES;
-/// Connections that wait to be accepted.
-const ACCEPT_BACKLOG: u32 = 1_024;
 /// Interval at which idle connections are closed while connections run low.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Most concurrent connections to one page.
@@ -62,11 +57,6 @@
     pub connections: TaskTracker,
 }
 
-/// Connections that fit into their share of an account.
-pub fn connections_by_memory(bounds: &AccountBounds) -> usize {
-    bounds.shares[MemoryShare::Connections as usize].most / CONNECTION_BYTES
-}
-
 /// Accepts connections of callers until `signals.close` is cancelled.
 pub async fn listen<D>(
     listener: TcpListener,
@@ -126,18 +116,6 @@
     }
 }
 
-/// Binds an address at which untrusted clients connect, with bounded receive buffers.
-pub fn bind_bounded(address: SocketAddr, name: &str) -> anyhow::Result<TcpListener> {
-    let bind = || {
-        let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
-        socket.set_reuseaddr(true)?;
-        socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES as u32)?;
-        socket.bind(address)?;
-        socket.listen(ACCEPT_BACKLOG)
-    };
-    bind().with_context(|| format!("{name} {address} can't be bound"))
-}
-
 /// Accepts a connection, with a permit if there is one; `None` after `close` was cancelled.
 pub async fn accept(
     listener: &TcpListener,
@@ -195,8 +173,8 @@
         })
     });
     let stream = WriteLimit::new(stream, context.limits.caller_stall);
-    let stream = WatchedStream::new(stream, report.watch().clone(), context.memory.clone());
-    let stream = TokioIo::new(stream);
+    let observer = ConnectionObserver::new(report.watch().clone(), context.memory.clone());
+    let stream = TokioIo::new(ObservedStream::new(stream, observer));
     let connection = builder.serve_connection(stream, service);
     tokio::pin!(connection);
     // A new connection is probably about to send a request, which would be lost if it were closed now.
--- a/crates/tarragon-gateway/src/serve.rs
+++ b/crates/tarragon-gateway/src/serve.rs
@@ -11,6 +11,7 @@
 use tarragon_config::settings::GatewaySettings;
 use tarragon_fleet::prelude::*;
 use tarragon_server::{
+    caller::listener::{bind_bounded, connections_by_memory},
     clock::{ProcessClock, SystemClock, now},
     guarded::Guarded,
     memory::{AccountBounds, MemoryAccount, MemoryShare},
@@ -30,9 +31,7 @@
     evidence::CacheEvidence,
     explain::{EXPLAIN_PATH, explain_page},
     lending::{self, LendingSender},
-    listener::{
-        ListenerSignals, PageAnswer, bind_bounded, connections_by_memory, listen, serve_page,
-    },
+    listener::{ListenerSignals, PageAnswer, listen, serve_page},
     metrics::GatewayMetrics,
     origins::{self, OriginLink},
     peers,
--- a/crates/tarragon-server/src/caller.rs
+++ b/crates/tarragon-server/src/caller.rs
@@ -7,6 +7,7 @@
 pub mod header;
 pub mod layer;
 pub mod listener;
+pub mod observed_stream;
 pub mod prompt;
 pub mod router;
 pub mod service;
--- a/crates/tarragon-server/src/caller/listener.rs
+++ b/crates/tarragon-server/src/caller/listener.rs
@@ -4,16 +4,18 @@
     convert::Infallible,
     io,
     net::SocketAddr,
-    pin::Pin,
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
-    task::{Context, Poll, ready},
+    task::{Context, Poll},
     time::Duration,
 };
 
-use super::write_limit::WriteLimit;
+use super::{
+    observed_stream::{ObservedStream, StreamObserver},
+    write_limit::WriteLimit,
+};
 use crate::memory::{AccountBounds, MemoryAccount, MemoryCharge, MemoryShare};
 use anyhow::Context as _;
 use http::{Request, Response};
@@ -24,7 +26,6 @@
     service::TowerToHyperService,
 };
 use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
     net::{TcpListener, TcpSocket, TcpStream},
     sync::Semaphore,
     time::sleep,
@@ -39,9 +40,11 @@
 /// Requests at once on one HTTP/2 connection.
 const MAX_STREAMS: u32 = 256;
 /// Memory of an open connection: its tasks and a small read buffer.
-const CONNECTION_BYTES: usize = 16 << 10;
-/// Receive buffer of a socket. The kernel doubles it.
+pub const CONNECTION_BYTES: usize = 16 << 10;
+/// Receive buffer of a socket. Without a bound, the kernel keeps megabytes of a body that isn't read.
 const RECEIVE_BUFFER_BYTES: usize = 32 << 10;
+/// Bytes that a socket may hold unread. The kernel doubles the size of the buffer.
+pub const UNREAD_BYTES: usize = 2 * RECEIVE_BUFFER_BYTES;
 /// Bytes of a head that the charge for the connection covers.
 const COVERED_BYTES: usize = 8 << 10;
 /// Memory of the read buffers of a connection that receives more.
@@ -78,7 +81,7 @@
 }
 
 /// Binds an address at which untrusted clients connect, with bounded receive buffers.
-pub fn bind_callers(address: SocketAddr, name: &str) -> anyhow::Result<TcpListener> {
+pub fn bind_bounded(address: SocketAddr, name: &str) -> anyhow::Result<TcpListener> {
     let bind = || {
         let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
         socket.set_reuseaddr(true)?;
@@ -185,7 +188,8 @@
     let builder = connection_builder(limits);
     let called = CallMark::default();
     let stream = WriteLimit::new(stream, limits.write);
-    let stream = ChargedStream::new(stream, memory, called.clone());
+    let observer = ReadCharge { memory, mark: called.clone(), charge: None };
+    let stream = ObservedStream::new(stream, observer);
     let service = TowerToHyperService::new(FirstCall { inner: service, called: called.clone() });
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
@@ -239,20 +243,15 @@
     }
 }
 
-/// A connection that charges its read buffers while it receives more than a small head.
-struct ChargedStream<C> {
-    connection: C,
+/// Charges the read buffers of a connection while it receives more than a small head.
+struct ReadCharge {
     memory: Option<MemoryAccount>,
     mark: CallMark,
     charge: Option<MemoryCharge>,
 }
 
-impl<C> ChargedStream<C> {
-    fn new(connection: C, memory: Option<MemoryAccount>, mark: CallMark) -> ChargedStream<C> {
-        ChargedStream { connection, memory, mark, charge: None }
-    }
-
-    fn charge_read(&mut self, bytes: usize) -> io::Result<()> {
+impl StreamObserver for ReadCharge {
+    fn observe_read(&mut self, bytes: usize) -> io::Result<()> {
         let Some(memory) = &self.memory else { return Ok(()) };
         if self.mark.add(bytes) <= COVERED_BYTES {
             self.charge = None;
@@ -261,56 +260,13 @@
         if self.charge.is_none() {
             self.charge = memory.charge_now(MemoryShare::Unread, READ_BYTES);
         }
-        let message = "no memory for what the caller sends";
-        self.charge.as_ref().map(drop).ok_or(io::Error::new(io::ErrorKind::OutOfMemory, message))
-    }
-}
-
-impl<C> AsyncRead for ChargedStream<C>
-where
-    C: AsyncRead + Unpin,
-{
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        ready!(Pin::new(&mut self.connection).poll_read(context, buffer))?;
-        Poll::Ready(self.charge_read(buffer.filled().len() - before))
-    }
-}
-
-impl<C> AsyncWrite for ChargedStream<C>
-where
-    C: AsyncWrite + Unpin,
-{
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.connection).poll_write(context, bytes)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        slices: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.connection).poll_write_vectored(context, slices)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.connection.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.connection).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.connection).poll_shutdown(context)
+        match &self.charge {
+            Some(_) => Ok(()),
+            None => {
+                let message = "no memory for what the caller sends";
+                Err(io::Error::new(io::ErrorKind::OutOfMemory, message))
+            }
+        }
     }
 }
 
--- a/crates/tarragon-server/src/serve.rs
+++ b/crates/tarragon-server/src/serve.rs
@@ -16,7 +16,7 @@
     caller::{
         layer::ContextLayer,
         listener::{
-            ListenerGauges, ListenerLimits, ListenerSignals, bind_callers, connections_by_memory,
+            ListenerGauges, ListenerLimits, ListenerSignals, bind_bounded, connections_by_memory,
             listen,
         },
         router,
@@ -250,7 +250,7 @@
 
 impl Listeners {
     async fn bind(settings: &ServeSettings) -> anyhow::Result<Listeners> {
-        let caller = bind_callers(settings.caller_address, "caller_address")?;
+        let caller = bind_bounded(settings.caller_address, "caller_address")?;
         let peer = bind(settings.peer_address, "peer_address").await?;
         let admin = bind(settings.admin_address, "admin_address").await?;
         Ok(Listeners {
