Give up only transfers whose memory helps, and yield between connections

A charge whose own share was full gave up slow transfers of other shares, which freed nothing for it: a large answer that waited could end slow bodies without need. Only transfers of the full share are given up then. Found by reading; slow_transfers_are_given_up_for_those_whom_it_helps has the three cases.

The loops that accept connections no longer wait for permits, so a burst was accepted in one turn of the runtime, before the open connections were served: relay::data_centre_that_is_out_relays_its_work failed each time (127 of 366 connections to a peer timed out, 63 seals were refused).

--- a/crates/tarragon-gateway/src/caller.rs
+++ b/crates/tarragon-gateway/src/caller.rs
@@ -141,7 +141,8 @@
     let answer = serve_call(context.clone(), call).await;
     let bytes = answer.body().size_hint().exact().unwrap_or(0) as usize;
     if bytes > SMALL_BODY_BYTES {
-        watch.begin_answer(context.memory.open_transfer(bytes, watch.give_up.clone()));
+        let give_up = watch.give_up.clone();
+        watch.begin_answer(context.memory.open_transfer(MemoryShare::Answers, bytes, give_up));
     }
     answer
 }
--- a/crates/tarragon-gateway/src/connection.rs
+++ b/crates/tarragon-gateway/src/connection.rs
@@ -181,7 +181,8 @@
     /// Charges what the socket of a connection may hold.
     pub fn charge(memory: &MemoryAccount, watch: &ConnectionWatch) -> Option<BytesBehind> {
         let charge = memory.charge_now(MemoryShare::Unread, UNREAD_BYTES)?;
-        let transfer = memory.open_transfer(UNREAD_BYTES, watch.give_up.clone());
+        let transfer =
+            memory.open_transfer(MemoryShare::Unread, UNREAD_BYTES, watch.give_up.clone());
         Some(BytesBehind { _charge: charge, _transfer: transfer })
     }
 }
--- a/crates/tarragon-gateway/src/listener.rs
+++ b/crates/tarragon-gateway/src/listener.rs
@@ -17,6 +17,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{OwnedSemaphorePermit, Semaphore},
+    task::yield_now,
     time::{Instant, sleep, timeout},
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
@@ -100,6 +101,8 @@
             context.metrics.connections.dec();
             drop((open, charge, permit));
         });
+        // A burst of connections must not keep those that are open from being served.
+        yield_now().await;
     }
 }
 
--- a/crates/tarragon-server/src/caller/body.rs
+++ b/crates/tarragon-server/src/caller/body.rs
@@ -149,7 +149,8 @@
             Some(bytes) => BodyBuffer::announced(bytes as usize, room).await?,
             None => BodyBuffer::growing(limits.bytes, room).await?,
         };
-        let transfer = room.account.open_transfer(buffer.charge.bytes(), given_up.clone());
+        let charged = buffer.charge.bytes();
+        let transfer = room.account.open_transfer(room.share, charged, given_up.clone());
         while let Some(data) = next_part(body, limits.part).await? {
             if buffer.len() + data.len() > buffer.limit {
                 return Err(BodyFault::TooLarge);
--- a/crates/tarragon-server/src/caller/listener.rs
+++ b/crates/tarragon-server/src/caller/listener.rs
@@ -28,6 +28,7 @@
 use tokio::{
     net::{TcpListener, TcpSocket, TcpStream},
     sync::Semaphore,
+    task::yield_now,
     time::sleep,
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
@@ -164,6 +165,8 @@
             open.dec();
             drop((permit, charge));
         });
+        // A burst of connections must not keep those that are open from being served.
+        yield_now().await;
     }
 }
 
--- a/crates/tarragon-server/src/memory.rs
+++ b/crates/tarragon-server/src/memory.rs
@@ -164,6 +164,12 @@
         fits
     }
 
+    /// Whether bytes don't fit into a share, whatever the others use.
+    fn is_full_for(&self, share: MemoryShare, bytes: usize) -> bool {
+        let bounds = self.bounds.shares[share as usize];
+        self.used[share as usize].saturating_add(bytes) > bounds.most
+    }
+
     /// Releases bytes that have been charged.
     pub fn release(&mut self, share: MemoryShare, bytes: usize) {
         let own = &mut self.used[share as usize];
@@ -186,6 +192,7 @@
 /// A body or an answer that is on its way and holds memory.
 #[derive(Debug)]
 struct OpenTransfer {
+    share: MemoryShare,
     /// Bytes that are charged for it.
     charged: usize,
     /// Bytes that moved since the window began.
@@ -229,10 +236,12 @@
 }
 
 impl TransferTable {
-    /// Gives up slow transfers that hold so many bytes together, largest first.
-    fn give_up_slow(&mut self, bytes: usize, now: Instant) {
-        let slow = self.open.values_mut().filter(|transfer| transfer.may_be_given_up(now));
-        let mut slow = Vec::from_iter(slow);
+    /// Gives up slow transfers that hold so many bytes together, largest first. With `only`, those of one share.
+    fn give_up_slow(&mut self, bytes: usize, only: Option<MemoryShare>, now: Instant) {
+        let fits = |transfer: &&mut OpenTransfer| {
+            only.is_none_or(|share| share == transfer.share) && transfer.may_be_given_up(now)
+        };
+        let mut slow = Vec::from_iter(self.open.values_mut().filter(fits));
         slow.sort_by_key(|transfer| Reverse(transfer.charged));
         let mut freed = 0;
         for transfer in slow {
@@ -300,9 +309,14 @@
     }
 
     /// Lists a transfer that holds so much memory. If it is slow and others wait for memory, `give_up` is cancelled.
-    pub fn open_transfer(&self, charged: usize, give_up: CancellationToken) -> MemoryTransfer {
+    pub fn open_transfer(
+        &self,
+        share: MemoryShare,
+        charged: usize,
+        give_up: CancellationToken,
+    ) -> MemoryTransfer {
         let window = Instant::now();
-        let transfer = OpenTransfer { charged, moved: 0, window, was_slow: false, give_up };
+        let transfer = OpenTransfer { share, charged, moved: 0, window, was_slow: false, give_up };
         let id = self.state.transfers.with(|table| {
             let id = table.next;
             table.next += 1;
@@ -328,14 +342,16 @@
     pub fn charge_now(&self, share: MemoryShare, bytes: usize) -> Option<MemoryCharge> {
         let charge = self.try_charge(share, bytes);
         if charge.is_none() {
-            self.give_up_slow(bytes);
+            self.give_up_slow(share, bytes);
         }
         charge
     }
 
-    fn give_up_slow(&self, bytes: usize) {
-        let now = Instant::now();
-        self.state.transfers.with(|table| table.give_up_slow(bytes, now));
+    /// Gives up slow transfers for a charge. If its share is full, the memory of other shares is of no use to it.
+    fn give_up_slow(&self, share: MemoryShare, bytes: usize) {
+        let is_full = self.state.ledger.with(|ledger| ledger.is_full_for(share, bytes));
+        let (only, now) = (is_full.then_some(share), Instant::now());
+        self.state.transfers.with(|table| table.give_up_slow(bytes, only, now));
     }
 
     /// Charges bytes as soon as they fit.
@@ -369,7 +385,7 @@
     /// Charges bytes as soon as they fit, and gives up slow transfers meanwhile.
     async fn charge_after_slow(&self, share: MemoryShare, bytes: usize) -> MemoryCharge {
         loop {
-            self.give_up_slow(bytes);
+            self.give_up_slow(share, bytes);
             if let Ok(charge) = timeout(GIVE_UP_INTERVAL, self.charge(share, bytes)).await {
                 return charge;
             }
--- a/crates/tarragon-server/tests/memory.rs
+++ b/crates/tarragon-server/tests/memory.rs
@@ -15,6 +15,8 @@
     memory::{AccountBounds, MemoryAccount, MemoryCharge, MemoryLedger, MemoryShare},
 };
 
+use tokio_util::sync::CancellationToken;
+
 const MEGABYTE: usize = 1 << 20;
 const MAX_BODY_BYTES: usize = 4 * MEGABYTE;
 
@@ -225,3 +227,58 @@
     assert_eq!(charge.unwrap().bytes(), most);
     assert_eq!(used_bytes(&account), 0);
 }
+
+/// Who is given up when memory of a share is wanted.
+struct GiveUpCase {
+    name: &'static str,
+    wanted: MemoryShare,
+    /// Bytes that move in two seconds.
+    moved: usize,
+    is_given_up: bool,
+}
+
+const TRANSFER_BYTES: usize = 2 * MEGABYTE;
+
+const GIVE_UP_CASES: &[GiveUpCase] = &[
+    GiveUpCase {
+        name: "a slow body, for a small body",
+        wanted: MemoryShare::SmallBodies,
+        moved: 1,
+        is_given_up: true,
+    },
+    GiveUpCase {
+        name: "a body that comes within the time, for a small body",
+        wanted: MemoryShare::SmallBodies,
+        moved: TRANSFER_BYTES / 4,
+        is_given_up: false,
+    },
+    GiveUpCase {
+        name: "a slow body, for an answer whose own share is full",
+        wanted: MemoryShare::Answers,
+        moved: 1,
+        is_given_up: false,
+    },
+];
+
+/// Guards against transfers that are given up although they are fast enough, or although that frees nothing for those
+/// who wait, and against slow ones that keep memory from others.
+#[tokio::test(start_paused = true)]
+async fn slow_transfers_are_given_up_for_those_whom_it_helps() {
+    for GiveUpCase { name, wanted, moved, is_given_up } in GIVE_UP_CASES {
+        let account = MemoryAccount::new(AccountBounds::for_memory(512 * MEGABYTE));
+        let share = MemoryShare::CallerBodies;
+        let give_up = CancellationToken::new();
+        let body = account.try_charge(share, TRANSFER_BYTES);
+        assert!(body.is_some(), "{name}");
+        let transfer = account.open_transfer(share, TRANSFER_BYTES, give_up.clone());
+        let fill =
+            |share| Vec::from_iter(std::iter::from_fn(|| account.try_charge(share, 4 << 10)));
+        let filled = fill(*wanted);
+        tokio::time::advance(Duration::from_secs(2)).await;
+        transfer.add(*moved);
+        assert!(account.charge_now(*wanted, 4 << 10).is_none(), "{name}");
+        assert_eq!(give_up.is_cancelled(), *is_given_up, "{name}");
+        assert_eq!(account.given_up_transfers(), u64::from(*is_given_up), "{name}");
+        drop(filled);
+    }
+}
