Release the charge for bytes behind a request with its connection

Cause: the charge was held by the call, and a call that must not be repeated runs on without its connection. It is now held beside the answer that the connection waits for.

--- a/crates/tarragon-gateway/src/caller.rs
+++ b/crates/tarragon-gateway/src/caller.rs
@@ -104,8 +104,9 @@
             Ok(Err(answer)) | Err(answer) => return *answer,
         };
     watch.set_state(AnswerState::Waiting);
-    // The length of a body in chunks doesn't tell how many bytes brought it.
-    let behind = match announced.is_none() || watch.has_unclaimed() {
+    // The length of a body in chunks doesn't tell how many bytes brought it. The charge ends with the connection, also if
+    // the call runs on.
+    let _behind = match announced.is_none() || watch.has_unclaimed() {
         true => match BytesBehind::charge(&context.memory, watch) {
             Some(behind) => Some(behind),
             None => return memory_refusal(&context, &call_head.tag, MemoryShare::Unread),
@@ -129,7 +130,7 @@
         path: head.uri,
         headers: head.headers,
         body,
-        memory: CallMemory { body: memory, request: held, behind },
+        memory: CallMemory { body: memory, request: held },
         arrived,
         deadline,
         resume_after: call_head.resume_after,
--- a/crates/tarragon-gateway/src/forward.rs
+++ b/crates/tarragon-gateway/src/forward.rs
@@ -34,7 +34,6 @@
     TargetNotice, answers_the_call, apply_answer_head, idle_limit, watch_interim_answers,
 };
 use crate::{
-    connection::BytesBehind,
     context::GatewayContext,
     platform::{AnswerKind, CallMetadata, CallProtocol},
     relay::PeerSlot,
@@ -52,8 +51,6 @@
     pub body: MemoryCharge,
     /// For its head, tasks and channels.
     pub request: MemoryCharge,
-    /// For bytes that its caller has sent behind it.
-    pub behind: Option<BytesBehind>,
 }
 
 /// A call of a caller, with its complete body.
