Have both kinds of process share bounds of connections and of waits for memory

Found on a second reading; behaviour is unchanged. The bound on connections that follows from descriptors, the part of it from which on a process isn't ready, and three times around refused bodies stood in both crates: ConnectionBounds and the times now stand in tarragon-server, and the gateway uses them. A body that was given up was treated like one without memory everywhere, so it has no fault of its own any more. A part of a body updates its transfer once, not twice.

--- a/crates/tarragon-gateway/src/caller.rs
+++ b/crates/tarragon-gateway/src/caller.rs
@@ -15,8 +15,8 @@
     caller::{
         answer::{AnswerBody, CallerAnswer, ErrorBody},
         body::{
-            BodyFault, BodyLimits, BodyRoom, ChargedBody, SMALL_BODY_BYTES, discard_body,
-            discard_rest, read_charged_body,
+            BodyFault, BodyLimits, BodyRoom, ChargedBody, MEMORY_RETRY_AFTER, MEMORY_WAIT,
+            REFUSED_BODY_TIME, SMALL_BODY_BYTES, discard_body, discard_rest, read_charged_body,
         },
         listener::UNREAD_BYTES,
     },
@@ -47,14 +47,6 @@
 const STREAM_BYTES: usize = 32 << 10;
 /// How often the bytes of a head are kept: as they arrived, decoded, and for the target.
 const HEAD_COPIES: usize = 3;
-/// Longest wait for memory for a body. Nothing is read from the connection meanwhile.
-const MEMORY_WAIT: Duration = Duration::from_millis(500);
-/// Retry-after time of requests for whose bodies there is no memory. A body that stops is given up after
-/// [`BODY_PART_TIMEOUT`], so memory that untrusted clients hold is free by then or soon after.
-const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(2);
-/// Longest time to read on from a refused body. A connection that is closed with unread bytes is reset, and the answer
-/// may be lost.
-const REFUSED_BODY_TIME: Duration = Duration::from_secs(1);
 /// Retry-after time for callers who take up a stream right after the start of a process, which has yet to hear
 /// from its peers.
 const ORIGIN_KNOWN_SOON: Duration = Duration::from_millis(500);
@@ -365,13 +357,10 @@
         Err(fault) => fault,
     };
     let answer = match fault {
-        BodyFault::NoRoom | BodyFault::GivenUp => {
-            memory_refusal(context, tag, MemoryShare::CallerBodies)
-        }
+        BodyFault::NoRoom => memory_refusal(context, tag, MemoryShare::CallerBodies),
         _ => body_fault_answer(context, tag, fault),
     };
-    let is_refused = matches!(fault, BodyFault::NoRoom | BodyFault::GivenUp | BodyFault::TooLarge);
-    if is_refused && !is_awaited {
+    if matches!(fault, BodyFault::NoRoom | BodyFault::TooLarge) && !is_awaited {
         discard_rest(body, limits.bytes, REFUSED_BODY_TIME).await;
     }
     Err(Box::new(answer))
--- a/crates/tarragon-gateway/src/connections.rs
+++ b/crates/tarragon-gateway/src/connections.rs
@@ -10,49 +10,16 @@
 
 use indexmap::IndexMap;
 use tarragon_fleet::prelude::CallerLimits;
+pub use tarragon_server::caller::listener::ConnectionBounds;
 use tarragon_server::guarded::Guarded;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use crate::connection::{ConnectionWatch, IdleState};
 
-/// Descriptors that are kept for connections to targets, those of peers, pages and files, up to a part of the limit.
-const RESERVED_DESCRIPTORS: usize = 1_100;
 /// Time beyond which a caller no longer sends, after the one that it may leave a connection idle.
 const SENDING_MARGIN: Duration = Duration::from_millis(500);
 
-/// How many connections of callers a process may have.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ConnectionBounds {
-    /// Most connections.
-    pub most: usize,
-    /// From so many on, the process is not ready and closes idle connections. The load balancer notices this after
-    /// some seconds, in which connections still arrive.
-    pub high: usize,
-    /// Below so many the process is ready again.
-    pub low: usize,
-    /// Most connections of peers.
-    pub peers: usize,
-}
-
-impl ConnectionBounds {
-    /// Bounds for a process that may have so many descriptors.
-    pub fn for_descriptors(descriptors: usize) -> ConnectionBounds {
-        let reserved = RESERVED_DESCRIPTORS.min(descriptors * 3 / 10);
-        ConnectionBounds::with_most(descriptors - reserved, (reserved / 2).clamp(1, 512))
-    }
-
-    /// The bounds with at most so many connections.
-    pub fn at_most(self, most: usize) -> ConnectionBounds {
-        ConnectionBounds::with_most(self.most.min(most), self.peers)
-    }
-
-    fn with_most(most: usize, peers: usize) -> ConnectionBounds {
-        let most = most.max(1);
-        ConnectionBounds { most, high: (most * 3 / 4).max(1), low: (most * 5 / 8).max(1), peers }
-    }
-}
-
 /// How long connections must be idle before they may be closed: callers may be sending on those that are idle for
 /// less.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/tarragon-gateway/src/relay/server.rs
+++ b/crates/tarragon-gateway/src/relay/server.rs
@@ -239,7 +239,7 @@
     };
     let ChargedBody { bytes: body, charge } = match read {
         Ok(read) => read,
-        Err(BodyFault::NoRoom | BodyFault::GivenUp) => {
+        Err(BodyFault::NoRoom) => {
             context.metrics.memory_refusals.with_label_values(&[room.share.name()]).inc();
             // The peer that still writes would take a reset connection for a lost attempt.
             discard_rest(&mut body, limits.bytes, BODY_PART_TIMEOUT).await;
--- a/crates/tarragon-server/src/caller/body.rs
+++ b/crates/tarragon-server/src/caller/body.rs
@@ -20,6 +20,14 @@
 /// Step in which the memory of a larger body whose length isn't announced is charged.
 const CHARGE_STEP_BYTES: usize = 256 << 10;
 
+/// Longest wait for memory for a body. Nothing is read from the connection meanwhile.
+pub const MEMORY_WAIT: Duration = Duration::from_millis(500);
+/// Longest time to read on from a refused body. A connection that is closed with unread bytes is reset, and the answer
+/// may be lost.
+pub const REFUSED_BODY_TIME: Duration = Duration::from_secs(1);
+/// Retry-after time of requests for which there is no memory. Slow bodies that hold it are given up by then.
+pub const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(2);
+
 /// Bounds for bodies of callers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct BodyLimits {
@@ -40,10 +48,8 @@
     CutShort,
     /// Its parts came too slowly.
     TooSlow,
-    /// The process has no memory for it.
+    /// The process has no memory for it, or none any longer, since it came slowly while others waited.
     NoRoom,
-    /// Its parts came slowly while others waited for its memory.
-    GivenUp,
 }
 
 impl BodyFault {
@@ -53,7 +59,7 @@
             BodyFault::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             BodyFault::CutShort => StatusCode::BAD_REQUEST,
             BodyFault::TooSlow => StatusCode::REQUEST_TIMEOUT,
-            BodyFault::NoRoom | BodyFault::GivenUp => StatusCode::SERVICE_UNAVAILABLE,
+            BodyFault::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
@@ -64,9 +70,6 @@
             BodyFault::CutShort => "the body ended before its stated length; send it whole",
             BodyFault::TooSlow => "the body did not arrive in time; send it without pauses",
             BodyFault::NoRoom => "the process has no memory for the body at present; repeat later",
-            BodyFault::GivenUp => {
-                "the body came too slowly while others waited for its memory; repeat later"
-            }
         }
     }
 }
@@ -156,15 +159,14 @@
                 return Err(BodyFault::TooLarge);
             }
             buffer.append(&data, room).await?;
-            transfer.set_charged(buffer.charge.bytes());
-            transfer.add(data.len());
+            transfer.record(data.len(), buffer.charge.bytes());
         }
         Ok(buffer.finish())
     };
     tokio::select! {
         biased;
         read = timeout(limits.whole, read) => read.unwrap_or(Err(BodyFault::TooSlow)),
-        () = given_up.cancelled() => Err(BodyFault::GivenUp),
+        () = given_up.cancelled() => Err(BodyFault::NoRoom),
     }
 }
 
--- a/crates/tarragon-server/src/caller/listener.rs
+++ b/crates/tarragon-server/src/caller/listener.rs
@@ -40,6 +40,8 @@
 const MAX_HEADER_BYTES: usize = 64 << 10;
 /// Requests at once on one HTTP/2 connection.
 const MAX_STREAMS: u32 = 256;
+/// Descriptors that are kept for connections to targets, those of peers, pages and files, up to a part of the limit.
+const RESERVED_DESCRIPTORS: usize = 1_100;
 /// Memory of an open connection: its tasks and a small read buffer.
 pub const CONNECTION_BYTES: usize = 16 << 10;
 /// Receive buffer of a socket. Without a bound, the kernel keeps megabytes of a body that isn't read.
@@ -76,6 +78,38 @@
     pub memory: Option<MemoryAccount>,
 }
 
+/// How many connections of callers a process may have.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionBounds {
+    /// Most connections.
+    pub most: usize,
+    /// From so many on, the process is not ready and closes idle connections. The load balancer notices this after
+    /// some seconds, in which connections still arrive.
+    pub high: usize,
+    /// Below so many the process is ready again.
+    pub low: usize,
+    /// Most connections of peers.
+    pub peers: usize,
+}
+
+impl ConnectionBounds {
+    /// Bounds for a process that may have so many descriptors.
+    pub fn for_descriptors(descriptors: usize) -> ConnectionBounds {
+        let reserved = RESERVED_DESCRIPTORS.min(descriptors * 3 / 10);
+        ConnectionBounds::with_most(descriptors - reserved, (reserved / 2).clamp(1, 512))
+    }
+
+    /// The bounds with at most so many connections.
+    pub fn at_most(self, most: usize) -> ConnectionBounds {
+        ConnectionBounds::with_most(self.most.min(most), self.peers)
+    }
+
+    fn with_most(most: usize, peers: usize) -> ConnectionBounds {
+        let most = most.max(1);
+        ConnectionBounds { most, high: (most * 3 / 4).max(1), low: (most * 5 / 8).max(1), peers }
+    }
+}
+
 /// Connections that fit into their share of an account.
 pub fn connections_by_memory(bounds: &AccountBounds) -> usize {
     bounds.shares[MemoryShare::Connections as usize].most / CONNECTION_BYTES
--- a/crates/tarragon-server/src/caller/router.rs
+++ b/crates/tarragon-server/src/caller/router.rs
@@ -18,7 +18,8 @@
     },
     arrival::{Arrival, CallerCall},
     body::{
-        BodyFault, BodyLimits, BodyRoom, ChargedBody, discard_body, discard_rest, read_charged_body,
+        BodyFault, BodyLimits, BodyRoom, ChargedBody, MEMORY_WAIT, REFUSED_BODY_TIME, discard_body,
+        discard_rest, read_charged_body,
     },
     chat::{ServedChat, prepare_chat, serve_chat},
     header::{CallerHeaders, forwarded_headers},
@@ -44,13 +45,6 @@
 const ROOM_PART: usize = 16;
 /// Memory of a request that waits, beside its body and its connection: its head, tasks and channels.
 const REQUEST_BYTES: usize = 32 << 10;
-/// Longest wait for memory for a body. Nothing is read from the connection meanwhile.
-const MEMORY_WAIT: Duration = Duration::from_millis(500);
-/// Longest time to read on from a refused body. A connection that is closed with unread bytes is reset, and the answer
-/// may be lost.
-const REFUSED_BODY_TIME: Duration = Duration::from_secs(1);
-/// Part of the connections from which on the process is not ready, so that the load balancer sends no more.
-const READY_PART: (usize, usize) = (3, 4);
 /// Delay that a caller is asked to wait when too many requests are open.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Longest time for a ticket to be issued by another VM.
@@ -79,8 +73,7 @@
     let ready = {
         let view = process.view.borrow();
         let open = usize::try_from(process.metrics.connections.get()).unwrap_or(0);
-        let has_room = open < process.max_connections * READY_PART.0 / READY_PART.1;
-        view.ready && !view.draining && has_room
+        view.ready && !view.draining && open < process.connection_bounds.high
     };
     let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
     json_answer(status, CallOutcome::Done, json!({"ready": ready}).to_string().into())
@@ -215,7 +208,7 @@
     let room = BodyRoom { account: &process.memory, share, small_share, wait: MEMORY_WAIT };
     match read_charged_body(body, limits, room).await {
         Ok(ChargedBody { bytes, charge }) => Ok(charge.attach(bytes)),
-        Err(BodyFault::NoRoom | BodyFault::GivenUp) => {
+        Err(BodyFault::NoRoom) => {
             discard_rest(body, limits.bytes, REFUSED_BODY_TIME).await;
             Err(refusal_answer(&process.memory_refusal(share)))
         }
--- a/crates/tarragon-server/src/memory.rs
+++ b/crates/tarragon-server/src/memory.rs
@@ -268,9 +268,12 @@
         self.update(|transfer| transfer.add(bytes, Instant::now()));
     }
 
-    /// Sets how much memory the transfer holds.
-    pub fn set_charged(&self, bytes: usize) {
-        self.update(|transfer| transfer.charged = bytes);
+    /// Bytes have moved, and the transfer holds so much memory now.
+    pub fn record(&self, bytes: usize, charged: usize) {
+        self.update(|transfer| {
+            transfer.charged = charged;
+            transfer.add(bytes, Instant::now());
+        });
     }
 
     fn update<W>(&self, work: W)
--- a/crates/tarragon-server/src/process.rs
+++ b/crates/tarragon-server/src/process.rs
@@ -21,6 +21,7 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
+    caller::{body::MEMORY_RETRY_AFTER, listener::ConnectionBounds},
     clock::{BootClock, ProcessClock},
     memory::{MemoryAccount, MemoryCharge, MemoryShare},
     metrics::ServerMetrics,
@@ -31,8 +32,6 @@
     target::{body::AnswerRoom, pool::ConnectionPool, timeouts::TargetTimeouts},
 };
 
-/// Retry-after time of requests for which there is no memory.
-const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(2);
 /// Interval of the checks while the node learns what happened during a pause.
 const WRITE_RETRY: Duration = Duration::from_millis(100);
 
@@ -109,8 +108,8 @@
     pub memory: MemoryAccount,
     /// Room in that account for answers that are read whole.
     pub answers: AnswerRoom,
-    /// Most connections of callers.
-    pub max_connections: usize,
+    /// How many connections of callers it may have.
+    pub connection_bounds: ConnectionBounds,
     /// Client for calls to other entry VMs.
     pub peers: PeerClient,
     /// Metrics.
--- a/crates/tarragon-server/src/serve.rs
+++ b/crates/tarragon-server/src/serve.rs
@@ -16,8 +16,8 @@
     caller::{
         layer::ContextLayer,
         listener::{
-            ListenerGauges, ListenerLimits, ListenerSignals, bind_bounded, connections_by_memory,
-            listen,
+            ConnectionBounds, ListenerGauges, ListenerLimits, ListenerSignals, bind_bounded,
+            connections_by_memory, listen,
         },
         router,
     },
@@ -34,9 +34,6 @@
     target::{body::AnswerRoom, pool::ConnectionPool, timeouts::TargetTimeouts},
 };
 
-/// Descriptors that are kept for connections to targets, those of peers and operators, and files, up to a part of the
-/// limit.
-const RESERVED_DESCRIPTORS: usize = 1_100;
 /// Connections of operators at once.
 const ADMIN_CONNECTIONS: usize = 64;
 /// Connections of other entry VMs at once, above the fleet of the design scale.
@@ -192,15 +189,15 @@
     let (task, link) = NodeTask::new(parts);
     let limits = &settings.limits;
     // Callers keep connections open between requests.
-    let max_connections = (2 * limits.streams as usize)
-        .min(limits.max_descriptors - RESERVED_DESCRIPTORS.min(limits.max_descriptors * 3 / 10))
-        .min(connections_by_memory(&bounds));
+    let connection_bounds = ConnectionBounds::for_descriptors(limits.max_descriptors)
+        .at_most(2 * limits.streams as usize)
+        .at_most(connections_by_memory(&bounds));
     let memory = MemoryAccount::new(bounds);
     let process = Arc::new(ProcessContext {
         settings: settings.clone(),
         answers: AnswerRoom::new(memory.clone()),
         memory,
-        max_connections,
+        connection_bounds,
         link,
         pool: ConnectionPool::default(),
         peers: PeerClient::new(seal.clone(), metrics.clone()),
@@ -310,7 +307,7 @@
         let limits = &process.settings.limits;
         let headers = limits.header_timeout;
         let write = process.timeouts.caller_stall;
-        let connections = process.max_connections;
+        let connections = process.connection_bounds.most;
         tokio::spawn(listen(
             self.caller,
             caller_service(&process),
